--- /dev/null
+++ b/src/node/clients.cpp
@@ -0,0 +1,367 @@
+#include "clients.hpp"
+
+#include <boost/beast/http/write.hpp>
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <stdexcept>
+
+#include "facts.hpp"
+
+namespace snowknot {
+namespace {
+
+using std::string_view;
+
+struct BadRequest : std::runtime_error {
+  BadRequest(http::status s, const std::string& why) : std::runtime_error(why), status(s) {}
+  http::status status;
+};
+[[noreturn]] void bad(const std::string& what) { throw BadRequest(http::status::bad_request, what); }
+
+template <class Number>
+Number whole(string_view text, const char* what, int base = 10) {
+  Number n{};
+  const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), n, base);
+  if (failed != std::errc{} || end != text.data() + text.size()) bad(std::string(what) + " is not a number");
+  return n;
+}
+
+string_view trimmed(string_view s) {
+  while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) s.remove_prefix(1);
+  while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
+  return s;
+}
+
+// The value under a key in a list of key=value pairs.
+std::optional<string_view> pair_value(string_view list, char separator, string_view key) {
+  while (!list.empty()) {
+    const auto part = trimmed(list.substr(0, list.find(separator)));
+    list.remove_prefix(std::min(list.size(), list.find(separator)));
+    if (!list.empty()) list.remove_prefix(1);
+    if (const auto eq = part.find('='); eq != string_view::npos && part.substr(0, eq) == key)
+      return part.substr(eq + 1);
+  }
+  return std::nullopt;
+}
+
+using Fields = http::request<http::string_body>;
+
+string_view header(const Fields& f, string_view name) {
+  const auto [first, last] = f.equal_range({name.data(), name.size()});
+  if (first == last) bad(std::string(name) + " is missing");
+  if (std::next(first) != last) bad(std::string(name) + " stands there twice");
+  const auto v = first->value();
+  if (v.empty()) bad(std::string(name) + " is empty");
+  return {v.data(), v.size()};
+}
+
+template <class Named>
+std::uint32_t index_of(const std::vector<Named>& all, string_view name, const char* what) {
+  const auto it = std::ranges::find(all, name, &Named::name);
+  if (it == all.end()) bad(std::string(what) + " is unknown");
+  return static_cast<std::uint32_t>(it - all.begin());
+}
+
+CustomerId customer(const Fields& f) {
+  const auto value = pair_value(header(f, "Cookie"), ';', "client");
+  if (!value || value->size() != facts::kCustomerDigits) bad("the cookie names no client");
+  const auto n = whole<std::uint64_t>(*value, "the cookie's client", 16);
+  if (n >= facts::kCustomersBelow) bad("the cookie's client is out of range");
+  return CustomerId(n);
+}
+
+void read_quota(const Fields& f, const Settings& s, Arrival& a) {
+  const auto list = header(f, "X-Quota");
+  const auto part = [&](const char* key) {
+    const auto value = pair_value(list, ',', key);
+    if (!value) bad(std::string("X-Quota has no ") + key);
+    return *value;
+  };
+  const auto units = part("units");
+  char* end = nullptr;
+  const std::string text(units);
+  if (units.empty() || units.front() < '0' || units.front() > '9') bad("X-Quota units is not a number");
+  a.units = std::strtod(text.c_str(), &end);
+  if (end != text.c_str() + text.size() || !(a.units > 0 && a.units <= s.max_units)) bad("X-Quota units");
+  a.gateways = whole<std::uint32_t>(part("spread"), "X-Quota spread");
+  if (a.gateways == 0 || a.gateways > s.fleet_size) bad("X-Quota spread is out of range");
+  if (whole<std::uint32_t>(part("first"), "X-Quota first") >= s.fleet_size) bad("X-Quota first");
+}
+
+string_view first_part(string_view target) {
+  if (target.empty() || target.front() != '/') return {};
+  target.remove_prefix(1);
+  return target.substr(0, target.find_first_of("/?"));
+}
+
+ClientRequest read_request(Fields& f, const Settings& s, Time began) {
+  ClientRequest r;
+  const string_view target(f.target().data(), f.target().size());
+  const auto path_class = first_part(target);
+  if (std::ranges::find(s.classes, path_class, &RequestClass::name) == s.classes.end())
+    throw BadRequest(http::status::not_found, "no such path");
+  auto& a = r.arrival;
+  const auto cls = index_of(s.classes, header(f, "X-Priority-Class"), "the class");
+  if (s.classes[cls].name != path_class) bad("the path and X-Priority-Class differ");
+  a.request_class = ClassIndex(cls);
+  a.plan = PlanIndex(index_of(s.plans, header(f, "X-Plan"), "the plan"));
+  a.customer = customer(f);
+  const auto timeout = whole<std::uint64_t>(header(f, "X-Timeout-Ms"), "X-Timeout-Ms");
+  if (timeout == 0 || timeout > facts::kMostTimeoutMs) bad("X-Timeout-Ms is out of range");
+  r.deadline = began + std::chrono::milliseconds(timeout);
+  read_quota(f, s, a);
+  if (f.count("X-Retried") > 0) {
+    if (header(f, "X-Retried") != "1") bad("X-Retried is not 1");
+    a.is_retry = true;
+  }
+  r.id = header(f, "X-Request-ID");
+  if (r.id.size() > facts::kMostId) bad("X-Request-ID is too long");
+  const auto effect = s.classes[cls].effect;
+  const bool keyed = f.count("Idempotency-Key") > 0;
+  if (f.method() != (effect == Effect::safe ? http::verb::get : http::verb::post))
+    throw BadRequest(http::status::method_not_allowed, "the method does not go with the class");
+  if (keyed != (effect == Effect::keyed)) bad("Idempotency-Key does not go with the class");
+  if (keyed) r.key = header(f, "Idempotency-Key");
+  if (r.key.size() > facts::kMostId) bad("Idempotency-Key is too long");
+  if (effect == Effect::safe && !f.body().empty()) bad("a body does not go with the class");
+  r.method = f.method();
+  r.target = target;
+  if (const auto it = f.find(http::field::content_type); it != f.end()) r.content_type = it->value();
+  r.body = std::move(f.body());
+  return r;
+}
+
+}  // namespace
+
+// ---- A session ------------------------------------------------------------------------------------------
+
+ClientSession::ClientSession(Clients& clients, Socket socket)
+    : clients_(clients), socket_(std::move(socket)), since_(clients.timers_.now()) {}
+
+void ClientSession::start() {
+  set_no_delay(socket_);
+  read();
+}
+
+void ClientSession::enter(Stage stage) {
+  stage_ = stage;
+  since_ = clients_.timers_.now();
+}
+
+void ClientSession::read() {
+  // A client that writes on while its request is out is read ahead by one message at most.
+  if (reads_ || closed() || buffer_.size() > facts::kMostHeader + facts::kMostBody) return;
+  reads_ = true;
+  socket_.async_read_some(buffer_.prepare(facts::kReadSize),
+                          [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
+                            self->on_read(failed, bytes);
+                          });
+}
+
+void ClientSession::on_read(const error_code& failed, std::size_t bytes) {
+  reads_ = false;
+  if (closed()) return;
+  if (failed) return close();
+  buffer_.commit(bytes);
+  if (stage_ == Stage::lingering) buffer_.clear();
+  if (stage_ == Stage::reading) parse();
+  read();
+}
+
+void ClientSession::parse() {
+  if (buffer_.size() == 0) return;
+  if (!std::exchange(began_, true)) {
+    since_ = clients_.timers_.now();
+    parser_.emplace();
+    parser_->header_limit(facts::kMostHeader);
+    parser_->body_limit(facts::kMostBody);
+    parser_->eager(true);
+  }
+  error_code failed;
+  while (!parser_->is_done() && buffer_.size() > 0) {
+    const bool had_header = parser_->is_header_done();
+    buffer_.consume(parser_->put(buffer_.data(), failed));
+    if (failed == http::error::need_more) {
+      failed = {};
+      break;
+    }
+    if (failed == http::error::header_limit)
+      return reject(http::status::request_header_fields_too_large, "the header is too large");
+    if (failed == http::error::body_limit)
+      return reject(http::status::payload_too_large, "the body is too large");
+    if (failed) return reject(http::status::bad_request, failed.message());
+    if (!had_header && parser_->is_header_done()) {
+      const auto& head = parser_->get();
+      if (boost::beast::iequals(head[http::field::expect], "100-continue") && !parser_->is_done()) {
+        // Small enough for any socket's buffer; if it is lost the client sends its body after a while.
+        static constexpr string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        error_code ignored;
+        socket_.non_blocking(true, ignored);
+        socket_.write_some(asio::buffer(go_on.data(), go_on.size()), ignored);
+      }
+    }
+  }
+  if (parser_->is_done()) take_request();
+}
+
+void ClientSession::take_request() {
+  auto message = parser_->release();
+  parser_.reset();
+  const Time began = since_;
+  began_ = false;
+  keep_alive_ = message.keep_alive();
+  enter(Stage::waiting);
+  const string_view target(message.target().data(), message.target().size());
+  if (target == "/-/ready") {
+    const bool good = clients_.owner_.ready() && !clients_.draining_;
+    return write({good ? http::status::ok : http::status::service_unavailable, good ? "ready\n" : "not ready\n",
+                  "text/plain", {}});
+  }
+  try {
+    auto request = read_request(message, clients_.settings_, began);
+    request.arrival.time_left = request.deadline - clients_.timers_.now();
+    const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
+    if (stage_ == Stage::waiting) request_ = number;
+  } catch (const BadRequest& x) {
+    write({x.status, std::string(x.what()) + "\n", "text/plain", {}});
+  }
+}
+
+void ClientSession::reject(http::status status, const std::string& why) {
+  keep_alive_ = false;
+  buffer_.clear();
+  write({status, why + "\n", "text/plain", {}});
+}
+
+void ClientSession::answer(const Answer& answer) {
+  request_ = 0;
+  if (stage_ == Stage::waiting) write(answer);
+}
+
+void ClientSession::write(const Answer& answer) {
+  enter(Stage::writing);
+  if (clients_.draining_) keep_alive_ = false;
+  response_ = {};
+  response_.result(answer.status);
+  response_.version(11);
+  response_.keep_alive(keep_alive_);
+  if (!answer.content_type.empty()) response_.set(http::field::content_type, answer.content_type);
+  if (answer.retry_after > Duration{}) {
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(answer.retry_after).count());
+    response_.set(http::field::retry_after, text.data());
+  }
+  response_.body() = answer.body;
+  response_.prepare_payload();
+  http::async_write(socket_, response_,
+                    [self = shared_from_this()](const error_code& failed, std::size_t) { self->on_written(failed); });
+}
+
+void ClientSession::on_written(const error_code& failed) {
+  if (closed()) return;
+  if (failed) return close();
+  if (!keep_alive_) {
+    // Only the sending side: a reset for bytes still unread here would take the answer with it.
+    error_code ignored;
+    socket_.shutdown(Socket::shutdown_send, ignored);
+    buffer_.clear();
+    return enter(Stage::lingering);
+  }
+  enter(Stage::reading);
+  parse();
+  read();
+}
+
+void ClientSession::close() {
+  if (closed()) return;
+  const auto request = std::exchange(request_, 0);
+  enter(Stage::closed);
+  close_now(socket_);
+  const auto self = shared_from_this();
+  clients_.forget(self);
+  if (request != 0) clients_.owner_.client_gone(request);
+}
+
+void ClientSession::sweep(Time now) {
+  const auto limit = stage_ == Stage::writing     ? facts::kSlowReader
+                     : stage_ == Stage::lingering ? facts::kLinger
+                     : began_                     ? facts::kSlowRequest
+                                                  : facts::kIdleClient;
+  if (stage_ == Stage::waiting || now - since_ < limit) return;
+  if (stage_ == Stage::reading && began_)
+    return began_ = false, reject(http::status::request_timeout, "the request did not come");
+  close();
+}
+
+// ---- The listener ---------------------------------------------------------------------------------------
+
+Clients::Clients(asio::io_context& io, Timers& timers, const Settings& settings, std::size_t most_sessions,
+                 Owner& owner)
+    : io_(io), timers_(timers), settings_(settings), most_sessions_(most_sessions), owner_(owner),
+      acceptor_(io.get_executor()) {}
+
+void Clients::listen(const Tcp::endpoint& at) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen(asio::socket_base::max_listen_connections);
+  accept();
+  timers_.after(facts::kSweep, [this] { sweep(); });
+}
+
+void Clients::accept() {
+  if (sessions_.size() >= most_sessions_) make_room();
+  accepts_ = sessions_.size() < most_sessions_;
+  if (!accepts_) return;  // goes on when a session ends
+  acceptor_.async_accept([this](const error_code& failed, Socket socket) {
+    if (failed == asio::error::operation_aborted) return;
+    if (failed) {
+      // No descriptor, say: one that idles is given up, and the next try comes after a moment.
+      make_room();
+      timers_.after(facts::kAcceptPause, [this] { accept(); });
+      return;
+    }
+    last_accept_ = timers_.now();
+    const auto session = std::make_shared<ClientSession>(*this, std::move(socket));
+    sessions_.insert(session);
+    session->start();
+    accept();
+  });
+}
+
+void Clients::make_room() {
+  std::shared_ptr<ClientSession> oldest;
+  for (const auto& s : sessions_)
+    if (s->idle() && (!oldest || s->since() < oldest->since())) oldest = s;
+  if (oldest) oldest->close();
+}
+
+void Clients::forget(const std::shared_ptr<ClientSession>& session) {
+  sessions_.erase(session);
+  if (!accepts_) accept();
+}
+
+void Clients::sweep() {
+  const Time now = timers_.now();
+  const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
+  for (const auto& s : all) {
+    s->sweep(now);
+    if (draining_ && s->idle() && now - s->since() > facts::kNewAfterTerm) s->close();
+  }
+  timers_.after(facts::kSweep, [this] { sweep(); });
+}
+
+void Clients::drain() {
+  draining_ = true;
+  last_accept_ = timers_.now();
+  const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
+  for (const auto& s : all)
+    if (s->idle()) s->close();
+}
+
+bool Clients::drained() const {
+  return draining_ && sessions_.empty() && timers_.now() - last_accept_ > facts::kNewAfterTerm;
+}
+
+}  // namespace snowknot
--- /dev/null
+++ b/src/node/discovery.cpp
@@ -0,0 +1,194 @@
+#include "discovery.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/write.hpp>
+#include <algorithm>
+#include <charconv>
+
+#include "facts.hpp"
+#include "settings_reader.hpp"
+
+namespace snowknot {
+
+using namespace reading;
+
+std::optional<Tcp::endpoint> endpoint_of(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  error_code failed;
+  const auto address = asio::ip::make_address(std::string(text.substr(0, colon)), failed);
+  const auto port_text = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, wrong] = std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
+  if (failed || wrong != std::errc{} || end != port_text.data() + port_text.size() || port == 0)
+    return std::nullopt;
+  return Tcp::endpoint(address, port);
+}
+
+Discovery::Discovery(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, std::string host,
+                     std::map<std::string, std::uint32_t> zones, Told told)
+    : timers_(timers), at_(at), host_(std::move(host)), zones_(std::move(zones)), told_(std::move(told)),
+      socket_(io.get_executor()) {}
+
+void Discovery::start(const json& known) {
+  take(known, true);
+  connect();
+}
+
+// ---- Reading a list -------------------------------------------------------------------------------------
+
+// Ids hold 8 hex digits after a dash: they are the number, at every node. Another form is hashed; where two
+// ids would share a number, the later one takes the next that is free here.
+ServerId Discovery::number_of(const std::string& id) {
+  if (const auto it = numbers_.find(id); it != numbers_.end()) return it->second;
+  const auto digits = std::string_view(id).substr(std::min(id.size(), id.rfind('-') + 1));
+  std::uint32_t n = 0;
+  const auto [end, failed] = std::from_chars(digits.data(), digits.data() + digits.size(), n, 16);
+  if (failed != std::errc{} || end != digits.data() + digits.size()) {
+    n = 2166136261U;  // FNV-1a
+    for (const char c : id) n = (n ^ static_cast<unsigned char>(c)) * 16777619U;
+  }
+  while (ids_.contains(ServerId(n))) ++n;
+  numbers_.emplace(id, ServerId(n));
+  ids_.emplace(ServerId(n), id);
+  return ServerId(n);
+}
+
+ZoneIndex Discovery::zone_of(const std::string& name) {
+  return ZoneIndex(zones_.emplace(name, static_cast<std::uint32_t>(zones_.size())).first->second);
+}
+
+std::optional<Discovery::Entry> Discovery::entry(const json& e) {
+  static constexpr std::array<std::pair<const char*, Phase>, 3> phases{
+      {{"SERVING", Phase::ready}, {"DRAINING", Phase::draining}, {"DELETED", Phase::gone}}};
+  try {
+    object_of(e, "members");
+    Entry n;
+    const auto& id = text(e, "id");
+    n.info.phase = named(e, "phase", phases);
+    const auto address = endpoint_of(text(e, "host_port"));
+    if (!address) wrong("host_port", "an address and a port");
+    n.address = *address;
+    n.info.cell = small(e, "cell");
+    if (const auto* up = optional_field(e, "up_since_ms"))
+      if (const auto ms = integer_of(*up, "up_since_ms"); ms > 0)
+        n.info.started = Time(std::chrono::milliseconds(ms));
+    if (const auto* size = optional_field(e, "size")) n.info.weight = reading::number_of(*size, "size");
+    n.info.zone = zone_of(text(e, "locality"));
+    n.info.id = number_of(id);
+    return n;
+  } catch (const std::exception& x) {
+    note(std::string("discovery: an entry is passed over: ") + x.what());
+    return std::nullopt;
+  }
+}
+
+// An entry that can't be read is passed over; the rest of the list still counts. False if nothing can be read.
+bool Discovery::take(const json& list, bool cached) {
+  try {
+    object_of(list, "list");
+    const auto revision = natural_of(field(list, "revision"), "revision");
+    const bool complete = truth(list, "complete");
+    std::vector<Entry> entries;
+    for (const auto& e : list_of(field(list, "members"), "members"))
+      if (auto n = entry(e)) entries.push_back(std::move(*n));
+    // A complete list of which nothing could be read says nothing of the servers that were known.
+    if (complete && entries.empty() && !field(list, "members").empty()) return false;
+    revision_ = revision;
+    told_(cached ? ListKind::cached : complete ? ListKind::full : ListKind::changes, entries);
+    return true;
+  } catch (const std::exception& x) {
+    note(std::string("discovery: a list is passed over: ") + x.what());
+    return false;
+  }
+}
+
+// ---- The watch ------------------------------------------------------------------------------------------
+
+void Discovery::connect() {
+  const auto number = ++life_;
+  silence_ = timers_.after(facts::kConnectLimit, [this] {
+    silence_.reset();
+    again();
+  });
+  socket_.async_connect(at_, [this, number](const error_code& failed) {
+    if (number != life_) return;
+    if (failed) return again();
+    set_no_delay(socket_);
+    request_ = {http::verb::get, "/api/targets?watch=1&from=" + std::to_string(revision_), 11};
+    request_.set(http::field::host, host_);
+    buffer_.clear();
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+    parser_->eager(true);
+    expect_line();
+    http::async_write(socket_, request_, [this, number](const error_code& broken, std::size_t) {
+      if (number == life_ && broken) again();
+    });
+    read();
+  });
+}
+
+// While all is well a line comes every 2 s, if only an empty one. A connection on which two in a row are
+// missing is given up in time for the next to learn what happened before it counts as told.
+void Discovery::expect_line() {
+  timers_.cancel(silence_);
+  silence_ = timers_.after(2 * facts::kWatchLine + facts::kWatchLine / 4, [this] {
+    silence_.reset();
+    note("discovery: silent");
+    again();
+  });
+}
+
+void Discovery::read() {
+  socket_.async_read_some(buffer_.prepare(facts::kReadSize),
+                          [this, number = life_](const error_code& failed, std::size_t bytes) {
+                            if (number == life_) on_read(failed, bytes);
+                          });
+}
+
+void Discovery::on_read(const error_code& failed, std::size_t bytes) {
+  if (failed) return again();
+  buffer_.commit(bytes);
+  expect_line();
+  if (!take_bytes()) return again();
+  read();
+}
+
+// False if the watch has ended or can't be read on.
+bool Discovery::take_bytes() {
+  error_code wrong;
+  while (!parser_->is_done() && buffer_.size() > 0) {
+    buffer_.consume(parser_->put(buffer_.data(), wrong));
+    if (wrong == http::error::need_more) break;
+    if (wrong) return false;
+  }
+  if (parser_->is_header_done() && parser_->get().result() != http::status::ok) return false;
+  auto& body = parser_->get().body();
+  std::size_t begin = 0;
+  for (auto end = body.find('\n'); end != std::string::npos; end = body.find('\n', begin)) {
+    std::string_view line(body.data() + begin, end - begin);
+    begin = end + 1;
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (line.empty()) continue;
+    const auto list = json::parse(line, nullptr, false);
+    // What was in it is not known: the watch is begun again from the last version that could be read.
+    if (list.is_discarded() || !take(list, false)) return false;
+    backoff_ = {};
+  }
+  body.erase(0, begin);
+  return !parser_->is_done() && body.size() <= facts::kMostList;
+}
+
+void Discovery::again() {
+  ++life_;
+  timers_.cancel(silence_);
+  close_now(socket_);
+  backoff_ = std::clamp(2 * backoff_, facts::kFirstBackoff, facts::kLongestBackoff);
+  silence_ = timers_.after(backoff_, [this] {
+    silence_.reset();
+    connect();
+  });
+}
+
+}  // namespace snowknot
--- /dev/null
+++ b/src/node/main.cpp
@@ -0,0 +1,81 @@
+// The edge node's process: configuration, signals, wiring.
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include "node.hpp"
+
+namespace {
+
+using namespace snowknot;
+using namespace snowknot::reading;
+
+std::string variable(const char* name) {
+  const char* value = std::getenv(name);
+  if (value == nullptr || *value == '\0') throw FieldError(std::string("variable ") + name + " is not set");
+  return value;
+}
+
+Tcp::endpoint address(const std::string& value, const char* name) {
+  const auto at = endpoint_of(value);
+  if (!at) wrong(name, "an address and a port");
+  return *at;
+}
+
+NodeConfig read_config() {
+  const auto path = variable("GW_CONFIG");
+  std::ifstream file(path);
+  if (!file) throw FieldError("variable GW_CONFIG: can't read " + path);
+  const auto config = json::parse(file, nullptr, false);
+  if (config.is_discarded()) throw FieldError("variable GW_CONFIG: " + path + " is not JSON");
+  object_of(config, "config");
+  NodeConfig c;
+  c.name = text(config, "name");
+  c.listen = address(text(config, "listen"), "listen");
+  c.discovery_host = text(config, "discovery");
+  c.discovery = address(c.discovery_host, "discovery");
+  const auto& limits = object_of(field(config, "limits"), "limits");
+  c.descriptors = small(limits, "sockets");
+  c.seed = hex(config, "seed");
+  c.known = object_of(field(config, "known"), "known");
+  const auto& settings = object_of(field(config, "settings"), "settings");
+  c.named = read_settings(settings);
+  c.keep_alive = nanos(object_of(field(settings, "ceilings"), "ceilings"), "keepalive-ns");
+  if (c.named.settings.counter) c.counter = address(text(config, "counter"), "counter");
+  validate(c.named.settings);
+  return c;
+}
+
+// Nothing that goes wrong with one event ends the process.
+void serve(asio::io_context& io) {
+  for (;;) {
+    try {
+      io.run();
+      return;
+    } catch (const std::exception& x) {
+      note(std::string("a handler failed: ") + x.what());
+    }
+  }
+}
+
+}  // namespace
+
+int main() {
+  try {
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context io(1);
+    Node node(io, read_config());
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](const error_code& failed, int) {
+      if (!failed) node.drain([&io] { io.stop(); });
+    });
+    node.start();
+    serve(io);
+    return EXIT_SUCCESS;
+  } catch (const std::exception& x) {
+    std::cerr << "docklift: " << x.what() << '\n';
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,167 @@
+#include "node.hpp"
+
+#include <algorithm>
+
+#include "facts.hpp"
+
+namespace snowknot {
+namespace {
+
+std::size_t for_peers(const NodeConfig& c) {
+  const auto own = facts::kOwnDescriptors + facts::kCounterLinks;
+  return c.descriptors > own ? c.descriptors - own : 1;
+}
+std::size_t for_clients(const NodeConfig& c) {
+  return std::max<std::size_t>(1, static_cast<std::size_t>(facts::kClientShare * static_cast<double>(for_peers(c))));
+}
+
+}  // namespace
+
+Node::Node(asio::io_context& io, NodeConfig config)
+    : config_(std::move(config)),
+      timers_(io, clock_),
+      gateway_(config_.named.settings, config_.seed),
+      upstream_(io, timers_, config_.named.settings.connect_timeout, config_.keep_alive,
+                for_peers(config_) - for_clients(config_), *this),
+      discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
+                 [this](ListKind kind, const auto& entries) { list_changed(kind, entries); }),
+      clients_(io, timers_, config_.named.settings, for_clients(config_), *this) {
+  if (config_.counter && config_.named.settings.counter)
+    counter_.emplace(io, timers_, *config_.counter, config_.named.settings.counter_timeout,
+                     [this](const CountAnswer& a) { happened(a); });
+}
+
+void Node::start() {
+  discovery_.start(config_.known);
+  clients_.listen(config_.listen);
+}
+
+void Node::drain(std::function<void()> done) {
+  drained_ = std::move(done);
+  clients_.drain();
+  wait_until_drained();
+}
+
+void Node::wait_until_drained() {
+  if (open_.empty() && clients_.drained()) return drained_();
+  timers_.after(facts::kAcceptPause, [this] { wait_until_drained(); });
+}
+
+bool Node::ready() const { return knows_servers_ && (!counter_ || counter_->tried()); }
+
+// ---- What happens -----------------------------------------------------------------------------------------
+
+// Told one by one, in order: what an action brings about at once waits until the actions before it are done.
+void Node::happened(Event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(telling_, true)) return;
+  while (!events_.empty()) {
+    const Event next = std::move(events_.front());
+    events_.pop_front();
+    try {
+      for (const auto& action : gateway_.handle(timers_.now(), next))
+        std::visit([this](const auto& a) { carry_out(a); }, action);
+    } catch (const std::exception& x) {
+      note(std::string("an event failed: ") + x.what());
+    }
+  }
+  telling_ = false;
+}
+
+std::uint64_t Node::arrived(ClientRequest request, std::shared_ptr<ClientSession> session) {
+  const RequestId id{++requests_};
+  request.arrival.request = id;
+  const Arrival arrival = request.arrival;
+  open_.emplace(id, Open{std::move(session), std::make_shared<const ClientRequest>(std::move(request)), 0, 0});
+  happened(arrival);
+  return static_cast<std::uint64_t>(id);
+}
+
+void Node::client_gone(std::uint64_t request) {
+  const RequestId id{request};
+  const auto it = open_.find(id);
+  if (it == open_.end() || !it->second.session) return;
+  it->second.session.reset();
+  happened(ClientGone{id});
+  forget_if_done(id);
+}
+
+bool Node::still_wanted(RequestId request) const {
+  const auto it = open_.find(request);
+  return it != open_.end() && it->second.session;
+}
+
+void Node::attempt_ended(const Errand& errand, Outcome outcome, Answer answer) {
+  AttemptEnded e;
+  e.request = errand.request;
+  e.attempt = errand.attempt;
+  e.server = errand.server;
+  e.outcome = outcome;
+  e.took = timers_.now() - errand.began;
+  if (outcome == Outcome::ok) finish(errand.request, answer);
+  const auto it = open_.find(errand.request);
+  e.finished = it == open_.end() || !it->second.session;
+  if (it != open_.end()) --it->second.out;
+  forget_if_done(errand.request);
+  happened(e);
+}
+
+void Node::probe_ended(const Errand& errand, Outcome outcome) {
+  happened(ProbeEnded{errand.server, outcome, timers_.now() - errand.began, std::nullopt});
+}
+
+void Node::list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries) {
+  ListUpdate update{kind, {}};
+  for (const auto& e : entries) update.entries.push_back(e.info);
+  if (kind != ListKind::changes) upstream_.retain(update.entries);
+  for (const auto& e : entries) upstream_.update(e.info.id, e.address, e.info.phase == Phase::ready);
+  knows_servers_ = knows_servers_ || !entries.empty();
+  happened(std::move(update));
+}
+
+// ---- What the module decides --------------------------------------------------------------------------------
+
+void Node::carry_out(const Send& s) {
+  const auto it = open_.find(s.request);
+  if (it == open_.end()) return;
+  auto& o = it->second;
+  const Time now = timers_.now();
+  ++o.out;
+  upstream_.send({s.request, o.attempts++, s.server, now, now + s.timeout, o.message});
+}
+
+void Node::carry_out(const Refuse& s) {
+  finish(s.request, {http::status::too_many_requests, "refused\n", "text/plain", s.retry_after});
+}
+
+void Node::carry_out(const Fail& s) { finish(s.request, {http::status::bad_gateway, "failed\n", "text/plain", {}}); }
+
+void Node::carry_out(const Cancel& s) { upstream_.cancel(s.request, s.attempt); }
+
+void Node::carry_out(const AddToCount& s) {
+  if (!counter_) return happened(CountAnswer{s.name, CountOutcome::refused, 0, {}});
+  counter_->add(s.name, s.amount, s.lifetime);
+}
+
+void Node::carry_out(const SetTimer& s) {
+  timers_.after(s.delay, [this, timer = s.timer] { happened(TimerDue{timer}); });
+}
+
+void Node::carry_out(const Probe& s) { upstream_.probe(s.server); }
+
+void Node::carry_out(const Log& s) { note(s.text); }
+
+// The final answer, once: after it the session is no longer in the table.
+void Node::finish(RequestId request, const Answer& answer) {
+  const auto it = open_.find(request);
+  if (it == open_.end()) return;
+  if (const auto session = std::exchange(it->second.session, nullptr)) session->answer(answer);
+  forget_if_done(request);
+}
+
+void Node::forget_if_done(RequestId request) {
+  const auto it = open_.find(request);
+  if (it != open_.end() && !it->second.session && it->second.out == 0) open_.erase(it);
+}
+
+}  // namespace snowknot
--- /dev/null
+++ b/src/node/node.hpp
@@ -0,0 +1,89 @@
+// The edge node: owns the Gateway, tells it what happens, and carries out what it decides, in order. It owns the
+// table of open requests, and with it that each gets exactly one final answer.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <unordered_map>
+
+#include "clients.hpp"
+#include "counter.hpp"
+#include "discovery.hpp"
+#include "net.hpp"
+#include "settings_reader.hpp"
+#include "snowknot/gateway.hpp"
+#include "upstream.hpp"
+
+namespace snowknot {
+
+struct NodeConfig {
+  std::string name;
+  Tcp::endpoint listen, discovery;
+  std::string discovery_host;
+  std::optional<Tcp::endpoint> counter;
+  std::size_t descriptors = 0;
+  std::uint64_t seed = 0;
+  Duration keep_alive{};
+  nlohmann::json known;
+  reading::NamedSettings named;
+};
+
+class Node : private Clients::Owner, private Upstream::Owner {
+ public:
+  Node(asio::io_context& io, NodeConfig config);
+
+  void start();
+  // Takes no new sessions for long and calls `done` when nothing is open any more.
+  void drain(std::function<void()> done);
+  Tcp::endpoint listens_at() const { return clients_.listens_at(); }
+  std::size_t open_requests() const { return open_.size(); }
+
+ private:
+  struct Open {
+    std::shared_ptr<ClientSession> session;  // none: it has its final answer, or its client has gone
+    std::shared_ptr<const ClientRequest> message;
+    std::uint32_t attempts = 0, out = 0;
+  };
+
+  bool ready() const override;
+  std::uint64_t arrived(ClientRequest request, std::shared_ptr<ClientSession> session) override;
+  void client_gone(std::uint64_t request) override;
+  bool still_wanted(RequestId request) const override;
+  void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) override;
+  void probe_ended(const Errand& errand, Outcome outcome) override;
+  void list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries);
+
+  void happened(Event event);
+  void carry_out(const Send& s);
+  void carry_out(const Refuse& s);
+  void carry_out(const Fail& s);
+  void carry_out(const Cancel& s);
+  void carry_out(const AddToCount& s);
+  void carry_out(const SetTimer& s);
+  void carry_out(const Probe& s);
+  void carry_out(const Subscribe&) {}  // the watch runs anyway
+  void carry_out(const Log& s);
+  void finish(RequestId request, const Answer& answer);
+  void forget_if_done(RequestId request);
+  void wait_until_drained();
+
+  NodeConfig config_;
+  Clock clock_;
+  Timers timers_;
+  Gateway gateway_;
+  std::unordered_map<RequestId, Open> open_;
+  std::uint64_t requests_ = 0;  // the number of the last one
+  std::deque<Event> events_;    // that have not been told yet
+  bool telling_ = false;
+  bool knows_servers_ = false;
+  std::function<void()> drained_;
+  Upstream upstream_;
+  std::optional<Counter> counter_;
+  Discovery discovery_;
+  Clients clients_;
+};
+
+}  // namespace snowknot
--- /dev/null
+++ b/src/node/upstream.cpp
@@ -0,0 +1,301 @@
+#include "upstream.hpp"
+
+#include <boost/beast/http/write.hpp>
+#include <algorithm>
+
+#include "facts.hpp"
+
+namespace snowknot {
+namespace {
+
+Outcome outcome_of(const http::response<http::string_body>& r) {
+  if (r.result() == http::status::ok) return Outcome::ok;
+  const bool turned_away =
+      r.result() == http::status::service_unavailable || r.result() == http::status::gateway_timeout;
+  if (turned_away && r["X-Not-Processed"] == "1") return Outcome::full;
+  return Outcome::error;
+}
+
+}  // namespace
+
+// ---- A connection ---------------------------------------------------------------------------------------
+
+ServerConnection::ServerConnection(Upstream& upstream, asio::io_context& io, ServerId server)
+    : upstream_(upstream), socket_(io.get_executor()), server_(server) {}
+
+void ServerConnection::open(const Tcp::endpoint& to, Errand errand) {
+  errand_ = std::move(errand);
+  // Until the connection is up the errand may take no longer than a connect may; then it has its own time.
+  const auto until = std::min(errand_->began + upstream_.connect_timeout_, errand_->deadline);
+  limit_ = upstream_.timers_.at(until, [self = shared_from_this()] {
+    self->limit_.reset();
+    self->upstream_.drop_idle(self->server_);  // nothing comes up there: those that idle are dead as well
+    self->close(Outcome::connect_failed);
+  });
+  socket_.async_connect(to, [self = shared_from_this()](const error_code& failed) {
+    if (self->stage_ == Stage::closed) return;
+    if (failed) return self->close(Outcome::connect_failed);
+    set_no_delay(self->socket_);
+    self->upstream_.timers_.cancel(self->limit_);
+    self->start();
+    self->read();
+  });
+}
+
+void ServerConnection::take(Errand errand) {
+  errand_ = std::move(errand);
+  start();
+}
+
+// The moment of the first byte. While the connection came up the client may have gone, the time run out or
+// the server been told to drain: then nothing is written, and the connection is kept for others.
+void ServerConnection::start() {
+  if (!upstream_.may_start(*errand_)) return end(Outcome::never_sent, {});
+  const Time now = upstream_.timers_.now();
+  limit_ = upstream_.timers_.at(errand_->deadline, [self = shared_from_this()] {
+    self->limit_.reset();
+    self->close(Outcome::timeout);
+  });
+  request_ = {};
+  request_.version(11);
+  if (const auto& m = errand_->message) {
+    request_.method(m->method);
+    request_.target(m->target);
+    request_.set("X-Request-ID", m->id);
+    if (!m->key.empty()) request_.set("Idempotency-Key", m->key);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(errand_->deadline - now).count();
+    request_.set("X-Timeout-Ms", std::to_string(left));
+    if (!m->content_type.empty()) request_.set(http::field::content_type, m->content_type);
+    request_.body() = {m->body.data(), m->body.size()};
+  } else {
+    request_.method(http::verb::get);
+    request_.target("/-/healthy");
+  }
+  request_.set(http::field::host, "app.svc");
+  request_.prepare_payload();
+  parser_.emplace();
+  parser_->header_limit(facts::kMostHeader);
+  parser_->body_limit(facts::kMostBody);
+  parser_->eager(true);
+  stage_ = Stage::writing;
+  broken_ = false;
+  http::async_write(socket_, request_, [self = shared_from_this()](const error_code& failed, std::size_t) {
+    if (self->stage_ != Stage::writing) return;
+    if (failed) return self->close(Outcome::connect_failed);  // it broke before the last byte was written
+    self->stage_ = Stage::waiting;
+    if (self->broken_) self->broke();
+  });
+}
+
+void ServerConnection::read() {
+  if (stage_ == Stage::closed) return;
+  socket_.async_read_some(buffer_.prepare(facts::kReadSize),
+                          [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
+                            self->on_read(failed, bytes);
+                          });
+}
+
+void ServerConnection::on_read(const error_code& failed, std::size_t bytes) {
+  if (stage_ == Stage::closed) return;
+  // On a connection that idles there is nothing to read but its end.
+  if (stage_ == Stage::idle) return close(Outcome::reset);
+  if (failed) {
+    error_code ended;
+    if (stage_ == Stage::waiting && parser_->got_some() && !parser_->is_done()) parser_->put_eof(ended);
+    if (stage_ == Stage::waiting && !ended && parser_->is_done()) return finish();
+    return broke();
+  }
+  buffer_.commit(bytes);
+  error_code wrong;
+  while (!parser_->is_done() && buffer_.size() > 0) {
+    buffer_.consume(parser_->put(buffer_.data(), wrong));
+    if (wrong == http::error::need_more) {
+      wrong = {};
+      break;
+    }
+    if (wrong) return broke();
+    // An interim answer (1xx) is followed by the final one.
+    if (parser_->is_done() && http::to_status_class(parser_->get().result()) == http::status_class::informational) {
+      parser_.emplace();
+      parser_->header_limit(facts::kMostHeader);
+      parser_->body_limit(facts::kMostBody);
+      parser_->eager(true);
+    }
+  }
+  if (parser_->is_done()) return finish();
+  read();
+}
+
+// The connection is of no more use while a request is out on it. If its last byte was written it may have run.
+void ServerConnection::broke() {
+  if (stage_ == Stage::writing) {
+    // How much was written shows when the write ends.
+    broken_ = true;
+    error_code ignored;
+    socket_.cancel(ignored);
+    return;
+  }
+  close(Outcome::reset);
+}
+
+void ServerConnection::finish() {
+  auto response = parser_->release();
+  const bool keep = response.keep_alive() && stage_ == Stage::waiting && buffer_.size() == 0;
+  const auto outcome = outcome_of(response);
+  Answer answer{response.result(), std::move(response.body()),
+                std::string(response[http::field::content_type]), {}};
+  if (!keep) {
+    stage_ = Stage::closed;
+    close_now(socket_);
+  }
+  end(outcome, std::move(answer));
+  read();
+}
+
+// The connection goes first and the outcome after it, so that two attempts are never out at once.
+void ServerConnection::close(Outcome outcome) {
+  if (stage_ == Stage::closed) return;
+  stage_ = Stage::closed;
+  close_now(socket_);
+  end(outcome, {});
+}
+
+void ServerConnection::end(Outcome outcome, Answer answer) {
+  const auto self = shared_from_this();
+  upstream_.timers_.cancel(limit_);
+  const auto errand = std::exchange(errand_, std::nullopt);
+  if (stage_ == Stage::closed) {
+    upstream_.forget(self);
+  } else {
+    stage_ = Stage::idle;
+    since_ = upstream_.timers_.now();
+    upstream_.rest(self);
+  }
+  if (errand) upstream_.report(*errand, outcome, std::move(answer));
+}
+
+// ---- The pools ------------------------------------------------------------------------------------------
+
+Upstream::Upstream(asio::io_context& io, Timers& timers, Duration connect_timeout, Duration keep_alive,
+                   std::size_t most_connections, Owner& owner)
+    : io_(io), timers_(timers), connect_timeout_(connect_timeout), keep_alive_(keep_alive),
+      most_connections_(most_connections), owner_(owner) {
+  timers_.after(facts::kSweep, [this] { sweep(); });
+}
+
+void Upstream::update(ServerId server, const Tcp::endpoint& address, bool takes_work) {
+  auto& p = pools_[server];
+  const bool moved = p.address != address;
+  p.address = address;
+  p.takes_work = takes_work;
+  if (moved || !takes_work) drop_idle(server);
+}
+
+void Upstream::retain(const std::vector<ServerInfo>& listed) {
+  for (auto& [id, p] : pools_) {
+    if (std::ranges::find(listed, id, &ServerInfo::id) != listed.end()) continue;
+    p.takes_work = false;
+    drop_idle(id);
+  }
+}
+
+void Upstream::send(Errand errand) { run(std::move(errand)); }
+
+void Upstream::probe(ServerId server) {
+  const Time now = timers_.now();
+  run({{}, 0, server, now, now + connect_timeout_, nullptr});
+}
+
+void Upstream::run(Errand errand) {
+  const auto it = pools_.find(errand.server);
+  if (it == pools_.end() || !may_start(errand)) return report(errand, Outcome::never_sent, {});
+  auto& p = it->second;
+  if (!p.idle.empty()) {
+    const auto c = std::move(p.idle.back());
+    p.idle.pop_back();
+    p.busy.push_back(c);
+    return c->take(std::move(errand));
+  }
+  if (connections_ >= most_connections_ && !make_room()) return report(errand, Outcome::never_sent, {});
+  ++connections_;
+  const auto c = std::make_shared<ServerConnection>(*this, io_, errand.server);
+  p.busy.push_back(c);
+  c->open(p.address, std::move(errand));
+}
+
+bool Upstream::may_start(const Errand& e) const {
+  const auto it = pools_.find(e.server);
+  if (it == pools_.end() || !it->second.takes_work || timers_.now() >= e.deadline) return false;
+  return !e.message || owner_.still_wanted(e.request);
+}
+
+void Upstream::report(const Errand& errand, Outcome outcome, Answer answer) {
+  if (errand.message) return owner_.attempt_ended(errand, outcome, std::move(answer));
+  owner_.probe_ended(errand, outcome);
+}
+
+void Upstream::cancel(RequestId request, std::uint32_t attempt) {
+  for (auto& [id, p] : pools_) {
+    for (const auto& c : p.busy) {
+      const auto& e = c->errand();
+      if (!e || !e->message || e->request != request || e->attempt != attempt) continue;
+      const auto found = c;
+      return found->close(Outcome::cancelled);
+    }
+  }
+}
+
+void Upstream::rest(const Connection& c) {
+  for (auto& [id, p] : pools_) {
+    const auto at = std::ranges::find(p.busy, c);
+    if (at == p.busy.end()) continue;
+    p.busy.erase(at);
+    p.idle.push_back(c);
+    if (!p.takes_work) drop_idle(id);
+    return;
+  }
+}
+
+void Upstream::forget(const Connection& c) {
+  for (auto& [id, p] : pools_) {
+    const auto n = std::erase(p.busy, c) + std::erase(p.idle, c);
+    connections_ -= n;
+    if (n > 0) return;
+  }
+}
+
+void Upstream::drop_idle(ServerId server) {
+  const auto idle = std::exchange(pools_.at(server).idle, {});
+  connections_ -= idle.size();
+  for (const auto& c : idle) c->close(Outcome::reset);
+}
+
+// Gives up the connection that has idled longest, at whatever server.
+bool Upstream::make_room() {
+  Pool* at = nullptr;
+  for (auto& [id, p] : pools_)
+    if (!p.idle.empty() && (!at || p.idle.front()->since() < at->idle.front()->since())) at = &p;
+  if (!at) return false;
+  const auto c = at->idle.front();
+  c->close(Outcome::reset);
+  return true;
+}
+
+// A server may close a connection that has idled for the time in the settings, and what is written to it from
+// then on is lost: the pool lets it go well before.
+void Upstream::sweep() {
+  const Time now = timers_.now();
+  const auto limit = Duration(static_cast<Duration::rep>(facts::kIdlePart * static_cast<double>(keep_alive_.count())));
+  for (auto& [id, p] : pools_) {
+    while (!p.idle.empty() && now - p.idle.front()->since() >= limit) {
+      const auto c = p.idle.front();
+      c->close(Outcome::reset);
+    }
+  }
+  std::erase_if(pools_, [](const auto& e) {
+    return !e.second.takes_work && e.second.idle.empty() && e.second.busy.empty();
+  });
+  timers_.after(facts::kSweep, [this] { sweep(); });
+}
+
+}  // namespace snowknot
--- /dev/null
+++ b/src/node/upstream.hpp
@@ -0,0 +1,115 @@
+// The app servers' side: a pool of connections for each, attempts and probes on them. Every attempt ends in
+// exactly one outcome, and no request is ever written twice by itself.
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "clients.hpp"
+#include "net.hpp"
+
+namespace snowknot {
+
+// What is to be done on one connection: an attempt of a request, or a probe if there is no message.
+struct Errand {
+  RequestId request{};
+  std::uint32_t attempt = 0;
+  ServerId server{};
+  Time began{}, deadline{};
+  std::shared_ptr<const ClientRequest> message;
+};
+
+class Upstream;
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(Upstream& upstream, asio::io_context& io, ServerId server);
+
+  void open(const Tcp::endpoint& to, Errand errand);
+  void take(Errand errand);  // on a connection that idles
+  void close(Outcome outcome);  // ends what it is busy with
+  bool idle() const { return stage_ == Stage::idle; }
+  Time since() const { return since_; }
+  const std::optional<Errand>& errand() const { return errand_; }
+
+ private:
+  enum class Stage { connecting, writing, waiting, idle, closed };
+
+  void start();
+  void read();
+  void on_read(const error_code& failed, std::size_t bytes);
+  void broke();
+  void finish();
+  void end(Outcome outcome, Answer answer);
+
+  Upstream& upstream_;
+  Socket socket_;
+  ServerId server_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  http::request<http::span_body<const char>> request_;
+  std::optional<Errand> errand_;
+  Timers::Handle limit_;
+  Stage stage_ = Stage::connecting;
+  bool broken_ = false;  // the other side has gone while a request was being written
+  Time since_{};
+};
+
+class Upstream {
+ public:
+  struct Owner {
+    virtual bool still_wanted(RequestId request) const = 0;  // its client still waits
+    virtual void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) = 0;
+    virtual void probe_ended(const Errand& errand, Outcome outcome) = 0;
+
+   protected:
+    ~Owner() = default;
+  };
+
+  Upstream(asio::io_context& io, Timers& timers, Duration connect_timeout, Duration keep_alive,
+           std::size_t most_connections, Owner& owner);
+
+  // What discovery says of a server. One that takes nothing new loses its idle connections.
+  void update(ServerId server, const Tcp::endpoint& address, bool takes_work);
+  // A whole list: a server that it does not hold is gone.
+  void retain(const std::vector<ServerInfo>& listed);
+
+  void send(Errand errand);
+  void probe(ServerId server);
+  void cancel(RequestId request, std::uint32_t attempt);
+  std::size_t size() const { return connections_; }
+
+ private:
+  friend class ServerConnection;
+  using Connection = std::shared_ptr<ServerConnection>;
+  struct Pool {
+    Tcp::endpoint address;
+    bool takes_work = false;
+    std::vector<Connection> idle;  // the one used last at the back
+    std::vector<Connection> busy;
+  };
+
+  void run(Errand errand);
+  void report(const Errand& errand, Outcome outcome, Answer answer);
+  bool may_start(const Errand& errand) const;
+  void rest(const Connection& c);    // it has become idle
+  void forget(const Connection& c);  // it has ended
+  void drop_idle(ServerId server);
+  bool make_room();
+  void sweep();
+
+  asio::io_context& io_;
+  Timers& timers_;
+  Duration connect_timeout_, keep_alive_;
+  std::size_t most_connections_, connections_ = 0;
+  Owner& owner_;
+  std::unordered_map<ServerId, Pool> pools_;
+};
+
+}  // namespace snowknot
