Lease whole requests, and don't take rounded totals for lost counts

Checked: a probe printed total, own sum, window end and call time. Windows were not at their end, calls were quick and in order; the totals were 1.833 where 1.833333 had been added: the counter rounds to thousandths, and the quantum burst / (2 x gateways) is no whole number. Lines at fault: lease_more's quantum and the tolerance in credit() of src/logic.cpp. Each false loss shut the window of a customer under a ceiling, and the part of a request in each quantum lay unspent. Now quanta are whole requests, and less than two thousandths missing is no loss.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -42,6 +42,7 @@
 constexpr Duration kUseMemory = 20s;   // over which a customer's own tries here, and its use, are remembered
 constexpr double kOverCalls = 1.5;  // calls made for a customer over its quota, times those that can succeed
 constexpr double kUnitSlop = 1e-6;  // totals come rounded to seven digits
+constexpr double kCountSlop = 2e-3;  // or to thousandths: less than that is missing from no count
 constexpr double kLatencyGain = 0.07;       // EWMA gain per answer: about the last 14, as work varies a lot
 constexpr double kHealthGain = 0.2;         // EWMA gain of success per outcome: five failures show clearly
 constexpr double kSickBelow = 0.4;          // success EWMA under which a server is ejected
@@ -417,6 +418,7 @@
     double few = std::min(kQuantumRequests * largest, t.limit / (2.0 * gateways));
     if (pace.short_of_calls())
       few = std::max(few, std::min(l.pace, t.limit / gateways));  // fewer calls, each for a window's pace
+    few = std::floor(few / largest) * largest;  // a part of a request would lie here unspent
     const double quantum = std::min(std::max({few, wanted - l.now.held, largest}), t.limit);
     const double extra = speaks ? std::min(std::exchange(at(book_.on_credit, l.plan), 0.0), t.limit) : 0;
     call(c, l, l.window, quantum, quantum + extra - std::exchange(l.now.owed, 0));
@@ -500,7 +502,7 @@
     u.added += done.amount;
     double total = e.total;
     const double slop = kUnitSlop * std::max(1.0, std::abs(e.total)) + kUnitSlop;
-    if (total < u.added - slop) {  // the counter came back without its counts
+    if (total < u.added - slop - kCountSlop) {  // the counter came back without its counts
       if (book_.lost_at < now_ - kSweep) log("counter lost its counts");
       book_.lost_at = now_;
       if (t.ceiling) return void(u.empty = true);
