Test the edge node over loopback sockets

Outcomes of attempts, pools, counter, discovery, the whole node, bad input, and the program as a process: SIGTERM, lack of descriptors, bad configuration. A taken listen address is now named on the one line of the error.

--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -71,7 +71,11 @@
     signals.async_wait([&](const error_code& failed, int) {
       if (!failed) node.drain([&io] { io.stop(); });
     });
-    node.start();
+    try {
+      node.start();
+    } catch (const boost::system::system_error& x) {
+      throw FieldError(std::string("field 'listen': ") + x.code().message());
+    }
     serve(io);
     return EXIT_SUCCESS;
   } catch (const std::exception& x) {
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,318 @@
+// The whole edge node over loopback sockets: clients, a server, the counter and discovery are scripted.
+#include "node.hpp"
+
+#include "peers.hpp"
+
+namespace snowknot::test {
+namespace {
+
+Settings settings() {
+  Settings s;
+  s.classes = {{.name = "read", .aim = 500ms, .deadline = 2s},
+               {.name = "fix",
+                .aim = 500ms,
+                .deadline = 2s,
+                .effect = Effect::keyed,
+                .group = Group::cell,
+                .memory_span = 4s},
+               {.name = "note", .aim = 500ms, .deadline = 2s, .effect = Effect::unsafe}};
+  s.plans = {{.name = "basic", .rate = 10, .burst = 20}};
+  s.fleet_size = 2;
+  s.max_attempts = 6;
+  s.cancel = s.probes = s.retry_after = s.counter = true;
+  s.connect_timeout = 250ms;
+  s.counter_timeout = 50ms;
+  s.max_retry_after = 2s;
+  s.fall_multiple = 2;
+  s.fall_time = 3s;
+  s.start_capacity = 0.2;
+  s.warm_within = 10s;
+  return s;
+}
+
+struct Ask {
+  std::string method = "GET", path = "/read?q=1", id = "a1", cls = "read", plan = "basic";
+  std::string cookie = "client=00000000b4d65521", timeout = "2000", quota = "units=1,spread=2,first=1", more{}, body{};
+  std::string text() const {
+    auto t = method + " " + path + " HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: " + cls +
+             "\r\nX-Plan: " + plan + "\r\nCookie: " + cookie + "\r\nX-Timeout-Ms: " + timeout + "\r\nX-Quota: " + quota +
+             "\r\n" + more;
+    if (method != "GET" || !body.empty()) t += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return t + "\r\n" + body;
+  }
+};
+Ask fix() { return {.method = "POST", .path = "/fix", .cls = "fix", .more = "Idempotency-Key: k1\r\n", .body = "b"}; }
+Ask notice() { return {.method = "POST", .path = "/note", .cls = "note", .body = "b"}; }
+
+struct NodeTest : ::testing::Test {
+  void start(std::size_t descriptors = 1024) {
+    NodeConfig c;
+    c.listen = Tcp::endpoint(asio::ip::address_v4::loopback(), 0);
+    c.discovery = agent.at(), c.discovery_host = agent.text(), c.counter = counter.at();
+    c.descriptors = descriptors, c.seed = 1, c.keep_alive = 30s;
+    c.named.settings = settings();
+    c.named.names.zones = {{"a", 0}};
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto* s : {&server, &second}) {
+      members.push_back({{"id", s == &server ? "s-00000001" : "s-00000002"},
+                         {"host_port", s->text()},
+                         {"locality", "a"},
+                         {"cell", 1},
+                         {"phase", "SERVING"},
+                         {"up_since_ms", 0}});
+      if (one_server) break;
+    }
+    c.known = {{"revision", 1}, {"complete", true}, {"members", members}};
+    node.emplace(loop.io, std::move(c));
+    node->start();
+    const auto probe = client();
+    ASSERT_TRUE(loop.until([&] {
+      probe->send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+      return status(probe) == 200;
+    }));
+  }
+  std::shared_ptr<Wire> client() { return loop.connect(node->listens_at()); }
+  // The status of the next answer; its text is kept.
+  int status(const std::shared_ptr<Wire>& w) {
+    answer.clear();
+    loop.until([&] { return !(answer = w->message()).empty() || w->ended; });
+    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
+  }
+  int status(const std::string& text) {
+    const auto w = client();
+    w->send(text);
+    return status(w);
+  }
+  int status(const Ask& a) { return status(a.text()); }
+  void serve(Wire& w) {
+    const auto m = w.message();
+    if (m.empty()) return;
+    if (m.starts_with("GET /-/healthy")) return w.send(http_answer("200 OK"));
+    seen.push_back(m);
+    if (respond) respond(w, m);
+  }
+
+  Loop loop;
+  bool one_server = false;
+  std::vector<std::string> seen;  // requests that came to a server
+  std::string answer;
+  std::function<void(Wire&, const std::string&)> respond = [](Wire& w, const std::string&) {
+    w.send(http_answer("200 OK", "served"));
+  };
+  std::function<std::string()> count = [] { return std::string("ok 2\r\n"); };
+  Peer server{loop.io, [this](Wire& w) { serve(w); }};
+  Peer second{loop.io, [this](Wire& w) { serve(w); }};
+  Peer counter{loop.io, [this](Wire& w) {
+                 for (auto l = w.line(); !l.empty(); l = w.line()) w.send(l == "ping" ? "pong\r\n" : count());
+               }};
+  Peer agent{loop.io};
+  std::optional<Node> node;
+};
+
+TEST_F(NodeTest, ServesAndForwardsUnchanged) {
+  start();
+  EXPECT_EQ(status(fix()), 200);
+  EXPECT_TRUE(answer.ends_with("\r\n\r\nserved"));
+  ASSERT_EQ(seen.size(), 1u);
+  EXPECT_TRUE(seen[0].starts_with("POST /fix HTTP/1.1\r\n"));
+  EXPECT_NE(seen[0].find("X-Request-ID: a1\r\n"), std::string::npos);
+  EXPECT_NE(seen[0].find("Idempotency-Key: k1\r\n"), std::string::npos);
+  EXPECT_NE(seen[0].find("X-Timeout-Ms: "), std::string::npos);
+  EXPECT_TRUE(seen[0].ends_with("\r\n\r\nb"));
+  EXPECT_EQ(node->open_requests(), 0u);
+}
+TEST_F(NodeTest, LargestBodiesPassBothWays) {
+  start();
+  const std::string big(65536, 'z');
+  respond = [&](Wire& w, const std::string&) { w.send(http_answer("200 OK", big)); };
+  auto a = notice();
+  a.body = big;
+  EXPECT_EQ(status(a), 200);
+  EXPECT_TRUE(answer.ends_with(big));
+  EXPECT_TRUE(seen.at(0).ends_with(big));
+}
+TEST_F(NodeTest, SessionsAreKept) {
+  start();
+  const auto w = client();
+  for (int i = 0; i < 3; ++i) {
+    w->send(Ask{}.text());
+    EXPECT_EQ(status(w), 200);
+  }
+}
+// What never ran may go on to another server, also where repeats are forbidden.
+TEST_F(NodeTest, TurnedAwayUnsafeRequestGoesElsewhere) {
+  start();
+  respond = [&](Wire& w, const std::string&) {
+    w.send(seen.size() == 1 ? http_answer("503 Service Unavailable", "", "X-Not-Processed: 1\r\n")
+                            : http_answer("200 OK", "served"));
+  };
+  EXPECT_EQ(status(notice()), 200);
+  EXPECT_EQ(seen.size(), 2u);
+}
+// What may have run may not: not sent again, and not called harmless to try again.
+TEST_F(NodeTest, BrokenUnsafeRequestFailsOnce) {
+  start();
+  respond = [](Wire& w, const std::string&) { w.reset(); };
+  const int s = status(notice());
+  EXPECT_TRUE(s >= 500 && s != 503) << s;
+  EXPECT_EQ(seen.size(), 1u);
+}
+TEST_F(NodeTest, BrokenSafeRequestIsTriedAgain) {
+  start();
+  respond = [&](Wire& w, const std::string&) {
+    if (seen.size() == 1) return w.reset();
+    w.send(http_answer("200 OK", "served"));
+  };
+  EXPECT_EQ(status(Ask{}), 200);
+}
+// The final answer leaves when the client's time is up, however silent the server is; then nothing more comes.
+TEST_F(NodeTest, SilentServerGetsAFinalAnswerInTime) {
+  start();
+  respond = {};
+  auto a = notice();
+  a.timeout = "200";
+  const auto w = client();
+  w->send(a.text());
+  const int s = status(w);
+  EXPECT_TRUE(s >= 500 && s != 503) << s;
+  ASSERT_TRUE(loop.until([&] { return node->open_requests() == 0; }));
+  EXPECT_EQ(w->in, "");
+}
+TEST_F(NodeTest, RefusalSaysWhenToComeBack) {
+  count = [] { return std::string("ok 1000\r\n"); };  // the window is used up
+  start();
+  const int s = status(Ask{});
+  EXPECT_TRUE(s == 429 || s == 503) << s;
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+  EXPECT_TRUE(seen.empty());
+}
+// While the counter is down nothing passes beyond units held.
+TEST_F(NodeTest, CounterThatIsDownClosesTheNodeNearly) {
+  start();
+  counter.stop();
+  int served = 0;
+  for (int i = 0; i < 30; ++i) {
+    auto a = notice();
+    a.cookie = "client=00000000000000" + std::to_string(10 + i);
+    served += status(a) == 200;
+  }
+  EXPECT_LE(served, 3);
+}
+TEST_F(NodeTest, ClientThatGoesAwayIsForgotten) {
+  start();
+  respond = {};
+  const auto w = client();
+  auto a = Ask{};
+  a.timeout = "500";
+  w->send(a.text());
+  ASSERT_TRUE(loop.until([&] { return seen.size() == 1; }));
+  w->close();
+  EXPECT_TRUE(loop.until([&] { return node->open_requests() == 0; }));
+  EXPECT_EQ(seen.size(), 1u);  // and not tried again for nobody
+}
+TEST_F(NodeTest, DeadServerIsLeftForTheOther) {
+  start();
+  server.stop();
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(status(notice()), 200) << i;
+}
+TEST_F(NodeTest, DrainedServerGetsNothingMore) {
+  one_server = true;
+  start();
+  ASSERT_TRUE(loop.until([&] { return !agent.wires.empty() && !agent.wires[0]->message().empty(); }));
+  const std::string line = R"({"revision":2,"complete":false,"members":[{"id":"s-00000001","host_port":")" +
+                           server.text() +
+                           R"(","locality":"a","cell":1,"phase":"DRAINING","up_since_ms":0}]})"
+                           "\n";
+  std::array<char, 20> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", line.size());
+  EXPECT_EQ(status(Ask{}), 200);
+  agent.wires[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size.data() + line) + "\r\n");
+  // Its idle connections are closed when the change has been taken in.
+  ASSERT_TRUE(loop.until([&] { return server.wires.back()->ended; }));
+  EXPECT_EQ(status(notice()), 429);
+  EXPECT_EQ(seen.size(), 1u);
+}
+
+// ---- Bad input: an answer that says so, and no harm to other sessions --------------------------------------
+
+TEST_F(NodeTest, BadInputIsAnswered) {
+  start();
+  const auto good = client();
+  const auto expect = [&](int wanted, auto change) {
+    Ask a;
+    change(a);
+    EXPECT_EQ(status(a), wanted) << a.text();
+  };
+  expect(400, [](Ask& a) { a.cls = "write"; });
+  expect(400, [](Ask& a) { a.cls = "fix"; });
+  expect(400, [](Ask& a) { a.plan = "gold"; });
+  expect(400, [](Ask& a) { a.cookie = "client=b4d65521"; });
+  expect(400, [](Ask& a) { a.cookie = "client=00000000b4d6552g"; });
+  expect(400, [](Ask& a) { a.cookie = "client=0000000200000000"; });  // 2^33
+  expect(400, [](Ask& a) { a.cookie = "other=1"; });
+  expect(400, [](Ask& a) { a.timeout = "soon"; });
+  expect(400, [](Ask& a) { a.timeout = "-5"; });
+  expect(400, [](Ask& a) { a.timeout = "0"; });
+  expect(400, [](Ask& a) { a.timeout = "99999999999999999999"; });
+  expect(400, [](Ask& a) { a.quota = "units=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=nan,spread=2,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=1e9,spread=2,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=1,spread=9,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=1,spread=2,first=2"; });
+  expect(400, [](Ask& a) { a.more = "X-Retried: maybe\r\n"; });
+  expect(400, [](Ask& a) { a.more = "X-Plan: basic\r\n"; });
+  expect(400, [](Ask& a) { a.more = "no colon here\r\n"; });
+  expect(400, [](Ask& a) { a.more = "Idempotency-Key: k\r\n"; });
+  expect(400, [](Ask& a) { a = fix(), a.more = ""; });
+  expect(404, [](Ask& a) { a.path = "/nothing"; });
+  expect(405, [](Ask& a) { a.method = "DELETE"; });
+  expect(413, [](Ask& a) { a = notice(), a.body = std::string(65537, 'x'); });
+  expect(431, [](Ask& a) { a.more = "X-Long: " + std::string(9000, 'x') + "\r\n"; });
+  EXPECT_EQ(status("rubbish\r\n\r\n"), 400);
+  EXPECT_EQ(status("GET /-/other HTTP/1.1\r\nHost: x\r\n\r\n"), 404);
+  EXPECT_TRUE(seen.empty());
+  good->send(Ask{}.text());
+  EXPECT_EQ(status(good), 200);
+}
+TEST_F(NodeTest, SlowClientIsTimedOut) {
+  start();
+  const auto w = client();
+  w->send("GET /read HT");
+  EXPECT_EQ(status(w), 408);
+  EXPECT_TRUE(loop.until([&] { return w->ended; }));
+}
+TEST_F(NodeTest, RequestInPiecesIsServed) {
+  start();
+  const auto text = notice().text();
+  const auto w = client();
+  for (std::size_t i = 0; i < text.size(); i += 40) {
+    w->send(text.substr(i, 40));
+    loop.io.poll();
+  }
+  EXPECT_EQ(status(w), 200);
+}
+TEST_F(NodeTest, WaitsForTheBodyWhenAskedTo) {
+  start();
+  auto a = notice();
+  a.more = "Expect: 100-continue\r\n";
+  const auto text = a.text();
+  const auto w = client();
+  w->send(text.substr(0, text.size() - 1));
+  EXPECT_EQ(status(w), 100);
+  w->send("b");
+  EXPECT_EQ(status(w), 200);
+}
+
+// ---- Descriptors ---------------------------------------------------------------------------------------------
+
+// More clients than the budget holds: those that idle make room, and nobody is left unanswered.
+TEST_F(NodeTest, IdleSessionsMakeRoom) {
+  start(60);
+  std::vector<std::shared_ptr<Wire>> idle;
+  for (int i = 0; i < 40; ++i) idle.push_back(client());
+  EXPECT_EQ(status(Ask{}), 200);
+  EXPECT_TRUE(loop.until([&] { return std::ranges::any_of(idle, [](const auto& w) { return w->ended; }); }));
+}
+
+}  // namespace
+}  // namespace snowknot::test
--- /dev/null
+++ b/tests/process_test.cpp
@@ -0,0 +1,194 @@
+// The real program as a process: its configuration, its signals, its descriptors.
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "peers.hpp"
+
+namespace snowknot::test {
+namespace {
+
+using nlohmann::json;
+
+json settings() {
+  return json::parse(R"({"az":"a","zones":["a"],"discovery":"push","family":"gate","fleet-size":1,"index":0,
+    "weights":"off",
+    "ceilings":{"cancel":true,"connect-timeout-ns":250000000,"keepalive-ns":30000000000,"max-attempts":3,
+                "max-retry-after-ns":1000000000,"probes":true,"retry-after":true,"second-copies":false},
+    "extra":{"count-limit-ns":40000000,"counter":true,"counter-price":0,"max-units":2,"trued-up":false},
+    "grades":[{"gain":1,"group":"all","hard-limit-ns":2000000000,"idempotency":"safe","late-worth":0,
+               "memory-span-ns":1,"name":"read","on-time-ns":500000000,"streamed":false}],
+    "packages":[{"cap-depth":0,"ceiling-rate":0,"max-out":0,"name":"p","over-worth":0,"overrun-cost":1,
+                 "store-size":12,"tolerance":0,"units-per-s":4,"value-factor":1}],
+    "prices":{"cross-zone":0,"probe":0},
+    "safety":{"answer-slack-ns":10,"drain-grace-ns":10,"fall-multiple":2,"fall-ns":10,"start-capacity":0.5,
+              "warm-within-ns":1000000000}})");
+}
+
+struct ProcessTest : ::testing::Test {
+  ProcessTest() {
+    std::string name = (std::filesystem::temp_directory_path() / "docklift-test-XXXXXX").string();
+    dir = mkdtemp(name.data());
+    listen = free_port();
+    config = {{"name", "n0"},
+              {"listen", "127.0.0.1:" + std::to_string(listen.port())},
+              {"discovery", agent.text()},
+              {"counter", counter.text()},
+              {"seed", "8c1f30d27a5be964"},
+              {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+              {"known",
+               {{"revision", 1},
+                {"complete", true},
+                {"members", json::array({{{"id", "s-00000001"},
+                                          {"host_port", server.text()},
+                                          {"locality", "a"},
+                                          {"cell", 1},
+                                          {"phase", "SERVING"},
+                                          {"up_since_ms", 0}}})}}},
+              {"settings", settings()}};
+  }
+  ~ProcessTest() override {
+    if (child > 0) kill(child, SIGKILL), waitpid(child, nullptr, 0);
+    std::filesystem::remove_all(dir);
+  }
+  // The program has to be told a port that is free: the system's choice, given back just before.
+  Tcp::endpoint free_port() { return Peer(loop.io).at(); }
+
+  void run(rlim_t descriptors = 1024) {
+    std::ofstream(dir / "config.json") << config;
+    child = fork();
+    if (child != 0) return;
+    const rlimit limit{descriptors, descriptors};
+    setrlimit(RLIMIT_NOFILE, &limit);
+    for (int fd = 3; fd < 100; ++fd) ::close(fd);
+    const int log = ::open((dir / "log").c_str(), O_CREAT | O_WRONLY, 0600);
+    dup2(log, 2);
+    setenv("GW_CONFIG", (dir / "config.json").c_str(), 1);
+    execl(DOCKLIFT, DOCKLIFT, nullptr);
+    _exit(99);
+  }
+  // The exit status; -1 if it does not end.
+  int exit_status() {
+    int status = 0;
+    if (!loop.until([&] { return waitpid(child, &status, WNOHANG) == child; })) return -1;
+    child = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
+  }
+  std::string log() {
+    std::stringstream text;
+    text << std::ifstream(dir / "log").rdbuf();
+    return text.str();
+  }
+  bool up() {
+    return loop.until([&] {
+      try {
+        const auto w = loop.connect(listen);
+        w->send("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        return loop.until([&] { return w->ended; }) && w->in.starts_with("HTTP/1.1 200 ");
+      } catch (const boost::system::system_error&) {
+        return false;  // it does not listen yet
+      }
+    });
+  }
+  static std::string ask() {
+    return "GET /read HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: a1\r\nX-Priority-Class: read\r\nX-Plan: p\r\n"
+           "Cookie: client=0000000000000007\r\nX-Timeout-Ms: 2000\r\nX-Quota: units=1,spread=1,first=0\r\n\r\n";
+  }
+  bool served(const std::shared_ptr<Wire>& w) {
+    return loop.until([&] { return w->in.find("\r\n\r\n") != std::string::npos || w->ended; }) &&
+           w->message().starts_with("HTTP/1.1 200 ");
+  }
+
+  Loop loop;
+  std::shared_ptr<Wire> held;  // a request that the server has not answered
+  bool answers = true;
+  Peer server{loop.io, [this](Wire& w) {
+                if (w.message().empty()) return;
+                if (answers) return w.send(http_answer("200 OK", "served"));
+                held = w.shared_from_this();
+              }};
+  Peer counter{loop.io, [](Wire& w) {
+                 for (auto l = w.line(); !l.empty(); l = w.line()) w.send(l == "ping" ? "pong\r\n" : "ok 1\r\n");
+               }};
+  Peer agent{loop.io};
+  std::filesystem::path dir;
+  Tcp::endpoint listen;
+  json config;
+  pid_t child = 0;
+};
+
+TEST_F(ProcessTest, ServesAndEndsOnTermWhenNothingIsOpen) {
+  run();
+  ASSERT_TRUE(up());
+  const auto w = loop.connect(listen);
+  w->send(ask());
+  EXPECT_TRUE(served(w));
+  kill(child, SIGTERM);
+  EXPECT_EQ(exit_status(), 0);
+  EXPECT_TRUE(loop.until([&] { return w->ended; }));
+}
+// A planned restart loses nothing: what is out gets its answer, and new connections are still served.
+TEST_F(ProcessTest, TermLetsOpenRequestsFinishAndTakesNewOnes) {
+  run();
+  ASSERT_TRUE(up());
+  answers = false;
+  const auto w = loop.connect(listen), idle = loop.connect(listen);
+  w->send(ask());
+  ASSERT_TRUE(loop.until([&] { return held != nullptr; }));
+  kill(child, SIGTERM);
+  ASSERT_TRUE(loop.until([&] { return idle->ended; }));  // closed between requests
+  answers = true;
+  const auto late = loop.connect(listen);
+  late->send(ask());
+  EXPECT_TRUE(served(late));
+  EXPECT_TRUE(loop.until([&] { return late->ended; }));  // it has been told to come no more
+  held->send(http_answer("200 OK", "served"));
+  EXPECT_TRUE(served(w));
+  EXPECT_EQ(exit_status(), 0);
+}
+// More connections than the process has descriptors for, against what it was told: it goes on serving.
+TEST_F(ProcessTest, SurvivesALackOfDescriptors) {
+  run(40);
+  ASSERT_TRUE(up());
+  std::vector<std::shared_ptr<Wire>> many;
+  for (int i = 0; i < 80; ++i) many.push_back(loop.connect(listen));
+  ASSERT_TRUE(loop.until([&] { return std::ranges::any_of(many, [](const auto& w) { return w->ended; }); }));
+  for (const auto& w : many) w->close();
+  EXPECT_TRUE(up());
+  const auto w = loop.connect(listen);
+  w->send(ask());
+  EXPECT_TRUE(served(w));
+}
+
+// Bad configuration: one line that names the field, and an exit that is not 0.
+struct BadConfig : ProcessTest {
+  void expect_named(const std::string& field) {
+    run();
+    EXPECT_GT(exit_status(), 0);
+    EXPECT_NE(log().find(field), std::string::npos) << log();
+    EXPECT_EQ(std::ranges::count(log(), '\n'), 1) << log();
+  }
+};
+TEST_F(BadConfig, NoListenAddress) { config.erase("listen"), expect_named("'listen'"); }
+TEST_F(BadConfig, ListenIsNoAddress) { config["listen"] = "here", expect_named("'listen'"); }
+TEST_F(BadConfig, NoCounter) { config.erase("counter"), expect_named("'counter'"); }
+TEST_F(BadConfig, SeedIsNoHex) { config["seed"] = "seed", expect_named("'seed'"); }
+TEST_F(BadConfig, NoSockets) { config["limits"].erase("sockets"), expect_named("'sockets'"); }
+TEST_F(BadConfig, ASettingOfTheWrongKind) {
+  config["settings"]["fleet-size"] = "two", expect_named("'fleet-size'");
+}
+TEST_F(BadConfig, ASettingThatMakesNoSense) {
+  config["settings"]["index"] = 7, expect_named("fleet_size or index");
+}
+TEST_F(BadConfig, KnownIsNoList) { config["known"] = 5, expect_named("'known'"); }
+TEST_F(BadConfig, AddressIsTaken) { config["listen"] = agent.text(), expect_named("'listen'"); }
+
+}  // namespace
+}  // namespace snowknot::test
