--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -1,7 +1,7 @@
 #include "clients.hpp"
 
-#include <boost/beast/http/write.hpp>
 #include <algorithm>
+#include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <cstdio>
 #include <stdexcept>
@@ -215,8 +215,10 @@
   const string_view target(message.target().data(), message.target().size());
   if (target == "/-/ready") {
     const bool good = clients_.owner_.ready() && !clients_.draining_;
-    return write({good ? http::status::ok : http::status::service_unavailable, good ? "ready\n" : "not ready\n",
-                  "text/plain", {}});
+    return write({good ? http::status::ok : http::status::service_unavailable,
+                  good ? "ready\n" : "not ready\n",
+                  "text/plain",
+                  {}});
   }
   try {
     auto request = read_request(message, clients_.settings_, began);
@@ -249,13 +251,15 @@
   if (!answer.content_type.empty()) response_.set(http::field::content_type, answer.content_type);
   if (answer.retry_after > Duration{}) {
     std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(answer.retry_after).count());
+    std::snprintf(text.data(), text.size(), "%.3f",
+                  std::chrono::duration<double>(answer.retry_after).count());
     response_.set(http::field::retry_after, text.data());
   }
   response_.body() = answer.body;
   response_.prepare_payload();
-  http::async_write(socket_, response_,
-                    [self = shared_from_this()](const error_code& failed, std::size_t) { self->on_written(failed); });
+  http::async_write(socket_, response_, [self = shared_from_this()](const error_code& failed, std::size_t) {
+    self->on_written(failed);
+  });
 }
 
 void ClientSession::on_written(const error_code& failed) {
@@ -298,7 +302,11 @@
 
 Clients::Clients(asio::io_context& io, Timers& timers, const Settings& settings, std::size_t most_sessions,
                  Owner& owner)
-    : io_(io), timers_(timers), settings_(settings), most_sessions_(most_sessions), owner_(owner),
+    : io_(io),
+      timers_(timers),
+      settings_(settings),
+      most_sessions_(most_sessions),
+      owner_(owner),
       acceptor_(io.get_executor()) {}
 
 void Clients::listen(const Tcp::endpoint& at) {
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -67,11 +67,11 @@
   std::optional<Parser> parser_;
   http::response<http::string_body> response_;
   Stage stage_ = Stage::reading;
-  Time since_{};                // of the stage, or of the first byte of a request that has not come whole
-  bool began_ = false;          // a part of a request has come
-  bool reads_ = false;          // a read is pending
-  bool keep_alive_ = false;     // what the request that is out wants
-  std::uint64_t request_ = 0;   // the node's number of it; 0: none
+  Time since_{};               // of the stage, or of the first byte of a request that has not come whole
+  bool began_ = false;         // a part of a request has come
+  bool reads_ = false;         // a read is pending
+  bool keep_alive_ = false;    // what the request that is out wants
+  std::uint64_t request_ = 0;  // the node's number of it; 0: none
 };
 
 class Clients {
--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -1,8 +1,8 @@
 #include "counter.hpp"
 
-#include <boost/asio/write.hpp>
 #include <algorithm>
 #include <array>
+#include <boost/asio/write.hpp>
 #include <charconv>
 #include <cstdio>
 
@@ -57,7 +57,8 @@
                                 static_cast<unsigned long long>(name), amount,
                                 static_cast<long long>(std::max<decltype(life)>(life, 1)));
     c.line.assign(line.data(), static_cast<std::size_t>(n));
-    c.limit = timers_.after(timeout_, [self = shared_from_this(), number = c.number] { self->overdue(number); });
+    c.limit = timers_.after(timeout_,
+                            [self = shared_from_this(), number = c.number] { self->overdue(number); });
     waiting_.push_back(std::move(c));
     flush();
   }
@@ -70,8 +71,8 @@
     Time began{};
     std::string line;
     bool ping = false;
-    bool told = false;     // its caller has an answer; what comes now is only consumed
-    std::size_t end = 0;   // where its last byte stands in the text that is being written; 0: written
+    bool told = false;    // its caller has an answer; what comes now is only consumed
+    std::size_t end = 0;  // where its last byte stands in the text that is being written; 0: written
     Timers::Handle limit;
   };
 
@@ -103,28 +104,29 @@
       sent_.push_back(std::move(c));
     }
     waiting_.clear();
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this(), number = life_](const error_code& failed, std::size_t bytes) {
-                        if (number != self->life_) return;
-                        for (auto& c : self->sent_)
-                          if (c.end <= bytes) c.end = 0;
-                        self->writing_.clear();
-                        if (self->stage_ != Stage::up) return;
-                        if (failed) return self->lose(true);
-                        self->flush();
-                      });
+    asio::async_write(
+        socket_, asio::buffer(writing_),
+        [self = shared_from_this(), number = life_](const error_code& failed, std::size_t bytes) {
+          if (number != self->life_) return;
+          for (auto& c : self->sent_)
+            if (c.end <= bytes) c.end = 0;
+          self->writing_.clear();
+          if (self->stage_ != Stage::up) return;
+          if (failed) return self->lose(true);
+          self->flush();
+        });
   }
 
   void read() {
-    socket_.async_read_some(asio::buffer(space_),
-                            [self = shared_from_this(), number = life_](const error_code& failed, std::size_t bytes) {
-                              if (number != self->life_ || self->stage_ != Stage::up) return;
-                              if (failed) return self->lose();
-                              self->text_.append(self->space_.data(), bytes);
-                              self->heard_ = self->timers_.now();
-                              if (!self->take_lines()) return self->lose();
-                              self->read();
-                            });
+    socket_.async_read_some(asio::buffer(space_), [self = shared_from_this(), number = life_](
+                                                      const error_code& failed, std::size_t bytes) {
+      if (number != self->life_ || self->stage_ != Stage::up) return;
+      if (failed) return self->lose();
+      self->text_.append(self->space_.data(), bytes);
+      self->heard_ = self->timers_.now();
+      if (!self->take_lines()) return self->lose();
+      self->read();
+    });
   }
 
   // False if what came is no answer to what was asked: nothing on this connection can be trusted any more.
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,8 +1,8 @@
 #include "discovery.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/http/write.hpp>
-#include <algorithm>
 #include <charconv>
 
 #include "facts.hpp"
@@ -27,7 +27,11 @@
 
 Discovery::Discovery(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, std::string host,
                      std::map<std::string, std::uint32_t> zones, Told told)
-    : timers_(timers), at_(at), host_(std::move(host)), zones_(std::move(zones)), told_(std::move(told)),
+    : timers_(timers),
+      at_(at),
+      host_(std::move(host)),
+      zones_(std::move(zones)),
+      told_(std::move(told)),
       socket_(io.get_executor()) {}
 
 void Discovery::start(const json& known) {
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -21,7 +21,7 @@
 
 namespace http = boost::beast::http;
 
-// The address in a text like 10.1.0.18:7070, or none.
+// The address in a text of address and port, or none.
 std::optional<Tcp::endpoint> endpoint_of(std::string_view text);
 
 class Discovery {
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -16,10 +16,10 @@
 inline constexpr std::size_t kMostBody = 64 * 1024;           // bytes of a body, in either direction
 inline constexpr std::uint64_t kCustomersBelow = 1ULL << 33;  // the cookie is a number below this
 inline constexpr std::size_t kCustomerDigits = 16;            // hex digits of the cookie
-inline constexpr Duration kWatchLine = 2s;                    // an empty line comes so often while nothing changes
-inline constexpr Duration kDiscoveryTold = 6s;     // what discovery has to tell counts as told after this
-inline constexpr Duration kCounterIdle = 10s;      // a counter connection that stood idle so long is closed
-inline constexpr Duration kNewAfterTerm = 600ms;   // new connections come for 400 ms after SIGTERM; and margin
+inline constexpr Duration kWatchLine = 2s;        // an empty line comes so often while nothing changes
+inline constexpr Duration kDiscoveryTold = 6s;    // what discovery has to tell counts as told after this
+inline constexpr Duration kCounterIdle = 10s;     // a counter connection that stood idle so long is closed
+inline constexpr Duration kNewAfterTerm = 600ms;  // new connections come for 400 ms after SIGTERM; and margin
 
 // ---- Guards against peers that misbehave or vanish --------------------------------------------------
 inline constexpr std::size_t kMostHeader = 8 * 1024;  // bytes of a message's head; more is answered 431
@@ -32,17 +32,18 @@
 inline constexpr Duration kIdleClient = 120s;   // a session with no request for so long is taken for vanished
 inline constexpr Duration kSweep = 1s;          // sessions and pools are looked through so often
 inline constexpr Duration kAcceptPause = 20ms;  // after accept() found no descriptor
-inline constexpr double kIdlePart = 0.8;        // of the servers' idle limit, for which a pool keeps a connection
+inline constexpr double kIdlePart = 0.8;  // of the servers' idle limit, for which a pool keeps a connection
 inline constexpr std::size_t kMostLine = 256;          // bytes of a counter's answer
 inline constexpr std::size_t kMostList = 16UL << 20U;  // bytes of one line of the watch
-inline constexpr std::size_t kCounterLinks = 4;    // connections: a crowded part holds up only its own
-inline constexpr int kCounterSilent = 10;          // time-outs without an answer: the connection is dead
-inline constexpr Duration kFirstBackoff = 50ms;    // before a connection is tried again; doubles
-inline constexpr Duration kLongestBackoff = 1s;    //
-inline constexpr Duration kConnectLimit = 1s;      // for a connection to discovery or the counter to come up
+inline constexpr std::size_t kCounterLinks = 4;        // connections: a crowded part holds up only its own
+inline constexpr int kCounterSilent = 10;              // time-outs without an answer: the connection is dead
+inline constexpr Duration kFirstBackoff = 50ms;        // before a connection is tried again; doubles
+inline constexpr Duration kLongestBackoff = 1s;        //
+inline constexpr Duration kConnectLimit = 1s;  // for a connection to discovery or the counter to come up
 
 // ---- Descriptors: shares of the limit ---------------------------------------------------------------
-inline constexpr std::size_t kOwnDescriptors = 24;  // standard streams, epoll, timer, signals, listener, discovery
-inline constexpr double kClientShare = 0.55;        // of the rest; the servers get what is left
+inline constexpr std::size_t
+    kOwnDescriptors = 24;                     // standard streams, epoll, timer, signals, listener, discovery
+inline constexpr double kClientShare = 0.55;  // of the rest; the servers get what is left
 
 }  // namespace snowknot::facts
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -12,7 +12,8 @@
   return c.descriptors > own ? c.descriptors - own : 1;
 }
 std::size_t for_clients(const NodeConfig& c) {
-  return std::max<std::size_t>(1, static_cast<std::size_t>(facts::kClientShare * static_cast<double>(for_peers(c))));
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(facts::kClientShare * static_cast<double>(for_peers(c))));
 }
 
 }  // namespace
@@ -72,7 +73,8 @@
   const RequestId id{++requests_};
   request.arrival.request = id;
   const Arrival arrival = request.arrival;
-  open_.emplace(id, Open{std::move(session), std::make_shared<const ClientRequest>(std::move(request)), 0, 0});
+  open_.emplace(id,
+                Open{std::move(session), std::make_shared<const ClientRequest>(std::move(request)), 0, 0});
   happened(arrival);
   return static_cast<std::uint64_t>(id);
 }
@@ -134,7 +136,9 @@
   finish(s.request, {http::status::too_many_requests, "refused\n", "text/plain", s.retry_after});
 }
 
-void Node::carry_out(const Fail& s) { finish(s.request, {http::status::bad_gateway, "failed\n", "text/plain", {}}); }
+void Node::carry_out(const Fail& s) {
+  finish(s.request, {http::status::bad_gateway, "failed\n", "text/plain", {}});
+}
 
 void Node::carry_out(const Cancel& s) { upstream_.cancel(s.request, s.attempt); }
 
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -1,7 +1,7 @@
 #include "upstream.hpp"
 
-#include <boost/beast/http/write.hpp>
 #include <algorithm>
+#include <boost/beast/http/write.hpp>
 
 #include "facts.hpp"
 
@@ -10,8 +10,8 @@
 
 Outcome outcome_of(const http::response<http::string_body>& r) {
   if (r.result() == http::status::ok) return Outcome::ok;
-  const bool turned_away =
-      r.result() == http::status::service_unavailable || r.result() == http::status::gateway_timeout;
+  const bool turned_away = r.result() == http::status::service_unavailable ||
+                           r.result() == http::status::gateway_timeout;
   if (turned_away && r["X-Not-Processed"] == "1") return Outcome::full;
   return Outcome::error;
 }
@@ -115,7 +115,8 @@
     }
     if (wrong) return broke();
     // An interim answer (1xx) is followed by the final one.
-    if (parser_->is_done() && http::to_status_class(parser_->get().result()) == http::status_class::informational) {
+    if (parser_->is_done() &&
+        http::to_status_class(parser_->get().result()) == http::status_class::informational) {
       parser_.emplace();
       parser_->header_limit(facts::kMostHeader);
       parser_->body_limit(facts::kMostBody);
@@ -142,8 +143,8 @@
   auto response = parser_->release();
   const bool keep = response.keep_alive() && stage_ == Stage::waiting && buffer_.size() == 0;
   const auto outcome = outcome_of(response);
-  Answer answer{response.result(), std::move(response.body()),
-                std::string(response[http::field::content_type]), {}};
+  Answer answer{
+      response.result(), std::move(response.body()), std::string(response[http::field::content_type]), {}};
   if (!keep) {
     stage_ = Stage::closed;
     close_now(socket_);
@@ -178,8 +179,12 @@
 
 Upstream::Upstream(asio::io_context& io, Timers& timers, Duration connect_timeout, Duration keep_alive,
                    std::size_t most_connections, Owner& owner)
-    : io_(io), timers_(timers), connect_timeout_(connect_timeout), keep_alive_(keep_alive),
-      most_connections_(most_connections), owner_(owner) {
+    : io_(io),
+      timers_(timers),
+      connect_timeout_(connect_timeout),
+      keep_alive_(keep_alive),
+      most_connections_(most_connections),
+      owner_(owner) {
   timers_.after(facts::kSweep, [this] { sweep(); });
 }
 
@@ -285,7 +290,8 @@
 // then on is lost: the pool lets it go well before.
 void Upstream::sweep() {
   const Time now = timers_.now();
-  const auto limit = Duration(static_cast<Duration::rep>(facts::kIdlePart * static_cast<double>(keep_alive_.count())));
+  const auto limit = Duration(
+      static_cast<Duration::rep>(facts::kIdlePart * static_cast<double>(keep_alive_.count())));
   for (auto& [id, p] : pools_) {
     while (!p.idle.empty() && now - p.idle.front()->since() >= limit) {
       const auto c = p.idle.front();
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -32,7 +32,7 @@
   ServerConnection(Upstream& upstream, asio::io_context& io, ServerId server);
 
   void open(const Tcp::endpoint& to, Errand errand);
-  void take(Errand errand);  // on a connection that idles
+  void take(Errand errand);     // on a connection that idles
   void close(Outcome outcome);  // ends what it is busy with
   bool idle() const { return stage_ == Stage::idle; }
   Time since() const { return since_; }
--- a/src/settings_reader.hpp
+++ b/src/settings_reader.hpp
@@ -119,7 +119,8 @@
   for (const auto& n : list_of(names, key)) index.emplace(text_of(n, key), index.size());
   return index;
 }
-inline std::uint32_t index_of(const std::map<std::string, std::uint32_t>& names, const json& o, const char* key) {
+inline std::uint32_t index_of(const std::map<std::string, std::uint32_t>& names, const json& o,
+                              const char* key) {
   const auto it = names.find(text(o, key));
   if (it == names.end()) throw FieldError(std::string("field '") + key + "' names nothing in the settings");
   return it->second;
--- a/tests/counter_test.cpp
+++ b/tests/counter_test.cpp
@@ -122,7 +122,8 @@
   call(4);
   ASSERT_TRUE(wait_for(1));
   EXPECT_EQ(told[0].outcome, CountOutcome::timeout);
-  EXPECT_TRUE(loop.until([&] { return std::ranges::any_of(server.wires, [](const auto& w) { return w->ended; }); }));
+  EXPECT_TRUE(
+      loop.until([&] { return std::ranges::any_of(server.wires, [](const auto& w) { return w->ended; }); }));
 }
 TEST_F(CounterTest, EndlessLineEndsTheConnection) {
   Peer server(loop.io, [](Wire& w) { w.in.clear(), w.send(std::string(10000, '7')); });
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -13,10 +13,11 @@
 }
 const std::string kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-std::string member(const std::string& id, const std::string& phase = "SERVING", const std::string& port = "7070",
-                   const std::string& up = "0") {
+std::string member(const std::string& id, const std::string& phase = "SERVING",
+                   const std::string& port = "7070", const std::string& up = "0") {
   return R"({"id":")" + id + R"(","host_port":"127.0.0.1:)" + port +
-         R"(","locality":"a","flavor":"m2","cell":3,"phase":")" + phase + R"(","size":1.0,"up_since_ms":)" + up + "}";
+         R"(","locality":"a","flavor":"m2","cell":3,"phase":")" + phase + R"(","size":1.0,"up_since_ms":)" +
+         up + "}";
 }
 std::string list(int revision, bool complete, const std::string& members) {
   return R"({"revision":)" + std::to_string(revision) + R"(,"complete":)" + (complete ? "true" : "false") +
@@ -48,8 +49,9 @@
   Peer agent{loop.io, [this](Wire& w) {
                if (auto m = w.message(); !m.empty()) asked.push_back(m.substr(0, m.find("\r\n")));
              }};
-  Discovery discovery{loop.io, timers, agent.at(), agent.text(), {{"a", 0}},
-                      [this](ListKind k, const auto& e) { told.push_back({k, e}); }};
+  Discovery discovery{loop.io,    timers,
+                      agent.at(), agent.text(),
+                      {{"a", 0}}, [this](ListKind k, const auto& e) { told.push_back({k, e}); }};
 };
 
 TEST_F(DiscoveryTest, StartsFromWhatWasKnown) {
@@ -100,11 +102,12 @@
 }
 TEST_F(DiscoveryTest, BadEntryIsPassedOverAndTheRestTaken) {
   start();
-  watch()->send(kHead + chunk(list(43, false,
-                                   R"({"id":7},{"id":"s-0000000c","host_port":"nowhere","locality":"a","cell":1,)"
-                                   R"("phase":"SERVING"},)" +
-                                       member("s-0000000b")) +
-                              "\n"));
+  watch()->send(kHead +
+                chunk(list(43, false,
+                           R"({"id":7},{"id":"s-0000000c","host_port":"nowhere","locality":"a","cell":1,)"
+                           R"("phase":"SERVING"},)" +
+                               member("s-0000000b")) +
+                      "\n"));
   ASSERT_TRUE(wait_for(2));
   ASSERT_EQ(told[1].entries.size(), 1u);
   EXPECT_EQ(told[1].entries[0].info.id, ServerId(11));
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -32,16 +32,19 @@
 
 struct Ask {
   std::string method = "GET", path = "/read?q=1", id = "a1", cls = "read", plan = "basic";
-  std::string cookie = "client=00000000b4d65521", timeout = "2000", quota = "units=1,spread=2,first=1", more{}, body{};
+  std::string cookie = "client=00000000b4d65521", timeout = "2000", quota = "units=1,spread=2,first=1",
+              more{}, body{};
   std::string text() const {
-    auto t = method + " " + path + " HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: " + cls +
-             "\r\nX-Plan: " + plan + "\r\nCookie: " + cookie + "\r\nX-Timeout-Ms: " + timeout + "\r\nX-Quota: " + quota +
-             "\r\n" + more;
+    auto t = method + " " + path + " HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: " + id +
+             "\r\nX-Priority-Class: " + cls + "\r\nX-Plan: " + plan + "\r\nCookie: " + cookie +
+             "\r\nX-Timeout-Ms: " + timeout + "\r\nX-Quota: " + quota + "\r\n" + more;
     if (method != "GET" || !body.empty()) t += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     return t + "\r\n" + body;
   }
 };
-Ask fix() { return {.method = "POST", .path = "/fix", .cls = "fix", .more = "Idempotency-Key: k1\r\n", .body = "b"}; }
+Ask fix() {
+  return {.method = "POST", .path = "/fix", .cls = "fix", .more = "Idempotency-Key: k1\r\n", .body = "b"};
+}
 Ask notice() { return {.method = "POST", .path = "/note", .cls = "note", .body = "b"}; }
 
 struct NodeTest : ::testing::Test {
@@ -226,7 +229,8 @@
   std::array<char, 20> size{};
   std::snprintf(size.data(), size.size(), "%zx\r\n", line.size());
   EXPECT_EQ(status(Ask{}), 200);
-  agent.wires[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size.data() + line) + "\r\n");
+  agent.wires[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size.data() + line) +
+                       "\r\n");
   // Its idle connections are closed when the change has been taken in.
   ASSERT_TRUE(loop.until([&] { return server.wires.back()->ended; }));
   EXPECT_EQ(status(notice()), 429);
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -24,16 +24,18 @@
   explicit Wire(Socket s) : socket(std::move(s)) {}
 
   void read() {
-    socket.async_read_some(asio::buffer(space_), [self = shared_from_this()](const error_code& failed, std::size_t n) {
-      self->in.append(self->space_.data(), n);
-      if (failed) self->ended = true;
-      if (self->came) self->came(*self);
-      if (!failed) self->read();
-    });
+    socket.async_read_some(asio::buffer(space_),
+                           [self = shared_from_this()](const error_code& failed, std::size_t n) {
+                             self->in.append(self->space_.data(), n);
+                             if (failed) self->ended = true;
+                             if (self->came) self->came(*self);
+                             if (!failed) self->read();
+                           });
   }
   void send(std::string text) {
     const auto kept = std::make_shared<std::string>(std::move(text));
-    asio::async_write(socket, asio::buffer(*kept), [self = shared_from_this(), kept](const error_code&, std::size_t) {});
+    asio::async_write(socket, asio::buffer(*kept),
+                      [self = shared_from_this(), kept](const error_code&, std::size_t) {});
   }
   void close() { close_now(socket); }
   void reset() {  // the other side sees a broken connection, as when the process dies
@@ -133,8 +135,10 @@
   }
 };
 
-inline std::string http_answer(const std::string& status, const std::string& body = "", const std::string& headers = "") {
-  return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+inline std::string http_answer(const std::string& status, const std::string& body = "",
+                               const std::string& headers = "") {
+  return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 }  // namespace snowknot::test
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -98,8 +98,10 @@
     });
   }
   static std::string ask() {
-    return "GET /read HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: a1\r\nX-Priority-Class: read\r\nX-Plan: p\r\n"
-           "Cookie: client=0000000000000007\r\nX-Timeout-Ms: 2000\r\nX-Quota: units=1,spread=1,first=0\r\n\r\n";
+    return "GET /read HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: a1\r\nX-Priority-Class: read\r\nX-Plan: "
+           "p\r\n"
+           "Cookie: client=0000000000000007\r\nX-Timeout-Ms: 2000\r\nX-Quota: "
+           "units=1,spread=1,first=0\r\n\r\n";
   }
   bool served(const std::shared_ptr<Wire>& w) {
     return loop.until([&] { return w->in.find("\r\n\r\n") != std::string::npos || w->ended; }) &&
@@ -115,7 +117,8 @@
                 held = w.shared_from_this();
               }};
   Peer counter{loop.io, [](Wire& w) {
-                 for (auto l = w.line(); !l.empty(); l = w.line()) w.send(l == "ping" ? "pong\r\n" : "ok 1\r\n");
+                 for (auto l = w.line(); !l.empty(); l = w.line())
+                   w.send(l == "ping" ? "pong\r\n" : "ok 1\r\n");
                }};
   Peer agent{loop.io};
   std::filesystem::path dir;
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,7 +1,8 @@
 // Attempts over loopback sockets: every row of the protocol's table of outcomes, and the pools.
-#include "peers.hpp"
 #include "upstream.hpp"
 
+#include "peers.hpp"
+
 namespace snowknot::test {
 namespace {
 
@@ -14,7 +15,9 @@
   };
 
   bool still_wanted(RequestId) const override { return wanted; }
-  void attempt_ended(const Errand& e, Outcome o, Answer a) override { ends.push_back({e, o, std::move(a), upstream.size()}); }
+  void attempt_ended(const Errand& e, Outcome o, Answer a) override {
+    ends.push_back({e, o, std::move(a), upstream.size()});
+  }
   void probe_ended(const Errand& e, Outcome o) override { ends.push_back({e, o, {}, upstream.size()}); }
 
   void send(Duration timeout = 10s, std::string body = "", ServerId server = ServerId(1)) {
@@ -57,16 +60,19 @@
   EXPECT_EQ(e.answer.body, body);
 }
 TEST_F(UpstreamTest, InterimAnswerIsPassedOver) {
-  EXPECT_EQ(outcome(answers("HTTP/1.1 102 Processing\r\n\r\n" + http_answer("200 OK", "x"))).outcome, Outcome::ok);
+  EXPECT_EQ(outcome(answers("HTTP/1.1 102 Processing\r\n\r\n" + http_answer("200 OK", "x"))).outcome,
+            Outcome::ok);
 }
 TEST_F(UpstreamTest, ErrorMayHaveRun) {
   EXPECT_EQ(outcome(answers(http_answer("500 Internal Server Error"))).outcome, Outcome::error);
 }
 TEST_F(UpstreamTest, TurnedAwayNeverRan) {
-  EXPECT_EQ(outcome(answers(http_answer("503 Service Unavailable", "", "X-Not-Processed: 1\r\n"))).outcome, Outcome::full);
+  EXPECT_EQ(outcome(answers(http_answer("503 Service Unavailable", "", "X-Not-Processed: 1\r\n"))).outcome,
+            Outcome::full);
 }
 TEST_F(UpstreamTest, TurnedAwayWithGatewayTimeoutNeverRan) {
-  EXPECT_EQ(outcome(answers(http_answer("504 Gateway Timeout", "", "X-Not-Processed: 1\r\n"))).outcome, Outcome::full);
+  EXPECT_EQ(outcome(answers(http_answer("504 Gateway Timeout", "", "X-Not-Processed: 1\r\n"))).outcome,
+            Outcome::full);
 }
 // Guards against taking any 503 for a proof that nothing ran.
 TEST_F(UpstreamTest, PlainUnavailableMayHaveRun) {
