Never keep a whole request waiting for a descriptor while others can be given up

At the cap of sessions, those with only a part of a request make room too when none idles: what the kernel has accepted counts as taken. An attempt whose own time ends while its connection comes up says nothing of the server (never sent). Pools are found by the connection's server. Tests share their settings.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -338,10 +338,15 @@
   });
 }
 
+// Gives up the session that has idled longest; if none idles, the one whose request is longest in coming. A
+// request that has come whole is never given up.
 void Clients::make_room() {
   std::shared_ptr<ClientSession> oldest;
+  const auto before = [](const auto& a, const auto& b) {
+    return std::pair(!a->idle(), a->since()) < std::pair(!b->idle(), b->since());
+  };
   for (const auto& s : sessions_)
-    if (s->idle() && (!oldest || s->since() < oldest->since())) oldest = s;
+    if (s->expendable() && (!oldest || before(s, oldest))) oldest = s;
   if (oldest) oldest->close();
 }
 
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -44,6 +44,8 @@
   void close();
   // Nothing of a request has come and none is out: it can be closed without loss.
   bool idle() const { return stage_ == Stage::reading && !began_; }
+  // What it holds is not taken: nothing, a part of a request, or an answer that was written.
+  bool expendable() const { return stage_ == Stage::reading || stage_ == Stage::lingering; }
   bool closed() const { return stage_ == Stage::closed; }
   Time since() const { return since_; }
   void sweep(Time now);
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -26,12 +26,16 @@
 void ServerConnection::open(const Tcp::endpoint& to, Errand errand) {
   errand_ = std::move(errand);
   // Until the connection is up the errand may take no longer than a connect may; then it has its own time.
-  const auto until = std::min(errand_->began + upstream_.connect_timeout_, errand_->deadline);
-  limit_ = upstream_.timers_.at(until, [self = shared_from_this()] {
-    self->limit_.reset();
-    self->upstream_.drop_idle(self->server_);  // nothing comes up there: those that idle are dead as well
-    self->close(Outcome::connect_failed);
-  });
+  const auto until = errand_->began + upstream_.connect_timeout_;
+  limit_ = upstream_.timers_.at(std::min(until, errand_->deadline),
+                                [self = shared_from_this(), late = errand_->deadline < until] {
+                                  self->limit_.reset();
+                                  // Its own time ran out first: that says nothing of the server.
+                                  if (late) return self->close(Outcome::never_sent);
+                                  // Nothing comes up there: the connections that idle are dead as well.
+                                  self->upstream_.drop_idle(self->server_);
+                                  self->close(Outcome::connect_failed);
+                                });
   socket_.async_connect(to, [self = shared_from_this()](const error_code& failed) {
     if (self->stage_ == Stage::closed) return;
     if (failed) return self->close(Outcome::connect_failed);
@@ -251,22 +255,15 @@
 }
 
 void Upstream::rest(const Connection& c) {
-  for (auto& [id, p] : pools_) {
-    const auto at = std::ranges::find(p.busy, c);
-    if (at == p.busy.end()) continue;
-    p.busy.erase(at);
-    p.idle.push_back(c);
-    if (!p.takes_work) drop_idle(id);
-    return;
-  }
+  auto& p = pools_.at(c->server());
+  std::erase(p.busy, c);
+  p.idle.push_back(c);
+  if (!p.takes_work) drop_idle(c->server());
 }
 
 void Upstream::forget(const Connection& c) {
-  for (auto& [id, p] : pools_) {
-    const auto n = std::erase(p.busy, c) + std::erase(p.idle, c);
-    connections_ -= n;
-    if (n > 0) return;
-  }
+  auto& p = pools_.at(c->server());
+  connections_ -= std::erase(p.busy, c) + std::erase(p.idle, c);
 }
 
 void Upstream::drop_idle(ServerId server) {
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -36,6 +36,7 @@
   void close(Outcome outcome);  // ends what it is busy with
   bool idle() const { return stage_ == Stage::idle; }
   Time since() const { return since_; }
+  ServerId server() const { return server_; }
   const std::optional<Errand>& errand() const { return errand_; }
 
  private:
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,37 +1,14 @@
 // The whole edge node over loopback sockets: clients, a server, the counter and discovery are scripted.
 #include "node.hpp"
 
+#include "host.hpp"
 #include "peers.hpp"
 
 namespace snowknot::test {
 namespace {
 
-Settings settings() {
-  Settings s;
-  s.classes = {{.name = "read", .aim = 500ms, .deadline = 2s},
-               {.name = "fix",
-                .aim = 500ms,
-                .deadline = 2s,
-                .effect = Effect::keyed,
-                .group = Group::cell,
-                .memory_span = 4s},
-               {.name = "note", .aim = 500ms, .deadline = 2s, .effect = Effect::unsafe}};
-  s.plans = {{.name = "basic", .rate = 10, .burst = 20}};
-  s.fleet_size = 2;
-  s.max_attempts = 6;
-  s.cancel = s.probes = s.retry_after = s.counter = true;
-  s.connect_timeout = 250ms;
-  s.counter_timeout = 50ms;
-  s.max_retry_after = 2s;
-  s.fall_multiple = 2;
-  s.fall_time = 3s;
-  s.start_capacity = 0.2;
-  s.warm_within = 10s;
-  return s;
-}
-
 struct Ask {
-  std::string method = "GET", path = "/read?q=1", id = "a1", cls = "read", plan = "basic";
+  std::string method = "GET", path = "/safe?q=1", id = "a1", cls = "safe", plan = "plain";
   std::string cookie = "client=00000000b4d65521", timeout = "2000", quota = "units=1,spread=2,first=1",
               more{}, body{};
   std::string text() const {
@@ -43,9 +20,9 @@
   }
 };
 Ask fix() {
-  return {.method = "POST", .path = "/fix", .cls = "fix", .more = "Idempotency-Key: k1\r\n", .body = "b"};
+  return {.method = "POST", .path = "/keyed", .cls = "keyed", .more = "Idempotency-Key: k1\r\n", .body = "b"};
 }
-Ask notice() { return {.method = "POST", .path = "/note", .cls = "note", .body = "b"}; }
+Ask notice() { return {.method = "POST", .path = "/unsafe", .cls = "unsafe", .body = "b"}; }
 
 struct NodeTest : ::testing::Test {
   void start(std::size_t descriptors = 1024) {
@@ -54,6 +31,8 @@
     c.discovery = agent.at(), c.discovery_host = agent.text(), c.counter = counter.at();
     c.descriptors = descriptors, c.seed = 1, c.keep_alive = 30s;
     c.named.settings = settings();
+    c.named.settings.connect_timeout = 250ms;
+    c.named.settings.retry_after = true;
     c.named.names.zones = {{"a", 0}};
     nlohmann::json members = nlohmann::json::array();
     for (const auto* s : {&server, &second}) {
@@ -117,7 +96,7 @@
   EXPECT_EQ(status(fix()), 200);
   EXPECT_TRUE(answer.ends_with("\r\n\r\nserved"));
   ASSERT_EQ(seen.size(), 1u);
-  EXPECT_TRUE(seen[0].starts_with("POST /fix HTTP/1.1\r\n"));
+  EXPECT_TRUE(seen[0].starts_with("POST /keyed HTTP/1.1\r\n"));
   EXPECT_NE(seen[0].find("X-Request-ID: a1\r\n"), std::string::npos);
   EXPECT_NE(seen[0].find("Idempotency-Key: k1\r\n"), std::string::npos);
   EXPECT_NE(seen[0].find("X-Timeout-Ms: "), std::string::npos);
@@ -248,7 +227,7 @@
     EXPECT_EQ(status(a), wanted) << a.text();
   };
   expect(400, [](Ask& a) { a.cls = "write"; });
-  expect(400, [](Ask& a) { a.cls = "fix"; });
+  expect(400, [](Ask& a) { a.cls = "keyed"; });
   expect(400, [](Ask& a) { a.plan = "gold"; });
   expect(400, [](Ask& a) { a.cookie = "client=b4d65521"; });
   expect(400, [](Ask& a) { a.cookie = "client=00000000b4d6552g"; });
@@ -264,7 +243,7 @@
   expect(400, [](Ask& a) { a.quota = "units=1,spread=9,first=1"; });
   expect(400, [](Ask& a) { a.quota = "units=1,spread=2,first=2"; });
   expect(400, [](Ask& a) { a.more = "X-Retried: maybe\r\n"; });
-  expect(400, [](Ask& a) { a.more = "X-Plan: basic\r\n"; });
+  expect(400, [](Ask& a) { a.more = "X-Plan: plain\r\n"; });
   expect(400, [](Ask& a) { a.more = "no colon here\r\n"; });
   expect(400, [](Ask& a) { a.more = "Idempotency-Key: k\r\n"; });
   expect(400, [](Ask& a) { a = fix(), a.more = ""; });
@@ -281,7 +260,7 @@
 TEST_F(NodeTest, SlowClientIsTimedOut) {
   start();
   const auto w = client();
-  w->send("GET /read HT");
+  w->send("GET /safe HT");
   EXPECT_EQ(status(w), 408);
   EXPECT_TRUE(loop.until([&] { return w->ended; }));
 }
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -11,27 +11,13 @@
 #include <sstream>
 
 #include "peers.hpp"
+#include "settings_json.hpp"
 
 namespace snowknot::test {
 namespace {
 
 using nlohmann::json;
 
-json settings() {
-  return json::parse(R"({"az":"a","zones":["a"],"discovery":"push","family":"gate","fleet-size":1,"index":0,
-    "weights":"off",
-    "ceilings":{"cancel":true,"connect-timeout-ns":250000000,"keepalive-ns":30000000000,"max-attempts":3,
-                "max-retry-after-ns":1000000000,"probes":true,"retry-after":true,"second-copies":false},
-    "extra":{"count-limit-ns":40000000,"counter":true,"counter-price":0,"max-units":2,"trued-up":false},
-    "grades":[{"gain":1,"group":"all","hard-limit-ns":2000000000,"idempotency":"safe","late-worth":0,
-               "memory-span-ns":1,"name":"read","on-time-ns":500000000,"streamed":false}],
-    "packages":[{"cap-depth":0,"ceiling-rate":0,"max-out":0,"name":"p","over-worth":0,"overrun-cost":1,
-                 "store-size":12,"tolerance":0,"units-per-s":4,"value-factor":1}],
-    "prices":{"cross-zone":0,"probe":0},
-    "safety":{"answer-slack-ns":10,"drain-grace-ns":10,"fall-multiple":2,"fall-ns":10,"start-capacity":0.5,
-              "warm-within-ns":1000000000}})");
-}
-
 struct ProcessTest : ::testing::Test {
   ProcessTest() {
     std::string name = (std::filesystem::temp_directory_path() / "docklift-test-XXXXXX").string();
@@ -52,7 +38,7 @@
                                           {"cell", 1},
                                           {"phase", "SERVING"},
                                           {"up_since_ms", 0}}})}}},
-              {"settings", settings()}};
+              {"settings", facts()}};
   }
   ~ProcessTest() override {
     if (child > 0) kill(child, SIGKILL), waitpid(child, nullptr, 0);
@@ -101,7 +87,7 @@
     return "GET /read HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: a1\r\nX-Priority-Class: read\r\nX-Plan: "
            "p\r\n"
            "Cookie: client=0000000000000007\r\nX-Timeout-Ms: 2000\r\nX-Quota: "
-           "units=1,spread=1,first=0\r\n\r\n";
+           "units=1,spread=2,first=0\r\n\r\n";
   }
   bool served(const std::shared_ptr<Wire>& w) {
     return loop.until([&] { return w->in.find("\r\n\r\n") != std::string::npos || w->ended; }) &&
