Back off from a counter that accepts and breaks; a lack of descriptors is not the server's fault

Found by reading: the back-off was forgotten with every connection that came up, so a counter that resets each at once would have been tried 20 times a second on each link; now only an answer clears it. A connect for which the process has no descriptor ends as never sent.

--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -136,6 +136,7 @@
       const std::string_view line(text_.data() + begin, end - begin);
       begin = end + 2;
       if (sent_.empty()) return false;
+      backoff_ = {};  // only an answer shows that the counter is well
       Call c = std::move(sent_.front());
       sent_.pop_front();
       double total = 0;
@@ -180,7 +181,6 @@
   // Looks now and then whether the connection still lives, and keeps it from idling.
   void watch() {
     const Time now = timers_.now();
-    if (now - heard_ < facts::kCounterSilent * timeout_) backoff_ = {};
     if (!sent_.empty() && now - std::max(heard_, sent_.front().began) > facts::kCounterSilent * timeout_)
       return lose();
     if (sent_.empty() && now - heard_ > facts::kCounterIdle / 4) {
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -38,6 +38,8 @@
                                 });
   socket_.async_connect(to, [self = shared_from_this()](const error_code& failed) {
     if (self->stage_ == Stage::closed) return;
+    if (failed == asio::error::no_descriptors)
+      return self->close(Outcome::never_sent);  // not the server's fault
     if (failed) return self->close(Outcome::connect_failed);
     set_no_delay(self->socket_);
     self->upstream_.timers_.cancel(self->limit_);
