Move discovery and counter at SIGHUP instead of ending; account for spoilt counts as added

Discovery and Counter were bound to one address for life. Now the file is read anew (kept as it was if it can't be read), a watch that works goes on until the new one has begun, calls written to the old counter are settled there, and what was not written moves on. Counter::Link took inf, nan and 1e300 for totals and spoilt lines for 'not known': a spoilt line was added, so it is owed, also under a ceiling, and no strike against the counter. Ids of servers that are gone no longer stay in Discovery's maps; unnamed zones are hashed, not stored.

--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -169,7 +169,8 @@
   RequestId request{};
 };
 
-enum class CountOutcome { ok, refused, timeout };  // refused: nothing was added; timeout: not known
+// refused: nothing was added; timeout: not known; added: it was, but the total could not be read
+enum class CountOutcome { ok, refused, timeout, added };
 
 struct CountAnswer {
   CountName name{};
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -170,7 +170,7 @@
   }
 
   void learn(Time now, CountOutcome o, Duration took) {
-    const bool ok = o == CountOutcome::ok;
+    const bool ok = o == CountOutcome::ok || o == CountOutcome::added;
     if (ok) fastest = std::clamp(seconds(took), 1e-5, fastest);
     if (ok && down()) rate = std::max(rate, fair());
     strikes = ok ? 0 : strikes + 1;
@@ -494,8 +494,10 @@
     if (e.outcome != CountOutcome::ok) {
       // A timed-out add counts as refused and is taken off at the next call. Under a ceiling it is not: were
       // it never added, taking it off would let the count run past the limit.
-      const bool maybe_added = e.outcome == CountOutcome::timeout;
-      if (!t.ceiling) u.owed = maybe_added ? done.quantum : done.quantum - done.amount;
+      const bool added = e.outcome == CountOutcome::added;
+      if (added) u.added += done.amount;
+      const bool maybe_added = added || e.outcome == CountOutcome::timeout;
+      if (added || !t.ceiling) u.owed = maybe_added ? done.quantum : done.quantum - done.amount;
       return;
     }
     const double before = u.added;
--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 #include "facts.hpp"
@@ -12,10 +13,17 @@
 
 class Counter::Link : public std::enable_shared_from_this<Link> {
  public:
-  Link(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told)
-      : timers_(timers), at_(at), timeout_(timeout), told_(std::move(told)), socket_(io.get_executor()) {}
+  explicit Link(Counter& owner)
+      : owner_(owner),
+        timers_(owner.timers_),
+        at_(owner.at_),
+        timeout_(owner.timeout_),
+        told_(owner.told_),
+        socket_(owner.io_.get_executor()) {}
 
   bool tried() const { return tried_; }
+  bool up() const { return stage_ == Stage::up; }
+  bool stopped() const { return stage_ == Stage::stopped; }
 
   void connect() {
     stage_ = Stage::connecting;
@@ -33,6 +41,7 @@
       self->text_.clear();
       self->heard_ = self->timers_.now();
       set_no_delay(self->socket_);
+      self->owner_.up(*self);
       self->read();
       self->flush();
       self->watch();
@@ -47,20 +56,27 @@
     close_now(socket_);
   }
 
+  // Takes nothing new and ends when all that was written is answered. What was not written goes to the heir.
+  void retire(Link& heir) {
+    for (auto& c : std::exchange(waiting_, {})) {
+      timers_.cancel(c.limit);
+      if (!c.ping) heir.take(std::move(c));
+    }
+    retired_ = true;
+    if (stage_ != Stage::up || sent_.empty()) stop();
+  }
+
   void add(CountName name, double amount, Duration lifetime) {
     if (stage_ == Stage::down) return told_({name, CountOutcome::refused, 0, {}});
     Call c;
-    c.number = ++calls_, c.name = name, c.began = timers_.now();
+    c.name = name, c.began = timers_.now();
     std::array<char, 128> line{};
     const auto life = std::chrono::ceil<std::chrono::milliseconds>(lifetime).count();
     const int n = std::snprintf(line.data(), line.size(), "incr %llu %.9g %lld\r\n",
                                 static_cast<unsigned long long>(name), amount,
                                 static_cast<long long>(std::max<decltype(life)>(life, 1)));
     c.line.assign(line.data(), static_cast<std::size_t>(n));
-    c.limit = timers_.after(timeout_,
-                            [self = shared_from_this(), number = c.number] { self->overdue(number); });
-    waiting_.push_back(std::move(c));
-    flush();
+    take(std::move(c));
   }
 
  private:
@@ -76,6 +92,14 @@
     Timers::Handle limit;
   };
 
+  void take(Call c) {
+    c.number = ++calls_;
+    c.limit = timers_.at(c.began + timeout_,
+                         [self = shared_from_this(), number = c.number] { self->overdue(number); });
+    waiting_.push_back(std::move(c));
+    flush();
+  }
+
   void tell(Call& c, CountOutcome outcome, double total = 0) {
     timers_.cancel(c.limit);
     if (!std::exchange(c.told, true) && !c.ping) told_({c.name, outcome, total, timers_.now() - c.began});
@@ -125,6 +149,7 @@
       self->text_.append(self->space_.data(), bytes);
       self->heard_ = self->timers_.now();
       if (!self->take_lines()) return self->lose();
+      if (self->retired_ && self->sent_.empty()) return self->stop();
       self->read();
     });
   }
@@ -145,17 +170,18 @@
       } else if (!c.ping && line.starts_with("ok ") && number(line.substr(3), total)) {
         tell(c, CountOutcome::ok, total);
       } else {
-        tell(c, CountOutcome::timeout);
+        tell(c, CountOutcome::added);  // the counter answers what it has done, readable or not
         return false;
       }
     }
     text_.erase(0, begin);
-    return text_.size() <= facts::kMostLine;
+    return text_.size() <= (sent_.empty() ? 0 : facts::kMostLine);
   }
 
   static bool number(std::string_view text, double& value) {
     const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return failed == std::errc{} && end == text.data() + text.size();
+    return failed == std::errc{} && end == text.data() + text.size() && std::isfinite(value) &&
+           std::abs(value) <= facts::kMostTotal;
   }
 
   // The connection is gone or of no use. What is known not to be written whole was not added.
@@ -171,6 +197,7 @@
     auto waiting = std::exchange(waiting_, {});
     for (auto& c : sent) tell(c, write_ended && c.end > 0 ? CountOutcome::refused : CountOutcome::timeout);
     for (auto& c : waiting) tell(c, CountOutcome::refused);
+    if (retired_) return stop();
     backoff_ = std::clamp(2 * backoff_, facts::kFirstBackoff, facts::kLongestBackoff);
     guard_ = timers_.after(backoff_, [self = shared_from_this()] {
       self->guard_.reset();
@@ -195,6 +222,7 @@
     });
   }
 
+  Counter& owner_;
   Timers& timers_;
   Tcp::endpoint at_;
   Duration timeout_;
@@ -208,27 +236,57 @@
   Timers::Handle guard_;
   Duration backoff_{};
   Time heard_{};
-  bool tried_ = false;
+  bool tried_ = false, retired_ = false;
 };
 
-Counter::Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told) {
-  for (std::size_t i = 0; i < facts::kCounterLinks; ++i) {
-    links_.push_back(std::make_shared<Link>(io, timers, at, timeout, told));
-    links_.back()->connect();
-  }
+Counter::Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told)
+    : io_(io), timers_(timers), at_(at), timeout_(timeout), told_(std::move(told)), lanes_(facts::kCounterLinks) {
+  for (auto& lane : lanes_) lane.link = open_link();
 }
 
 Counter::~Counter() {
-  for (const auto& l : links_) l->stop();
+  for (const auto& lane : lanes_)
+    for (const auto& l : {lane.link, lane.next})
+      if (l) l->stop();
+  for (const auto& l : former_) l->stop();
+}
+
+Counter::LinkPtr Counter::open_link() {
+  const auto link = std::make_shared<Link>(*this);
+  link->connect();
+  return link;
 }
 
 void Counter::add(CountName name, double amount, Duration lifetime) {
-  // Names are well mixed.
-  links_[static_cast<std::uint64_t>(name) % links_.size()]->add(name, amount, lifetime);
+  auto& lane = lanes_[static_cast<std::uint64_t>(name) % lanes_.size()];  // names are well mixed
+  if (lane.next && !lane.link->up()) promote(lane);
+  lane.link->add(name, amount, lifetime);
+}
+
+void Counter::move_to(const Tcp::endpoint& at) {
+  if (at == at_) return;
+  at_ = at;
+  for (auto& lane : lanes_) {
+    if (lane.next) lane.next->stop();  // it never came up, and nothing was given to it
+    lane.next = open_link();
+    if (!lane.link->up()) promote(lane);
+  }
+}
+
+void Counter::up(const Link& link) {
+  for (auto& lane : lanes_)
+    if (lane.next.get() == &link) return promote(lane);
+}
+
+void Counter::promote(Lane& lane) {
+  const auto old = std::exchange(lane.link, std::exchange(lane.next, nullptr));
+  std::erase_if(former_, [](const auto& l) { return l->stopped(); });
+  old->retire(*lane.link);
+  if (!old->stopped()) former_.push_back(old);
 }
 
 bool Counter::tried() const {
-  return std::ranges::all_of(links_, [](const auto& l) { return l->tried(); });
+  return std::ranges::all_of(lanes_, [](const auto& lane) { return lane.link->tried(); });
 }
 
 }  // namespace snowknot
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -2,10 +2,6 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,8 +15,6 @@
 
 namespace snowknot {
 
-namespace http = boost::beast::http;
-
 // The address in a text of address and port, or none.
 std::optional<Tcp::endpoint> endpoint_of(std::string_view text);
 
@@ -35,39 +29,35 @@
   Discovery(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, std::string host,
             std::map<std::string, std::uint32_t> zones, Told told);
 
+  ~Discovery();
+
   // Tells of the list as it was known before the start, and watches from there.
   void start(const nlohmann::json& known);
+  // Watches at another address from now on. A watch that works goes on until the new one has begun.
+  void move_to(const Tcp::endpoint& at, const std::string& host);
   std::uint64_t revision() const { return revision_; }
+  std::size_t known_ids() const { return numbers_.size(); }
 
  private:
+  class Watch;
+
   ServerId number_of(const std::string& id);
-  ZoneIndex zone_of(const std::string& name);
+  void forget(const std::string& id);
+  ZoneIndex zone_of(const std::string& name) const;
   std::optional<Entry> entry(const nlohmann::json& e);
   bool take(const nlohmann::json& list, bool cached);
+  void begun(const Watch& watch);
 
-  void connect();
-  void read();
-  void on_read(const error_code& failed, std::size_t bytes);
-  bool take_bytes();
-  void again();
-  void expect_line();
-
+  asio::io_context& io_;
   Timers& timers_;
   Tcp::endpoint at_;
   std::string host_;
   std::map<std::string, std::uint32_t> zones_;
   Told told_;
-  std::map<std::string, ServerId> numbers_;
+  std::map<std::string, ServerId> numbers_;  // of the servers that are listed
   std::map<ServerId, std::string> ids_;
   std::uint64_t revision_ = 0;
-
-  Socket socket_;
-  std::uint64_t life_ = 0;  // number of the connection
-  boost::beast::flat_buffer buffer_;
-  http::request<http::string_body> request_;
-  std::optional<http::response_parser<http::string_body>> parser_;
-  Timers::Handle silence_;
-  Duration backoff_{};
+  std::shared_ptr<Watch> watch_, former_;  // former: at the address before, until the other one has begun
 };
 
 }  // namespace snowknot
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -18,6 +18,7 @@
 inline constexpr std::size_t kCustomerDigits = 16;            // hex digits of the cookie
 inline constexpr Duration kWatchLine = 2s;        // an empty line comes so often while nothing changes
 inline constexpr Duration kDiscoveryTold = 6s;    // what discovery has to tell counts as told after this
+inline constexpr double kMostTotal = 1e15;        // of a count: millions of the largest amounts (1e9)
 inline constexpr Duration kCounterIdle = 10s;     // a counter connection that stood idle so long is closed
 inline constexpr Duration kNewAfterTerm = 600ms;  // new connections come for 400 ms after SIGTERM; and margin
 
@@ -34,7 +35,7 @@
 inline constexpr Duration kAcceptPause = 20ms;  // after accept() found no descriptor
 inline constexpr double kIdlePart = 0.8;  // of the servers' idle limit, for which a pool keeps a connection
 inline constexpr std::size_t kMostLine = 256;          // bytes of a counter's answer
-inline constexpr std::size_t kMostList = 16UL << 20U;  // bytes of one line of the watch
+inline constexpr std::size_t kMostList = 1UL << 20U;  // bytes of one line of the watch: thousands of servers
 inline constexpr std::size_t kCounterLinks = 4;        // connections: a crowded part holds up only its own
 inline constexpr int kCounterSilent = 10;              // time-outs without an answer: the connection is dead
 inline constexpr Duration kFirstBackoff = 50ms;        // before a connection is tried again; doubles
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -48,6 +48,20 @@
   return c;
 }
 
+// Every SIGHUP has the configuration read anew. One that can't be read changes nothing.
+void reload_on(asio::signal_set& hangup, Node& node) {
+  hangup.async_wait([&](const error_code& failed, int) {
+    if (failed) return;
+    try {
+      node.move_to(read_config());
+      note("configuration read anew");
+    } catch (const std::exception& x) {
+      note(std::string("the new configuration is passed over: ") + x.what());
+    }
+    reload_on(hangup, node);
+  });
+}
+
 // Nothing that goes wrong with one event ends the process.
 void serve(asio::io_context& io) {
   for (;;) {
@@ -66,7 +80,9 @@
   try {
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context io(1);
+    asio::signal_set hangup(io, SIGHUP);
     Node node(io, read_config());
+    reload_on(hangup, node);
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const error_code& failed, int) {
       if (!failed) node.drain([&io] { io.stop(); });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -43,6 +43,11 @@
   wait_until_drained();
 }
 
+void Node::move_to(const NodeConfig& next) {
+  discovery_.move_to(next.discovery, next.discovery_host);
+  if (counter_ && next.counter) counter_->move_to(*next.counter);
+}
+
 void Node::wait_until_drained() {
   if (open_.empty() && clients_.drained()) return drained_();
   timers_.after(facts::kAcceptPause, [this] { wait_until_drained(); });
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -38,6 +38,8 @@
   void start();
   // Takes no new sessions for long and calls `done` when nothing is open any more.
   void drain(std::function<void()> done);
+  // What a new configuration may change under load: the addresses of discovery and the counter.
+  void move_to(const NodeConfig& next);
   Tcp::endpoint listens_at() const { return clients_.listens_at(); }
   std::size_t open_requests() const { return open_.size(); }
 
--- a/tests/counter_test.cpp
+++ b/tests/counter_test.cpp
@@ -121,7 +121,7 @@
   start(server.at(), 5s);
   call(4);
   ASSERT_TRUE(wait_for(1));
-  EXPECT_EQ(told[0].outcome, CountOutcome::timeout);
+  EXPECT_EQ(told[0].outcome, CountOutcome::added);
   EXPECT_TRUE(
       loop.until([&] { return std::ranges::any_of(server.wires, [](const auto& w) { return w->ended; }); }));
 }
@@ -146,6 +146,99 @@
     EXPECT_EQ(told[i].total, static_cast<double>(i + 1));
   }
 }
+// ---- The counter moves -------------------------------------------------------------------------------------
+
+struct CounterMoves : CounterTest {
+  std::vector<std::shared_ptr<Wire>> asked;  // connections of the old one with a call that is not answered
+  std::size_t new_calls = 0;
+  Peer old{loop.io, [this](Wire& w) {
+             if (!w.line().empty()) asked.push_back(w.shared_from_this());
+           }};
+  Peer next{loop.io, lines([this](const std::string&) { return ++new_calls, std::string("ok 9\r\n"); })};
+};
+// What was written to the old address is settled there, once; what comes later goes to the new one.
+TEST_F(CounterMoves, CallsInFlightAreSettledOnce) {
+  start(old.at(), 10s);
+  call(4);
+  ASSERT_TRUE(loop.until([&] { return !asked.empty(); }));
+  counter->move_to(next.at());
+  ASSERT_TRUE(loop.until([&] { return next.wires.size() == facts::kCounterLinks; }));
+  ASSERT_TRUE(loop.until([&] {
+    told.clear();
+    call(8);
+    return loop.until([&] { return !told.empty(); }) && told[0].total == 9;
+  }));
+  told.clear();
+  asked[0]->send("ok 5\r\n");
+  ASSERT_TRUE(wait_for(1));
+  EXPECT_EQ(told[0].name, CountName(4));
+  EXPECT_EQ(told[0].total, 5);
+  EXPECT_TRUE(loop.until([&] { return asked[0]->ended; }));  // of no more use
+  EXPECT_EQ(told.size(), 1u);
+}
+TEST_F(CounterMoves, OldAddressServesUntilTheNewOneIsUp) {
+  Peer silent(loop.io, {}, false);
+  std::vector<std::shared_ptr<Wire>> fill;
+  for (int i = 0; i < 3; ++i) {
+    fill.push_back(std::make_shared<Wire>(Socket(loop.io.get_executor())));
+    fill.back()->socket.async_connect(silent.at(), [](const error_code&) {});
+  }
+  start(old.at(), 10s);
+  counter->move_to(silent.at());
+  call(4);
+  ASSERT_TRUE(loop.until([&] { return !asked.empty(); }));
+  asked[0]->send("ok 5\r\n");
+  ASSERT_TRUE(wait_for(1));
+  EXPECT_EQ(told[0].outcome, CountOutcome::ok);
+  counter->move_to(next.at());  // and the one that never came up is forgotten
+  for (const auto& w : old.wires) w->reset();
+  ASSERT_TRUE(loop.until([&] {
+    told.clear();
+    call(4);
+    return loop.until([&] { return !told.empty(); }) && told[0].total == 9;
+  }));
+}
+TEST_F(CounterMoves, OldConnectionThatEndsSettlesItsCallsAsNotKnown) {
+  start(old.at(), 10s);
+  call(4);
+  ASSERT_TRUE(loop.until([&] { return !asked.empty(); }));
+  counter->move_to(next.at());
+  ASSERT_TRUE(loop.until([&] { return next.wires.size() == facts::kCounterLinks; }));
+  asked[0]->close();
+  ASSERT_TRUE(wait_for(1));
+  EXPECT_EQ(told[0].outcome, CountOutcome::timeout);
+  EXPECT_EQ(new_calls, 0u);  // it is not made again
+}
+
+// ---- Spoilt answers ----------------------------------------------------------------------------------------
+
+// The counter answers what it has done: a line without a number means added. What waits behind it is not known.
+TEST_F(CounterTest, SpoiltAnswerWasAddedAndEndsTheConnection) {
+  for (const std::string spoilt : {"ok", "ok ", "ok inf", "ok -nan", "ok 1e300", "ok 0x10", "ok 7 8", "\x01\x02"}) {
+    std::shared_ptr<Wire> w;
+    Peer server(loop.io, [&](Wire& x) { w = x.shared_from_this(); });
+    told.clear();
+    start(server.at(), 10s);
+    call(4), call(4, 3);
+    ASSERT_TRUE(loop.until([&] { return w && std::ranges::count(w->in, '\n') == 2; }));
+    w->send(spoilt + "\r\nok 5\r\n");
+    ASSERT_TRUE(wait_for(2));
+    EXPECT_EQ(told[0].outcome, CountOutcome::added) << spoilt;
+    EXPECT_EQ(told[1].outcome, CountOutcome::timeout) << spoilt;
+    EXPECT_TRUE(loop.until([&] { return w->ended; })) << spoilt;
+    counter.reset();
+  }
+}
+// The counter may have been emptied before something was handed back: a total below 0 is a total.
+TEST_F(CounterTest, TotalBelowNothingIsATotal) {
+  Peer server(loop.io, lines([](const std::string&) { return std::string("ok -2.5\r\n"); }));
+  start(server.at());
+  call(4);
+  ASSERT_TRUE(wait_for(1));
+  EXPECT_EQ(told[0].outcome, CountOutcome::ok);
+  EXPECT_EQ(told[0].total, -2.5);
+}
+
 // The counter closes a connection that idles for about 10 s.
 TEST_F(CounterTest, PingKeepsAnIdleConnection) {
   std::size_t pings = 0;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -131,6 +131,59 @@
   watch()->send(http_answer("500 Oops"));
   EXPECT_NE(watch(2), nullptr);
 }
+// Until the watch at the new address has begun, the one before it still counts; then it is closed.
+TEST_F(DiscoveryTest, MovesWithoutAGap) {
+  std::string moved;
+  Peer next(loop.io, [&](Wire& w) { moved += w.message(); });
+  start();
+  const auto old = watch();
+  old->send(kHead + chunk("\n"));
+  old->send(chunk(list(43, false, member("s-0000000b")) + "\n"));
+  ASSERT_TRUE(wait_for(2));
+  discovery.move_to(next.at(), next.text());
+  ASSERT_TRUE(loop.until([&] { return !moved.empty(); }));
+  EXPECT_TRUE(moved.starts_with("GET /api/targets?watch=1&from=43 "));
+  old->send(chunk(list(44, false, member("s-0000000c")) + "\n"));
+  ASSERT_TRUE(wait_for(3));
+  EXPECT_FALSE(old->ended);
+  next.wires[0]->send(kHead + chunk(list(45, false, member("s-0000000d")) + "\n"));
+  ASSERT_TRUE(wait_for(4));
+  EXPECT_EQ(discovery.revision(), 45u);
+  EXPECT_TRUE(loop.until([&] { return old->ended; }));
+}
+TEST_F(DiscoveryTest, WatchThatEndsAfterTheMoveIsNotBegunThere) {
+  Peer next(loop.io), last(loop.io);
+  start();
+  watch()->send(kHead + chunk(list(43, false, member("s-0000000b")) + "\n"));
+  ASSERT_TRUE(wait_for(2));
+  discovery.move_to(next.at(), next.text());
+  agent.wires[0]->reset();
+  discovery.move_to(last.at(), last.text());  // again, before the first move is done
+  ASSERT_TRUE(loop.until([&] { return !last.wires.empty() && !last.wires[0]->in.empty(); }));
+  last.wires[0]->send(kHead + chunk(list(44, false, member("s-0000000c")) + "\n"));
+  ASSERT_TRUE(wait_for(3));
+  EXPECT_EQ(asked.size(), 1u);
+}
+// Ids are ever new: one that is gone leaves nothing behind.
+TEST_F(DiscoveryTest, ServersThatAreGoneAreForgotten) {
+  start();
+  const auto w = watch();
+  w->send(kHead);
+  int revision = 42;
+  std::size_t lines = 1;
+  for (int i = 0; i < 50; ++i) {
+    const auto id = "t-" + std::to_string(10000000 + i);
+    w->send(chunk(list(revision++, false, member(id)) + "\n"));
+    w->send(chunk(list(revision++, false, member(id, "DELETED")) + "\n"));
+    lines += 2;
+  }
+  ASSERT_TRUE(wait_for(lines));
+  EXPECT_EQ(discovery.known_ids(), 1u);
+  w->send(chunk(list(revision, true, member("s-0000000b")) + "\n"));
+  ASSERT_TRUE(wait_for(lines + 1));
+  EXPECT_EQ(discovery.known_ids(), 1u);
+}
+
 // Numbers are the same at every node, whatever came first, and two ids never share one.
 TEST_F(DiscoveryTest, NumbersComeFromTheIds) {
   start(list(1, true, member("s-0000000a") + "," + member("t-0000000a") + "," + member("odd name")));
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -101,6 +101,20 @@
   EXPECT_GT(h.all<AddToCount>()[0].amount, 0.0);
 }
 
+// Under a ceiling too: what is known to be in the count is not leased a second time, and the counter is well.
+TEST(Leases, AddWithAnUnreadableTotalIsTakenOffAtTheNextCall) {
+  Host h;
+  h.servers(4);
+  h.ask(1, 0, 1, 1);
+  const auto first = h.all<AddToCount>();
+  ASSERT_EQ(first.size(), 1u);
+  h.count(first[0], 0, CountOutcome::added);
+  const auto again = h.all<AddToCount>();
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].amount, 0);
+  h.count(again[0], first[0].amount);
+  EXPECT_TRUE(h.has<Send>());
+}
 TEST(Leases, CounterDownRefusesEarlyAndIsTriedAgain) {
   Host h;
   h.servers(2);
