Serve nothing doubtful, refuse doubtful framing, close silent clients in 3 s, replace broken counter links at once

Refusals doubled while 25% of the counter's calls got no answer: each spoilt answer took a link down for a back-off, in which Counter::Link::add refused all calls of its lane (src/node/counter.cpp). Buffers kept their largest size. Ruled out: load reports that can't be read (never parsed), slow answers after their first byte.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -27,6 +27,21 @@
   return n;
 }
 
+// Digits and at most one point: no sign, no exponent, no name of a number.
+double decimal(string_view text, const char* what) {
+  double n = 0;
+  const auto plain = text.find_first_not_of("0123456789.") == string_view::npos;
+  const auto [end, failed] =
+      std::from_chars(text.data(), text.data() + text.size(), n, std::chars_format::fixed);
+  if (!plain || failed != std::errc{} || end != text.data() + text.size())
+    bad(std::string(what) + " is not a number");
+  return n;
+}
+
+bool visible(string_view text) {
+  return std::ranges::all_of(text, [](char c) { return c > ' ' && c <= '~'; });
+}
+
 string_view trimmed(string_view s) {
   while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) s.remove_prefix(1);
   while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
@@ -78,12 +93,8 @@
     if (!value) bad(std::string("X-Quota has no ") + key);
     return *value;
   };
-  const auto units = part("units");
-  char* end = nullptr;
-  const std::string text(units);
-  if (units.empty() || units.front() < '0' || units.front() > '9') bad("X-Quota units is not a number");
-  a.units = std::strtod(text.c_str(), &end);
-  if (end != text.c_str() + text.size() || !(a.units > 0 && a.units <= s.max_units)) bad("X-Quota units");
+  a.units = decimal(part("units"), "X-Quota units");
+  if (!(a.units > 0 && a.units <= s.max_units)) bad("X-Quota units is out of range");
   a.gateways = whole<std::uint32_t>(part("spread"), "X-Quota spread");
   if (a.gateways == 0 || a.gateways > s.fleet_size) bad("X-Quota spread is out of range");
   if (whole<std::uint32_t>(part("first"), "X-Quota first") >= s.fleet_size) bad("X-Quota first");
@@ -109,21 +120,22 @@
   a.customer = customer(f);
   const auto timeout = whole<std::uint64_t>(header(f, "X-Timeout-Ms"), "X-Timeout-Ms");
   if (timeout == 0 || timeout > facts::kMostTimeoutMs) bad("X-Timeout-Ms is out of range");
-  r.deadline = began + std::chrono::milliseconds(timeout);
+  const Duration wait = std::chrono::milliseconds(timeout);
+  r.deadline = began + std::min(wait, s.classes[cls].deadline);  // nobody waits longer than that
   read_quota(f, s, a);
   if (f.count("X-Retried") > 0) {
     if (header(f, "X-Retried") != "1") bad("X-Retried is not 1");
     a.is_retry = true;
   }
   r.id = header(f, "X-Request-ID");
-  if (r.id.size() > facts::kMostId) bad("X-Request-ID is too long");
+  if (r.id.size() > facts::kMostId || !visible(r.id)) bad("X-Request-ID is too long or can't be read");
   const auto effect = s.classes[cls].effect;
   const bool keyed = f.count("Idempotency-Key") > 0;
   if (f.method() != (effect == Effect::safe ? http::verb::get : http::verb::post))
     throw BadRequest(http::status::method_not_allowed, "the method does not go with the class");
   if (keyed != (effect == Effect::keyed)) bad("Idempotency-Key does not go with the class");
   if (keyed) r.key = header(f, "Idempotency-Key");
-  if (r.key.size() > facts::kMostId) bad("Idempotency-Key is too long");
+  if (r.key.size() > facts::kMostId || !visible(r.key)) bad("Idempotency-Key is too long or can't be read");
   if (effect == Effect::safe && !f.body().empty()) bad("a body does not go with the class");
   r.method = f.method();
   r.target = target;
@@ -132,12 +144,41 @@
   return r;
 }
 
+// Where a message ends must not be in doubt: what is passed on could hide another request. Beast refuses most
+// of that itself; these are the forms that it lets through.
+void check_framing(const Fields& f) {
+  const auto codings = f.count(http::field::transfer_encoding), lengths = f.count(http::field::content_length);
+  if (codings > 0 && lengths > 0) bad("Content-Length and Transfer-Encoding");
+  if (codings > 1 || (codings == 1 && !boost::beast::iequals(f[http::field::transfer_encoding], "chunked")))
+    bad("Transfer-Encoding is not chunked");
+  const auto length = f[http::field::content_length];
+  if (lengths > 1 || length.find_first_not_of("0123456789") != string_view::npos || lengths != !length.empty())
+    bad("Content-Length is not a number");
+  if (f.version() != 11 && (f.version() != 10 || codings > 0)) bad("the version of HTTP");
+}
+
+Duration limit_of(ClientSession::Stage stage) {
+  using Stage = ClientSession::Stage;
+  switch (stage) {
+    case Stage::fresh:
+    case Stage::coming:
+      return facts::kSlowRequest;
+    case Stage::idle:
+      return facts::kIdleClient;
+    case Stage::writing:
+      return facts::kSlowReader;
+    case Stage::lingering:
+      return facts::kLinger;
+    default:
+      return Duration::max();
+  }
+}
+
 }  // namespace
 
 // ---- A session ------------------------------------------------------------------------------------------
 
-ClientSession::ClientSession(Clients& clients, Socket socket)
-    : clients_(clients), socket_(std::move(socket)), since_(clients.timers_.now()) {}
+ClientSession::ClientSession(Clients& clients, Socket socket) : clients_(clients), socket_(std::move(socket)) {}
 
 void ClientSession::start() {
   set_no_delay(socket_);
@@ -145,13 +186,12 @@
 }
 
 void ClientSession::enter(Stage stage) {
-  stage_ = stage;
   since_ = clients_.timers_.now();
+  clients_.move(*this, std::exchange(stage_, stage), stage);
 }
 
 void ClientSession::read() {
-  // A client that writes on while its request is out is read ahead by one message at most.
-  if (reads_ || closed() || buffer_.size() > facts::kMostHeader + facts::kMostBody) return;
+  if (reads_ || closed() || dropped_ > facts::kMostDropped) return;
   reads_ = true;
   socket_.async_read_some(buffer_.prepare(facts::kReadSize),
                           [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
@@ -164,35 +204,57 @@
   if (closed()) return;
   if (failed) return close();
   buffer_.commit(bytes);
-  if (stage_ == Stage::lingering) buffer_.clear();
-  if (stage_ == Stage::reading) parse();
+  if (reading()) {
+    parse();
+  } else {
+    drop_rest();
+    if (stage_ == Stage::lingering && dropped_ > facts::kMostDropped) return close();
+  }
+  slim();
   read();
 }
 
+// A client sends one request at a time: what comes while one is out belongs to nothing that is answered here,
+// and ends the connection after the answer. Empty lines behind a body are harmless.
+void ClientSession::drop_rest() {
+  const string_view rest(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  if (rest.find_first_not_of("\r\n") != string_view::npos) keep_alive_ = false;
+  dropped_ += buffer_.size();
+  buffer_.clear();
+}
+
+// Most connections idle most of the time: what a large message needed isn't kept for the next. Only between
+// two reads, as a pending one writes to the buffer.
+void ClientSession::slim() {
+  if (!reads_ && buffer_.size() == 0 && buffer_.capacity() > facts::kReadSize) buffer_.shrink_to_fit();
+}
+
 void ClientSession::parse() {
-  if (buffer_.size() == 0) return;
-  if (!std::exchange(began_, true)) {
-    since_ = clients_.timers_.now();
+  if (buffer_.size() == 0 || closed()) return;
+  if (!parser_) {
     parser_.emplace();
     parser_->header_limit(facts::kMostHeader);
     parser_->body_limit(facts::kMostBody);
     parser_->eager(true);
+    began_ = clients_.timers_.now();
+    if (stage_ == Stage::idle) enter(Stage::coming);  // a fresh one has its limit from its accept on
   }
   error_code failed;
   while (!parser_->is_done() && buffer_.size() > 0) {
     const bool had_header = parser_->is_header_done();
     buffer_.consume(parser_->put(buffer_.data(), failed));
-    if (failed == http::error::need_more) {
-      failed = {};
-      break;
-    }
     if (failed == http::error::header_limit)
       return reject(http::status::request_header_fields_too_large, "the header is too large");
     if (failed == http::error::body_limit)
       return reject(http::status::payload_too_large, "the body is too large");
-    if (failed) return reject(http::status::bad_request, failed.message());
+    if (failed && failed != http::error::need_more) return reject(http::status::bad_request, failed.message());
     if (!had_header && parser_->is_header_done()) {
       const auto& head = parser_->get();
+      try {
+        check_framing(head);
+      } catch (const BadRequest& x) {
+        return reject(x.status, x.what());
+      }
       if (boost::beast::iequals(head[http::field::expect], "100-continue") && !parser_->is_done()) {
         // Small enough for any socket's buffer; if it is lost the client sends its body after a while.
         static constexpr string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -201,16 +263,24 @@
         socket_.write_some(asio::buffer(go_on.data(), go_on.size()), ignored);
       }
     }
+    if (failed == http::error::need_more) break;
   }
-  if (parser_->is_done()) take_request();
+  if (parser_->is_done()) return take_request();
+  if (buffer_.size() > facts::kMostHeader)
+    reject(http::status::bad_request, "the request can't be read");  // a chunk's head without end, say
 }
 
 void ClientSession::take_request() {
   auto message = parser_->release();
   parser_.reset();
-  const Time began = since_;
-  began_ = false;
   keep_alive_ = message.keep_alive();
+  dropped_ = 0;
+  if (buffer_.size() > 0) {
+    keep_alive_ = true;
+    drop_rest();
+    if (!keep_alive_) return reject(http::status::bad_request, "one request at a time");
+    keep_alive_ = message.keep_alive();
+  }
   enter(Stage::waiting);
   const string_view target(message.target().data(), message.target().size());
   if (target == "/-/ready") {
@@ -221,17 +291,20 @@
                   {}});
   }
   try {
-    auto request = read_request(message, clients_.settings_, began);
+    auto request = read_request(message, clients_.settings_, began_);
     request.arrival.time_left = request.deadline - clients_.timers_.now();
     const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
+    if (number == 0) return write({http::status::conflict, "a request of this id is open\n", "text/plain", {}});
     if (stage_ == Stage::waiting) request_ = number;
   } catch (const BadRequest& x) {
     write({x.status, std::string(x.what()) + "\n", "text/plain", {}});
   }
 }
 
+// What can't be read ends the session: where the next request would begin is not known.
 void ClientSession::reject(http::status status, const std::string& why) {
   keep_alive_ = false;
+  parser_.reset();
   buffer_.clear();
   write({status, why + "\n", "text/plain", {}});
 }
@@ -244,7 +317,6 @@
 void ClientSession::write(const Answer& answer) {
   enter(Stage::writing);
   if (clients_.draining_) keep_alive_ = false;
-  response_ = {};
   response_.result(answer.status);
   response_.version(11);
   response_.keep_alive(keep_alive_);
@@ -263,6 +335,7 @@
 }
 
 void ClientSession::on_written(const error_code& failed) {
+  response_ = {};
   if (closed()) return;
   if (failed) return close();
   if (!keep_alive_) {
@@ -270,9 +343,11 @@
     error_code ignored;
     socket_.shutdown(Socket::shutdown_send, ignored);
     buffer_.clear();
-    return enter(Stage::lingering);
+    dropped_ = 0;
+    enter(Stage::lingering);
+    return read();
   }
-  enter(Stage::reading);
+  enter(Stage::idle);
   parse();
   read();
 }
@@ -280,21 +355,14 @@
 void ClientSession::close() {
   if (closed()) return;
   const auto request = std::exchange(request_, 0);
-  enter(Stage::closed);
-  close_now(socket_);
   const auto self = shared_from_this();
-  clients_.forget(self);
+  close_now(socket_);
+  clients_.forget(*this, std::exchange(stage_, Stage::closed));
   if (request != 0) clients_.owner_.client_gone(request);
 }
 
-void ClientSession::sweep(Time now) {
-  const auto limit = stage_ == Stage::writing     ? facts::kSlowReader
-                     : stage_ == Stage::lingering ? facts::kLinger
-                     : began_                     ? facts::kSlowRequest
-                                                  : facts::kIdleClient;
-  if (stage_ == Stage::waiting || now - since_ < limit) return;
-  if (stage_ == Stage::reading && began_)
-    return began_ = false, reject(http::status::request_timeout, "the request did not come");
+void ClientSession::overdue() {
+  if (reading() && parser_) return reject(http::status::request_timeout, "the request did not come");
   close();
 }
 
@@ -319,8 +387,8 @@
 }
 
 void Clients::accept() {
-  if (sessions_.size() >= most_sessions_) make_room();
-  accepts_ = sessions_.size() < most_sessions_;
+  if (size_ >= most_sessions_) make_room();
+  accepts_ = size_ < most_sessions_;
   if (!accepts_) return;  // goes on when a session ends
   acceptor_.async_accept([this](const error_code& failed, Socket socket) {
     if (failed == asio::error::operation_aborted) return;
@@ -332,49 +400,69 @@
     }
     last_accept_ = timers_.now();
     const auto session = std::make_shared<ClientSession>(*this, std::move(socket));
-    sessions_.insert(session);
+    auto& fresh = at(Stage::fresh);
+    session->place_ = fresh.insert(fresh.end(), session);
+    session->stage_ = Stage::fresh, session->since_ = last_accept_;
+    ++size_;
     session->start();
     accept();
   });
 }
 
-// Gives up the session that has idled longest; if none idles, the one whose request is longest in coming. A
-// request that has come whole is never given up.
+// Gives up a session that holds no request that has come whole; those never are. First what has its answer,
+// then who says nothing: a usual client sends as soon as it is connected, so where many do not, they make room
+// for each other. Then one that idles, those that may be closed by the protocol before others.
 void Clients::make_room() {
-  std::shared_ptr<ClientSession> oldest;
-  const auto before = [](const auto& a, const auto& b) {
-    return std::pair(!a->idle(), a->since()) < std::pair(!b->idle(), b->since());
+  const Time now = timers_.now();
+  const auto& fresh = at(Stage::fresh);
+  const auto waits = [&](Stage stage, Duration least) {
+    return !at(stage).empty() && now - at(stage).front()->since() >= least;
   };
-  for (const auto& s : sessions_)
-    if (s->expendable() && (!oldest || before(s, oldest))) oldest = s;
-  if (oldest) oldest->close();
+  const auto close_first = [&](Stage stage) { std::shared_ptr(at(stage).front())->close(); };
+  const bool crowd = static_cast<double>(fresh.size()) > facts::kCrowd * static_cast<double>(most_sessions_);
+  if (waits(Stage::lingering, {})) return close_first(Stage::lingering);
+  if (waits(Stage::fresh, crowd ? Duration{} : facts::kSilent)) return close_first(Stage::fresh);
+  if (waits(Stage::idle, facts::kMayClose)) return close_first(Stage::idle);
+  for (const auto stage : {Stage::fresh, Stage::idle, Stage::coming})
+    if (waits(stage, {})) return close_first(stage);
+}
+
+void Clients::move(ClientSession& session, Stage from, Stage to) {
+  at(to).splice(at(to).end(), at(from), session.place_);
 }
 
-void Clients::forget(const std::shared_ptr<ClientSession>& session) {
-  sessions_.erase(session);
+void Clients::forget(ClientSession& session, Stage from) {
+  at(from).erase(session.place_);
+  --size_;
   if (!accepts_) accept();
 }
 
+// Sessions stand in the order in which they came to their stage, so those whose time is up stand first.
 void Clients::sweep() {
   const Time now = timers_.now();
-  const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
-  for (const auto& s : all) {
-    s->sweep(now);
-    if (draining_ && s->idle() && now - s->since() > facts::kNewAfterTerm) s->close();
-  }
+  for (const auto stage : {Stage::fresh, Stage::idle, Stage::coming, Stage::writing, Stage::lingering})
+    for (auto& all = at(stage); !all.empty() && now - all.front()->since() >= limit_of(stage);)
+      std::shared_ptr(all.front())->overdue();
+  if (draining_) close_idle(now - facts::kNewAfterTerm);
   timers_.after(facts::kSweep, [this] { sweep(); });
 }
 
+void Clients::close_idle(Time since_before) {
+  for (const auto stage : {Stage::fresh, Stage::idle}) {
+    const Sessions all = at(stage);
+    for (const auto& s : all)
+      if (s->idle() && s->since() <= since_before) s->close();
+  }
+}
+
 void Clients::drain() {
   draining_ = true;
   last_accept_ = timers_.now();
-  const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
-  for (const auto& s : all)
-    if (s->idle()) s->close();
+  close_idle(last_accept_);
 }
 
 bool Clients::drained() const {
-  return draining_ && sessions_.empty() && timers_.now() - last_accept_ > facts::kNewAfterTerm;
+  return draining_ && size_ == 0 && timers_.now() - last_accept_ > facts::kNewAfterTerm;
 }
 
 }  // namespace snowknot
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -7,9 +7,10 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <array>
+#include <list>
 #include <memory>
 #include <string>
-#include <unordered_set>
 
 #include "net.hpp"
 #include "snowknot/gateway.hpp"
@@ -39,25 +40,29 @@
  public:
   ClientSession(Clients& clients, Socket socket);
 
+  // What a connection is at; fresh: no request has come whole on it. In all but `waiting` it has a time limit that is the same for all at that stage.
+  enum class Stage { fresh, idle, coming, waiting, writing, lingering, closed };
+
   void start();
   void answer(const Answer& answer);  // the final answer of the request that is out
   void close();
   // Nothing of a request has come and none is out: it can be closed without loss.
-  bool idle() const { return stage_ == Stage::reading && !began_; }
-  // What it holds is not taken: nothing, a part of a request, or an answer that was written.
-  bool expendable() const { return stage_ == Stage::reading || stage_ == Stage::lingering; }
+  bool idle() const { return stage_ == Stage::idle || (stage_ == Stage::fresh && !parser_); }
   bool closed() const { return stage_ == Stage::closed; }
   Time since() const { return since_; }
-  void sweep(Time now);
+  void overdue();  // the time limit of its stage has passed
 
  private:
-  enum class Stage { reading, waiting, writing, lingering, closed };
+  friend class Clients;
   using Parser = http::request_parser<http::string_body>;
 
+  bool reading() const { return stage_ <= Stage::coming; }
   void read();
   void on_read(const error_code& failed, std::size_t bytes);
   void parse();
+  void drop_rest();
   void take_request();
+  void slim();
   void reject(http::status status, const std::string& why);  // what can't be parsed ends the session
   void write(const Answer& answer);
   void on_written(const error_code& failed);
@@ -68,9 +73,11 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   http::response<http::string_body> response_;
-  Stage stage_ = Stage::reading;
-  Time since_{};               // of the stage, or of the first byte of a request that has not come whole
-  bool began_ = false;         // a part of a request has come
+  Stage stage_ = Stage::closed;
+  std::list<std::shared_ptr<ClientSession>>::iterator place_;  // among those at the same stage
+  Time since_{};               // of the stage
+  Time began_{};               // when the first byte of the request came
+  std::size_t dropped_ = 0;    // bytes read and passed over while lingering
   bool reads_ = false;         // a read is pending
   bool keep_alive_ = false;    // what the request that is out wants
   std::uint64_t request_ = 0;  // the node's number of it; 0: none
@@ -80,7 +87,8 @@
  public:
   struct Owner {
     virtual bool ready() const = 0;
-    // The number given is the session's way to say later that its client has gone.
+    // The number given is the session's way to say later that its client has gone. 0: a request of this id is
+    // open, and the new one is not taken.
     virtual std::uint64_t arrived(ClientRequest request, std::shared_ptr<ClientSession> session) = 0;
     virtual void client_gone(std::uint64_t request) = 0;
 
@@ -96,16 +104,22 @@
   // From now on every answer ends its connection, and those without a request are closed.
   void drain();
   bool drained() const;
-  std::size_t size() const { return sessions_.size(); }
+  std::size_t size() const { return size_; }
 
  private:
   friend class ClientSession;
-  using Sessions = std::unordered_set<std::shared_ptr<ClientSession>>;
+  using Stage = ClientSession::Stage;
+  using Sessions = std::list<std::shared_ptr<ClientSession>>;  // that came to a stage first stands first
+  static constexpr std::size_t kStages = static_cast<std::size_t>(Stage::closed);
 
   void accept();
   void make_room();
   void sweep();
-  void forget(const std::shared_ptr<ClientSession>& session);
+  Sessions& at(Stage stage) { return stages_[static_cast<std::size_t>(stage)]; }
+  const Sessions& at(Stage stage) const { return stages_[static_cast<std::size_t>(stage)]; }
+  void move(ClientSession& session, Stage from, Stage to);
+  void forget(ClientSession& session, Stage from);
+  void close_idle(Time since_before);
 
   asio::io_context& io_;
   Timers& timers_;
@@ -113,7 +127,8 @@
   std::size_t most_sessions_;
   Owner& owner_;
   asio::basic_socket_acceptor<Tcp, Executor> acceptor_;
-  Sessions sessions_;
+  std::array<Sessions, kStages> stages_;
+  std::size_t size_ = 0;
   bool draining_ = false;
   bool accepts_ = true;  // an accept is pending, or a timer that starts one
   Time last_accept_{};
--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -161,7 +161,7 @@
       const std::string_view line(text_.data() + begin, end - begin);
       begin = end + 2;
       if (sent_.empty()) return false;
-      backoff_ = {};  // only an answer shows that the counter is well
+      backoff_ = {}, answered_ = true;  // only an answer shows that the counter is well
       Call c = std::move(sent_.front());
       sent_.pop_front();
       double total = 0;
@@ -195,8 +195,16 @@
     writing_.clear();
     auto sent = std::exchange(sent_, {});
     auto waiting = std::exchange(waiting_, {});
+    // A connection that has answered is replaced at once, and what was not written waits for the next.
+    const bool at_once = std::exchange(answered_, false) && !retired_;
+    if (at_once) {
+      std::erase_if(waiting, [](const Call& c) { return c.ping; });
+      waiting_ = std::exchange(waiting, {});
+      connect();
+    }
     for (auto& c : sent) tell(c, write_ended && c.end > 0 ? CountOutcome::refused : CountOutcome::timeout);
     for (auto& c : waiting) tell(c, CountOutcome::refused);
+    if (at_once) return;
     if (retired_) return stop();
     backoff_ = std::clamp(2 * backoff_, facts::kFirstBackoff, facts::kLongestBackoff);
     guard_ = timers_.after(backoff_, [self = shared_from_this()] {
@@ -236,7 +244,7 @@
   Timers::Handle guard_;
   Duration backoff_{};
   Time heard_{};
-  bool tried_ = false, retired_ = false;
+  bool tried_ = false, retired_ = false, answered_ = false;
 };
 
 Counter::Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told)
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -25,18 +25,23 @@
 // ---- Guards against peers that misbehave or vanish --------------------------------------------------
 inline constexpr std::size_t kMostHeader = 8 * 1024;  // bytes of a message's head; more is answered 431
 inline constexpr std::size_t kReadSize = 4 * 1024;    // asked of a socket at once
+inline constexpr int kMostInterim = 16;               // interim answers (1xx) ahead of one answer
 inline constexpr std::size_t kMostId = 256;           // bytes of X-Request-ID and Idempotency-Key
 inline constexpr std::uint64_t kMostTimeoutMs = 1000ULL * 60 * 60;
-inline constexpr Duration kSlowRequest = 10s;   // a request must have come whole after this
-inline constexpr Duration kSlowReader = 10s;    // and an answer must have been taken
-inline constexpr Duration kLinger = 2s;         // for a client to take an answer that ends its connection
-inline constexpr Duration kIdleClient = 120s;   // a session with no request for so long is taken for vanished
-inline constexpr Duration kSweep = 1s;          // sessions and pools are looked through so often
+inline constexpr Duration kSlowRequest = 2500ms;  // a request must have come whole: an error is owed within 3 s
+inline constexpr Duration kSlowReader = 5s;       // and an answer must have been taken
+inline constexpr Duration kLinger = 1s;       // for a client to take an answer that ends its connection
+inline constexpr Duration kIdleClient = 15s;  // a session with no request for so long is closed
+inline constexpr Duration kMayClose = 2s;     // and so early where room is needed, as the protocol allows
+inline constexpr Duration kSilent = 300ms;    // a new session on which nothing has come for so long
+inline constexpr double kCrowd = 0.25;        // part of all sessions past which new ones give room to each other
+inline constexpr std::size_t kMostDropped = 1UL << 20U;  // bytes passed over, so that an early error arrives
+inline constexpr Duration kSweep = 250ms;     // sessions and pools are looked through so often
 inline constexpr Duration kAcceptPause = 20ms;  // after accept() found no descriptor
 inline constexpr double kIdlePart = 0.8;  // of the servers' idle limit, for which a pool keeps a connection
 inline constexpr std::size_t kMostLine = 256;          // bytes of a counter's answer
 inline constexpr std::size_t kMostList = 1UL << 20U;  // bytes of one line of the watch: thousands of servers
-inline constexpr std::size_t kCounterLinks = 4;        // connections: a crowded part holds up only its own
+inline constexpr std::size_t kCounterLinks = 8;        // connections: a crowded or broken one holds up only its own
 inline constexpr int kCounterSilent = 10;              // time-outs without an answer: the connection is dead
 inline constexpr Duration kFirstBackoff = 50ms;        // before a connection is tried again; doubles
 inline constexpr Duration kLongestBackoff = 1s;        //
@@ -44,7 +49,7 @@
 
 // ---- Descriptors: shares of the limit ---------------------------------------------------------------
 inline constexpr std::size_t
-    kOwnDescriptors = 24;                     // standard streams, epoll, timer, signals, listener, discovery
+    kOwnDescriptors = 28;                     // standard streams, epoll, timer, signals, listener, discovery
 inline constexpr double kClientShare = 0.55;  // of the rest; the servers get what is left
 
 }  // namespace snowknot::facts
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -75,6 +75,7 @@
 }
 
 std::uint64_t Node::arrived(ClientRequest request, std::shared_ptr<ClientSession> session) {
+  if (!ids_.insert(request.id).second) return 0;
   const RequestId id{++requests_};
   request.arrival.request = id;
   const Arrival arrival = request.arrival;
@@ -170,7 +171,10 @@
 
 void Node::forget_if_done(RequestId request) {
   const auto it = open_.find(request);
-  if (it != open_.end() && !it->second.session && it->second.out == 0) open_.erase(it);
+  if (it != open_.end() && !it->second.session && it->second.out == 0) {
+    ids_.erase(it->second.message->id);
+    open_.erase(it);
+  }
 }
 
 }  // namespace snowknot
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "clients.hpp"
 #include "counter.hpp"
@@ -77,6 +78,7 @@
   Timers timers_;
   Gateway gateway_;
   std::unordered_map<RequestId, Open> open_;
+  std::unordered_set<std::string> ids_;  // of the open requests, as their clients named them
   std::uint64_t requests_ = 0;  // the number of the last one
   std::deque<Event> events_;    // that have not been told yet
   bool telling_ = false;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -79,10 +79,8 @@
   }
   request_.set(http::field::host, "app.svc");
   request_.prepare_payload();
-  parser_.emplace();
-  parser_->header_limit(facts::kMostHeader);
-  parser_->body_limit(facts::kMostBody);
-  parser_->eager(true);
+  expect_answer();
+  interim_ = 0;
   stage_ = Stage::writing;
   broken_ = false;
   http::async_write(socket_, request_, [self = shared_from_this()](const error_code& failed, std::size_t) {
@@ -93,6 +91,21 @@
   });
 }
 
+void ServerConnection::expect_answer() {
+  parser_.emplace();
+  parser_->header_limit(facts::kMostHeader);
+  parser_->body_limit(facts::kMostBody);
+  parser_->eager(true);
+}
+
+bool ServerConnection::quiet() {
+  char byte = 0;
+  error_code failed;
+  socket_.non_blocking(true, failed);
+  if (!failed) socket_.receive(asio::buffer(&byte, 1), Socket::message_peek, failed);
+  return failed == asio::error::would_block;
+}
+
 void ServerConnection::read() {
   if (stage_ == Stage::closed) return;
   socket_.async_read_some(buffer_.prepare(facts::kReadSize),
@@ -105,12 +118,7 @@
   if (stage_ == Stage::closed) return;
   // On a connection that idles there is nothing to read but its end.
   if (stage_ == Stage::idle) return close(Outcome::reset);
-  if (failed) {
-    error_code ended;
-    if (stage_ == Stage::waiting && parser_->got_some() && !parser_->is_done()) parser_->put_eof(ended);
-    if (stage_ == Stage::waiting && !ended && parser_->is_done()) return finish();
-    return broke();
-  }
+  if (failed) return broke();
   buffer_.commit(bytes);
   error_code wrong;
   while (!parser_->is_done() && buffer_.size() > 0) {
@@ -119,18 +127,27 @@
       wrong = {};
       break;
     }
-    if (wrong) return broke();
+    // Where an answer would end with its connection, nobody can tell whether it is whole.
+    if (wrong || (parser_->is_header_done() && parser_->need_eof())) return broke();
     // An interim answer (1xx) is followed by the final one.
     if (parser_->is_done() &&
         http::to_status_class(parser_->get().result()) == http::status_class::informational) {
-      parser_.emplace();
-      parser_->header_limit(facts::kMostHeader);
-      parser_->body_limit(facts::kMostBody);
-      parser_->eager(true);
+      if (++interim_ > facts::kMostInterim) return broke();
+      expect_answer();
     }
   }
-  if (parser_->is_done()) return finish();
-  read();
+  if (!parser_->is_done()) return read();
+  // What was answered before it was asked is not the answer. The request may be written by now all the same.
+  if (stage_ == Stage::writing || !beyond_doubt()) return broke();
+  finish();
+}
+
+// Bytes behind an answer are either more of the server's (a second copy) or the rest of a body whose length was
+// told too short. Only what begins like an answer shows that the body before it was whole.
+bool ServerConnection::beyond_doubt() const {
+  static constexpr std::string_view start = "HTTP/1.";
+  const std::string_view rest(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  return rest.substr(0, start.size()) == start.substr(0, rest.size());
 }
 
 // The connection is of no more use while a request is out on it. If its last byte was written it may have run.
@@ -147,7 +164,7 @@
 
 void ServerConnection::finish() {
   auto response = parser_->release();
-  const bool keep = response.keep_alive() && stage_ == Stage::waiting && buffer_.size() == 0;
+  const bool keep = response.keep_alive() && buffer_.size() == 0;
   const auto outcome = outcome_of(response);
   Answer answer{
       response.result(), std::move(response.body()), std::string(response[http::field::content_type]), {}};
@@ -221,8 +238,12 @@
   const auto it = pools_.find(errand.server);
   if (it == pools_.end() || !may_start(errand)) return report(errand, Outcome::never_sent, {});
   auto& p = it->second;
-  if (!p.idle.empty()) {
-    const auto c = std::move(p.idle.back());
+  while (!p.idle.empty()) {
+    const auto c = p.idle.back();
+    if (!c->quiet()) {
+      c->close(Outcome::reset);
+      continue;
+    }
     p.idle.pop_back();
     p.busy.push_back(c);
     return c->take(std::move(errand));
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -34,7 +34,8 @@
   void open(const Tcp::endpoint& to, Errand errand);
   void take(Errand errand);     // on a connection that idles
   void close(Outcome outcome);  // ends what it is busy with
-  bool idle() const { return stage_ == Stage::idle; }
+  // Nothing lies in the socket unread: what does was not asked for, and would be taken for the next answer.
+  bool quiet();
   Time since() const { return since_; }
   ServerId server() const { return server_; }
   const std::optional<Errand>& errand() const { return errand_; }
@@ -43,8 +44,10 @@
   enum class Stage { connecting, writing, waiting, idle, closed };
 
   void start();
+  void expect_answer();
   void read();
   void on_read(const error_code& failed, std::size_t bytes);
+  bool beyond_doubt() const;
   void broke();
   void finish();
   void end(Outcome outcome, Answer answer);
@@ -58,7 +61,8 @@
   std::optional<Errand> errand_;
   Timers::Handle limit_;
   Stage stage_ = Stage::connecting;
-  bool broken_ = false;  // the other side has gone while a request was being written
+  bool broken_ = false;  // the other side has gone or answered while a request was being written
+  int interim_ = 0;      // interim answers to the request that is out
   Time since_{};
 };
 
--- a/tests/counter_test.cpp
+++ b/tests/counter_test.cpp
@@ -229,6 +229,21 @@
     counter.reset();
   }
 }
+// A connection that has answered and breaks is replaced at once: no call is refused for that.
+TEST_F(CounterTest, CallsWaitForTheConnectionThatReplacesABrokenOne) {
+  Peer server(loop.io, lines([](const std::string& l) {
+                return l.starts_with("incr 8 ") ? std::string("ok ?\r\n") : std::string("ok 2\r\n");
+              }));
+  start(server.at(), 10s);
+  call(16);
+  ASSERT_TRUE(wait_for(1));
+  call(8);
+  ASSERT_TRUE(wait_for(2));
+  EXPECT_EQ(told[1].outcome, CountOutcome::added);
+  call(16);
+  ASSERT_TRUE(wait_for(3));
+  EXPECT_EQ(told[2].outcome, CountOutcome::ok);
+}
 // The counter may have been emptied before something was handed back: a total below 0 is a total.
 TEST_F(CounterTest, TotalBelowNothingIsATotal) {
   Peer server(loop.io, lines([](const std::string&) { return std::string("ok -2.5\r\n"); }));
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -240,6 +240,15 @@
   expect(400, [](Ask& a) { a.quota = "units=1"; });
   expect(400, [](Ask& a) { a.quota = "units=nan,spread=2,first=1"; });
   expect(400, [](Ask& a) { a.quota = "units=1e9,spread=2,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=1e0,spread=2,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=0x1,spread=2,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=-1,spread=2,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=1.0.0,spread=2,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=inf,spread=2,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=1,spread=1e0,first=1"; });
+  expect(400, [](Ask& a) { a.quota = "units=1,spread=-2,first=1"; });
+  expect(400, [](Ask& a) { a.id = "a b"; });
+  expect(400, [](Ask& a) { a.id = ""; });
   expect(400, [](Ask& a) { a.quota = "units=1,spread=9,first=1"; });
   expect(400, [](Ask& a) { a.quota = "units=1,spread=2,first=2"; });
   expect(400, [](Ask& a) { a.more = "X-Retried: maybe\r\n"; });
@@ -257,12 +266,101 @@
   good->send(Ask{}.text());
   EXPECT_EQ(status(good), 200);
 }
-TEST_F(NodeTest, SlowClientIsTimedOut) {
+// Where one message ends and the next begins must not be in doubt: refused, closed, and nothing passed on.
+TEST_F(NodeTest, DoubtfulFramingIsRefusedAndClosed) {
+  start();
+  const auto head = [](const std::string& framing) {
+    auto a = notice();
+    auto t = a.text();
+    const auto at = t.find("Content-Length: 1\r\n");
+    return t.replace(at, 19, framing);
+  };
+  const std::string hidden = Ask{}.text();
+  for (const std::string framing :
+       {"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n",
+        "Content-Length: 1\r\nTransfer-Encoding: identity\r\n", "Transfer-Encoding: identity\r\nContent-Length: 1\r\n",
+        "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding : chunked\r\n", "Content-Length: 1\r\nContent-Length: 2\r\n", "Content-Length: 1, 1\r\n",
+        "Content-Length: +1\r\n", "Content-Length: -1\r\n", "Content-Length: 0x1\r\n", "Content-Length: 1 1\r\n",
+        "Content-Length: 1\r\nContent-Length: 1\r\n", "Content-Length: 99999999999999999999999\r\n",
+        "Content-Length: \r\n", "Content-Length: one\r\n"}) {
+    const auto w = client();
+    w->send(head(framing) + hidden);
+    const int s = status(w);
+    EXPECT_TRUE(s == 400 || s == 413) << s << ' ' << framing;
+    EXPECT_TRUE(loop.until([&] { return w->ended; })) << framing;
+    EXPECT_EQ(w->in, "") << framing;  // one answer and no more
+  }
+  EXPECT_TRUE(seen.empty());
+}
+TEST_F(NodeTest, ChunkedBodyIsServed) {
+  start();
+  auto t = notice().text();
+  t.replace(t.find("Content-Length: 1\r\n"), 19, "Transfer-Encoding: chunked\r\n");
+  t.replace(t.find("\r\n\r\nb") + 4, 1, "2\r\nbb\r\n0\r\n\r\n");
+  EXPECT_EQ(status(t), 200);
+  EXPECT_TRUE(seen.at(0).ends_with("\r\n\r\nbb"));
+}
+// Clients send one request at a time: many at once are refused whole.
+TEST_F(NodeTest, RequestsBehindEachOtherAreRefused) {
+  start();
+  const auto w = client();
+  std::string many;
+  for (int i = 0; i < 50; ++i) many += Ask{}.text();
+  w->send(many);
+  EXPECT_EQ(status(w), 400);
+  EXPECT_TRUE(loop.until([&] { return w->ended; }));
+  EXPECT_TRUE(seen.empty());
+}
+TEST_F(NodeTest, WhatComesWhileARequestIsOutIsNotTaken) {
+  start();
+  std::shared_ptr<Wire> held;
+  respond = [&](Wire& w, const std::string&) { held = w.shared_from_this(); };
+  const auto w = client();
+  w->send(Ask{}.text());
+  ASSERT_TRUE(loop.until([&] { return held != nullptr; }));
+  auto next = Ask{};
+  next.id = "a2";
+  w->send(next.text());
+  loop.io.poll();
+  held->send(http_answer("200 OK", "served"));
+  EXPECT_EQ(status(w), 200);
+  EXPECT_TRUE(loop.until([&] { return w->ended; }));
+  EXPECT_EQ(seen.size(), 1u);
+}
+// The id of a request that is open here belongs to that one alone.
+TEST_F(NodeTest, IdThatIsOpenIsRefusedAndTheFirstIsServed) {
   start();
+  std::shared_ptr<Wire> held;
+  respond = [&](Wire& w, const std::string&) { held = w.shared_from_this(); };
   const auto w = client();
+  w->send(Ask{}.text());
+  ASSERT_TRUE(loop.until([&] { return held != nullptr; }));
+  EXPECT_EQ(status(Ask{}), 409);
+  held->send(http_answer("200 OK", "served"));
+  EXPECT_EQ(status(w), 200);
+  EXPECT_EQ(seen.size(), 1u);
+  respond = [](Wire& x, const std::string&) { x.send(http_answer("200 OK", "served")); };
+  EXPECT_EQ(status(Ask{}), 200);  // it is free again
+}
+// The error has to arrive though the client goes on sending what is not wanted.
+TEST_F(NodeTest, ErrorArrivesWhileALargeBodyIsStillComing) {
+  start();
+  const auto w = client();
+  auto a = notice();
+  a.body = std::string(900UL << 10U, 'x');
+  w->send(a.text());
+  EXPECT_EQ(status(w), 413);
+}
+TEST_F(NodeTest, SlowClientIsTimedOut) {
+  start();
+  const auto began = std::chrono::steady_clock::now();
+  const auto silent = client(), w = client();
   w->send("GET /safe HT");
   EXPECT_EQ(status(w), 408);
-  EXPECT_TRUE(loop.until([&] { return w->ended; }));
+  EXPECT_TRUE(loop.until([&] { return w->ended && silent->ended; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - began, 3s + 500ms);
 }
 TEST_F(NodeTest, RequestInPiecesIsServed) {
   start();
@@ -297,5 +395,24 @@
   EXPECT_TRUE(loop.until([&] { return std::ranges::any_of(idle, [](const auto& w) { return w->ended; }); }));
 }
 
+// A crowd that says nothing makes room for itself: whoever has been served before keeps its connection.
+TEST_F(NodeTest, SilentCrowdDoesNotPushOutUsualClients) {
+  start(100);
+  const auto usual = client();
+  usual->send(Ask{}.text());
+  ASSERT_EQ(status(usual), 200);
+  std::vector<std::shared_ptr<Wire>> crowd;
+  for (int i = 0; i < 200; ++i) {
+    crowd.push_back(client());
+    loop.io.poll();
+  }
+  ASSERT_TRUE(loop.until([&] { return std::ranges::count(crowd, true, &Wire::ended) > 100; }));
+  EXPECT_EQ(status(Ask{}), 200);  // nor is anyone new kept out
+  EXPECT_FALSE(usual->ended);
+  auto again = Ask{};
+  usual->send(again.text());
+  EXPECT_EQ(status(usual), 200);
+}
+
 }  // namespace
 }  // namespace snowknot::test
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -174,6 +174,84 @@
   ASSERT_TRUE(loop.until([&] { return ends.size() == 2; }));
   EXPECT_EQ(ends[1].answer.body, "own");
 }
+// ---- Spoilt answers: the request has run, the connection is of no more use, and nothing doubtful is served ---
+
+TEST_F(UpstreamTest, SpoiltAnswersAreResets) {
+  const std::vector<std::string> spoilt{
+      "\x9b!A\xc4\n\xe9\r\n\r\n",
+      "ICY 200 OK\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 3\r\n\r\nxyz",
+      "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + std::string(70000, 'x'),
+      "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n" + std::string(9000, 'p'),
+      // Shorter than the body: what follows is the rest of it, or could be.
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcdef",
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc\x01\xff\r\n\r\n"};
+  for (const auto& text : spoilt) {
+    ends.clear();
+    EXPECT_EQ(outcome(answers(text)).outcome, Outcome::reset) << text.substr(0, 80);
+    EXPECT_EQ(upstream.size(), 0u) << text.substr(0, 80);
+  }
+  std::string interim;
+  for (int i = 0; i < 1000; ++i) interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  ends.clear();
+  EXPECT_EQ(outcome(answers(interim)).outcome, Outcome::reset);
+}
+// An answer that ends with its connection may have been cut off anywhere.
+TEST_F(UpstreamTest, AnswerWithoutALengthIsNotServed) {
+  EXPECT_EQ(outcome([](Wire& w) {
+              if (w.message().empty()) return;
+              w.send("HTTP/1.1 200 OK\r\n\r\nhalf of it");
+              error_code ignored;
+              w.socket.shutdown(Socket::shutdown_send, ignored);
+            }).outcome,
+            Outcome::reset);
+}
+// A figure for others that can't be read does not spoil an answer.
+TEST_F(UpstreamTest, UnreadableReportsArePassedOver) {
+  for (const std::string report : {"X-Server-Load: {\"", "X-Server-Load: TEXT ?", "X-Quota-Used: =,=", "X-Server-Load: %%%"}) {
+    ends.clear();
+    EXPECT_EQ(outcome(answers(http_answer("200 OK", "x", report + "\r\n"))).outcome, Outcome::ok) << report;
+  }
+}
+// A second copy behind a good answer: the answer counts, and the connection is not used again.
+TEST_F(UpstreamTest, SecondCopyBehindAnAnswerEndsTheConnection) {
+  const auto e = outcome(answers(http_answer("200 OK", "own") + http_answer("200 OK", "own")));
+  EXPECT_EQ(e.outcome, Outcome::ok);
+  EXPECT_EQ(e.answer.body, "own");
+  EXPECT_EQ(e.connections, 0u);
+}
+// It may come when the connection idles already, and lie in the socket when the next request takes it.
+TEST_F(UpstreamTest, WhatLiesInAnIdleConnectionIsNoAnswer) {
+  Peer server(loop.io, answers(http_answer("200 OK", "own")));
+  upstream.update(ServerId(1), server.at(), true);
+  send();
+  ASSERT_TRUE(loop.until([&] { return ends.size() == 1; }));
+  const auto stray = http_answer("200 OK", "stray");
+  server.wires[0]->socket.send(asio::buffer(stray));  // at once, past the loop
+  send();
+  ASSERT_TRUE(loop.until([&] { return ends.size() == 2; }));
+  EXPECT_EQ(ends[1].outcome, Outcome::ok);
+  EXPECT_EQ(ends[1].answer.body, "own");
+  EXPECT_EQ(server.wires.size(), 2u);
+}
+// A whole answer before the request's last byte answers something else; the request has not run.
+TEST_F(UpstreamTest, AnswerBeforeTheRequestIsWholeIsNotServed) {
+  Peer server(loop.io, [](Wire& w) {
+    if (!std::exchange(w.came, {})) return;
+    w.send(http_answer("200 OK", "early"));
+  });
+  upstream.update(ServerId(1), server.at(), true);
+  send(10s, std::string(64UL << 20U, 'x'));
+  ASSERT_TRUE(loop.until([&] { return !ends.empty(); }));
+  EXPECT_EQ(ends[0].outcome, Outcome::connect_failed);
+}
+
 TEST_F(UpstreamTest, ConnectionsAreUsedAgain) {
   Peer server(loop.io, answers(http_answer("200 OK", "x")));
   upstream.update(ServerId(1), server.at(), true);
