Lease what the store holds: windows that know what was left of the one before, and fill evenly

Cause: LeaseBook granted a fixed limit in each window (logic.cpp, credit): a full store may give up to two of them in its first window, a drained one gives only what flows in, and one that was refused had to wait for the roll. Ruled out: calls (0.4 a request, answered in time) and places at the servers. Each gateway now takes from its last total of the window before what the store held at the roll; what was wholly refused is owed, not handed back by a call. The bound for ceilings is kept by the same proof, with 'most' in the limit's place.

Besides: an exception with one action no longer drops those behind it, a request whose time is up always gets its answer, memory_mb bounds the connections, a new configuration that can't be read is tried again.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -40,8 +40,9 @@
 constexpr int kCounterStrikes = 3;     // failed calls in a row before the counter is held to be down
 constexpr double kCounterRetry = 2;    // trial calls to a counter that is down: one in so many time-outs
 constexpr Duration kUseMemory = 20s;   // over which a customer's own tries here, and its use, are remembered
-constexpr double kOverCalls = 1.5;  // calls made for a customer over its quota, times those that can succeed
-constexpr double kUnitSlop = 1e-6;  // totals come rounded to seven digits
+constexpr double kOverCalls = 1.5;   // calls made for a customer over its quota, times those that can succeed
+constexpr double kShutLeast = 0.05;  // part of a window in which a spent store is not asked again
+constexpr double kUnitSlop = 1e-6;   // totals come rounded to seven digits
 constexpr double kCountSlop = 2e-3;  // or to thousandths: less than that is missing from no count
 constexpr double kLatencyGain = 0.07;       // EWMA gain per answer: about the last 14, as work varies a lot
 constexpr double kHealthGain = 0.2;         // EWMA gain of success per outcome: five failures show clearly
@@ -74,13 +75,14 @@
 
 // ---- 1 Settings -----------------------------------------------------------------------------------
 
-// What follows from a plan: at most `limit` units in each window of length `window`. A span that touches k+1
-// windows can admit (k+1) limits and lasts at least k-1 windows. A ceiling allows ceiling_burst +
-// ceiling_rate * span, so it holds for every k when 2 * limit <= ceiling_burst and limit <= ceiling_rate *
-// window. ceiling_slack stays as a margin.
+// What follows from a plan. Its store holds `limit` units and fills within a `window`, so what it held at a
+// window's start and what flowed in since may be leased in it: up to twice the limit, never over `most`. A
+// span that touches k+1 windows can admit (k+1) times `most` and lasts at least k-1 windows. A ceiling allows
+// ceiling_burst + ceiling_rate * span, so it holds for every k when 2 * most <= ceiling_burst and most <=
+// ceiling_rate * window. ceiling_slack stays as a margin.
 struct Terms {
   bool metered = false, ceiling = false;
-  double limit = 0;
+  double limit = 0, most = 0;
   Duration window{};
 };
 
@@ -97,19 +99,23 @@
   if (!t.metered) return t;
   t.limit = std::min(t.limit, rate * seconds(kLongestCount - 1s));
   t.window = std::max(from_seconds(t.limit / rate), Duration(1ms));
+  t.most = 2 * t.limit;
+  if (t.ceiling) t.most = std::min({t.most, p.ceiling_burst / 2, p.ceiling_rate * seconds(t.window)});
   return t;
 }
 
 // ---- 2 Lease book ---------------------------------------------------------------------------------
-// Invariants: units are spent only in the window they were leased in; at most one call out per name; what
-// all gateways hold and have spent of one window never passes its limit while the counter keeps count.
+// Invariants: units are spent in the window they were leased in, or without a ceiling in the next; at most
+// one call out per name; what all gateways lease of one window never passes `most` while the counter keeps
+// count.
 
 struct Units {
   double held = 0;
   double added = 0;     // own net amount known to be in the count
   double owed = 0;      // of timed-out adds: taken off at the next call; below 0: to be added then
   bool credit = false;  // a request has passed before its units were leased
-  bool empty = false;   // the window is known to have no units left
+  bool empty = false;   // a window to come that has no units left
+  Time shut{};          // until then the present window is known to have no unit for a request
 };
 
 struct Lease {
@@ -117,6 +123,8 @@
   std::int64_t window = std::numeric_limits<std::int64_t>::min();
   Units now;                            // of the present window
   std::map<std::int64_t, Units> ahead;  // of windows to come
+  double store = -1;                    // units that the store held at its start; below 0: taken for full
+  double total = -1;                    // of its count, at the last answer; below 0: none came
   double asked = 0;                     // units asked for here in this window
   double pace = 0;                      // EWMA of that over windows
   double queued = -1;                   // what the call that waits its turn is worth; below 0: none waits
@@ -215,15 +223,27 @@
   static CountName name_of(CustomerId c, std::int64_t w) {
     return CountName(mix(mix(static_cast<std::uint64_t>(c)) ^ static_cast<std::uint64_t>(w)) >> 1);
   }
+  static double store_of(const Lease& l, const Terms& t) { return l.store < 0 ? t.limit : l.store; }
+  // What may have been leased of the present window by now.
+  double limit_at(Time now, CustomerId c, const Lease& l) const {
+    const auto& t = at(terms, l.plan);
+    const double gone = 1 - seconds(window_end(c, t, l.window) - now) / seconds(t.window);
+    return std::min(t.most, store_of(l, t) + t.limit * std::clamp(gone, 0.0, 1.0));
+  }
   void roll(Time now, CustomerId c, Lease& l) const {
     const auto& t = at(terms, l.plan);
     const auto w = window_at(now, c, t);
     if (w == l.window) return;
-    l.pace = w == l.window + 1 ? (l.pace + l.asked) / 2 : 0;
-    l.asked = 0, l.window = w;
+    const bool next = w == l.window + 1;
+    l.pace = next ? (l.pace + l.asked) / 2 : 0;
+    // What a window's count left over stays in the store; what was leased there and not spent is spent now.
+    l.store = next && l.total >= 0 ? std::clamp(store_of(l, t) + t.limit - l.total, 0.0, t.limit) : -1;
+    const double left = next && !t.ceiling ? l.now.held : 0;
+    l.asked = 0, l.window = w, l.total = -1;
     l.ahead.erase(l.ahead.begin(), l.ahead.lower_bound(w));
     const auto leased = l.ahead.extract(w);
     l.now = leased ? leased.mapped() : Units{};
+    l.now.held += left;
     l.call_out = calls.contains(name_of(c, w));
   }
 };
@@ -335,11 +355,11 @@
     if (!set_.counter && l.now.added == 0) {  // nothing to lease from: this gateway's part of the limit
       l.now.added = 1;
       l.now.held = std::max(set_.max_units, terms(r).limit / std::max(1u, r.gateways));
-      l.now.empty = true;
+      l.now.shut = now_ + until_roll(r.customer, l);
     }
     lease_ahead(r, l);
     if (l.waiting.empty() && take(r, l)) return send_on(id, r);
-    if (l.now.empty) return refuse(id, r, until_roll(r.customer, l));
+    if (now_ < l.now.shut) return refuse(id, r, l.now.shut - now_);
     if (!l.call_out && book_.pace.down() && !book_.pace.may_call(1)) return refuse(id, r, counter_back_off());
     if (!l.call_out && book_.pace.short_of_calls(call_value(r))) {
       if (may_pass_on_credit(r, l)) {
@@ -397,7 +417,7 @@
     const auto& t = at(book_.terms, l.plan);
     // After a loss of counts nobody knows what was leased: windows begun before it stay shut for ceilings.
     if (t.ceiling && book_.window_end(c, t, l.window) - t.window <= book_.lost_at) {
-      l.now.empty = true;
+      l.now.shut = now_ + until_roll(c, l);
       return settle_waiting(c, l);
     }
     double wanted = 0, largest = 1, gateways = 1, value = 0;
@@ -507,22 +527,39 @@
     if (total < u.added - slop - kCountSlop) {  // the counter came back without its counts
       if (book_.lost_at < now_ - kSweep) log("counter lost its counts");
       book_.lost_at = now_;
-      if (t.ceiling) return void(u.empty = true);
+      if (t.ceiling) {
+        u.empty = true, u.shut = book_.window_end(done.customer, t, done.window);
+        return;
+      }
       total += before;  // at least what this gateway had leased is used
       u.added = e.total;
     }
-    const double excess = std::clamp(total - t.limit, 0.0, done.quantum);
-    if (done.quantum > 0 && done.window == l.window) {
+    const bool present = done.window == l.window;
+    const double limit = present ? book_.limit_at(now_, done.customer, l) : t.limit;
+    const double excess = std::clamp(total - limit, 0.0, done.quantum);
+    if (done.quantum > 0 && present) {
       const auto gone = 1 - seconds(until_roll(done.customer, l)) / seconds(t.window);
       l.over = total / t.limit / std::max(gone, 0.25);
       l.called_at = now_;
     }
     u.held += done.quantum - excess;
-    if (total >= t.limit - slop) u.empty = true;
-    // Handing back what a spent window did not grant would help nobody; when calls are short, nor is the
-    // rest.
-    if (excess > slop && excess < done.quantum - slop && !book_.pace.short_of_calls())
-      call(done.customer, l, done.window, 0, -excess);
+    if (present) l.total = total - excess;
+    if (!present) u.empty = total >= t.limit - slop;
+    if (present) shut_until_filled(done.customer, l, limit);
+    if (excess <= slop) return;
+    if (excess >= done.quantum - slop || book_.pace.short_of_calls()) return void(u.owed += excess);
+    call(done.customer, l, done.window, 0, -excess);
+  }
+
+  // The store has no whole request left: the next one that flows in belongs to whoever calls first then.
+  void shut_until_filled(CustomerId c, Lease& l, double limit) {
+    const auto& t = at(book_.terms, l.plan);
+    const double wanted = l.waiting.empty() ? 1 : requests_.at(l.waiting.front()).units;
+    const double lacks = l.total + wanted - limit;
+    if (lacks <= kUnitSlop) return;
+    auto wait = scaled(t.window, std::max(lacks / t.limit, kShutLeast)) + Duration(1ms);  // rounded up
+    if (l.total + wanted > t.most) wait = until_roll(c, l);
+    l.now.shut = now_ + std::min(wait, until_roll(c, l));
   }
 
   // After an answer: whoever fits passes in order of arrival; the others get one more call or a refusal.
@@ -533,9 +570,9 @@
       if (take(r, l)) {
         l.waiting.pop_front();
         send_on(id, r);
-      } else if (l.now.empty) {
+      } else if (now_ < l.now.shut) {
         l.waiting.pop_front();
-        refuse(id, r, until_roll(c, l));
+        refuse(id, r, l.now.shut - now_);
       } else if (l.call_out) {
         return;
       } else if (book_.pace.down()) {
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -31,8 +31,8 @@
 double decimal(string_view text, const char* what) {
   double n = 0;
   const auto plain = text.find_first_not_of("0123456789.") == string_view::npos;
-  const auto [end, failed] =
-      std::from_chars(text.data(), text.data() + text.size(), n, std::chars_format::fixed);
+  const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), n,
+                                             std::chars_format::fixed);
   if (!plain || failed != std::errc{} || end != text.data() + text.size())
     bad(std::string(what) + " is not a number");
   return n;
@@ -147,12 +147,14 @@
 // Where a message ends must not be in doubt: what is passed on could hide another request. Beast refuses most
 // of that itself; these are the forms that it lets through.
 void check_framing(const Fields& f) {
-  const auto codings = f.count(http::field::transfer_encoding), lengths = f.count(http::field::content_length);
+  const auto codings = f.count(http::field::transfer_encoding),
+             lengths = f.count(http::field::content_length);
   if (codings > 0 && lengths > 0) bad("Content-Length and Transfer-Encoding");
   if (codings > 1 || (codings == 1 && !boost::beast::iequals(f[http::field::transfer_encoding], "chunked")))
     bad("Transfer-Encoding is not chunked");
   const auto length = f[http::field::content_length];
-  if (lengths > 1 || length.find_first_not_of("0123456789") != string_view::npos || lengths != !length.empty())
+  if (lengths > 1 || length.find_first_not_of("0123456789") != string_view::npos ||
+      lengths != !length.empty())
     bad("Content-Length is not a number");
   if (f.version() != 11 && (f.version() != 10 || codings > 0)) bad("the version of HTTP");
 }
@@ -161,16 +163,11 @@
   using Stage = ClientSession::Stage;
   switch (stage) {
     case Stage::fresh:
-    case Stage::coming:
-      return facts::kSlowRequest;
-    case Stage::idle:
-      return facts::kIdleClient;
-    case Stage::writing:
-      return facts::kSlowReader;
-    case Stage::lingering:
-      return facts::kLinger;
-    default:
-      return Duration::max();
+    case Stage::coming: return facts::kSlowRequest;
+    case Stage::idle: return facts::kIdleClient;
+    case Stage::writing: return facts::kSlowReader;
+    case Stage::lingering: return facts::kLinger;
+    default: return Duration::max();
   }
 }
 
@@ -178,7 +175,8 @@
 
 // ---- A session ------------------------------------------------------------------------------------------
 
-ClientSession::ClientSession(Clients& clients, Socket socket) : clients_(clients), socket_(std::move(socket)) {}
+ClientSession::ClientSession(Clients& clients, Socket socket)
+    : clients_(clients), socket_(std::move(socket)) {}
 
 void ClientSession::start() {
   set_no_delay(socket_);
@@ -247,7 +245,8 @@
       return reject(http::status::request_header_fields_too_large, "the header is too large");
     if (failed == http::error::body_limit)
       return reject(http::status::payload_too_large, "the body is too large");
-    if (failed && failed != http::error::need_more) return reject(http::status::bad_request, failed.message());
+    if (failed && failed != http::error::need_more)
+      return reject(http::status::bad_request, failed.message());
     if (!had_header && parser_->is_header_done()) {
       const auto& head = parser_->get();
       try {
@@ -294,7 +293,8 @@
     auto request = read_request(message, clients_.settings_, began_);
     request.arrival.time_left = request.deadline - clients_.timers_.now();
     const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
-    if (number == 0) return write({http::status::conflict, "a request of this id is open\n", "text/plain", {}});
+    if (number == 0)
+      return write({http::status::conflict, "a request of this id is open\n", "text/plain", {}});
     if (stage_ == Stage::waiting) request_ = number;
   } catch (const BadRequest& x) {
     write({x.status, std::string(x.what()) + "\n", "text/plain", {}});
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -2,12 +2,12 @@
 // is the node's business.
 #pragma once
 
+#include <array>
 #include <boost/asio/basic_socket_acceptor.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <array>
 #include <list>
 #include <memory>
 #include <string>
@@ -75,12 +75,12 @@
   http::response<http::string_body> response_;
   Stage stage_ = Stage::closed;
   std::list<std::shared_ptr<ClientSession>>::iterator place_;  // among those at the same stage
-  Time since_{};               // of the stage
-  Time began_{};               // when the first byte of the request came
-  std::size_t dropped_ = 0;    // bytes read and passed over while lingering
-  bool reads_ = false;         // a read is pending
-  bool keep_alive_ = false;    // what the request that is out wants
-  std::uint64_t request_ = 0;  // the node's number of it; 0: none
+  Time since_{};                                               // of the stage
+  Time began_{};                                               // when the first byte of the request came
+  std::size_t dropped_ = 0;                                    // bytes read and passed over while lingering
+  bool reads_ = false;                                         // a read is pending
+  bool keep_alive_ = false;                                    // what the request that is out wants
+  std::uint64_t request_ = 0;                                  // the node's number of it; 0: none
 };
 
 class Clients {
--- a/src/node/counter.cpp
+++ b/src/node/counter.cpp
@@ -248,7 +248,12 @@
 };
 
 Counter::Counter(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, Duration timeout, Told told)
-    : io_(io), timers_(timers), at_(at), timeout_(timeout), told_(std::move(told)), lanes_(facts::kCounterLinks) {
+    : io_(io),
+      timers_(timers),
+      at_(at),
+      timeout_(timeout),
+      told_(std::move(told)),
+      lanes_(facts::kCounterLinks) {
   for (auto& lane : lanes_) lane.link = open_link();
 }
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -110,8 +110,10 @@
     if (complete)
       for (const auto& [number, id] : ids_) left.insert(number);
     for (const auto& e : entries) {
-      if (e.info.phase == Phase::gone) left.insert(e.info.id);
-      else left.erase(e.info.id);
+      if (e.info.phase == Phase::gone)
+        left.insert(e.info.id);
+      else
+        left.erase(e.info.id);
     }
     for (const auto number : left) forget(std::string(ids_[number]));
     told_(cached ? ListKind::cached : complete ? ListKind::full : ListKind::changes, entries);
@@ -128,7 +130,11 @@
 class Discovery::Watch : public std::enable_shared_from_this<Watch> {
  public:
   Watch(Discovery& owner, const Tcp::endpoint& at, std::string host)
-      : owner_(owner), timers_(owner.timers_), at_(at), host_(std::move(host)), socket_(owner.io_.get_executor()) {}
+      : owner_(owner),
+        timers_(owner.timers_),
+        at_(at),
+        host_(std::move(host)),
+        socket_(owner.io_.get_executor()) {}
 
   bool up() const { return up_; }
 
@@ -184,10 +190,11 @@
   }
 
   void read() {
-    socket_.async_read_some(buffer_.prepare(facts::kReadSize),
-                            [self = shared_from_this(), number = life_](const error_code& failed, std::size_t bytes) {
-                              if (number == self->life_) self->on_read(failed, bytes);
-                            });
+    socket_.async_read_some(
+        buffer_.prepare(facts::kReadSize),
+        [self = shared_from_this(), number = life_](const error_code& failed, std::size_t bytes) {
+          if (number == self->life_) self->on_read(failed, bytes);
+        });
   }
 
   void on_read(const error_code& failed, std::size_t bytes) {
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -28,28 +28,36 @@
 inline constexpr int kMostInterim = 16;               // interim answers (1xx) ahead of one answer
 inline constexpr std::size_t kMostId = 256;           // bytes of X-Request-ID and Idempotency-Key
 inline constexpr std::uint64_t kMostTimeoutMs = 1000ULL * 60 * 60;
-inline constexpr Duration kSlowRequest = 2500ms;  // a request must have come whole: an error is owed within 3 s
-inline constexpr Duration kSlowReader = 5s;       // and an answer must have been taken
+inline constexpr Duration
+    kSlowRequest = 2500ms;                    // a request must have come whole: an error is owed within 3 s
+inline constexpr Duration kSlowReader = 5s;   // and an answer must have been taken
 inline constexpr Duration kLinger = 1s;       // for a client to take an answer that ends its connection
 inline constexpr Duration kIdleClient = 15s;  // a session with no request for so long is closed
 inline constexpr Duration kMayClose = 2s;     // and so early where room is needed, as the protocol allows
 inline constexpr Duration kSilent = 300ms;    // a new session on which nothing has come for so long
-inline constexpr double kCrowd = 0.25;        // part of all sessions past which new ones give room to each other
+inline constexpr double kCrowd = 0.25;  // part of all sessions past which new ones give room to each other
 inline constexpr std::size_t kMostDropped = 1UL << 20U;  // bytes passed over, so that an early error arrives
-inline constexpr Duration kSweep = 250ms;     // sessions and pools are looked through so often
-inline constexpr Duration kAcceptPause = 20ms;  // after accept() found no descriptor
+inline constexpr Duration kSweep = 250ms;                // sessions and pools are looked through so often
+inline constexpr int kReloadTries = 5;                   // for a new configuration that can't be read
+inline constexpr Duration kReloadPause = 200ms;          // between them
+inline constexpr Duration kAcceptPause = 20ms;           // after accept() found no descriptor
 inline constexpr double kIdlePart = 0.8;  // of the servers' idle limit, for which a pool keeps a connection
-inline constexpr std::size_t kMostLine = 256;          // bytes of a counter's answer
+inline constexpr std::size_t kMostLine = 256;         // bytes of a counter's answer
 inline constexpr std::size_t kMostList = 1UL << 20U;  // bytes of one line of the watch: thousands of servers
-inline constexpr std::size_t kCounterLinks = 8;        // connections: a crowded or broken one holds up only its own
-inline constexpr int kCounterSilent = 10;              // time-outs without an answer: the connection is dead
-inline constexpr Duration kFirstBackoff = 50ms;        // before a connection is tried again; doubles
-inline constexpr Duration kLongestBackoff = 1s;        //
-inline constexpr Duration kConnectLimit = 1s;  // for a connection to discovery or the counter to come up
+inline constexpr std::size_t kCounterLinks = 8;  // connections: a crowded or broken one holds up only its own
+inline constexpr int kCounterSilent = 10;        // time-outs without an answer: the connection is dead
+inline constexpr Duration kFirstBackoff = 50ms;  // before a connection is tried again; doubles
+inline constexpr Duration kLongestBackoff = 1s;  //
+inline constexpr Duration kConnectLimit = 1s;    // for a connection to discovery or the counter to come up
 
 // ---- Descriptors: shares of the limit ---------------------------------------------------------------
 inline constexpr std::size_t
     kOwnDescriptors = 28;                     // standard streams, epoll, timer, signals, listener, discovery
 inline constexpr double kClientShare = 0.55;  // of the rest; the servers get what is left
 
+// ---- Memory -----------------------------------------------------------------------------------------
+inline constexpr std::size_t kMegabyte = 1UL << 20U;
+inline constexpr std::size_t
+    kMemoryPart = 4;  // a quarter of it each for the bodies of clients and of servers
+
 }  // namespace snowknot::facts
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "facts.hpp"
 #include "node.hpp"
 
 namespace {
@@ -38,6 +39,7 @@
   c.discovery = address(c.discovery_host, "discovery");
   const auto& limits = object_of(field(config, "limits"), "limits");
   c.descriptors = small(limits, "sockets");
+  c.memory = static_cast<std::size_t>(small(limits, "memory_mb")) * facts::kMegabyte;
   c.seed = hex(config, "seed");
   c.known = object_of(field(config, "known"), "known");
   const auto& settings = object_of(field(config, "settings"), "settings");
@@ -48,19 +50,43 @@
   return c;
 }
 
-// Every SIGHUP has the configuration read anew. One that can't be read changes nothing.
-void reload_on(asio::signal_set& hangup, Node& node) {
-  hangup.async_wait([&](const error_code& failed, int) {
-    if (failed) return;
+// Reads the configuration anew. One that can't be read changes nothing; the file may be half written or there may
+// be no descriptor for it just now, so it is tried some more times.
+class Reload {
+ public:
+  Reload(asio::io_context& io, Node& node) : hangup_(io, SIGHUP), again_(io.get_executor()), node_(node) {
+    wait();
+  }
+
+ private:
+  void wait() {
+    hangup_.async_wait([this](const error_code& failed, int) {
+      if (failed) return;
+      tries_ = facts::kReloadTries;
+      read();
+      wait();
+    });
+  }
+  void read() {
+    again_.cancel();
     try {
-      node.move_to(read_config());
+      node_.move_to(read_config());
       note("configuration read anew");
     } catch (const std::exception& x) {
       note(std::string("the new configuration is passed over: ") + x.what());
+      if (--tries_ <= 0) return;
+      again_.expires_after(facts::kReloadPause);
+      again_.async_wait([this](const error_code& failed) {
+        if (!failed) read();
+      });
     }
-    reload_on(hangup, node);
-  });
-}
+  }
+
+  asio::signal_set hangup_;
+  asio::basic_waitable_timer<Clock::Steady, asio::wait_traits<Clock::Steady>, Executor> again_;
+  Node& node_;
+  int tries_ = 0;
+};
 
 // Nothing that goes wrong with one event ends the process.
 void serve(asio::io_context& io) {
@@ -80,9 +106,8 @@
   try {
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context io(1);
-    asio::signal_set hangup(io, SIGHUP);
     Node node(io, read_config());
-    reload_on(hangup, node);
+    Reload reload(io, node);
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const error_code& failed, int) {
       if (!failed) node.drain([&io] { io.stop(); });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,6 +15,10 @@
   return std::max<std::size_t>(
       1, static_cast<std::size_t>(facts::kClientShare * static_cast<double>(for_peers(c))));
 }
+// Each connection may hold a whole body. All of them together stay within the part of the memory that is theirs.
+std::size_t within_memory(const NodeConfig& c, std::size_t connections) {
+  return std::min(connections, std::max<std::size_t>(1, c.memory / facts::kMemoryPart / facts::kMostBody));
+}
 
 }  // namespace
 
@@ -23,10 +27,10 @@
       timers_(io, clock_),
       gateway_(config_.named.settings, config_.seed),
       upstream_(io, timers_, config_.named.settings.connect_timeout, config_.keep_alive,
-                for_peers(config_) - for_clients(config_), *this),
+                within_memory(config_, for_peers(config_) - for_clients(config_)), *this),
       discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
                  [this](ListKind kind, const auto& entries) { list_changed(kind, entries); }),
-      clients_(io, timers_, config_.named.settings, for_clients(config_), *this) {
+      clients_(io, timers_, config_.named.settings, within_memory(config_, for_clients(config_)), *this) {
   if (config_.counter && config_.named.settings.counter)
     counter_.emplace(io, timers_, *config_.counter, config_.named.settings.counter_timeout,
                      [this](const CountAnswer& a) { happened(a); });
@@ -35,6 +39,7 @@
 void Node::start() {
   discovery_.start(config_.known);
   clients_.listen(config_.listen);
+  watch_open();
 }
 
 void Node::drain(std::function<void()> done) {
@@ -65,15 +70,35 @@
     const Event next = std::move(events_.front());
     events_.pop_front();
     try {
-      for (const auto& action : gateway_.handle(timers_.now(), next))
-        std::visit([this](const auto& a) { carry_out(a); }, action);
+      for (const auto& action : gateway_.handle(timers_.now(), next)) perform(action);
     } catch (const std::exception& x) {
       note(std::string("an event failed: ") + x.what());
+      if (const auto* a = std::get_if<Arrival>(&next)) carry_out(Fail{a->request});
     }
   }
   telling_ = false;
 }
 
+// What fails with one action stays with it: those behind it are carried out all the same.
+void Node::perform(const Action& action) {
+  try {
+    std::visit([this](const auto& a) { carry_out(a); }, action);
+  } catch (const std::exception& x) {
+    note(std::string("an action failed: ") + x.what());
+    if (const auto* s = std::get_if<Send>(&action)) carry_out(Fail{s->request});
+  }
+}
+
+// No request stays without its answer, whatever went wrong: one whose time is up fails here.
+void Node::watch_open() {
+  const Time now = timers_.now();
+  std::vector<RequestId> late;
+  for (const auto& [id, o] : open_)
+    if (o.session && now > o.message->deadline + facts::kSweep) late.push_back(id);
+  for (const auto id : late) carry_out(Fail{id});
+  timers_.after(facts::kSweep, [this] { watch_open(); });
+}
+
 std::uint64_t Node::arrived(ClientRequest request, std::shared_ptr<ClientSession> session) {
   if (!ids_.insert(request.id).second) return 0;
   const RequestId id{++requests_};
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -25,7 +25,7 @@
   Tcp::endpoint listen, discovery;
   std::string discovery_host;
   std::optional<Tcp::endpoint> counter;
-  std::size_t descriptors = 0;
+  std::size_t descriptors = 0, memory = 0;  // memory: bytes
   std::uint64_t seed = 0;
   Duration keep_alive{};
   nlohmann::json known;
@@ -60,6 +60,8 @@
   void list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries);
 
   void happened(Event event);
+  void perform(const Action& action);
+  void watch_open();
   void carry_out(const Send& s);
   void carry_out(const Refuse& s);
   void carry_out(const Fail& s);
@@ -79,8 +81,8 @@
   Gateway gateway_;
   std::unordered_map<RequestId, Open> open_;
   std::unordered_set<std::string> ids_;  // of the open requests, as their clients named them
-  std::uint64_t requests_ = 0;  // the number of the last one
-  std::deque<Event> events_;    // that have not been told yet
+  std::uint64_t requests_ = 0;           // the number of the last one
+  std::deque<Event> events_;             // that have not been told yet
   bool telling_ = false;
   bool knows_servers_ = false;
   std::function<void()> drained_;
