Carry members over an outage of the counter: lease ahead from the first seconds, and a reserve under ceilings

A trace once a second of refusals by reason: while the counter answers, all but a few are for quota; in the bad seconds all are 'counter down', with 0 to 7 requests out under a bound of 7, no server cold or ejected, no wait for a place. On the sockets every trial call (9 or 10 a second and node) ended without an answer until 12.3 s, and then counts were gone: the counter was out and came back empty. Ruled out so: the bound, choose, places, pools, strikes as the cause. At fault (src/logic.cpp): lease_ahead began when a window had passed, at half its pace (13 of 26 members of the middle plan had anything), and never under a ceiling: premium was refused whole. After the outage every count leased ahead that was found missing set lost_at anew (credit), 12.3 to 19 s, and shut all premium windows again each time. And the calls behind one spoilt answer were a strike each: down and up again within 10 ms, 2 to 4 times a node.

Now units are leased ahead from what is asked in the present window, also for a member seen once here and elsewhere by its count; under a ceiling they are a reserve, spent only in an outage or once the count is seen whole; what was last seen before a known loss tells of no other; calls that were out together are one strike.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -25,7 +25,7 @@
 // ---- Tuned values: each with its unit and reason --------------------------------------------------
 constexpr Duration kLongestCount = 60s;  // the counter keeps no name for longer
 constexpr double kQuantumRequests = 4;   // "a few requests' units" in one lease
-constexpr Duration kAheadSpan = 20s;     // how far ahead units are leased: outlasts most outages of a counter
+constexpr Duration kAheadSpan = 10s;     // how far ahead units are leased: outlasts most outages of a counter
 constexpr std::int64_t kAheadMost = 16;  // windows ahead at most: bounds the table and the calls
 constexpr double kAheadPart = 1.25;      // of the customer's pace: some more, as arrivals are uneven
 constexpr double kAheadStep = 0.5;       // part of the quantum that must be missing before a call is made
@@ -111,7 +111,9 @@
 
 struct Units {
   double held = 0;
+  double reserve = 0;   // leased ahead under a ceiling: held once the count is seen whole, or in an outage
   double added = 0;     // own net amount known to be in the count
+  Time seen_at{};       // when a total last showed it
   double owed = 0;      // of timed-out adds: taken off at the next call; below 0: to be added then
   bool credit = false;  // a request has passed before its units were leased
   bool empty = false;   // a window to come that has no units left
@@ -125,6 +127,8 @@
   std::map<std::int64_t, Units> ahead;  // of windows to come
   double store = -1;                    // units that the store held at its start; below 0: taken for full
   double total = -1;                    // of its count, at the last answer; below 0: none came
+  double units = 1;                     // of its last request
+  std::uint32_t gateways = 1;           // that it comes through
   double asked = 0;                     // units asked for here in this window
   double pace = 0;                      // EWMA of that over windows
   double queued = -1;                   // what the call that waits its turn is worth; below 0: none waits
@@ -152,7 +156,7 @@
   Duration timeout{};
   double fleet = 1, fastest = 0;  // seconds: the quickest answer so far
   double rate = 0, saved = 0;     // calls a second; calls that may be made now
-  Time saved_at{}, cut_at{}, down_since{};
+  Time saved_at{}, cut_at{}, struck_at{}, down_since{};
   std::set<std::pair<double, CustomerId>> waiting;  // by what the call is worth, 0 to 1
   int strikes = 0;
 
@@ -181,8 +185,12 @@
     const bool ok = o == CountOutcome::ok || o == CountOutcome::added;
     if (ok) fastest = std::clamp(seconds(took), 1e-5, fastest);
     if (ok && down()) rate = std::max(rate, fair());
-    strikes = ok ? 0 : strikes + 1;
-    if (strikes == kCounterStrikes) down_since = now;
+    // Calls that were out together when a connection broke are one strike: only one made since tells more.
+    if (ok) strikes = 0;
+    if (!ok && now - took >= struck_at) {
+      struck_at = now;
+      if (++strikes == kCounterStrikes) down_since = now;
+    }
     const double part = ok ? seconds(took) / seconds(timeout) : 1.0;
     if (part < kSlowCall) {
       if (!spare()) rate += kCallRise * fair();
@@ -243,6 +251,7 @@
     l.ahead.erase(l.ahead.begin(), l.ahead.lower_bound(w));
     const auto leased = l.ahead.extract(w);
     l.now = leased ? leased.mapped() : Units{};
+    if (t.ceiling) l.now.reserve = std::exchange(l.now.held, 0);
     l.now.held += left;
     l.call_out = calls.contains(name_of(c, w));
   }
@@ -350,15 +359,16 @@
       return refuse(id, r, back_off());
     if (!terms(r).metered) return send_on(id, r);
     book_.roll(now_, r.customer, l);
-    l.asked += r.units;
+    l.asked += r.units, l.units = r.units, l.gateways = r.gateways;
     l.tries.add(now_, kUseMemory);
     if (!set_.counter && l.now.added == 0) {  // nothing to lease from: this gateway's part of the limit
       l.now.added = 1;
       l.now.held = std::max(set_.max_units, terms(r).limit / std::max(1u, r.gateways));
       l.now.shut = now_ + until_roll(r.customer, l);
     }
-    lease_ahead(r, l);
-    if (l.waiting.empty() && take(r, l)) return send_on(id, r);
+    const bool held = l.waiting.empty() && take(r, l);
+    lease_ahead(r.customer, l);
+    if (held) return send_on(id, r);
     if (now_ < l.now.shut) return refuse(id, r, l.now.shut - now_);
     if (!l.call_out && book_.pace.down() && !book_.pace.may_call(1)) return refuse(id, r, counter_back_off());
     if (!l.call_out && book_.pace.short_of_calls(call_value(r))) {
@@ -377,6 +387,7 @@
   }
 
   bool take(Request& r, Lease& l) {
+    if (book_.pace.down()) l.now.held += std::exchange(l.now.reserve, 0);
     if (l.now.held + kUnitSlop < r.units) return false;
     l.now.held -= r.units;
     r.holds_units = true;
@@ -439,7 +450,8 @@
     if (pace.short_of_calls())
       few = std::max(few, std::min(l.pace, t.limit / gateways));  // fewer calls, each for a window's pace
     few = std::floor(few / largest) * largest;  // a part of a request would lie here unspent
-    const double quantum = std::min(std::max({few, wanted - l.now.held, largest}), t.limit);
+    const double here = l.now.held + l.now.reserve;
+    const double quantum = std::min(std::max({few - l.now.reserve, wanted - here, largest}), t.limit);
     const double extra = speaks ? std::min(std::exchange(at(book_.on_credit, l.plan), 0.0), t.limit) : 0;
     call(c, l, l.window, quantum, quantum + extra - std::exchange(l.now.owed, 0));
   }
@@ -468,25 +480,32 @@
   }
 
   // Leases for windows to come, so that held units carry a customer over a counter that is silent, slow or
-  // refusing. Only for one that asked for a request's units here in window after window, no more than that
-  // and within the quantum's bound, so that half of every window stays free. It hurts when the customer then
-  // comes elsewhere: what is pinned here is missing there. Not under a ceiling: a lost count may not be
-  // spent.
-  void lease_ahead(const Request& r, Lease& l) {
-    const auto& t = terms(r);
-    if (t.ceiling || !set_.counter || book_.pace.strikes > 0 || l.pace < kAheadPace * r.units ||
-        r.units * r.gateways > t.limit || !book_.pace.spare())
+  // refusing, from its first seconds here on: no more than it asked for here in a window, within the
+  // quantum's bound, so that half of every window stays free. Not for one of which nothing but one request
+  // was ever seen, here or in its count. It hurts when the customer then comes elsewhere: what is pinned here
+  // is missing there. A lost count may not be spent under a ceiling: there it is a reserve at first.
+  void lease_ahead(CustomerId c, Lease& l) {
+    const auto& t = at(book_.terms, l.plan);
+    const double asked = std::max(l.pace, l.asked);
+    const bool known = l.pace > 0 || l.asked > l.units || l.total > l.now.added + kCountSlop;
+    if (!set_.counter || !known || book_.pace.strikes > 0 || asked < kAheadPace * l.units ||
+        l.units * l.gateways > t.limit || !book_.pace.spare())
       return;
-    const double most = std::max(std::floor(t.limit / (2.0 * r.gateways)), r.units);
-    const double quantum = std::clamp(std::ceil(l.pace * kAheadPart), r.units, most);
+    const double part = std::floor(t.limit / (2.0 * l.gateways));
+    if (t.ceiling && part < l.units) return;
+    const double quantum = std::clamp(std::ceil(asked * kAheadPart), l.units, std::max(part, l.units));
     const auto span = std::min<std::int64_t>(kAheadMost, kAheadSpan / t.window);
+    double left = t.ceiling ? 0 : l.now.held;  // stays held over the roll
     int calls = 0;
     for (auto w = l.window + 1; w <= l.window + span && calls < 2; ++w) {
+      if (left >= quantum) {
+        left -= quantum;
+        continue;
+      }
       auto& u = l.ahead[w];
       const double more = quantum - u.held;
-      if (u.empty || more < kAheadStep * quantum || book_.calls.contains(book_.name_of(r.customer, w)))
-        continue;
-      ++calls, call(r.customer, l, w, more, more - std::exchange(u.owed, 0));
+      if (u.empty || more < kAheadStep * quantum || book_.calls.contains(book_.name_of(c, w))) continue;
+      ++calls, call(c, l, w, more, more - std::exchange(u.owed, 0));
     }
   }
 
@@ -503,6 +522,7 @@
     if (l.window == done.window) {
       l.call_out = false;
       credit(done, e, l, l.now);
+      lease_ahead(done.customer, l);
     } else if (l.window < done.window) {
       credit(done, e, l, l.ahead[done.window]);
     }
@@ -525,17 +545,26 @@
     double total = e.total;
     const double slop = kUnitSlop * std::max(1.0, std::abs(e.total)) + kUnitSlop;
     if (total < u.added - slop - kCountSlop) {  // the counter came back without its counts
-      if (book_.lost_at < now_ - kSweep) log("counter lost its counts");
-      book_.lost_at = now_;
-      if (t.ceiling) {
-        u.empty = true, u.shut = book_.window_end(done.customer, t, done.window);
+      // What was last seen before a loss that is known went with it, and tells of no other.
+      if (u.seen_at >= book_.lost_at) {
+        if (book_.lost_at < now_ - kSweep) log("counter lost its counts");
+        book_.lost_at = now_;
+      }
+      const auto end = book_.window_end(done.customer, t, done.window);
+      if (t.ceiling && end - t.window <= book_.lost_at) {
+        u.empty = true, u.shut = end, u.reserve = 0;
         return;
       }
-      total += before;  // at least what this gateway had leased is used
-      u.added = e.total;
+      // A window that began after the loss starts anew; elsewhere at least what was leased here is used.
+      if (t.ceiling) u.held = u.reserve = 0;
+      if (!t.ceiling) total += before;
+      u.added = t.ceiling ? done.amount : e.total;
     }
+    u.seen_at = now_;
+    u.held += std::exchange(u.reserve, 0);
     const bool present = done.window == l.window;
-    const double limit = present ? book_.limit_at(now_, done.customer, l) : t.limit;
+    const double whole = t.ceiling ? t.limit / 2 : t.limit;  // of a window to come
+    const double limit = present ? book_.limit_at(now_, done.customer, l) : whole;
     const double excess = std::clamp(total - limit, 0.0, done.quantum);
     if (done.quantum > 0 && present) {
       const auto gone = 1 - seconds(until_roll(done.customer, l)) / seconds(t.window);
@@ -544,7 +573,7 @@
     }
     u.held += done.quantum - excess;
     if (present) l.total = total - excess;
-    if (!present) u.empty = total >= t.limit - slop;
+    if (!present) u.empty = total >= whole - slop;
     if (present) shut_until_filled(done.customer, l, limit);
     if (excess <= slop) return;
     if (excess >= done.quantum - slop || book_.pace.short_of_calls()) return void(u.owed += excess);
