--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -38,6 +38,7 @@
 constexpr double kCallsSaved = 3;    // calls that can be saved up at least
 constexpr Duration kCallSpan = 100ms;  // and the span over which more are
 constexpr int kCounterStrikes = 3;     // failed calls in a row before the counter is held to be down
+constexpr Duration kCalm = 500ms;  // without a call turned away or overdue, before reserves are leased
 constexpr Duration kRestarted = 500ms;  // an outage as long may have been a restart: counts may be gone
 constexpr double kCounterRetry = 2;    // trial calls to a counter that is down: one in so many time-outs
 constexpr Duration kUseMemory = 20s;   // over which a customer's own tries here, and its use, are remembered
@@ -160,7 +161,7 @@
   Duration timeout{};
   double fleet = 1, fastest = 0;  // seconds: the quickest answer so far
   double rate = 0, saved = 0;     // calls a second; calls that may be made now
-  Time saved_at{}, cut_at{}, struck_at{}, down_since{};
+  Time saved_at{}, cut_at{}, struck_at{}, crowded_at{}, down_since{};
   std::set<std::pair<double, CustomerId>> waiting;  // by what the call is worth, 0 to 1
   int strikes = 0;
 
@@ -196,6 +197,7 @@
       if (++strikes == kCounterStrikes) down_since = now;
     }
     const double part = ok ? seconds(took) / seconds(timeout) : 1.0;
+    if (o == CountOutcome::refused || took >= timeout) crowded_at = now;
     if (part < kSlowCall) {
       if (!spare()) rate += kCallRise * fair();
     } else if (now - took >= cut_at) {  // one cut for all calls made before the last one
@@ -402,7 +404,8 @@
 
   // What may be spent in place of a lease: nothing while the counter answers. The window in which it went
   // down may have been leased whole before: there it is for customers that were inside their quota, and for
-  // none under a ceiling.
+  // none under a ceiling. Where one gateway alone is cut off from the counter, its part comes on top of what
+  // the others lease: a ceiling gives that much a window, though not both bursts within half of one.
   double& reserve(CustomerId c, Lease& l) {
     const auto& t = at(book_.terms, l.plan);
     const auto found = l.reserves.find(l.window);
@@ -501,15 +504,15 @@
   // limit, so that nothing is missing from the window's own count wherever the customer comes; each gateway
   // takes what was asked for here in a window and some more, an even part at most. Not for one of which
   // nothing but one request was ever seen, here or in its count. It costs a call for each window, customer
-  // and gateway, and may let in twice the limit in a window without a ceiling in which an outage begins or
-  // ends.
+  // and gateway, so none is made near a sign of a line at the counter, and it may let in twice the limit in a
+  // window without a ceiling in which an outage begins or ends.
   void lease_reserves(CustomerId c, Lease& l) {
     const auto& t = at(book_.terms, l.plan);
     const double asked = std::max(l.pace, l.asked);
     const bool known = l.pace > 0 || l.asked > l.units || l.total > l.now.added + kCountSlop;
     const double part = std::floor(t.limit / l.gateways);
     if (!set_.counter || !known || book_.pace.strikes > 0 || asked < kAheadPace * l.units || part < l.units ||
-        !book_.pace.spare())
+        !book_.pace.spare() || now_ < book_.pace.crowded_at + kCalm)
       return;
     const double wanted = std::max(std::ceil(asked * kAheadPart), kQuantumRequests * l.units);
     const double quantum = std::min(wanted, part);
@@ -553,9 +556,10 @@
   void credit_reserve(const Call& done, const CountAnswer& e, Lease& l) {
     const double limit = at(book_.terms, l.plan).limit;
     auto& u = l.reserves[done.window];
-    if (e.outcome != CountOutcome::ok) {
-      if (e.outcome == CountOutcome::added) u.owed = done.quantum;
-      return;  // one that timed out may have been added, and is left there
+    if (e.outcome != CountOutcome::ok) {  // one that timed out may have been added, and is left there
+      if (e.outcome != CountOutcome::timeout)
+        u.owed = e.outcome == CountOutcome::added ? done.quantum : done.quantum - done.amount;
+      return;
     }
     const double excess = std::clamp(e.total - limit, 0.0, done.quantum);
     u.held += done.quantum - excess;
