Hear of lost counts from the store; ceiling windows begun before grant nothing more

Need: a store that can see that it came back empty or with older counts had no word for it; a node with no contribution of its own in a window took the new count for the whole. Change: event CountsLost; an answer under a ceiling for a window that began before a loss closes the window.

--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -179,12 +179,18 @@
   Duration took{};
 };
 
+// The store of counts has come back empty or with older counts, by what the host can see of it: counts of windows that
+// began until then are not to be relied on.
+struct CountsLost {
+  Time at{};
+};
+
 struct PeerMessage {  // accepted and passed over: gateways learn of each other by the counter alone
   std::uint32_t from = 0;
 };
 
 using Event = std::variant<ListUpdate, Arrival, AttemptEnded, StreamStarted, ProbeEnded, TimerDue, ClientGone,
-                           CountAnswer, PeerMessage>;
+                           CountAnswer, CountsLost, PeerMessage>;
 
 // ---- Actions: what the host must do, in the given order -----------------------------------------
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -444,10 +444,14 @@
     return std::max(scaled(set_.counter_timeout, kCounterRetry), now_ - book_.pace.down_since);
   }
 
+  bool begun_before_loss(CustomerId c, const Terms& t, std::int64_t window) const {
+    return book_.window_end(c, t, window) - t.window <= book_.lost_at;
+  }
+
   void lease_more(CustomerId c, Lease& l) {
     const auto& t = at(book_.terms, l.plan);
     // After a loss of counts nobody knows what was leased: windows begun before it stay shut for ceilings.
-    if (t.ceiling && book_.window_end(c, t, l.window) - t.window <= book_.lost_at) {
+    if (t.ceiling && begun_before_loss(c, t, l.window)) {
       l.now.shut = now_ + until_roll(c, l);
       return settle_waiting(c, l);
     }
@@ -533,7 +537,7 @@
     const bool was_down = pace.down();
     pace.learn(now_, e.outcome, e.took);
     if (was_down != pace.down()) log(was_down ? "counter answers again" : "counter held to be down");
-    if (was_down && !pace.down() && now_ > pace.down_since + kRestarted) lost_counts();
+    if (was_down && !pace.down() && now_ > pace.down_since + kRestarted) lost_counts(now_);
     if (!book_.leases.contains(done.customer)) return;
     auto& l = book_.leases[done.customer];
     book_.roll(now_, done.customer, l);
@@ -547,8 +551,14 @@
   }
 
   // Windows under a ceiling stay shut that began before; of their reserves nobody knows the counts any more.
-  void lost_counts() {
-    book_.lost_at = now_;
+  void on(const CountsLost& e) {
+    if (e.at <= book_.lost_at || e.at < now_ - kLongestCount) return;  // or of no window that may be open
+    log("counts are lost, says the store");
+    lost_counts(std::min(e.at, now_));
+  }
+
+  void lost_counts(Time since) {
+    book_.lost_at = since;
     for (auto& [c, l] : book_.leases)
       if (at(book_.terms, l.plan).ceiling) l.reserves.clear();
   }
@@ -582,12 +592,16 @@
     const double before = u.added;
     u.added += done.amount;
     double total = e.total;
+    if (t.ceiling && begun_before_loss(done.customer, t, done.window)) {  // the count may have begun anew
+      u.shut = book_.window_end(done.customer, t, done.window);
+      return;
+    }
     const double slop = kUnitSlop * std::max(1.0, std::abs(e.total)) + kUnitSlop;
     if (total < u.added - slop - kCountSlop) {  // the counter came back without its counts
       // What was last seen before a loss that is known went with it, and tells of no other.
       if (u.seen_at >= book_.lost_at) {
         if (book_.lost_at < now_ - kSweep) log("counter lost its counts");
-        lost_counts();
+        lost_counts(now_);
       }
       if (t.ceiling) {
         u.shut = book_.window_end(done.customer, t, done.window);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -193,6 +193,37 @@
   EXPECT_TRUE(h.has<Send>());
 }
 
+TEST(Leases, WordOfLostCountsClosesCeilingWindowsBegunBefore) {
+  Host h;
+  h.servers(2);
+  h.ask(1, 0, 1, 1);
+  const auto call = h.all<AddToCount>().at(0);
+  h.give(CountsLost{h.now});
+  h.count(call, call.amount);  // it may be of a count that began anew
+  EXPECT_FALSE(h.has<Send>());
+  ASSERT_TRUE(h.has<Refuse>());
+  const auto wait = h.all<Refuse>()[0].retry_after;
+  h.ask(1, 0, 1, 1);
+  EXPECT_FALSE(h.has<AddToCount>());
+  EXPECT_TRUE(h.has<Refuse>());
+  h.ask(2);  // no ceiling: it goes on
+  EXPECT_TRUE(h.has<AddToCount>());
+  h.now += wait;
+  h.ask(1, 0, 1, 1);
+  ASSERT_TRUE(h.has<AddToCount>());  // the next window
+  const auto next = h.all<AddToCount>().back();  // before it, some is leased ahead
+  h.give(CountsLost{h.now - wait});  // told late, of what is known
+  h.count(next, next.amount);
+  EXPECT_TRUE(h.has<Send>());
+}
+TEST(Leases, WordOfALossLongAgoClosesNothing) {
+  Host h;
+  h.now += 5h;
+  h.servers(2);
+  h.give(CountsLost{h.now - 2h});
+  h.ask(1, 0, 1, 1);
+  ASSERT_TRUE(h.has<AddToCount>());
+}
 TEST(Leases, ACounterThatLostItsCountsClosesACeilingWindow) {
   Host h;
   h.servers(2);
