--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -30,16 +30,11 @@
 using snowknot::Clients;
 using snowknot::error_code;
 using snowknot::note;
+using snowknot::shown;
 using snowknot::Tcp;
 
 constexpr std::chrono::milliseconds kReadyPoll{20}, kEndAfterChannel{200};
 
-std::string shown(const Tcp::endpoint& at) {
-  std::ostringstream text;
-  text << at;
-  return text.str();
-}
-
 // Words between a process and its successor: one a message, over a Unix socket that keeps messages apart.
 class Channel {
  public:
@@ -436,7 +431,7 @@
   snowknot::StoreFactory store;
   try {
     platform.emplace(snowknot::read_node_config(options.platform_config));
-    store = redis::store_factory(options.config, platform->seed);
+    store = redis::store_factory(options.config, platform->seed, platform->counter);
   } catch (const std::exception& x) {
     note(std::string("docklift: ") + x.what());
     return ExitCode::config;
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -6,18 +6,9 @@
 namespace docklift {
 
 using snowknot::error_code;
+using snowknot::shown;
 using snowknot::Tcp;
 
-namespace {
-
-std::string shown(const Tcp::endpoint& at) {
-  std::ostringstream text;
-  text << at;
-  return text.str();
-}
-
-}  // namespace
-
 // ---- Listeners ------------------------------------------------------------------------------------------
 
 void ListenPart::prepare(const Config& next, Done done) {
--- a/src/node/net.hpp
+++ b/src/node/net.hpp
@@ -10,6 +10,8 @@
 #include <iostream>
 #include <map>
 #include <optional>
+#include <sstream>
+#include <string>
 #include <string_view>
 
 #include "snowknot/gateway.hpp"
@@ -24,6 +26,13 @@
 
 inline void note(std::string_view text) { std::cerr << text << '\n'; }
 
+// ADDRESS:PORT as configurations have it.
+inline std::string shown(const Tcp::endpoint& at) {
+  std::ostringstream text;
+  text << at;
+  return text.str();
+}
+
 // Closes at once; what the peer has not read yet may be lost.
 inline void close_now(Socket& socket) {
   error_code ignored;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -34,7 +34,7 @@
   const auto& settings = config_.named.settings;
   const auto told = [this](const CountAnswer& a) { happened(a); };
   if (settings.counter && store)
-    counter_ = store(io, timers_, settings.counter_timeout, told);
+    counter_ = store(io, timers_, settings.counter_timeout, told, [this](const CountsLost& e) { happened(e); });
   else if (settings.counter && config_.counter)
     counter_ = std::make_unique<Counter>(io, timers_, *config_.counter, settings.counter_timeout, told);
 }
--- a/src/redis/counts.cpp
+++ b/src/redis/counts.cpp
@@ -51,6 +51,15 @@
          command({"INCRBY", key, std::to_string(parts)}) + command({"EXEC"});
 }
 
+std::int64_t milliseconds_of(snowknot::Duration lifetime) {
+  return std::max<std::int64_t>(std::chrono::ceil<std::chrono::milliseconds>(lifetime).count(), 1);
+}
+
+bool is_redirect(std::string_view error) {
+  const auto word = error.substr(0, error.find(' '));
+  return word == "MOVED" || word == "ASK" || word == "TRYAGAIN" || word == "CLUSTERDOWN";
+}
+
 Added added_after(std::string_view error) {
   const auto word = error.substr(0, error.find(' '));
   return std::ranges::find(kNotAdded, word) != kNotAdded.end() ? Added::no : Added::maybe;
--- a/src/redis/counts.hpp
+++ b/src/redis/counts.hpp
@@ -28,6 +28,11 @@
 std::string add_command(std::string_view key, std::int64_t parts, std::int64_t milliseconds);
 inline constexpr std::size_t kRepliesOfAdd = 4;
 
+std::int64_t milliseconds_of(snowknot::Duration lifetime);  // rounded up, 1 at least
+
+// A cluster's words for "not here, not now": MOVED, ASK, TRYAGAIN, CLUSTERDOWN.
+bool is_redirect(std::string_view error);
+
 // What an error says of the call that it answers. Those in the table are told before anything runs.
 enum class Added { no, maybe };
 Added added_after(std::string_view error);
--- a/src/redis/redis_store.cpp
+++ b/src/redis/redis_store.cpp
@@ -16,157 +16,147 @@
 
 }  // namespace
 
-class RedisStore::Link : public std::enable_shared_from_this<Link> {
+class RedisStore::Links : public std::enable_shared_from_this<Links> {
  public:
-  Link(snowknot::asio::io_context& io, snowknot::Timers& timers, const StoreOptions& options, std::uint64_t seed,
-       Told told)
-      : timers_(timers), options_(options), session_(options.session), told_(std::move(told)),
-        socket_(io.get_executor()), random_(seed) {}
-
-  bool tried() const { return tried_; }
-
-  void connect() {
-    const auto life = ++life_;
-    timers_.cancel(guard_);
-    guard_ = timers_.after(options_.connect_limit, [self = shared_from_this()] {
-      self->guard_.reset();
-      self->lose("no connection came up");
-    });
-    socket_.async_connect(options_.address, [self = shared_from_this(), life](const error_code& failed) {
-      if (life != self->life_) return;
-      if (failed) return self->lose(failed.message());
-      self->timers_.cancel(self->guard_);
-      snowknot::set_no_delay(self->socket_);
-      self->connected_ = true;
-      self->written_ = 0;
-      self->session_.connected(self->timers_.now());
-      self->read();
-      self->settle();
-    });
-  }
+  Links(snowknot::asio::io_context& io, snowknot::Timers& timers, ClientOptions options, Told told, Lost lost)
+      : io_(io), timers_(timers), client_(std::move(options), timers.now()), told_(std::move(told)),
+        lost_(std::move(lost)) {}
 
-  void add(snowknot::CountName name, double amount, Duration lifetime) {
-    session_.add(timers_.now(), name, amount, lifetime);
-    settle();
+  Client& client() { return client_; }
+  snowknot::Time now() const { return timers_.now(); }
+
+  // After each event: what the client wants is done, and its timer is set. Answers may bring on calls, whose actions are
+  // carried out by the same loop.
+  void settle() {
+    if (std::exchange(settling_, true)) return;
+    for (auto all = client_.actions(); !all.empty() && !stopped_; all = client_.actions())
+      for (auto& a : all) {
+        if (stopped_) break;
+        std::visit([this](auto& x) { carry_out(x); }, a);
+      }
+    settling_ = false;
+    if (!stopped_) arm();
   }
 
   void stop() {
-    ++life_;
     stopped_ = true;
-    timers_.cancel(guard_), timers_.cancel(tick_);
-    snowknot::close_now(socket_);
+    timers_.cancel(tick_);
+    for (auto& [id, l] : links_) snowknot::close_now(l->socket);
+    links_.clear();
   }
 
  private:
-  // After each event: write what is to be written, tell what is to be told, end what is of no use, set the timer.
-  void settle() {
-    if (connected_ && session_.broken()) return lose(session_.why());
-    if (session_.up()) {
-      if (!std::exchange(was_up_, true)) note("redis: connected, protocol " + std::to_string(session_.protocol()));
-      tried_ = true;
-      if (session_.answered()) back_off_ = {};  // only an answer shows that the store is well
-    }
-    if (connected_) write();
-    for (const auto& a : session_.answers()) told_(a);
-    if (!stopped_) arm();
+  struct Link {
+    explicit Link(snowknot::asio::io_context& io) : socket(io.get_executor()) {}
+    snowknot::Socket socket;
+    std::array<char, 16 * 1024> space{};
+    std::string out, writing;
+    std::size_t written = 0;
+    bool open = true;
+  };
+  using LinkPtr = std::shared_ptr<Link>;
+
+  void carry_out(const Open& a) {
+    const auto l = std::make_shared<Link>(io_);
+    links_[a.link] = l;
+    l->socket.async_connect(a.to, [self = shared_from_this(), l, id = a.link](const error_code& failed) {
+      if (!l->open) return;
+      if (failed) return self->ended(id, failed);
+      snowknot::set_no_delay(l->socket);
+      self->client_.opened(self->now(), id);
+      self->settle();
+      self->read(id, l);
+    });
+  }
+  void carry_out(const Close& a) {
+    const auto it = links_.find(a.link);
+    if (it == links_.end()) return;
+    it->second->open = false;
+    snowknot::close_now(it->second->socket);
+    links_.erase(it);
+  }
+  void carry_out(const Write& a) {
+    const auto it = links_.find(a.link);
+    if (it == links_.end()) return;
+    it->second->out += a.text;
+    write(a.link, it->second);
+  }
+  void carry_out(const Note& a) { note(a.text); }
+  void carry_out(const snowknot::CountAnswer& a) { told_(a); }
+  void carry_out(const snowknot::CountsLost& a) { lost_(a); }
+
+  void write(LinkId id, const LinkPtr& l) {
+    if (!l->writing.empty() || l->out.empty()) return;
+    l->writing.swap(l->out);
+    snowknot::asio::async_write(l->socket, snowknot::asio::buffer(l->writing),
+                                [self = shared_from_this(), l, id](const error_code& failed, std::size_t n) {
+                                  if (!l->open) return;
+                                  l->written += n;
+                                  l->writing.clear();
+                                  self->client_.written(self->now(), id, l->written);
+                                  if (failed) return self->ended(id, failed);
+                                  self->write(id, l);
+                                  self->settle();
+                                });
+  }
+
+  void read(LinkId id, const LinkPtr& l) {
+    if (!l->open) return;
+    l->socket.async_read_some(snowknot::asio::buffer(l->space),
+                              [self = shared_from_this(), l, id](const error_code& failed, std::size_t n) {
+                                if (!l->open) return;
+                                if (failed) return self->ended(id, failed);
+                                self->client_.received(self->now(), id, {l->space.data(), n});
+                                self->settle();
+                                self->read(id, l);
+                              });
+  }
+
+  void ended(LinkId id, const error_code& why) {
+    client_.ended(now(), id, why.message());
+    settle();
   }
 
   void arm() {
-    const auto due = session_.due();
+    const auto due = client_.due();
     if (due == armed_ && tick_) return;
     timers_.cancel(tick_);
     armed_ = due;
     if (due)
       tick_ = timers_.at(*due, [self = shared_from_this()] {
         self->tick_.reset();
-        self->session_.tick(self->timers_.now());
+        self->client_.tick(self->now());
         self->settle();
       });
   }
 
-  void write() {
-    if (!writing_.empty()) return;
-    writing_ = session_.output();
-    if (writing_.empty()) return;
-    snowknot::asio::async_write(socket_, snowknot::asio::buffer(writing_),
-                                [self = shared_from_this(), life = life_](const error_code& failed, std::size_t n) {
-                                  if (life != self->life_) return;
-                                  self->written_ += n;
-                                  self->session_.written(self->written_);
-                                  self->writing_.clear();
-                                  if (failed) return self->lose(failed.message());
-                                  self->settle();
-                                });
-  }
-
-  void read() {
-    socket_.async_read_some(snowknot::asio::buffer(space_),
-                            [self = shared_from_this(), life = life_](const error_code& failed, std::size_t n) {
-                              if (life != self->life_) return;
-                              if (failed) return self->lose(failed.message());
-                              self->session_.received(self->timers_.now(), {self->space_.data(), n});
-                              self->settle();
-                              if (life == self->life_) self->read();
-                            });
-  }
-
-  void lose(const std::string& why) {
-    if (stopped_) return;
-    ++life_;
-    tried_ = true;
-    connected_ = was_up_ = false;
-    snowknot::close_now(socket_);
-    writing_.clear();
-    session_.lost(timers_.now());
-    back_off_ = std::clamp(2 * back_off_, options_.first_back_off, options_.longest_back_off);
-    // Half of it by chance, so that a fleet doesn't come back all at once.
-    const double part = std::uniform_real_distribution<>(0.5, 1)(random_);
-    const auto pause = Duration(static_cast<Duration::rep>(part * static_cast<double>(back_off_.count())));
-    note("redis: " + why + "; again in " +
-         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(pause).count()) + " ms");
-    timers_.cancel(guard_);
-    guard_ = timers_.after(pause, [self = shared_from_this()] {
-      self->guard_.reset();
-      self->connect();
-    });
-    settle();
-  }
-
+  snowknot::asio::io_context& io_;
   snowknot::Timers& timers_;
-  StoreOptions options_;
-  Session session_;
+  Client client_;
   Told told_;
-  snowknot::Socket socket_;
-  std::mt19937_64 random_;
-  std::uint64_t life_ = 0;  // number of the connection
-  std::size_t written_ = 0;
-  std::string writing_;
-  std::array<char, 16 * 1024> space_{};
-  snowknot::Timers::Handle guard_, tick_;
+  Lost lost_;
+  std::map<LinkId, LinkPtr> links_;
+  snowknot::Timers::Handle tick_;
   std::optional<snowknot::Time> armed_;
-  Duration back_off_{};
-  bool connected_ = false, was_up_ = false, tried_ = false, stopped_ = false;
+  bool settling_ = false, stopped_ = false;
 };
 
-RedisStore::RedisStore(snowknot::asio::io_context& io, snowknot::Timers& timers, StoreOptions options, Told told) {
-  options.session.call_limit = options.call_limit;
-  options.session.silence_limit = kSilentCalls * options.call_limit;
-  for (std::size_t i = 0; i < options.connections; ++i) {
-    links_.push_back(std::make_shared<Link>(io, timers, options, options.seed + i, told));
-    links_.back()->connect();
-  }
+RedisStore::RedisStore(snowknot::asio::io_context& io, snowknot::Timers& timers, ClientOptions options,
+                       Duration call_limit, Told told, Lost lost) {
+  options.session.call_limit = call_limit;
+  options.session.silence_limit = kSilentCalls * call_limit;
+  links_ = std::make_shared<Links>(io, timers, std::move(options), std::move(told), std::move(lost));
+  links_->settle();
 }
 
-RedisStore::~RedisStore() {
-  for (const auto& l : links_) l->stop();
-}
+RedisStore::~RedisStore() { links_->stop(); }
 
 void RedisStore::add(snowknot::CountName name, double amount, Duration lifetime) {
-  links_[static_cast<std::uint64_t>(name) % links_.size()]->add(name, amount, lifetime);  // names are well mixed
+  links_->client().add(links_->now(), name, amount, lifetime);
+  links_->settle();
 }
 
-bool RedisStore::tried() const {
-  return std::ranges::all_of(links_, [](const auto& l) { return l->tried(); });
-}
+bool RedisStore::tried() const { return links_->client().tried(); }
+const Client& RedisStore::client() const { return links_->client(); }
 
 }  // namespace docklift::redis
--- a/src/redis/session.cpp
+++ b/src/redis/session.cpp
@@ -22,6 +22,7 @@
   put_ = written_ = 0;
   heard_ = asked_ = now;
   answered_ = false;
+  held_ = options_.held;
   protocol_ = 2;
   shake(options_.resp3 ? Stage::hello : Stage::auth);
 }
@@ -75,30 +76,58 @@
 
 void Session::add(Time now, snowknot::CountName name, double amount, Duration lifetime) {
   Call c;
-  c.name = name, c.began = now;
+  c.count.name = name, c.count.began = now;
   const auto parts = to_parts(amount);
-  if (!parts || calls() >= options_.most_calls) return tell(now, c, CountOutcome::refused);
-  const auto ms = std::chrono::ceil<std::chrono::milliseconds>(lifetime).count();
-  c.text = add_command(key_of(options_.prefix, name), *parts, std::max<std::int64_t>(ms, 1));
+  if (!parts) return tell(now, c, CountOutcome::refused);
+  c.count.parts = *parts, c.count.milliseconds = milliseconds_of(lifetime);
+  add(now, std::move(c.count));
+}
+
+void Session::add(Time now, CountCall call) {
+  Call c;
+  c.count = std::move(call), c.asking = c.count.asking;
+  if (calls() >= options_.most_calls) return tell(now, c, CountOutcome::refused);
+  mixed_ = calls() > 0 && (mixed_ || c.count.hops > 0);
   waiting_.push_back(std::move(c));
   flush();
 }
 
+void Session::ask(Time now, std::string_view text, std::size_t count, std::uint64_t tag) {
+  if (stage_ != Stage::up || broken()) return asked_for_.push_back({tag, now, {}});
+  if (count == 0) return put(text);
+  Call c;
+  c.kind = Kind::ask, c.left = count, c.count.began = now;
+  c.asked.tag = tag, c.asked.sent = now;
+  sent(now, std::move(c), text);
+}
+
+void Session::sent(Time now, Call c, std::string_view text) {
+  if (sent_.empty()) asked_ = std::max(asked_, now);
+  put(text);
+  c.end = put_;
+  sent_.push_back(std::move(c));
+}
+
+void Session::release(Time now) {
+  if (!std::exchange(held_, false)) return;
+  heard_ = std::max(heard_, now);
+  flush();
+}
+
 void Session::flush() {
-  if (stage_ != Stage::up || !leaving_.empty()) return;
+  if (!up() || !leaving_.empty()) return;
   for (; !waiting_.empty(); waiting_.pop_front()) {
     auto& c = waiting_.front();
-    if (sent_.empty()) asked_ = std::max(asked_, c.began);
-    put(c.text);
-    c.text.clear();
-    c.end = put_;
-    sent_.push_back(std::move(c));
+    std::string text = c.asking ? command({"ASKING"}) : std::string();
+    text += add_command(key_of(options_.prefix, c.count.name), c.count.parts, c.count.milliseconds);
+    const auto began = c.count.began;
+    sent(began, std::move(c), text);
   }
 }
 
 void Session::tell(Time now, Call& c, CountOutcome outcome, double total) {
-  if (c.ping || std::exchange(c.told, true)) return;
-  answers_.push_back({c.name, outcome, total, now - c.began});
+  if (c.kind != Kind::add || std::exchange(c.told, true)) return;
+  answers_.push_back({c.count.name, outcome, total, now - c.count.began});
 }
 
 void Session::received(Time now, std::string_view bytes) {
@@ -114,46 +143,73 @@
 }
 
 void Session::take(Time now, const Reply& r) {
-  if (r.kind == Reply::Kind::push) return;  // belongs to no command
+  if (r.kind == Reply::Kind::push) {  // belongs to no command
+    if (pushes_.size() < options_.most_calls) pushes_.push_back(r);
+    return;
+  }
   if (stage_ != Stage::up) return take_handshake(r);
   if (sent_.empty()) {
     broken_ = "a reply to nothing";
     return;
   }
   auto& c = sent_.front();
-  if (!c.ping && !c.replies.take(r)) return;
-  if (!c.ping) {
-    const auto& all = c.replies;
-    answered_ = answered_ || all.outcome() == CountOutcome::ok;
-    tell(now, c, all.outcome(), all.total());
-    // One that was sent to the wrong place, or may not be done with these rights: a new connection may do better.
-    if (all.error().starts_with("READONLY") || all.error().starts_with("NOAUTH")) leaving_ = all.error();
+  if (std::exchange(c.asking, false)) return;  // what ASKING is answered; a refused one shows in the replies behind it
+  switch (c.kind) {
+    case Kind::ping: break;
+    case Kind::ask:
+      c.asked.replies.push_back(r);
+      if (--c.left > 0) return;
+      asked_for_.push_back(std::move(c.asked));
+      break;
+    case Kind::add:
+      if (!c.replies.take(r)) return;
+      take_add(now, c);
   }
   sent_.pop_front();
   asked_ = now;
   if (sent_.empty() && !leaving_.empty()) broken_ = leaving_;
 }
 
+void Session::take_add(Time now, Call& c) {
+  const auto& all = c.replies;
+  answered_ = answered_ || all.outcome() == CountOutcome::ok;
+  if (options_.redirects && !c.told && all.outcome() == CountOutcome::refused && is_redirect(all.error())) {
+    c.told = true;
+    turned_.emplace_back(std::move(c.count), all.error());
+    return;
+  }
+  tell(now, c, all.outcome(), all.total());
+  // One that was sent to the wrong place, or may not be done with these rights: a new connection may do better.
+  if (all.error().starts_with("READONLY") || all.error().starts_with("NOAUTH")) leaving_ = all.error();
+}
+
 void Session::written(std::size_t bytes) { written_ = std::max(written_, bytes); }
 
 void Session::lost(Time now) {
   stage_ = Stage::down;
   out_.clear();
   // A call of which EXEC was not written whole is discarded by the server.
-  for (auto& c : std::exchange(sent_, {}))
+  for (auto& c : std::exchange(sent_, {})) {
+    if (c.kind == Kind::ask) asked_for_.push_back({c.asked.tag, c.asked.sent, {}});
     tell(now, c, c.end > written_ ? CountOutcome::refused : CountOutcome::timeout);
+  }
   for (auto& c : std::exchange(waiting_, {})) tell(now, c, CountOutcome::refused);
+  mixed_ = false;
 }
 
 void Session::tick(Time now) {
   // One that was never given to the connection is taken back.
-  while (!waiting_.empty() && now >= waiting_.front().began + options_.call_limit) {
-    tell(now, waiting_.front(), CountOutcome::refused);
-    waiting_.pop_front();
+  const auto over = [&](const Call& c) { return now >= c.count.began + options_.call_limit; };
+  if (mixed_) {
+    for (auto& c : waiting_)
+      if (over(c)) tell(now, c, CountOutcome::refused);
+    std::erase_if(waiting_, [](const Call& c) { return c.told; });
   }
+  for (; !waiting_.empty() && over(waiting_.front()); waiting_.pop_front())
+    tell(now, waiting_.front(), CountOutcome::refused);
   for (auto& c : sent_) {
-    if (now < c.began + options_.call_limit) break;
-    tell(now, c, CountOutcome::timeout);
+    if (!over(c) && !mixed_) break;
+    if (over(c)) tell(now, c, CountOutcome::timeout);
   }
   if (stage_ == Stage::down || broken()) return;
   const bool owed = stage_ != Stage::up || !sent_.empty();
@@ -161,19 +217,24 @@
     broken_ = "silent";
   } else if (!owed && now >= heard_ + options_.idle_limit) {
     Call c;
-    c.ping = true, c.began = now, c.text = command({"PING"});
+    c.kind = Kind::ping, c.count.began = now;
     asked_ = now;
-    waiting_.push_back(std::move(c));
-    flush();
+    sent(now, std::move(c), command({"PING"}));
   }
 }
 
 std::optional<Time> Session::due() const {
   std::optional<Time> at;
   const auto wanted = [&](Time t) { at = at ? std::min(*at, t) : t; };
-  if (!waiting_.empty()) wanted(waiting_.front().began + options_.call_limit);
-  if (const auto it = std::ranges::find_if(sent_, [](const Call& c) { return !c.told && !c.ping; }); it != sent_.end())
-    wanted(it->began + options_.call_limit);
+  const auto first = [&](const std::deque<Call>& calls) {
+    for (const auto& c : calls) {
+      if (c.told || c.kind != Kind::add) continue;
+      wanted(c.count.began + options_.call_limit);
+      if (!mixed_) return;
+    }
+  };
+  first(waiting_);
+  first(sent_);
   if (stage_ != Stage::down && !broken()) {
     const bool owed = stage_ != Stage::up || !sent_.empty();
     wanted(owed ? std::max(heard_, asked_) + options_.silence_limit : heard_ + options_.idle_limit);
@@ -183,5 +244,8 @@
 
 std::string Session::output() { return std::exchange(out_, {}); }
 std::vector<snowknot::CountAnswer> Session::answers() { return std::exchange(answers_, {}); }
+std::vector<std::pair<CountCall, std::string>> Session::turned_away() { return std::exchange(turned_, {}); }
+std::vector<Asked> Session::asked() { return std::exchange(asked_for_, {}); }
+std::vector<Reply> Session::pushes() { return std::exchange(pushes_, {}); }
 
 }  // namespace docklift::redis
--- a/src/store/count_store.hpp
+++ b/src/store/count_store.hpp
@@ -14,6 +14,7 @@
 class CountStore {
  public:
   using Told = std::function<void(const CountAnswer&)>;
+  using Lost = std::function<void(const CountsLost&)>;  // for a store that can see that
 
   virtual ~CountStore() = default;
   // Adds to a count, whose name lives for `lifetime` from its first call on. Exactly one CountAnswer comes of each
@@ -26,6 +27,7 @@
 };
 
 // Makes the store of a node that has another than the platform's counter. The settings' time-out for a call is given.
-using StoreFactory = std::function<std::unique_ptr<CountStore>(asio::io_context&, Timers&, Duration, CountStore::Told)>;
+using StoreFactory = std::function<std::unique_ptr<CountStore>(asio::io_context&, Timers&, Duration, CountStore::Told,
+                                                               CountStore::Lost)>;
 
 }  // namespace snowknot
--- a/standins/platform/platform.cpp
+++ b/standins/platform/platform.cpp
@@ -14,6 +14,7 @@
 
 namespace http = boost::beast::http;
 using snowknot::error_code;
+using snowknot::shown;
 using snowknot::Tcp;
 using nlohmann::json;
 using async::into;
@@ -22,12 +23,6 @@
 namespace {
 
 
-std::string shown(const Tcp::endpoint& at) {
-  std::ostringstream text;
-  text << at;
-  return text.str();
-}
-
 std::int64_t unix_ms() {
   return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
--- a/standins/redis/database.cpp
+++ b/standins/redis/database.cpp
@@ -1,5 +1,7 @@
 #include "database.hpp"
 
+#include "cluster.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -50,17 +52,21 @@
 struct Shape {
   std::size_t least, most;
   bool writes = false, grows = false;
+  // Words that are keys: the first, all, or none.
+  enum class Keys { none, one, all } keys = Keys::one;
 };
 constexpr std::size_t kMany = 1'000'000;
 const std::map<std::string, Shape>& shapes() {
   static const std::map<std::string, Shape> all{
-      {"GET", {2, 2}}, {"SET", {3, kMany, true, true}}, {"DEL", {2, kMany, true}}, {"UNLINK", {2, kMany, true}},
-      {"EXISTS", {2, kMany}}, {"TYPE", {2, 2}}, {"INCR", {2, 2, true, true}}, {"DECR", {2, 2, true, true}},
+      {"GET", {2, 2}}, {"SET", {3, kMany, true, true}}, {"DEL", {2, kMany, true, false, Shape::Keys::all}},
+      {"UNLINK", {2, kMany, true, false, Shape::Keys::all}}, {"EXISTS", {2, kMany, false, false, Shape::Keys::all}}, {"TYPE", {2, 2}}, {"INCR", {2, 2, true, true}}, {"DECR", {2, 2, true, true}},
       {"INCRBY", {3, 3, true, true}}, {"DECRBY", {3, 3, true, true}}, {"INCRBYFLOAT", {3, 3, true, true}},
       {"EXPIRE", {3, 4, true}}, {"PEXPIRE", {3, 4, true}}, {"PERSIST", {2, 2, true}}, {"TTL", {2, 2}}, {"PTTL", {2, 2}},
-      {"MGET", {2, kMany}}, {"HSET", {4, kMany, true, true}}, {"HGET", {3, 3}}, {"HINCRBY", {4, 4, true, true}},
-      {"HGETALL", {2, 2}}, {"SCAN", {2, kMany}}, {"KEYS", {2, 2}}, {"DBSIZE", {1, 1}}, {"FLUSHALL", {1, 2, true}},
-      {"FLUSHDB", {1, 2, true}}, {"TIME", {1, 1}}};
+      {"MGET", {2, kMany, false, false, Shape::Keys::all}}, {"HSET", {4, kMany, true, true}}, {"HGET", {3, 3}}, {"HINCRBY", {4, 4, true, true}},
+      {"HGETALL", {2, 2}}, {"SCAN", {2, kMany, false, false, Shape::Keys::none}},
+      {"KEYS", {2, 2, false, false, Shape::Keys::none}}, {"DBSIZE", {1, 1, false, false, Shape::Keys::none}},
+      {"FLUSHALL", {1, 2, true, false, Shape::Keys::none}}, {"FLUSHDB", {1, 2, true, false, Shape::Keys::none}},
+      {"TIME", {1, 1, false, false, Shape::Keys::none}}};
   return all;
 }
 
@@ -161,11 +167,48 @@
 void Database::restart_empty() {
   databases_.clear();
   undo_.clear();
+  new_life();
+}
+
+void Database::new_life() {
   std::array<char, 48> id{};
-  std::snprintf(id.data(), id.size(), "%040llu", static_cast<unsigned long long>(++runs_));
+  std::snprintf(id.data(), id.size(), "%016llx%024llu", static_cast<unsigned long long>(options_.identity),
+                static_cast<unsigned long long>(++runs_));
   run_id_ = id.data();
 }
 
+void Database::forget_log(std::uint64_t until) {
+  for (; log_begin_ < until && !log_.empty(); ++log_begin_) log_.pop_front();
+}
+
+void Database::apply(const Logged& change) {
+  Client c;
+  c.authenticated = true, c.database = change.database;
+  execute_here(c, change.words, change.at);
+}
+
+void Database::copy_data(const Database& other) {
+  databases_ = other.databases_;
+  undo_.clear();
+}
+
+std::vector<std::string> Database::keys_in_slot(std::uint16_t slot, std::int64_t now) {
+  std::vector<std::string> found;
+  for (const auto& [k, e] : databases_[0])
+    if (Cluster::slot_of(k) == slot && (e.expires == 0 || e.expires > now)) found.push_back(k);
+  return found;
+}
+
+void Database::move_key(const std::string& key, Database& to, std::int64_t now) {
+  Client c;
+  const Words none;
+  const Call call{c, none, now};
+  if (const auto* e = find(call, key)) {
+    to.change({c, none, now}, key) = *e;
+    erase(call, key);
+  }
+}
+
 void Database::restart_from(std::int64_t now, std::int64_t ago) {
   while (!undo_.empty() && undo_.back().at > now - ago) {
     auto u = std::move(undo_.back());
@@ -200,7 +243,13 @@
   const Call call{client, words, now};
   if (!client.authenticated && name != "AUTH" && name != "HELLO" && name != "QUIT")
     return "-NOAUTH Authentication required.\r\n";
-  if (name == "EXEC") return run_multi(client, now);
+  if (cluster_)
+    if (auto reply = cluster_->command(index_, client, words, now)) return *reply;
+  if (name == "EXEC") {
+    auto reply = run_multi(client, now);
+    client.asking = false;
+    return reply;
+  }
   if (client.multi && name != "MULTI" && name != "DISCARD" && name != "WATCH" && name != "QUIT" && name != "RESET") {
     // What is wrong with a command is said when it is queued, and breaks the transaction.
     std::string refused;
@@ -211,7 +260,9 @@
       refused = arguments(name);
     else if (now < faults_.loading_until)
       refused = "-LOADING Redis is loading the dataset in memory\r\n";
-    else if (shape->second.writes && faults_.readonly)
+    else if (const auto where = elsewhere(client, {words}, now))
+      refused = *where;
+    else if (shape->second.writes && (faults_.readonly || (cluster_ && cluster_->is_replica(index_))))
       refused = "-READONLY You can't write against a read only replica.\r\n";
     else if (shape->second.grows && faults_.oom)
       refused = "-OOM command not allowed when used memory > 'maxmemory'.\r\n";
@@ -222,11 +273,38 @@
     client.queued.push_back(words);
     return "+QUEUED\r\n";
   }
-  if (auto reply = connection_command(call, name, known); known) return reply;
-  return execute(client, words, now);
+  if (auto reply = connection_command(call, name, known); known) {
+    if (!client.multi) client.asking = false;
+    return reply;
+  }
+  auto reply = execute(client, words, now);
+  client.asking = false;
+  return reply;
+}
+
+// MOVED, ASK and their like, where the keys of these commands don't lie here.
+std::optional<std::string> Database::elsewhere(const Client& client, const std::vector<Words>& commands, std::int64_t now) {
+  if (!cluster_ || !cluster_->has_slots()) return std::nullopt;
+  std::vector<std::string> keys;
+  bool writes = false;
+  for (const auto& words : commands) {
+    const auto shape = shapes().find(upper(words[0]));
+    if (shape == shapes().end() || shape->second.keys == Shape::Keys::none || words.size() < 2) continue;
+    writes = writes || shape->second.writes;
+    if (shape->second.keys == Shape::Keys::one)
+      keys.push_back(words[1]);
+    else
+      keys.insert(keys.end(), words.begin() + 1, words.end());
+  }
+  return cluster_->elsewhere(index_, keys, client, !writes, now);
 }
 
 std::string Database::execute(Client& client, const Words& words, std::int64_t now) {
+  if (auto reply = elsewhere(client, {words}, now)) return *reply;
+  return execute_here(client, words, now);
+}
+
+std::string Database::execute_here(Client& client, const Words& words, std::int64_t now) {
   const auto name = upper(words[0]);
   if (name == "PING") return words.size() > 1 ? bulk(words[1]) : "+PONG\r\n";
   if (name == "ECHO") return words.size() == 2 ? bulk(words[1]) : arguments(name);
@@ -235,9 +313,16 @@
   if (words.size() < shape->second.least || words.size() > shape->second.most) return arguments(name);
   if (faults_.busy) return "-BUSY Redis is busy running a script. You can only call SCRIPT KILL or SHUTDOWN NOSAVE.\r\n";
   if (now < faults_.loading_until) return "-LOADING Redis is loading the dataset in memory\r\n";
-  if (shape->second.writes && faults_.readonly) return "-READONLY You can't write against a read only replica.\r\n";
+  const bool replica = cluster_ && cluster_->is_replica(index_) && client.id != 0;  // 0: its own master
+  if (shape->second.writes && (faults_.readonly || replica))
+    return "-READONLY You can't write against a read only replica.\r\n";
   if (shape->second.grows && faults_.oom) return "-OOM command not allowed when used memory > 'maxmemory'.\r\n";
-  return key_command({client, words, now}, name);
+  auto reply = key_command({client, words, now}, name);
+  if (cluster_ && shape->second.writes && !reply.starts_with('-') && client.id != 0) {
+    log_.push_back({now, client.database, words});
+    cluster_->logged(index_, now);
+  }
+  return reply;
 }
 
 std::string Database::run_multi(Client& client, std::int64_t now) {
@@ -247,10 +332,11 @@
   client.multi = false;
   if (std::exchange(client.broken_multi, false))
     return "-EXECABORT Transaction discarded because of previous errors.\r\n";
+  if (auto reply = elsewhere(client, queued, now)) return *reply;
   for (const auto& [where, version] : watched)
     if (version_of(where.first, where.second, now) != version) return client.protocol == 3 ? "_\r\n" : "*-1\r\n";
   std::vector<std::string> replies;
-  for (const auto& words : queued) replies.push_back(execute(client, words, now));
+  for (const auto& words : queued) replies.push_back(execute_here(client, words, now));
   return array(replies);
 }
 
@@ -285,14 +371,21 @@
            "<pass> option can be used to authenticate the client and select the RESP protocol version at the same time\r\n";
   c.client.protocol = protocol, c.client.name = name, c.client.authenticated = true;
   return map(c.client, {bulk("server"), bulk("redis"), bulk("version"), bulk("7.0.0"), bulk("proto"), integer(protocol),
-                        bulk("id"), integer(static_cast<std::int64_t>(c.client.id)), bulk("mode"), bulk("standalone"),
-                        bulk("role"), bulk(faults_.readonly ? "replica" : "master"), bulk("modules"), array({})});
+                        bulk("id"), integer(static_cast<std::int64_t>(c.client.id)), bulk("mode"), bulk(mode()),
+                        bulk("role"), bulk(is_replica() ? "replica" : "master"), bulk("modules"), array({})});
+}
+
+bool Database::is_replica() const { return faults_.readonly || (cluster_ && cluster_->is_replica(index_)); }
+
+std::string Database::mode() const {
+  return !cluster_ ? "standalone" : cluster_->is_sentinel(index_) ? "sentinel" : cluster_->has_slots() ? "cluster" : "standalone";
 }
 
 std::string Database::info() const {
-  return "# Server\r\nredis_version:7.0.0\r\nredis_mode:standalone\r\nrun_id:" + run_id_ +
+  return "# Server\r\nredis_version:7.0.0\r\nredis_mode:" + mode() + "\r\nrun_id:" + run_id_ +
          "\r\n\r\n# Clients\r\nconnected_clients:1\r\n\r\n# Persistence\r\nloading:0\r\n\r\n# Replication\r\nrole:" +
-         (faults_.readonly ? "slave" : "master") + "\r\nconnected_slaves:0\r\nmaster_repl_offset:" +
+         (is_replica() ? "slave" : "master") + "\r\nconnected_slaves:0\r\nmaster_replid:" + (cluster_ ? cluster_->replication_id(index_) : run_id_) +
+         "\r\nmaster_repl_offset:" +
          std::to_string(versions_) + "\r\n";
 }
 
--- a/standins/redis/redis_server.cpp
+++ b/standins/redis/redis_server.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-
 bool same(const std::string& word, const char* name) {
   return std::ranges::equal(word, std::string_view(name), [](unsigned char a, char b) { return std::toupper(a) == b; });
 }
@@ -26,6 +25,10 @@
 RedisServer::RedisServer(asio::io_context& io, DatabaseOptions options, std::uint64_t seed,
                          const snowknot::Tcp::endpoint& at)
     : io_(io), database_(std::move(options)), random_(seed), acceptor_(io.get_executor()) {
+  open(at);
+}
+
+void RedisServer::open(const snowknot::Tcp::endpoint& at) {
   acceptor_.open(at.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(at);
@@ -34,27 +37,64 @@
   asio::co_spawn(io_.get_executor(), accept(), asio::detached);
 }
 
-RedisServer::~RedisServer() {
+void RedisServer::stop() {
   error_code ignored;
   acceptor_.close(ignored);
   reset_all();
 }
 
+void RedisServer::listen_again() {
+  if (!listening()) open(at_);
+}
+
+RedisServer::~RedisServer() { stop(); }
+
 std::int64_t RedisServer::now_ms() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
 std::size_t RedisServer::connections() const {
-  return static_cast<std::size_t>(std::ranges::count_if(sockets_, [](const auto& w) {
-    const auto s = w.lock();
-    return s && s->is_open();
+  return static_cast<std::size_t>(std::ranges::count_if(peers_, [](const auto& w) {
+    const auto p = w.lock();
+    return p && p->socket.is_open();
   }));
 }
 
 void RedisServer::reset_all() {
   ++life_;
-  for (const auto& w : std::exchange(sockets_, {})) async::reset(w.lock());
+  for (const auto& w : std::exchange(peers_, {}))
+    if (const auto p = w.lock()) async::reset(async::SocketPtr(p, &p->socket));
+}
+
+void RedisServer::publish(const std::string& channel, const std::string& text) {
+  for (const auto& w : peers_) {
+    const auto p = w.lock();
+    if (!p || !p->client.channels.contains(channel)) continue;
+    std::string out = p->client.protocol == 3 ? ">3" : "*3";
+    for (const auto& word : {std::string("message"), channel, text})
+      out.append("\r\n$").append(std::to_string(word.size())).append("\r\n").append(word);
+    send(p, out + "\r\n");
+  }
+}
+
+void RedisServer::send(const Peer& p, const std::string& text) {
+  p->out += text;
+  flush(p);
+}
+
+void RedisServer::flush(const Peer& p) {
+  if (!p->writing.empty() || !p->socket.is_open()) return;
+  if (p->out.empty()) {
+    error_code ignored;
+    if (p->ends) p->socket.close(ignored);
+    return;
+  }
+  p->writing.swap(p->out);
+  asio::async_write(p->socket, asio::buffer(p->writing), [this, p, life = life_](const error_code& failed, std::size_t) {
+    p->writing.clear();
+    if (!failed && p->socket.is_open() && life == life_) flush(p);
+  });
 }
 
 void RedisServer::restart_empty() {
@@ -64,38 +104,40 @@
 
 void RedisServer::restart_from(std::chrono::milliseconds ago) {
   reset_all();
-  database_.restart_from(now_ms(), ago.count());
+  database_.restart_from(clock(), ago.count());
 }
 
 RedisServer::Task<void> RedisServer::accept() {
   for (;;) {
     error_code failed;
-    auto socket = std::make_shared<snowknot::Socket>(io_.get_executor());
-    co_await acceptor_.async_accept(*socket, into(failed));
+    snowknot::Socket socket(io_.get_executor());
+    co_await acceptor_.async_accept(socket, into(failed));
     if (failed) co_return;
-    snowknot::set_no_delay(*socket);
-    std::erase_if(sockets_, [](const auto& w) { return w.expired(); });
-    sockets_.push_back(socket);
-    asio::co_spawn(io_.get_executor(), serve(std::move(socket)), asio::detached);
+    snowknot::set_no_delay(socket);
+    std::erase_if(peers_, [](const auto& w) { return w.expired(); });
+    auto peer = std::make_shared<Connection>(std::move(socket), database_.connect());
+    peers_.push_back(peer);
+    asio::co_spawn(io_.get_executor(), serve(std::move(peer)), asio::detached);
   }
 }
 
-RedisServer::Task<void> RedisServer::serve(SocketPtr socket) {
+RedisServer::Task<void> RedisServer::serve(Peer peer) {
   const auto life = life_;
-  auto client = database_.connect();
+  auto& client = peer->client;
+  const auto cut = [&] { async::reset(async::SocketPtr(peer, &peer->socket)); };
   CommandReader reader;
   std::array<char, 16 * 1024> space{};
   error_code failed;
   Timer timer(io_.get_executor());
   while (!client.quits) {
-    const auto n = co_await socket->async_read_some(asio::buffer(space), into(failed));
+    const auto n = co_await peer->socket.async_read_some(asio::buffer(space), into(failed));
     if (failed || life != life_) co_return;
     reader.feed({space.data(), n});
-    if (chance(faults_.drop_before)) co_return async::reset(socket);
+    if (chance(faults_.drop_before)) co_return cut();
     std::string out;
     while (const auto words = reader.next()) {
       const bool debugs = words->size() > 2 && same((*words)[0], "DEBUG") && same((*words)[1], "STANDIN");
-      out += debugs ? debug(*words) : database_.run(client, *words, now_ms());
+      out += debugs ? debug(*words) : database_.run(client, *words, clock());
       if (life != life_) co_return;  // a restart of its own asking
       if (client.quits) break;
     }
@@ -113,10 +155,10 @@
       co_await timer.async_wait(into(ignored));
       if (life != life_) co_return;
     }
-    if (!out.empty() && chance(faults_.drop_after)) co_return async::reset(socket);
-    if (!out.empty() && chance(faults_.garbage)) out = "?what\r\n" + out;
-    co_await asio::async_write(*socket, asio::buffer(out), into(failed));
-    if (failed) co_return;
+    if (!out.empty() && chance(faults_.drop_after)) co_return cut();
+    if (!out.empty() && chance(faults_.garbage)) out.insert(0, "?what\r\n");
+    peer->ends = client.quits;
+    send(peer, out);
   }
 }
 
@@ -142,6 +184,10 @@
     database_.faults().readonly = value != 0;
   else if (same(what, "BUSY"))
     database_.faults().busy = value != 0;
+  else if (same(what, "CLOCK"))
+    faults_.clock = ms;
+  else if (same(what, "FLUSH"))
+    database_.flush();
   else if (same(what, "RESTART-EMPTY"))
     restart_empty();
   else if (same(what, "RESTART-FROM"))
@@ -149,7 +195,7 @@
   else if (same(what, "NONE"))
     faults_ = {}, database_.faults() = {};
   else
-    return "-ERR no such fault\r\n";
+    return (more_faults ? more_faults(w) : std::nullopt).value_or("-ERR no such fault\r\n");
   return "+OK\r\n";
 }
 
--- a/standins/redis/redis_server.hpp
+++ b/standins/redis/redis_server.hpp
@@ -1,11 +1,13 @@
 // The Redis stand-in on sockets: a Database behind a listener on 127.0.0.1, with faults on command. Clients reach them by
 //   DEBUG STANDIN DELAY ms [STEADY] | STALL ms | DROP-AFTER part | DROP-BEFORE part | GARBAGE part | LOADING ms |
-//                 OOM 0|1 | READONLY 0|1 | BUSY 0|1 | RESTART-EMPTY | RESTART-FROM ms | NONE
+//                 OOM 0|1 | READONLY 0|1 | BUSY 0|1 | CLOCK ms | FLUSH | RESTART-EMPTY | RESTART-FROM ms | NONE
+// and those of a group (redis_fleet.hpp) by more words.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/basic_socket_acceptor.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <random>
 #include <vector>
@@ -22,6 +24,7 @@
   double drop_after = 0;   // part of the batches that are applied, and then the connection is reset
   double drop_before = 0;  // part that is reset unread
   double garbage = 0;      // part that is answered by noise
+  std::chrono::milliseconds clock{0};  // the server's clock is ahead by that
 };
 
 class RedisServer {
@@ -40,14 +43,32 @@
   void restart_empty();
   void restart_from(std::chrono::milliseconds ago);
   static std::int64_t now_ms();
+  // Gone, with its connections, until it comes back at the same port with what it had.
+  void stop();
+  void listen_again();
+  bool listening() const { return acceptor_.is_open(); }
+  // To all that have subscribed.
+  void publish(const std::string& channel, const std::string& text);
+  // Further words for DEBUG STANDIN; none: not known there either.
+  std::function<std::optional<std::string>(const Words&)> more_faults;
 
  private:
   template <class T>
   using Task = boost::asio::awaitable<T, snowknot::Executor>;
-  using SocketPtr = std::shared_ptr<snowknot::Socket>;
+  struct Connection {
+    snowknot::Socket socket;
+    Client client;
+    std::string out, writing;
+    bool ends = false;  // once all is written
+  };
+  using Peer = std::shared_ptr<Connection>;
 
   Task<void> accept();
-  Task<void> serve(SocketPtr socket);
+  Task<void> serve(Peer peer);
+  void open(const snowknot::Tcp::endpoint& at);
+  void send(const Peer& peer, const std::string& text);
+  void flush(const Peer& peer);
+  std::int64_t clock() const { return now_ms() + faults_.clock.count(); }
   std::string debug(const Words& words);
   void reset_all();
   bool chance(double part) { return part > 0 && std::uniform_real_distribution<>(0, 1)(random_) < part; }
@@ -58,7 +79,7 @@
   std::mt19937_64 random_;
   boost::asio::basic_socket_acceptor<snowknot::Tcp, snowknot::Executor> acceptor_;
   snowknot::Tcp::endpoint at_;
-  std::vector<std::weak_ptr<snowknot::Socket>> sockets_;
+  std::vector<std::weak_ptr<Connection>> peers_;
   std::uint64_t life_ = 0;
 };
 
--- a/tests/redis_test.cpp
+++ b/tests/redis_test.cpp
@@ -3,10 +3,14 @@
 #include <random>
 
 #include "database.hpp"
+#include "counter.hpp"
+#include "discovery.hpp"
 #include "peers.hpp"
+#include "platform.hpp"
 #include "redis/redis_store.hpp"
 #include "redis/sections.hpp"
-#include "redis_server.hpp"
+#include "redis_fleet.hpp"
+#include "store/moving_store.hpp"
 
 namespace docklift::redis {
 namespace {
@@ -344,11 +348,13 @@
 
 struct RedisStoreTest : ::testing::Test {
   void start(snowknot::Duration limit = 200ms) {
-    StoreOptions o;
-    o.address = server->at();
+    ClientOptions o;
+    o.seeds = {server->at()};
     o.session.client_name = "n0", o.session.idle_limit = 10s, o.session.password = password, o.session.resp3 = resp3;
-    o.session.most_calls = 4096, o.connections = 2, o.connect_limit = 1s, o.call_limit = limit, o.first_back_off = 1ms, o.longest_back_off = 20ms;
-    store.emplace(loop.io, timers, o, [this](const CountAnswer& a) { told.push_back(a); });
+    o.session.most_calls = 4096, o.lanes = 2, o.connect_limit = 1s, o.first_back_off = 1ms, o.longest_back_off = 20ms;
+    o.epoch_interval = epoch_interval, o.epoch_life = 60s;
+    store.emplace(loop.io, timers, o, limit, [this](const CountAnswer& a) { told.push_back(a); },
+                  [this](const snowknot::CountsLost& l) { lost.push_back(l.at); });
     ASSERT_TRUE(loop.until([&] { return store->tried(); }));
   }
   CountAnswer call(std::uint64_t name, double amount = 2, snowknot::Duration life = 4s) {
@@ -364,6 +370,8 @@
   bool resp3 = true;
   std::optional<standins::RedisServer> server{std::in_place, loop.io};
   std::vector<CountAnswer> told;
+  std::vector<Time> lost;
+  snowknot::Duration epoch_interval{};
   std::optional<RedisStore> store;
 };
 TEST_F(RedisStoreTest, AddsAndGivesTheTotalInBothVersions) {
@@ -424,10 +432,10 @@
 }
 TEST_F(RedisStoreTest, ServerThatSaysNothingBlocksNobody) {
   Peer mute(loop.io);
-  StoreOptions o;
-  o.address = mute.at(), o.connections = 1, o.connect_limit = 1s, o.call_limit = 20ms;
-  o.first_back_off = 1ms, o.longest_back_off = 20ms;
-  store.emplace(loop.io, timers, o, [this](const CountAnswer& a) { told.push_back(a); });
+  ClientOptions o;
+  o.seeds = {mute.at()}, o.lanes = 1, o.connect_limit = 1s, o.first_back_off = 1ms, o.longest_back_off = 20ms;
+  store.emplace(loop.io, timers, o, 20ms, [this](const CountAnswer& a) { told.push_back(a); },
+                [](const snowknot::CountsLost&) {});
   EXPECT_EQ(call(7).outcome, CountOutcome::refused);  // it was never given to the connection
   EXPECT_TRUE(loop.until([&] { return mute.wires.size() > 1; }));  // and the connection is made anew
 }
@@ -443,8 +451,12 @@
 }
 TEST_F(RedisStoreTest, ManyNamesAndAHotOneStayInOrder) {
   start(10s);
-  for (std::uint64_t i = 0; i < 2000; ++i) store->add(CountName(i % 2 == 0 ? 1 : 1000 + i), 1, 60s);
-  ASSERT_TRUE(loop.until([&] { return told.size() == 2000; }));
+  for (std::uint64_t i = 0; i < 20'000; ++i) {
+    store->add(CountName(i % 2 == 0 ? 1 : 1000 + i), 1, 60s);
+    if (i % 2000 == 1999) {
+      ASSERT_TRUE(loop.until([&] { return told.size() == i + 1; }));
+    }
+  }
   double last = 0;
   for (const auto& a : told) {
     ASSERT_EQ(a.outcome, CountOutcome::ok);
@@ -452,8 +464,137 @@
       EXPECT_EQ(a.total, ++last);
     }
   }
-  EXPECT_EQ(last, 1000);
+  EXPECT_EQ(last, 10'000);
+}
+// ---- A cluster, and a master under Sentinels, on sockets -----------------------------------------------------------
+
+struct RedisFleetTest : ::testing::Test {
+  void start(standins::RedisFleetOptions f, snowknot::Duration limit = 1s) {
+    fleet.emplace(loop.io, f);
+    ClientOptions o;
+    o.mode = f.cluster ? Mode::cluster : Mode::sentinel;
+    if (f.cluster)
+      o.seeds = {fleet->server(f.shards - 1).at()};
+    else
+      for (std::size_t i = 0; i < f.sentinels; ++i) o.seeds.push_back(fleet->sentinel(i).at());
+    o.master = "mymaster", o.session.idle_limit = 10s, o.session.most_calls = 4096, o.lanes = 2, o.connect_limit = 1s;
+    o.first_back_off = 1ms, o.longest_back_off = 20ms, o.refresh_least = 5ms, o.refresh_every = 1s;
+    o.epoch_interval = 50ms, o.epoch_life = 60s, o.most_hops = 16;
+    store.emplace(loop.io, timers, o, limit, [this](const CountAnswer& a) { told.push_back(a); },
+                  [this](const snowknot::CountsLost& l) { lost.push_back(l.at); });
+  }
+  // Adds 1 to each of so many names, and waits for all answers.
+  std::size_t flood(std::uint64_t names) {
+    told.clear();
+    for (std::uint64_t i = 0; i < names; ++i) store->add(CountName(i), 1, 60s);
+    EXPECT_TRUE(loop.until([&] { return told.size() == names; }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(told, [](const auto& a) { return a.outcome == CountOutcome::ok; }));
+  }
+  bool served(std::uint64_t name) {
+    told.clear();
+    store->add(CountName(name), 1, 60s);
+    return loop.until([&] { return !told.empty(); }) && told[0].outcome == CountOutcome::ok;
+  }
+  Loop loop;
+  snowknot::Clock clock;
+  snowknot::Timers timers{loop.io, clock};
+  std::optional<standins::RedisFleet> fleet;
+  std::vector<CountAnswer> told;
+  std::vector<Time> lost;
+  std::optional<RedisStore> store;
+};
+TEST_F(RedisFleetTest, ClusterIsFoundFromOneSeedAndMigrationLosesNothing) {
+  start({});
+  EXPECT_EQ(flood(500), 500U);  // also those that came before the topology was known
+  EXPECT_EQ(store->client().servers(), 3U);
+  fleet->migrate(0, 5460, 2, 0ms);  // all of the first
+  int rounds = 1;
+  for (; fleet->migrating() || rounds < 3; ++rounds) ASSERT_EQ(flood(500), 500U);
+  for (const auto& a : told) EXPECT_EQ(a.total, rounds);
+  EXPECT_TRUE(loop.until([&] { return flood(1) == 1 && store->client().servers() == 2; }));
+}
+TEST_F(RedisFleetTest, ShardThatFailsOverIsFollowed) {
+  start({});
+  EXPECT_EQ(flood(100), 100U);
+  const auto before = lost.size();
+  fleet->kill(0);
+  ASSERT_TRUE(fleet->fail_over(0));
+  EXPECT_TRUE(loop.until([&] { return flood(100) == 100; }));
+  EXPECT_EQ(lost.size(), before + 1);
+}
+TEST_F(RedisFleetTest, SentinelsTellOfTheNewMaster) {
+  start({.cluster = false, .replicas = 2, .sentinels = 3});
+  EXPECT_TRUE(served(1));
+  const auto before = lost.size();
+  ASSERT_TRUE(fleet->fail_over(0));
+  EXPECT_TRUE(loop.until([&] { return served(1); }));
+  EXPECT_EQ(lost.size(), before + 1);
+  EXPECT_TRUE(fleet->server(fleet->master(0)).database().value(key_of("docklift:", CountName(1)),
+                                                                standins::RedisServer::now_ms()));
+  EXPECT_NE(fleet->master(0), 0U);
+}
+TEST_F(RedisFleetTest, ReplicaIsNoPlaceForCounts) {
+  fleet.emplace(loop.io, standins::RedisFleetOptions{.cluster = false, .replicas = 1, .sentinels = 0});
+  ClientOptions o;
+  o.seeds = {fleet->server(1).at()}, o.lanes = 1, o.connect_limit = 1s, o.first_back_off = 1ms, o.longest_back_off = 5ms;
+  store.emplace(loop.io, timers, o, 30ms, [this](const CountAnswer& a) { told.push_back(a); },
+                [](const snowknot::CountsLost&) {});
+  store->add(CountName(1), 1, 60s);
+  ASSERT_TRUE(loop.until([&] { return !told.empty(); }));
+  EXPECT_EQ(told[0].outcome, CountOutcome::refused);
+}
+
+// ---- From the platform's counter to Redis ----------------------------------------------------------------------
+
+TEST(MovingStore, BothAreAddedToAndTheNewOneTakesOver) {
+  Loop loop;
+  snowknot::Clock clock;
+  snowknot::Timers timers{loop.io, clock};
+  standins::Platform platform(loop.io, {.servers = 1, .seed = 1});
+  standins::RedisServer server(loop.io);
+  const auto counter_at = *snowknot::endpoint_of(platform.counter_address());
+  const auto counter = [&](snowknot::asio::io_context& io, snowknot::Timers& t, snowknot::Duration limit,
+                           snowknot::CountStore::Told told, const snowknot::CountStore::Lost&) {
+    return std::make_unique<snowknot::Counter>(io, t, counter_at, limit, std::move(told));
+  };
+  const auto redis = [&](snowknot::asio::io_context& io, snowknot::Timers& t, snowknot::Duration limit,
+                         snowknot::CountStore::Told told, snowknot::CountStore::Lost lost) {
+    ClientOptions o;
+    o.seeds = {server.at()}, o.lanes = 1, o.connect_limit = 1s, o.first_back_off = 1ms, o.longest_back_off = 5ms;
+    o.session.idle_limit = 10s, o.epoch_interval = 1s, o.epoch_life = 60s;
+    return std::make_unique<RedisStore>(io, t, o, limit, std::move(told), std::move(lost));
+  };
+  std::vector<CountAnswer> told;
+  std::vector<Time> lost;
+  const auto cut_over = timers.now() + 1s;
+  const auto store = store::moving(counter, redis, cut_over, 10min)(
+      loop.io, timers, 1s, [&](const CountAnswer& a) { told.push_back(a); },
+      [&](const snowknot::CountsLost& l) { lost.push_back(l.at); });
+  ASSERT_TRUE(loop.until([&] { return store->tried(); }));
+  const auto call = [&](double amount) {
+    const auto before = told.size();
+    store->add(CountName(7), amount, 60s);
+    EXPECT_TRUE(loop.until([&] { return told.size() > before; }));
+    return told.back();
+  };
+  EXPECT_EQ(call(2).total, 2);
+  EXPECT_EQ(call(3).total, 5);
+  ASSERT_LT(timers.now(), cut_over) << "too slow a machine for this test's time";
+  const auto in_redis = [&] {
+    return server.database().value(key_of("docklift:", CountName(7)), standins::RedisServer::now_ms());
+  };
+  EXPECT_TRUE(loop.until([&] { return in_redis() == "5000000"; }));
+  EXPECT_TRUE(lost.empty());  // the new store's own words don't count yet
+  ASSERT_TRUE(loop.until([&] { return timers.now() >= cut_over; }));
+  EXPECT_EQ(call(1).total, 6);  // it has all that came before
+  EXPECT_EQ(in_redis(), "6000000");
+  ASSERT_EQ(lost.size(), 1U);  // this node began to count in both too late to be sure
+  EXPECT_LT(lost[0], cut_over);
+  server.stop();
+  EXPECT_NE(call(1).outcome, CountOutcome::ok);  // the old one no longer decides
 }
+
 TEST(RedisSections, WhatDoesNotGoTogetherIsRefused) {
   Schema schema;
   schema.add(store_section()).add(redis_section());
@@ -467,6 +608,18 @@
   EXPECT_EQ(field("[redis]\nfirst_back_off = \"2s\"\n"), "redis.first_back_off");
   EXPECT_EQ(field("[redis]\nprefix = \"{x}\"\n"), "redis.prefix");
   EXPECT_EQ(field("[redis]\nuser = \"u\"\n"), "redis.user");
+  EXPECT_EQ(field("[redis]\nmode = \"cluster\"\ndatabase = 1\n"), "redis.database");
+  EXPECT_EQ(field("[redis]\nrefresh_every = \"100ms\"\n"), "redis.refresh_every");
+  EXPECT_EQ(field("[redis]\nepoch_interval = \"6s\"\nepoch_life = \"10s\"\n"), "redis.epoch_life");
+  EXPECT_EQ(field("[redis]\nmode = \"sentinel\"\nmaster = \"a b\"\n"), "redis.master");
+  const std::string cluster = "[redis]\nmode = \"cluster\"\nseeds = [\"127.0.0.1:7000\"]\n";
+  EXPECT_EQ(field("[store]\nkind = \"redis\"\n" + cluster), "");
+  EXPECT_EQ(field("[store]\nkind = \"redis\"\n[redis]\nmode = \"cluster\"\n"), "store.kind");
+  EXPECT_EQ(field("[store]\nmove_from = \"redis\"\n" + cluster), "store.cut_over");
+  EXPECT_EQ(field("[store]\nmove_from = \"redis\"\ncut_over = \"soon\"\n" + cluster), "store.cut_over");
+  EXPECT_EQ(field("[store]\ncut_over = \"2026-12-24T02:30:00Z\"\n"), "store.cut_over");
+  EXPECT_EQ(field("[store]\nmove_from = \"platform\"\ncut_over = \"2026-12-24T02:30:00Z\"\n"), "store.move_from");
+  EXPECT_EQ(field("[store]\nmove_from = \"redis\"\ncut_over = \"2026-12-24T02:30:00Z\"\n" + cluster), "");
 }
 
 // ---- The stand-in -------------------------------------------------------------------------------------------
