GraphQL, first part: cost for each query, batches, persisted queries, settling

A query for every map and gate counted as one request. The module refuses at once what its plan can never grant. The node knows fronts on paths of their own; without one nothing differs.

--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -229,6 +229,10 @@
 
 using Action = std::variant<Send, Refuse, Fail, Cancel, AddToCount, SetTimer, Probe, Subscribe, Log>;
 
+// The most units that one request of a plan can ever be granted; infinite where nothing is metered. A dearer one is refused at
+// once, with no time to come back.
+double most_units(const Plan& plan);
+
 // What a test or a monitor may look at: sizes of the tables.
 struct TableSizes {
   std::size_t requests = 0, customers = 0, servers = 0, calls = 0, alarms = 0;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -21,6 +21,7 @@
 #include "daemon/sections.hpp"
 #include "daemon/system.hpp"
 #include "node_config.hpp"
+#include "graphql/sections.hpp"
 #include "redis/sections.hpp"
 
 namespace docklift {
@@ -93,11 +94,13 @@
         timers_(io, clock_),
         notifier_(std::getenv("NOTIFY_SOCKET")),
         node_(io, platform_, store),
+        graphql_(graphql::front_of(config_, node_)),
         life_(life_limits(config_), channel.has_value()),
         signals_(io, SIGHUP, SIGTERM, SIGINT),
         listen_part_(node_.front(), platform_.listen),
         platform_part_(io, node_, platform_),
         parts_{&listen_part_, &platform_part_} {
+    if (graphql_) node_.serve_front(graphql_.get());
     signals_.add(SIGUSR2);
     signals_.add(SIGCHLD);
     await_signal();
@@ -390,6 +393,7 @@
   snowknot::Timers timers_;
   Notifier notifier_;
   snowknot::Node node_;
+  std::unique_ptr<graphql::GraphqlFront> graphql_;
   Lifecycle life_;
   asio::basic_signal_set<snowknot::Executor> signals_;
   ListenPart listen_part_;
@@ -432,12 +436,21 @@
   try {
     platform.emplace(snowknot::read_node_config(options.platform_config));
     store = redis::store_factory(options.config, platform->seed, platform->counter);
+    // What a query costs shows in its answer; nothing else is settled by it.
+    if (!options.config.text("graphql.path").empty()) platform->named.settings.settled_after = true;
   } catch (const std::exception& x) {
     note(std::string("docklift: ") + x.what());
     return ExitCode::config;
   }
   asio::io_context io(1);
-  Daemon daemon(io, std::move(options), std::move(*platform), store, std::move(inherited), std::move(channel));
+  std::optional<Daemon> made;
+  try {
+    made.emplace(io, std::move(options), std::move(*platform), store, std::move(inherited), std::move(channel));
+  } catch (const std::exception& x) {  // a file that the configuration names, say
+    note(std::string("docklift: ") + x.what());
+    return ExitCode::config;
+  }
+  auto& daemon = *made;
   daemon.start();
   while (!daemon.ended()) {
     try {
--- a/src/daemon/sections.cpp
+++ b/src/daemon/sections.cpp
@@ -1,6 +1,7 @@
 #include "daemon/sections.hpp"
 
 #include "config/known_sections.hpp"
+#include "graphql/sections.hpp"
 #include "redis/sections.hpp"
 
 namespace docklift {
@@ -83,7 +84,7 @@
   static const Schema schema = [] {
     Schema s;
     s.add(daemon_section()).add(listen_section()).add(upgrade_section());
-    s.add(redis::store_section()).add(redis::redis_section());
+    s.add(redis::store_section()).add(redis::redis_section()).add(graphql::graphql_section());
     return s;
   }();
   return schema;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -835,6 +835,7 @@
     if (static_cast<std::size_t>(e.request_class) >= set_.classes.size() ||
         static_cast<std::size_t>(e.plan) >= set_.plans.size())
       return out_.push_back(Refuse{e.request, {}});
+    if (e.units > at(book_.terms, e.plan).limit) return out_.push_back(Refuse{e.request, {}});  // never had
     arrivals_.add(now_, kRateMemory);
     auto& r = requests_[e.request];
     r.cls = e.request_class, r.plan = e.plan, r.customer = e.customer;
@@ -1045,4 +1046,6 @@
 std::vector<Action> Gateway::handle(Time now, const Event& event) { return logic_->handle(now, event); }
 TableSizes Gateway::sizes() const { return logic_->sizes(); }
 
+double most_units(const Plan& plan) { return terms_of(plan).limit; }
+
 }  // namespace snowknot
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -109,6 +109,40 @@
   return target.substr(0, target.find_first_of("/?"));
 }
 
+// Of a request for another protocol's path: who asks, and until when.
+FrontRequest read_front_request(Fields& f, const Settings& s, Time began) {
+  FrontRequest r;
+  r.target = f.target();
+  r.plan = PlanIndex(index_of(s.plans, header(f, "X-Plan"), "the plan"));
+  r.customer = customer(f);
+  const auto timeout = whole<std::uint64_t>(header(f, "X-Timeout-Ms"), "X-Timeout-Ms");
+  if (timeout == 0 || timeout > facts::kMostTimeoutMs) bad("X-Timeout-Ms is out of range");
+  r.began = began, r.deadline = began + std::chrono::milliseconds(timeout);
+  if (f.count("X-Quota") > 0) {
+    const auto spread = pair_value(header(f, "X-Quota"), ',', "spread");
+    if (!spread) bad("X-Quota has no spread");
+    r.gateways = whole<std::uint32_t>(*spread, "X-Quota spread");
+    if (r.gateways == 0 || r.gateways > s.fleet_size) bad("X-Quota spread is out of range");
+  }
+  if (f.count("X-Retried") > 0) {
+    if (header(f, "X-Retried") != "1") bad("X-Retried is not 1");
+    r.is_retry = true;
+  }
+  r.id = header(f, "X-Request-ID");
+  if (r.id.size() > facts::kMostId || !visible(r.id)) bad("X-Request-ID is too long or can't be read");
+  if (f.count("Idempotency-Key") > 0) r.key = header(f, "Idempotency-Key");
+  if (r.key.size() > facts::kMostId || !visible(r.key)) bad("Idempotency-Key is too long or can't be read");
+  if (f.count("X-Docklift-Cost") > 0) {
+    if (header(f, "X-Docklift-Cost") != "dry-run") bad("X-Docklift-Cost is not dry-run");
+    r.dry_run = true;
+  }
+  r.method = f.method();
+  r.content_type = f[http::field::content_type];
+  r.accept = f[http::field::accept];
+  r.body = std::move(f.body());
+  return r;
+}
+
 ClientRequest read_request(Fields& f, const Settings& s, Time began) {
   ClientRequest r;
   const string_view target(f.target().data(), f.target().size());
@@ -297,6 +331,11 @@
                   {}});
   }
   try {
+    if (clients_.front_ && clients_.front_->serves(target.substr(0, target.find('?')))) {
+      const auto number = clients_.front_->request(read_front_request(message, clients_.settings_, began_), shared_from_this());
+      if (stage_ == Stage::waiting) request_ = number;
+      return;
+    }
     auto request = read_request(message, clients_.settings_, began_);
     request.arrival.time_left = request.deadline - clients_.timers_.now();
     const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -20,25 +21,61 @@
 
 namespace http = boost::beast::http;
 
+struct Answer;
+
 // A request as it came: what the module is told of it and what goes on to a server.
 struct ClientRequest {
   Arrival arrival;  // its number is the node's to give
   Time deadline{};
   http::verb method{};
   std::string target, id, key, content_type, body;
-  bool repeatable() const { return method == http::verb::get || !key.empty(); }
+  bool safe = false;  // though its method is not GET
+  // What a 200 answer shows to have been used, in units; none: nothing is settled afterwards. 0: it can't be told.
+  std::function<double(const Answer&)> true_units{};
+  bool repeatable() const { return safe || method == http::verb::get || !key.empty(); }
 };
 
 struct Answer {
   http::status status{};
   std::string body, content_type;
   Duration retry_after{};
+  std::optional<double> units_charged{};  // X-Units-Charged of an app server, where it is asked for
+};
+
+// Whoever waits for the one final answer of a request.
+class Asker {
+ public:
+  virtual ~Asker() = default;
+  virtual void answer(const Answer& answer) = 0;
+};
+
+class ClientSession;
+
+// Requests of one path that another protocol is spoken on: who asks stands in the same header fields as for others, but
+// class and units are the front's to find out.
+struct FrontRequest {
+  PlanIndex plan{};
+  CustomerId customer{};
+  std::uint32_t gateways = 1;
+  bool is_retry = false, dry_run = false;
+  Time began{}, deadline{};
+  http::verb method{};
+  std::string target, id, key, content_type, accept, body;
+};
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual bool serves(std::string_view path) const = 0;  // without a query
+  // Answers the session, now or later. The number given is the session's way to say that its client has gone; 0: it has
+  // its answer.
+  virtual std::uint64_t request(FrontRequest request, std::shared_ptr<ClientSession> session) = 0;
+  virtual void gone(std::uint64_t number) = 0;
 };
 
 class Clients;
 
 // One connection. It reads on while a request is out, so that a client that goes away is seen.
-class ClientSession : public std::enable_shared_from_this<ClientSession> {
+class ClientSession : public Asker, public std::enable_shared_from_this<ClientSession> {
  public:
   ClientSession(Clients& clients, Socket socket);
 
@@ -46,7 +83,7 @@
   enum class Stage { fresh, idle, coming, waiting, writing, lingering, closed };
 
   void start();
-  void answer(const Answer& answer);  // the final answer of the request that is out
+  void answer(const Answer& answer) override;  // the final answer of the request that is out
   void close();
   // Nothing of a request has come and none is out: it can be closed without loss.
   bool idle() const { return stage_ == Stage::idle || (stage_ == Stage::fresh && !parser_); }
@@ -94,7 +131,7 @@
     virtual bool ready() const = 0;
     // The number given is the session's way to say later that its client has gone. 0: a request of this id is
     // open, and the new one is not taken.
-    virtual std::uint64_t arrived(ClientRequest request, std::shared_ptr<ClientSession> session) = 0;
+    virtual std::uint64_t arrived(ClientRequest request, std::shared_ptr<Asker> asker) = 0;
     virtual void client_gone(std::uint64_t request) = 0;
 
    protected:
@@ -126,6 +163,8 @@
   // Ends what doesn't wait for an answer, at once. Of what something has come is told when to come back.
   void end_unanswered(Duration retry_after);
   std::size_t size() const { return size_; }
+  // Not owned; it has to outlive all sessions.
+  void set_front(Front* front) { front_ = front; }
 
  private:
   friend class ClientSession;
@@ -148,6 +187,7 @@
   const Settings& settings_;
   std::size_t most_sessions_;
   Owner& owner_;
+  Front* front_ = nullptr;
   std::vector<ListenerPtr> listeners_;
   std::array<Sessions, kStages> stages_;
   std::size_t size_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -124,7 +124,12 @@
   timers_.after(facts::kSweep, [this] { watch_open(); });
 }
 
-std::uint64_t Node::arrived(ClientRequest request, std::shared_ptr<ClientSession> session) {
+void Node::serve_front(Front* front) {
+  front_ = front;
+  clients_.set_front(front);
+}
+
+std::uint64_t Node::arrived(ClientRequest request, std::shared_ptr<Asker> session) {
   if (!ids_.insert(request.id).second) return 0;
   const RequestId id{++requests_};
   request.arrival.request = id;
@@ -138,6 +143,7 @@
 void Node::client_gone(std::uint64_t request) {
   const RequestId id{request};
   const auto it = open_.find(id);
+  if (it == open_.end() && front_) return front_->gone(request);
   if (it == open_.end() || !it->second.session) return;
   it->second.session.reset();
   happened(ClientGone{id});
@@ -156,6 +162,7 @@
   e.server = errand.server;
   e.outcome = outcome;
   e.took = timers_.now() - errand.began;
+  if (outcome == Outcome::ok && errand.message->true_units) e.true_units = errand.message->true_units(answer);
   if (outcome == Outcome::ok) finish(errand.request, answer);
   const auto it = open_.find(errand.request);
   e.finished = it == open_.end() || !it->second.session;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -50,6 +50,14 @@
   // It knows servers, and the counter has been tried.
   bool is_ready() const { return ready(); }
   Clients& front() { return clients_; }
+  // Another protocol on a path of its own, whose requests pass the module by way of ask(). Not owned.
+  void serve_front(Front* front);
+  // One request that a front has made of one of its own. The number is for abandon(); 0: a request of this id is open.
+  std::uint64_t ask(ClientRequest request, std::shared_ptr<Asker> asker) { return arrived(std::move(request), std::move(asker)); }
+  void abandon(std::uint64_t request) { client_gone(request); }
+  std::uint64_t next_number() { return ++requests_; }
+  Timers& timers() { return timers_; }
+  const Settings& settings() const { return config_.named.settings; }
   // What a new configuration may change under load: the addresses of discovery and the counter.
   void move_to(const NodeConfig& next);
   Tcp::endpoint listens_at() const { return clients_.listeners().front()->at; }
@@ -57,13 +65,13 @@
 
  private:
   struct Open {
-    std::shared_ptr<ClientSession> session;  // none: it has its final answer, or its client has gone
+    std::shared_ptr<Asker> session;  // none: it has its final answer, or its client has gone
     std::shared_ptr<const ClientRequest> message;
     std::uint32_t attempts = 0, out = 0;
   };
 
   bool ready() const override;
-  std::uint64_t arrived(ClientRequest request, std::shared_ptr<ClientSession> session) override;
+  std::uint64_t arrived(ClientRequest request, std::shared_ptr<Asker> asker) override;
   void client_gone(std::uint64_t request) override;
   bool still_wanted(RequestId request) const override;
   void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) override;
@@ -97,6 +105,7 @@
   bool telling_ = false;
   bool knows_servers_ = false;
   std::function<void()> drained_;
+  Front* front_ = nullptr;
   Upstream upstream_;
   std::unique_ptr<CountStore> counter_;
   Discovery discovery_;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 #include <cmath>
 
 #include "facts.hpp"
@@ -17,6 +18,16 @@
   return Outcome::error;
 }
 
+// The server's own word of what a request has used.
+std::optional<double> units_charged(const http::response<http::string_body>& r) {
+  const auto text = r["X-Units-Charged"];
+  double n = 0;
+  const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (text.empty() || failed != std::errc{} || end != text.data() + text.size() || !std::isfinite(n) || n < 0)
+    return std::nullopt;
+  return n;
+}
+
 }  // namespace
 
 // ---- What is known of connections that idled ---------------------------------------------------------------
@@ -204,6 +215,7 @@
   const auto outcome = outcome_of(response);
   Answer answer{
       response.result(), std::move(response.body()), std::string(response[http::field::content_type]), {}};
+  if (errand_ && errand_->message && errand_->message->true_units) answer.units_charged = units_charged(response);
   if (!keep) {
     stage_ = Stage::closed;
     close_now(socket_);
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -130,6 +130,28 @@
   EXPECT_NE(log().find("docklift.toml:4: daemon.hury_limit: no such key; did you mean 'hurry_limit'?"), std::string::npos);
   EXPECT_EQ(std::ranges::count(log(), '\n'), 2) << log();
 }
+TEST_F(DaemonTest, GraphqlIsServedWhereTheFileNamesIt) {
+  auto unsafe = config["settings"]["grades"][0];
+  unsafe["name"] = "note", unsafe["idempotency"] = "unsafe";
+  config["settings"]["grades"].push_back(unsafe);
+  std::ofstream(dir / "schema") << "type Query { hours: Int }";
+  write_file("", "[graphql]\npath = \"/graphql\"\nschema = \"" + (dir / "schema").string() +
+                     "\"\nquery_class = \"read\"\nmutation_class = \"note\"\n");
+  start();
+  const auto w = loop.connect(listen);
+  const std::string body = R"({"query":"{ hours }"})";
+  w->send("POST /graphql HTTP/1.1\r\nHost: x\r\nX-Request-ID: g1\r\nX-Plan: p\r\nCookie: client=0000000000000007\r\n"
+          "X-Timeout-Ms: 2000\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  EXPECT_TRUE(served(w));
+}
+TEST_F(DaemonTest, GraphqlSchemaThatIsWrongEndsIt) {
+  std::ofstream(dir / "schema") << "type Query { hours: Nothing }";
+  write_file("", "[graphql]\npath = \"/graphql\"\nschema = \"" + (dir / "schema").string() +
+                     "\"\nquery_class = \"read\"\nmutation_class = \"read\"\n");
+  run();
+  EXPECT_EQ(exit_status(), 78);
+  EXPECT_NE(log().find("graphql.schema: Unknown type \"Nothing\" at Query.hours."), std::string::npos) << log();
+}
 TEST_F(DaemonTest, PidFileOfADeadProcessWhoseNumberIsTakenIsNoHindrance) {
   std::ofstream(dir / "pid") << getpid() << '\n';
   start();
