--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,6 +11,7 @@
 ctest --test-dir build-test --output-on-failure -j "$jobs"
 build-test/rigs/fleet --short
 build-test/rigs/redis --short
+build-test/rigs/graphql --short
 
 cmake --install build-test --prefix "$PWD/build-test/prefix" >/dev/null
 cmake -S examples -B build-test/consumer -DCMAKE_PREFIX_PATH="$PWD/build-test/prefix"
--- a/src/graphql/front.cpp
+++ b/src/graphql/front.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "graphql/introspect.hpp"
+
 namespace docklift::graphql {
 
 using snowknot::Answer;
@@ -84,6 +86,10 @@
       now_answer(dry_run(plan));
       continue;
     }
+    if (plan.only_introspection) {
+      now_answer(introspected(schema_, plan.parsed->document, *plan.operation, plan.variables));
+      continue;
+    }
     const auto& settings = node_.settings();
     const bool keyed = plan.effect == OperationEffect::keyed && !x->request.key.empty();
     const auto cls = plan.effect == OperationEffect::safe ? options_.query : keyed ? options_.keyed : options_.mutation;
--- a/src/graphql/schema.hpp
+++ b/src/graphql/schema.hpp
@@ -85,6 +85,7 @@
   const Type* root(OperationKind kind) const;
   const DirectiveUse* directive(std::string_view name) const;
   const std::map<std::string, Type, std::less<>>& types() const { return types_; }
+  const std::map<std::string, DirectiveUse, std::less<>>& directives() const { return directives_; }
   // A value of one type may stand where the other is wanted in a selection.
   static bool overlap(const Type& a, const Type& b);
 
--- a/src/graphql/sections.cpp
+++ b/src/graphql/sections.cpp
@@ -45,7 +45,7 @@
       number("points_per_unit", 1, 1, 1'000'000, "Points of cost for one unit of quota."),
       number("list_size", 10, 1, 1'000'000, "Of a list that nothing is said of."),
       flag("trust_server", false, "An app server's own word (extensions.cost, X-Units-Charged) is what is charged, up to the bound."),
-      flag("introspection", true, "Whether __schema and __type are let through."),
+      flag("introspection", true, "Whether __schema and __type are answered (by the node itself, from the schema)."),
       number("most_batch", 20, 1, 1'000, "Operations of one request."),
       number("most_tokens", 20'000, 100, 1'000'000, "Of one document."),
       number("most_depth", 64, 4, 128, "Of selections, values and types in each other."),
--- a/standins/graphql/members.cpp
+++ b/standins/graphql/members.cpp
@@ -217,6 +217,7 @@
   if (chance(faults_.cut)) a.body.resize(std::min(a.body.find('"', a.body.size() / 2) + 1, a.body.size()));
   if (chance(faults_.garbage)) a.body = "<html>what?</html>";
   a.reset = chance(faults_.reset);
+  if (on_answer) on_answer(id, body, a);
   return a;
 }
 
--- a/standins/graphql/members.hpp
+++ b/standins/graphql/members.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -49,6 +50,8 @@
   MembersFaults& faults() { return faults_; }
   const std::vector<Effect>& effects() const { return effects_; }
   std::uint64_t requests() const { return requests_; }
+  // Told of each request once it has run.
+  std::function<void(const std::string& id, const std::string& body, const Answer& answer)> on_answer;
 
  private:
   struct Run;
--- a/tests/graphql_front_test.cpp
+++ b/tests/graphql_front_test.cpp
@@ -135,6 +135,8 @@
   EXPECT_EQ(post(query("{ hours }"), "X-Docklift-Cost: maybe\r\n"), 400);
   EXPECT_EQ(post(query("{ gates(first: 3) { name } }"), "X-Docklift-Cost: dry-run\r\n"), 200);
   EXPECT_EQ(json::parse(body)["extensions"]["cost"]["typeCost"], 4);
+  EXPECT_EQ(post(query("{ __schema { queryType { name } } }")), 200);
+  EXPECT_EQ(body, R"({"data":{"__schema":{"queryType":{"name":"Query"}}}})");
   const auto w = client();
   w->send("GET /graphql?query=mutation%7BgateNotice(gate:1)%7Bname%7D%7D HTTP/1.1\r\nHost: x\r\nX-Request-ID: g\r\nX-Plan: plain\r\n"
           "Cookie: client=0000000000000007\r\nX-Timeout-Ms: 1000\r\n\r\n");
--- a/tests/graphql_test.cpp
+++ b/tests/graphql_test.cpp
@@ -5,6 +5,7 @@
 
 #include "graphql/cost.hpp"
 #include "graphql/document.hpp"
+#include "graphql/introspect.hpp"
 #include "graphql/request.hpp"
 #include "graphql/schema.hpp"
 #include "graphql/validate.hpp"
@@ -602,6 +603,31 @@
   EXPECT_EQ(dry_run(x.plan("{ terminals(first: 4) { name } }")), R"({"data":null,"extensions":{"cost":{"fieldCost":1.0,"typeCost":9.0,"units":9.0}}})");
 }
 
+std::string introspect(const std::string& query, std::size_t most = 200'000) {
+  const auto d = Document::executable(query);
+  EXPECT_TRUE(d.good() && validate(schema(), d).empty()) << query;
+  return introspected(schema(), d, d.operations()[0], {}, most);
+}
+TEST(Introspection, TypesFieldsAndWrappings) {
+  EXPECT_EQ(introspect("{ __type(name: \"Terminal\") { __typename kind name interfaces { name } } nope: __type(name: \"X\") { name } __typename }"),
+            R"({"data":{"__type":{"__typename":"__Type","kind":"OBJECT","name":"Terminal","interfaces":[{"name":"Place"}]},"nope":null,"__typename":"Query"}})");
+  EXPECT_EQ(introspect("{ __type(name: \"Query\") { fields { ...F } } } fragment F on __Field { name type { kind ofType { kind ofType { kind ofType { name } } } } }")
+                .substr(0, 131),
+            R"({"data":{"__type":{"fields":[{"name":"gates","type":{"kind":"LIST","ofType":{"kind":"OBJECT","ofType":null}}},{"name":"grid","type")");
+  EXPECT_EQ(introspect("{ __type(name: \"Page\") { inputFields { name defaultValue type { kind ofType { name } } } } }"),
+            R"({"data":{"__type":{"inputFields":[{"name":"size","defaultValue":null,"type":{"kind":"NON_NULL","ofType":{"name":"Int"}}},)"
+            R"({"name":"from","defaultValue":"0","type":{"kind":"SCALAR","ofType":null}}]}}})");
+  EXPECT_EQ(introspect("{ __schema { queryType { name } mutationType { name } } __type(name: \"Level\") { enumValues { name } } t: __type(name: \"Thing\") { possibleTypes { name } } }"),
+            R"({"data":{"__schema":{"queryType":{"name":"Query"},"mutationType":{"name":"Mutation"}},"__type":{"enumValues":[{"name":"ARRIVALS"},{"name":"DEPARTURES"}]},)"
+            R"("t":{"possibleTypes":[{"name":"Gate"},{"name":"Route"}]}}})");
+}
+TEST(Introspection, IsBounded) {
+  std::string all = "name";
+  for (int i = 0; i < 8; ++i) all = "fields { type { possibleTypes { " + all + " } } }";
+  all = "{ __schema { types { " + all + " } } }";
+  EXPECT_EQ(introspect(all, 200).substr(0, 11), "{\"errors\":[");
+}
+
 TEST(Batches, QueriesSideBySideMutationsInOrder) {
   Batch b({false, true, false, true, true});
   EXPECT_EQ(b.start(), (std::vector<std::size_t>{0, 1, 2}));
