--- a/rigs/graphql/main.cpp
+++ b/rigs/graphql/main.cpp
@@ -64,7 +64,8 @@
 
 class Run {
  public:
-  Run(std::uint64_t seed, const std::filesystem::path& home) : platform_(io_, {.servers = 1, .seed = seed}), random_(seed) {
+  Run(std::uint64_t seed, const std::filesystem::path& home)
+      : platform_(io_, {.servers = 1, .seed = seed}), random_(seed) {
     std::vector<graphql::Error> errors;
     schema_ = graphql::Schema::read(docklift::standins::members_schema(), errors);
     documents_.emplace(*schema_, graphql::Limits{}, graphql::ValidationLimits{}, 8U << 20U);
@@ -73,9 +74,17 @@
       servers_.push_back(std::make_unique<MembersServer>(io_, seed + i));
       auto& m = servers_.back()->members();
       m.faults().lengths["Terminal.gates"] = 2 + i;  // whatever was asked for
-      m.on_answer = [this](const std::string& id, const std::string& body, const Members::Answer& a) { ran(id, body, a); };
-      members.push_back({{"id", "s-0000000" + std::to_string(i + 1)}, {"host_port", snowknot::shown(servers_.back()->at())},
-                         {"locality", "a"}, {"flavor", "m2"}, {"cell", i}, {"phase", "SERVING"}, {"size", 1.0}, {"up_since_ms", 0}});
+      m.on_answer = [this](const std::string& id, const std::string& body, const Members::Answer& a) {
+        ran(id, body, a);
+      };
+      members.push_back({{"id", "s-0000000" + std::to_string(i + 1)},
+                         {"host_port", snowknot::shown(servers_.back()->at())},
+                         {"locality", "a"},
+                         {"flavor", "m2"},
+                         {"cell", i},
+                         {"phase", "SERVING"},
+                         {"size", 1.0},
+                         {"up_since_ms", 0}});
     }
     std::ofstream(home / "schema") << docklift::standins::members_schema();
     for (std::size_t i = 0; i < kNodes; ++i) {
@@ -87,9 +96,10 @@
       premium["units-per-s"] = kRate, premium["store-size"] = kBurst;
       premium["ceiling-rate"] = kRate, premium["cap-depth"] = kBurst, premium["tolerance"] = kSlack;
       nodes_.push_back(std::make_unique<NodeProcess>(home / ("n" + std::to_string(i)), listen, config));
-      nodes_.back()->write_good("[graphql]\npath = \"/graphql\"\nschema = \"" + (home / "schema").string() +
-                                "\"\nquery_class = \"route\"\nkeyed_class = \"notice-keyed\"\nmutation_class = \"gate-notice\"\n"
-                                "keyed_fields = \"planCorrection\"\n");
+      nodes_.back()->write_good(
+          "[graphql]\npath = \"/graphql\"\nschema = \"" + (home / "schema").string() +
+          "\"\nquery_class = \"route\"\nkeyed_class = \"notice-keyed\"\nmutation_class = \"gate-notice\"\n"
+          "keyed_fields = \"planCorrection\"\n");
     }
   }
   ~Run() {
@@ -155,11 +165,16 @@
       case 0: return "{ terminal(code: 1) { name } }";
       case 1: return "{ terminals(first: " + n + ") { name } }";
       case 2: return "{ terminals(first: " + n + ") { name gates(first: 8) { name level } } }";  // fewer come
-      case 3: return "{ terminals(first: " + n + ") { gates(first: 6) { route(to: 1) { steps(first: 3) { text } } } } }";
+      case 3:
+        return "{ terminals(first: " + n +
+               ") { gates(first: 6) { route(to: 1) { steps(first: 3) { text } } } } }";
       case 4: return "{ search(text: \\\"a\\\", first: " + n + ") { name ... on Gate { level } } }";
       case 5: return "{ plans(first: " + n + ") { nodes { id name } total } }";
       case 6: return "{ terminals(first: 500) { gates(first: 500) { name } } }";  // dearer than any plan has
-      default: ++totals.notices; return "mutation { gateNotice(gate: 1, text: \\\"n" + std::to_string(totals.notices) + "\\\") { name } }";
+      default:
+        ++totals.notices;
+        return "mutation { gateNotice(gate: 1, text: \\\"n" + std::to_string(totals.notices) +
+               "\\\") { name } }";
     }
   }
   static std::string call(const std::string& query) { return "{\"query\":\"" + query + "\"}"; }
@@ -186,7 +201,8 @@
       std::string body;
       if (random_() % 4 == 0) {
         body = "[";
-        for (auto n = 2 + random_() % 4; n > 0; --n, ++totals.batched) body += (body.size() > 1 ? "," : "") + call(one());
+        for (auto n = 2 + random_() % 4; n > 0; --n, ++totals.batched)
+          body += (body.size() > 1 ? "," : "") + call(one());
         body += "]";
       } else {
         body = call(one());
@@ -233,13 +249,16 @@
     const auto plan = graphql::plan_of(*schema_, *documents_, persisted_, d.calls[0], false, {});
     if (!plan.errors.empty()) return;
     ++totals.operations;
-    const auto shown = graphql::counted(*schema_, plan.parsed->document, *plan.operation, plan.variables, answer.body, {});
+    const auto shown = graphql::counted(*schema_, plan.parsed->document, *plan.operation, plan.variables,
+                                        answer.body, {});
     const bool whole = !answer.reset && shown.whole && shown.has_data;
     const double charge = whole ? std::max(1.0, graphql::charged(shown, plan.cost.type, false)) : plan.units;
-    totals.bound += plan.units, totals.charged += charge, totals.shown += whole ? shown.cost.type : plan.units;
+    totals.bound += plan.units, totals.charged += charge,
+        totals.shown += whole ? shown.cost.type : plan.units;
     auto& [level, at] = buckets_[member->second];
     const auto now = Steady::now();
-    if (at != Steady::time_point{}) level = std::max(0.0, level - kRate * std::chrono::duration<double>(now - at).count());
+    if (at != Steady::time_point{})
+      level = std::max(0.0, level - kRate * std::chrono::duration<double>(now - at).count());
     at = now;
     level += charge;
     over_by = std::max(over_by, level - kBurst - kSlack);
@@ -269,8 +288,10 @@
     const auto before = allocations;
     for (int i = 0; i < times; ++i) {
       const auto d = graphql::Document::executable(text);
-      if (!d.good() || !graphql::validate(schema, d).empty()) return {{"bytes", text.size()}, {"valid", false}};
-      if (!graphql::cost_of(schema, d, d.operations()[0], {}).errors.empty()) return {{"bytes", text.size()}, {"costed", false}};
+      if (!d.good() || !graphql::validate(schema, d).empty())
+        return {{"bytes", text.size()}, {"valid", false}};
+      if (!graphql::cost_of(schema, d, d.operations()[0], {}).errors.empty())
+        return {{"bytes", text.size()}, {"costed", false}};
     }
     used = (allocations - before) / static_cast<std::uint64_t>(times);
     best = std::min(best, std::chrono::duration<double, std::micro>(Steady::now() - begun).count() / times);
@@ -284,10 +305,13 @@
   const auto query = [](std::size_t bytes) {
     std::string text = "{";
     for (int i = 0; text.size() < bytes; ++i)
-      text += " t" + std::to_string(i) + ": terminals(first: 3) { id name gates(first: 4) { name level route(to: \"x\") { metres } } map { id } }";
+      text += " t" + std::to_string(i) +
+              ": terminals(first: 3) { id name gates(first: 4) { name level route(to: \"x\") { metres } } "
+              "map { id } }";
     return text + " }";
   };
-  return {{"small", price_of(*schema, query(100), 2000)}, {"usual", price_of(*schema, query(1900), 300)},
+  return {{"small", price_of(*schema, query(100), 2000)},
+          {"usual", price_of(*schema, query(1900), 300)},
           {"large", price_of(*schema, query(20'000), 20)}};
 }
 
@@ -313,11 +337,18 @@
     const auto& t = run.totals;
     const auto twice = run.notices_twice();
     const bool within = run.over_by <= 0;
-    good = within && twice == 0 && t.unanswered == 0 && t.answered == t.requests && t.operations > 0 && t.dear > 0;
-    out = {{"queries", t.requests}, {"operations", t.operations}, {"batched", t.batched}, {"ok", t.ok}, {"refused", t.refused},
-           {"too_dear", t.dear}, {"failed", t.failed}, {"other", t.other}, {"cost_bound", t.bound}, {"cost_true", t.shown},
-           {"charged", t.charged}, {"ceiling", kRate}, {"burst", kBurst}, {"slack", kSlack}, {"over_by", run.over_by},
-           {"within", within}, {"notices_sent", t.notices}, {"notices_twice", twice}, {"unanswered", t.unanswered}};
+    good = within && twice == 0 && t.unanswered == 0 && t.answered == t.requests && t.operations > 0 &&
+           t.dear > 0;
+    out = {{"queries", t.requests},     {"operations", t.operations},
+           {"batched", t.batched},      {"ok", t.ok},
+           {"refused", t.refused},      {"too_dear", t.dear},
+           {"failed", t.failed},        {"other", t.other},
+           {"cost_bound", t.bound},     {"cost_true", t.shown},
+           {"charged", t.charged},      {"ceiling", kRate},
+           {"burst", kBurst},           {"slack", kSlack},
+           {"over_by", run.over_by},    {"within", within},
+           {"notices_sent", t.notices}, {"notices_twice", twice},
+           {"unanswered", t.unanswered}};
   }
   std::error_code ignored;
   std::filesystem::remove_all(home, ignored);
--- a/rigs/redis/main.cpp
+++ b/rigs/redis/main.cpp
@@ -72,8 +72,12 @@
   Shape shape = Shape::single;
   Way way = Way::broken;
   std::string text() const {
-    return std::string(shape == Shape::single ? "single" : shape == Shape::cluster ? "cluster" : "sentinel") +
-           (way == Way::broken ? ", losses that break connections" : way == Way::silent ? ", silent losses" : ", splits");
+    return std::string(shape == Shape::single    ? "single"
+                       : shape == Shape::cluster ? "cluster"
+                                                 : "sentinel") +
+           (way == Way::broken   ? ", losses that break connections"
+            : way == Way::silent ? ", silent losses"
+                                 : ", splits");
   }
   // docs/design/redis.md: reserves, or a second store in the window; a second side for as long as it lasts.
   double bound() const {
@@ -82,9 +86,12 @@
   }
 };
 Plan plan_of(std::uint64_t seed) {
-  constexpr std::array<Plan, 6> kPlans{{{Shape::cluster, Way::broken}, {Shape::sentinel, Way::split},
-                                        {Shape::single, Way::broken}, {Shape::cluster, Way::silent},
-                                        {Shape::sentinel, Way::broken}, {Shape::single, Way::silent}}};
+  constexpr std::array<Plan, 6> kPlans{{{Shape::cluster, Way::broken},
+                                        {Shape::sentinel, Way::split},
+                                        {Shape::single, Way::broken},
+                                        {Shape::cluster, Way::silent},
+                                        {Shape::sentinel, Way::broken},
+                                        {Shape::single, Way::silent}}};
   return kPlans[seed % kPlans.size()];
 }
 
@@ -95,12 +102,15 @@
     if (shape == Shape::single)
       server_.emplace(io_, docklift::standins::DatabaseOptions{}, seed);
     else
-      fleet_.emplace(io_, docklift::standins::RedisFleetOptions{
-                              .cluster = shape == Shape::cluster, .replicas = 1,
-                              .sentinels = shape == Shape::sentinel ? 2U : 0U,
-                              .lag = std::chrono::milliseconds(random_() % 2000), .seed = seed});
+      fleet_.emplace(io_,
+                     docklift::standins::RedisFleetOptions{.cluster = shape == Shape::cluster,
+                                                           .replicas = 1,
+                                                           .sentinels = shape == Shape::sentinel ? 2U : 0U,
+                                                           .lag = std::chrono::milliseconds(random_() % 2000),
+                                                           .seed = seed});
     platform_.on_arrival = [this](const std::string& id) {
-      if (const auto it = members_.find(id); it != members_.end()) ceiling_.pass(it->second, 1, Steady::now());
+      if (const auto it = members_.find(id); it != members_.end())
+        ceiling_.pass(it->second, 1, Steady::now());
     };
     mix.spread = kNodes;
     mix.asked = [this](const std::string& id, std::uint64_t member) { members_[id] = member; };
@@ -108,11 +118,14 @@
       const auto listen = own_address(i);
       auto config = platform_.node_config(i, kNodes, listen);
       auto& premium = config["settings"]["packages"][1];
-      config["settings"]["extra"]["count-limit-ns"] = 250'000'000;  // so that a store of 100 ms still answers in time
+      config["settings"]["extra"]
+            ["count-limit-ns"] = 250'000'000;  // so that a store of 100 ms still answers in time
       premium["units-per-s"] = kRate, premium["store-size"] = kBurst;
       premium["ceiling-rate"] = kRate, premium["cap-depth"] = kBurst, premium["tolerance"] = kSlack;
       nodes_.push_back(std::make_unique<NodeProcess>(home / ("n" + std::to_string(i)), listen, config));
-      if (redis) nodes_.back()->write_good("[store]\nkind = \"redis\"\n[redis]\nepoch_interval = \"250ms\"\n" + where(i));
+      if (redis)
+        nodes_.back()->write_good("[store]\nkind = \"redis\"\n[redis]\nepoch_interval = \"250ms\"\n" +
+                                  where(i));
       loads_.push_back(std::make_unique<Load>(io_, platform_, listen, figures_, seed * 100 + i, mix));
     }
   }
@@ -181,8 +194,7 @@
           default: break;
         }
       }
-      if (what == 7 && shape_ == Shape::cluster)
-        fleet_->migrate(0, 16383, random_() % 3, 0ms);
+      if (what == 7 && shape_ == Shape::cluster) fleet_->migrate(0, 16383, random_() % 3, 0ms);
       co_await pause(700ms);
       for (auto* s : servers()) s->faults() = {}, s->database().faults() = {};
       co_await pause(300ms);
@@ -213,7 +225,8 @@
     if (shape_ == Shape::single)
       text << "address = \"" << server_->at() << "\"\n";
     else if (shape_ == Shape::cluster)
-      text << "mode = \"cluster\"\nseeds = [\"" << fleet_->server(0).at() << "\", \"" << fleet_->server(1).at() << "\"]\n";
+      text << "mode = \"cluster\"\nseeds = [\"" << fleet_->server(0).at() << "\", \""
+           << fleet_->server(1).at() << "\"]\n";
     else  // half of the nodes ask the Sentinel that is on the old master's side in a split
       text << "mode = \"sentinel\"\nseeds = [\"" << fleet_->sentinel(node % 2).at() << "\"]\n";
     return text.str();
@@ -294,7 +307,8 @@
   for (std::uint64_t i = 0; i < window; ++i) next();
   while (ended < calls && Steady::now() < from + 30s) io.run_one_for(100ms);
   const auto took = std::chrono::duration<double>(Steady::now() - from).count();
-  return {static_cast<double>(ended) / took, (thread_cpu() - cpu) / static_cast<double>(ended) * 1e6, begun, begun - ended};
+  return {static_cast<double>(ended) / took, (thread_cpu() - cpu) / static_cast<double>(ended) * 1e6, begun,
+          begun - ended};
 }
 
 std::pair<Cost, Cost> costs(std::uint64_t calls) {
@@ -314,9 +328,11 @@
       [&](auto& io, auto& timers, auto told) -> std::unique_ptr<snowknot::CountStore> {
         docklift::redis::ClientOptions o;
         o.seeds = {redis_at};
-        o.connect_limit = 1s, o.first_back_off = 1ms, o.longest_back_off = 1s, o.epoch_interval = 1s, o.epoch_life = 60s;
+        o.connect_limit = 1s, o.first_back_off = 1ms, o.longest_back_off = 1s, o.epoch_interval = 1s,
+        o.epoch_life = 60s;
         o.session.idle_limit = 10s, o.session.client_name = "rig";
-        return std::make_unique<docklift::redis::RedisStore>(io, timers, o, 5s, told, [](const snowknot::CountsLost&) {});
+        return std::make_unique<docklift::redis::RedisStore>(io, timers, o, 5s, told,
+                                                             [](const snowknot::CountsLost&) {});
       },
       calls, 16);
   served.stop();
@@ -354,22 +370,27 @@
     const auto& f = run.figures();
     const double over = run.ceiling().over_by;
     forwarded += run.ceiling().forwarded, commands += run.commands(), losses += run.losses;
-    accepted += f.accepted, answered += f.answered, unanswered += f.unanswered, served += f.served, refused += f.refused;
+    accepted += f.accepted, answered += f.answered, unanswered += f.unanswered, served += f.served,
+        refused += f.refused;
     within = within && over <= plan.bound();
-    if (over / plan.bound() > worst_share) worst_share = over / plan.bound(), worst = over, bound_there = plan.bound();
+    if (over / plan.bound() > worst_share)
+      worst_share = over / plan.bound(), worst = over, bound_there = plan.bound();
     for (const auto& text : f.faults) std::cout << "fault, seed " << seed << ": " << text << '\n';
-    std::cout << "seed " << seed << " (" << plan.text() << "): over by " << over << " of " << plan.bound() << " after "
-              << run.losses << " losses" << std::endl;
+    std::cout << "seed " << seed << " (" << plan.text() << "): over by " << over << " of " << plan.bound()
+              << " after " << run.losses << " losses" << std::endl;
   }
 
   // The wait that a slow store adds, against the platform's counter with the same delay.
   nlohmann::ordered_json waits;
-  for (const int delay : only_floods ? std::vector<int>{} : is_short ? std::vector<int>{10} : std::vector<int>{1, 10, 100}) {
+  for (const int delay : only_floods ? std::vector<int>{}
+                         : is_short  ? std::vector<int>{10}
+                                     : std::vector<int>{1, 10, 100}) {
     for (const bool redis : {false, true}) {
       Run run(first, home, redis, Shape::single,
               {.safe = 1, .keyed = 0, .first_customer = 1000, .customers = 200, .plan = "basic"});
       run.platform().counter_faults().slow = std::chrono::milliseconds(delay);
-      for (auto* s : run.servers()) s->faults().delay = std::chrono::milliseconds(delay), s->faults().steady = true;
+      for (auto* s : run.servers())
+        s->faults().delay = std::chrono::milliseconds(delay), s->faults().steady = true;
       run.figures().keep_waits = true;
       run.go([is_short](Run& r) -> Task<void> {
         r.rate(400);
@@ -377,8 +398,10 @@
       });
       unanswered += run.figures().unanswered;
       const auto name = std::string(redis ? "redis_" : "counter_") + std::to_string(delay) + "ms";
-      waits[name] = {{"p50", quantile(run.figures().waits_ms, 0.5)}, {"p99", quantile(run.figures().waits_ms, 0.99)},
-                     {"served", run.figures().served}, {"refused", run.figures().refused}};
+      waits[name] = {{"p50", quantile(run.figures().waits_ms, 0.5)},
+                     {"p99", quantile(run.figures().waits_ms, 0.99)},
+                     {"served", run.figures().served},
+                     {"refused", run.figures().refused}};
     }
   }
   std::error_code ignored;
@@ -388,14 +411,33 @@
   const auto& [counter, redis] = cost;
   const auto calls_unanswered = counter.unanswered + redis.unanswered;
 
-  const bool good = within && unanswered == 0 && answered == accepted && calls_unanswered == 0 && losses > 0 && forwarded > 0;
-  std::cout << nlohmann::ordered_json{{"nodes", kNodes}, {"seeds", seeds}, {"forwarded_premium", forwarded},
-                   {"ceiling", kRate}, {"burst", kBurst}, {"slack", kSlack}, {"losses", losses}, {"over_by", worst},
-                   {"stated_bound", bound_there}, {"within", within}, {"commands", commands}, {"accepted", accepted},
-                   {"answered", answered}, {"served", served}, {"refused", refused}, {"unanswered", unanswered},
-                   {"wait_ms", waits}, {"calls", counter.calls + redis.calls}, {"calls_unanswered", calls_unanswered},
-                   {"calls_per_s", {{"counter", counter.per_second}, {"redis", redis.per_second}}},
-                   {"cpu_us_per_call", {{"counter", counter.cpu_us}, {"redis", redis.cpu_us}}}, {"good", good}}.dump()
+  const bool good = within && unanswered == 0 && answered == accepted && calls_unanswered == 0 &&
+                    losses > 0 && forwarded > 0;
+  std::cout << nlohmann::ordered_json{{"nodes", kNodes},
+                                      {"seeds", seeds},
+                                      {"forwarded_premium", forwarded},
+                                      {"ceiling", kRate},
+                                      {"burst", kBurst},
+                                      {"slack", kSlack},
+                                      {"losses", losses},
+                                      {"over_by", worst},
+                                      {"stated_bound", bound_there},
+                                      {"within", within},
+                                      {"commands", commands},
+                                      {"accepted", accepted},
+                                      {"answered", answered},
+                                      {"served", served},
+                                      {"refused", refused},
+                                      {"unanswered", unanswered},
+                                      {"wait_ms", waits},
+                                      {"calls", counter.calls + redis.calls},
+                                      {"calls_unanswered", calls_unanswered},
+                                      {"calls_per_s",
+                                       {{"counter", counter.per_second}, {"redis", redis.per_second}}},
+                                      {"cpu_us_per_call",
+                                       {{"counter", counter.cpu_us}, {"redis", redis.cpu_us}}},
+                                      {"good", good}}
+                   .dump()
             << std::endl;
   return good ? 0 : 1;
 }
--- a/src/graphql/cost.cpp
+++ b/src/graphql/cost.cpp
@@ -3,11 +3,10 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <unordered_map>
 
-#include <nlohmann/json.hpp>
-
 #include "graphql/validate.hpp"
 
 namespace docklift::graphql {
@@ -71,7 +70,8 @@
     return *f;
   }
   double element_weight(const Type& returned) const {
-    if (!returned.composite() || returned.weight || returned.kind == TypeKind::object) return weight_of(returned);
+    if (!returned.composite() || returned.weight || returned.kind == TypeKind::object)
+      return weight_of(returned);
     double most = 0;
     for (const auto& name : returned.possible) most = std::max(most, weight_of(*s_.type(name)));
     return most;
@@ -93,7 +93,8 @@
       c.type = bounded(weight_of(root) + sum.type);
       c.field = sum.field;
     } catch (const TooMuch& x) {
-      c.errors.push_back({x.why, x.at.line == 0 ? std::vector<Location>{} : std::vector<Location>{x.at}, {}, x.code});
+      c.errors.push_back(
+          {x.why, x.at.line == 0 ? std::vector<Location>{} : std::vector<Location>{x.at}, {}, x.code});
     }
     return c;
   }
@@ -105,9 +106,12 @@
   using Sizes = std::map<std::string_view, double>;  // that a field has told for lists below it
 
   void work(std::size_t steps) {
-    if ((work_ += steps) > o_.work) throw TooMuch{"The query is too complex for its cost to be told.", "LIMIT_EXCEEDED", {}};
+    if ((work_ += steps) > o_.work)
+      throw TooMuch{"The query is too complex for its cost to be told.", "LIMIT_EXCEEDED", {}};
+  }
+  static double weight_of(const Type& t) {
+    return t.weight.value_or(t.composite() || t.kind == TypeKind::input ? 1 : 0);
   }
-  static double weight_of(const Type& t) { return t.weight.value_or(t.composite() || t.kind == TypeKind::input ? 1 : 0); }
 
   using Groups = std::vector<std::pair<std::string_view, std::vector<const Selection*>>>;
   struct Collected {
@@ -140,7 +144,9 @@
     }
   }
   void deep(std::size_t depth) const {
-    if (depth > o_.depth) throw TooMuch{"The query nests more than " + std::to_string(o_.depth) + " levels.", "LIMIT_EXCEEDED", {}};
+    if (depth > o_.depth)
+      throw TooMuch{
+          "The query nests more than " + std::to_string(o_.depth) + " levels.", "LIMIT_EXCEEDED", {}};
   }
 
   Sum of(const Merged& selections, const Type& object, const Sizes& sizes, std::size_t depth) {
@@ -167,7 +173,8 @@
     return sum;
   }
 
-  Sum field(const Field& f, const std::vector<const Selection*>& merged, const Sizes& sizes, std::size_t depth) {
+  Sum field(const Field& f, const std::vector<const Selection*>& merged, const Sizes& sizes,
+            std::size_t depth) {
     const auto& x = *merged.front();
     const auto& returned = *s_.type(f.type.name);
     Sizes below;
@@ -237,7 +244,8 @@
         sliced = std::max(sliced.value_or(0), *n);
       }
       if (l.require_one && !l.slicing.empty() && given != 1)
-        throw TooMuch{"Field \"" + f.name + "\" must be given exactly one of its slicing arguments.", "BAD_USER_INPUT", x.at};
+        throw TooMuch{"Field \"" + f.name + "\" must be given exactly one of its slicing arguments.",
+                      "BAD_USER_INPUT", x.at};
       const auto n = sliced ? *sliced : l.assumed.value_or(o_.list_size);
       if (l.sized.empty())
         size = n;
@@ -262,7 +270,9 @@
     }
     if (!v || v->kind != ValueKind::integer) return std::nullopt;  // null: not given
     const double n = std::strtod(v->text.c_str(), nullptr);
-    if (n < 0) throw TooMuch{"Field \"" + f.name + "\" can't have a slicing argument below 0.", "BAD_USER_INPUT", x.at};
+    if (n < 0)
+      throw TooMuch{"Field \"" + f.name + "\" can't have a slicing argument below 0.", "BAD_USER_INPUT",
+                    x.at};
     return n;
   }
 
@@ -313,7 +323,9 @@
   }
   bool end_object() override { return end(); }
   bool end_array() override { return end(); }
-  bool parse_error(std::size_t, const std::string&, const nlohmann::json::exception&) override { return false; }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::json::exception&) override {
+    return false;
+  }
 
  private:
   enum class Place { top, data, errors, extensions, cost, elsewhere };
@@ -381,8 +393,8 @@
 
 }  // namespace
 
-Counted counted(const Schema& schema, const Document& document, const Operation& operation, const Variables& variables,
-                std::string_view answer, const CostOptions& options) {
+Counted counted(const Schema& schema, const Document& document, const Operation& operation,
+                const Variables& variables, std::string_view answer, const CostOptions& options) {
   Counted out;
   Counter counter(schema, document, variables, options);
   AnswerReader reader(counter, operation, out, options.depth);
@@ -414,7 +426,8 @@
   return true;
 }
 
-Variables coerced(const Schema& schema, const Operation& operation, const Variables& given, std::vector<Error>& errors) {
+Variables coerced(const Schema& schema, const Operation& operation, const Variables& given,
+                  std::vector<Error>& errors) {
   Variables all;
   for (const auto& v : operation.variables) {
     const auto use = use_of(*v.type);
@@ -424,19 +437,24 @@
       if (v.fallback)
         all[name] = constant_of(*v.fallback);
       else if (use.non_null.front())
-        errors.push_back({"Variable \"$" + name + "\" of required type \"" + use.text() + "\" was not provided.", {v.at}, {}, "BAD_USER_INPUT"});
+        errors.push_back(
+            {"Variable \"$" + name + "\" of required type \"" + use.text() + "\" was not provided.",
+             {v.at},
+             {},
+             "BAD_USER_INPUT"});
       continue;
     }
     if (const auto why = misfit(schema, it->second, use, true))
-      errors.push_back({"Variable \"$" + name + "\" got invalid value; " + *why, {v.at}, {}, "BAD_USER_INPUT"});
+      errors.push_back(
+          {"Variable \"$" + name + "\" got invalid value; " + *why, {v.at}, {}, "BAD_USER_INPUT"});
     else
       all[name] = it->second;
   }
   return all;
 }
 
-Cost cost_of(const Schema& schema, const Document& document, const Operation& operation, const Variables& variables,
-             const CostOptions& options) {
+Cost cost_of(const Schema& schema, const Document& document, const Operation& operation,
+             const Variables& variables, const CostOptions& options) {
   return Counter(schema, document, variables, options).run(operation);
 }
 
--- a/src/graphql/cost.hpp
+++ b/src/graphql/cost.hpp
@@ -32,23 +32,25 @@
 };
 
 // The variables of an operation: those given, else their defaults. Mistakes as the specification has them for requests.
-Variables coerced(const Schema& schema, const Operation& operation, const Variables& given, std::vector<Error>& errors);
+Variables coerced(const Schema& schema, const Operation& operation, const Variables& given,
+                  std::vector<Error>& errors);
 
 // The document must be valid, the variables coerced.
-Cost cost_of(const Schema& schema, const Document& document, const Operation& operation, const Variables& variables,
-             const CostOptions& options = {});
+Cost cost_of(const Schema& schema, const Document& document, const Operation& operation,
+             const Variables& variables, const CostOptions& options = {});
 
 // What an answer shows to have run.
 struct Counted {
   bool whole = false;  // it is one JSON object, read to its end; else nothing else here is to be relied on
   bool has_data = false, has_errors = false;
-  Cost cost;           // by the objects and lists that came back in `data`
-  std::optional<double> told;  // extensions.cost: a number, or an object with `actual` or `typeCost`; finite and not below 0
+  Cost cost;  // by the objects and lists that came back in `data`
+  std::optional<double>
+      told;  // extensions.cost: a number, or an object with `actual` or `typeCost`; finite and not below 0
 };
 
 // Read once from front to end; no tree is built of it. Of an abstract type the dearest possible type counts.
-Counted counted(const Schema& schema, const Document& document, const Operation& operation, const Variables& variables,
-                std::string_view answer, const CostOptions& options = {});
+Counted counted(const Schema& schema, const Document& document, const Operation& operation,
+                const Variables& variables, std::string_view answer, const CostOptions& options = {});
 
 // What is charged: by the server's own word or the answer's shape, never more than the bound; all of the bound where the
 // answer doesn't show what ran.
--- a/src/graphql/cost_main.cpp
+++ b/src/graphql/cost_main.cpp
@@ -44,7 +44,8 @@
   std::stringstream query;
   query << std::cin.rdbuf();
   const ordered_json body{{"query", query.str()}, {"operationName", operation}, {"variables", variables}};
-  const auto decoded = decode({"POST", "/", "application/json", "", body.dump(-1, ' ', false, ordered_json::error_handler_t::replace)});
+  const auto decoded = decode({"POST", "/", "application/json", "",
+                               body.dump(-1, ' ', false, ordered_json::error_handler_t::replace)});
   DocumentCache documents(*schema, {}, {}, 0);
   PersistedQueries persisted(0);
   PlanOptions options;
@@ -60,7 +61,10 @@
     std::cout << ordered_json{{"valid", false}, {"errors", out["errors"]}}.dump() << '\n';
     return 1;
   }
-  std::cout << ordered_json{{"valid", true}, {"cost", {{"type", plan.cost.type}, {"field", plan.cost.field}}},
-                            {"operation", std::string(plan.operation->name)}}.dump() << '\n';
+  std::cout << ordered_json{{"valid", true},
+                            {"cost", {{"type", plan.cost.type}, {"field", plan.cost.field}}},
+                            {"operation", std::string(plan.operation->name)}}
+                   .dump()
+            << '\n';
   return 0;
 }
--- a/src/graphql/document.hpp
+++ b/src/graphql/document.hpp
@@ -30,10 +30,10 @@
 struct Limits {
   std::size_t bytes = 256 * 1024;  // of the text
   std::size_t tokens = 20'000;
-  std::size_t depth = 64;          // of selections, values and types in each other
+  std::size_t depth = 64;  // of selections, values and types in each other
   std::size_t aliases = 200;
   std::size_t directives = 200;
-  std::size_t breadth = 1'000;     // of one list: selections, arguments, values, definitions
+  std::size_t breadth = 1'000;  // of one list: selections, arguments, values, definitions
 };
 
 // ---- Tokens ----------------------------------------------------------------------------------------------------
@@ -104,8 +104,8 @@
   std::span<Argument> arguments;
 };
 struct TypeRef {
-  std::string_view name;   // of a named type; of a list empty
-  TypeRef* of = nullptr;   // of a list
+  std::string_view name;  // of a named type; of a list empty
+  TypeRef* of = nullptr;  // of a list
   bool non_null = false;
   Location at;
 };
@@ -116,7 +116,8 @@
   enum class Kind { field, spread, inline_fragment } kind = Kind::field;
   Location at;
   std::string_view alias;  // of a field, if it has one
-  std::string_view name;   // of a field, of the fragment that is spread, of the type an inline one is on (or empty)
+  std::string_view
+      name;  // of a field, of the fragment that is spread, of the type an inline one is on (or empty)
   std::span<Argument> arguments;
   std::span<Directive> directives;
   Selections selections;
@@ -188,9 +189,12 @@
  public:
   // Executable definitions, or those of the type system. What is wrong is in errors(), and the rest then empty.
   static Document executable(std::string text, const Limits& limits = {});
-  static Document type_system(std::string text, const Limits& limits = {.bytes = 4 << 20, .tokens = 1'000'000,
-                                                                        .depth = 64, .aliases = 0,
-                                                                        .directives = 100'000, .breadth = 100'000});
+  static Document type_system(std::string text, const Limits& limits = {.bytes = 4 << 20,
+                                                                        .tokens = 1'000'000,
+                                                                        .depth = 64,
+                                                                        .aliases = 0,
+                                                                        .directives = 100'000,
+                                                                        .breadth = 100'000});
 
   bool good() const { return errors_.empty(); }
   const std::vector<Error>& errors() const { return errors_; }
--- a/src/graphql/front.cpp
+++ b/src/graphql/front.cpp
@@ -44,14 +44,18 @@
 };
 
 GraphqlFront::GraphqlFront(snowknot::Node& node, Schema schema, FrontOptions options)
-    : node_(node), schema_(std::move(schema)), options_(std::move(options)),
+    : node_(node),
+      schema_(std::move(schema)),
+      options_(std::move(options)),
       documents_(schema_, options_.limits, options_.validation, options_.cache_bytes),
       persisted_(options_.persisted_bytes) {}
 
-std::uint64_t GraphqlFront::request(snowknot::FrontRequest r, std::shared_ptr<snowknot::ClientSession> session) {
+std::uint64_t GraphqlFront::request(snowknot::FrontRequest r,
+                                    std::shared_ptr<snowknot::ClientSession> session) {
   const auto x = std::make_shared<Exchange>();
   x->session = std::move(session);
-  x->decoded = decode({std::string(http::to_string(r.method)), r.target, r.content_type, r.accept, r.body}, options_.request);
+  x->decoded = decode({std::string(http::to_string(r.method)), r.target, r.content_type, r.accept, r.body},
+                      options_.request);
   x->request = std::move(r);
   const auto& d = x->decoded;
   const auto at_once = [&](int status, std::string body) {
@@ -59,8 +63,10 @@
     return std::uint64_t{0};
   };
   if (d.status != 200) return at_once(d.status, error_answer(d.errors));
-  for (const auto& c : d.calls) x->plans.push_back(plan_of(schema_, documents_, persisted_, c, d.get, options_.plan));
-  if (!d.batch && !x->plans[0].errors.empty()) return at_once(status_of(d, x->plans[0].errors), error_answer(x->plans[0].errors));
+  for (const auto& c : d.calls)
+    x->plans.push_back(plan_of(schema_, documents_, persisted_, c, d.get, options_.plan));
+  if (!d.batch && !x->plans[0].errors.empty())
+    return at_once(status_of(d, x->plans[0].errors), error_answer(x->plans[0].errors));
   if (x->request.dry_run && !d.batch) return at_once(200, dry_run(x->plans[0]));
   std::vector<bool> in_order;
   for (const auto& p : x->plans) in_order.push_back(p.effect != OperationEffect::safe);
@@ -77,7 +83,9 @@
   for (const auto i : parts) {
     if (!open_.contains(x->number)) return;  // its client has gone meanwhile
     const auto& plan = x->plans[i];
-    const auto now_answer = [&](std::string body) { part_ended(x, i, {http::status::ok, std::move(body), {}, {}, {}}); };
+    const auto now_answer = [&](std::string body) {
+      part_ended(x, i, {http::status::ok, std::move(body), {}, {}, {}});
+    };
     if (!plan.errors.empty()) {
       now_answer(error_answer(plan.errors));
       continue;
@@ -92,11 +100,14 @@
     }
     const auto& settings = node_.settings();
     const bool keyed = plan.effect == OperationEffect::keyed && !x->request.key.empty();
-    const auto cls = plan.effect == OperationEffect::safe ? options_.query : keyed ? options_.keyed : options_.mutation;
+    const auto cls = plan.effect == OperationEffect::safe ? options_.query
+                     : keyed                              ? options_.keyed
+                                                          : options_.mutation;
     ClientRequest r;
     const auto suffix = x->decoded.batch ? std::string("-").append(std::to_string(i)) : std::string();
     r.arrival.request_class = cls, r.arrival.plan = x->request.plan, r.arrival.customer = x->request.customer;
-    r.arrival.gateways = x->request.gateways, r.arrival.is_retry = x->request.is_retry, r.arrival.units = plan.units;
+    r.arrival.gateways = x->request.gateways, r.arrival.is_retry = x->request.is_retry,
+    r.arrival.units = plan.units;
     r.deadline = std::min(x->request.deadline,
                           x->request.began + settings.classes.at(static_cast<std::size_t>(cls)).deadline);
     r.arrival.time_left = r.deadline - node_.timers().now();
@@ -111,7 +122,12 @@
     r.true_units = [this, x, i](const Answer& a) { return charge(x->plans[i], a); };
     const auto number = node_.ask(std::move(r), std::make_shared<Part>(*this, x, i));
     if (number == 0)
-      part_ended(x, i, {http::status::conflict, error_answer({error("A request of this id is open.", "CONFLICT")}), {}, {}, {}});
+      part_ended(x, i,
+                 {http::status::conflict,
+                  error_answer({error("A request of this id is open.", "CONFLICT")}),
+                  {},
+                  {},
+                  {}});
     else if (x->asked[i] == 0 && x->answers[i].status == http::status{})
       x->asked[i] = number;
   }
@@ -121,7 +137,8 @@
 double GraphqlFront::charge(const Plan& plan, const Answer& answer) const {
   const auto& o = options_.plan;
   const double bound = o.by_field_cost ? plan.cost.field : plan.cost.type;
-  const auto shown = counted(schema_, plan.parsed->document, *plan.operation, plan.variables, answer.body, o.cost);
+  const auto shown = counted(schema_, plan.parsed->document, *plan.operation, plan.variables, answer.body,
+                             o.cost);
   double cost = bound;
   if (options_.trust_server && answer.units_charged)
     cost = std::min(*answer.units_charged, bound);
@@ -137,13 +154,16 @@
   x->asked[i] = 0;
   const auto& plan = x->plans[i];
   std::string body = answer.body;
-  const bool refused = answer.status == http::status::too_many_requests || answer.status == http::status::service_unavailable;
+  const bool refused = answer.status == http::status::too_many_requests ||
+                       answer.status == http::status::service_unavailable;
   if (refused) {
     ++x->refused;
     if (answer.retry_after > snowknot::Duration{}) x->soonest = std::min(x->soonest, answer.retry_after);
-    const double limit = snowknot::most_units(node_.settings().plans.at(static_cast<std::size_t>(x->request.plan)));
+    const double limit = snowknot::most_units(
+        node_.settings().plans.at(static_cast<std::size_t>(x->request.plan)));
     const bool dear = plan.units > limit;
-    body = refusal(dear ? "COST_LIMIT_EXCEEDED" : "REFUSED", dear ? "The query costs more than this plan can ever have." : "Refused for now.",
+    body = refusal(dear ? "COST_LIMIT_EXCEEDED" : "REFUSED",
+                   dear ? "The query costs more than this plan can ever have." : "Refused for now.",
                    plan.units, limit, std::chrono::duration<double>(answer.retry_after).count());
   } else if (answer.status != http::status::ok && answer.status != http::status::conflict) {
     body = error_answer({error("The operation failed; it may have run.", "FAILED")});
--- a/src/graphql/front.hpp
+++ b/src/graphql/front.hpp
@@ -30,7 +30,8 @@
   bool allow_only(const std::string& json, std::string& why) { return persisted_.allow_only(json, why); }
 
   bool serves(std::string_view path) const override { return path == options_.path; }
-  std::uint64_t request(snowknot::FrontRequest request, std::shared_ptr<snowknot::ClientSession> session) override;
+  std::uint64_t request(snowknot::FrontRequest request,
+                        std::shared_ptr<snowknot::ClientSession> session) override;
   void gone(std::uint64_t number) override;
   std::size_t open() const { return open_.size(); }
 
@@ -39,7 +40,8 @@
   class Part;
 
   void begin(const std::shared_ptr<Exchange>& exchange, const std::vector<std::size_t>& parts);
-  void part_ended(const std::shared_ptr<Exchange>& exchange, std::size_t index, const snowknot::Answer& answer);
+  void part_ended(const std::shared_ptr<Exchange>& exchange, std::size_t index,
+                  const snowknot::Answer& answer);
   void finish(const std::shared_ptr<Exchange>& exchange);
   double charge(const Plan& plan, const snowknot::Answer& answer) const;
 
--- a/src/graphql/introspect.cpp
+++ b/src/graphql/introspect.cpp
@@ -17,7 +17,8 @@
 
 std::string literal(const Constant& c) {
   switch (c.kind) {
-    case ValueKind::string: return ordered_json(c.text).dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+    case ValueKind::string:
+      return ordered_json(c.text).dump(-1, ' ', false, ordered_json::error_handler_t::replace);
     case ValueKind::null: return "null";
     case ValueKind::list: {
       std::string all = "[";
@@ -26,7 +27,8 @@
     }
     case ValueKind::object: {
       std::string all = "{";
-      for (const auto& [k, v] : c.fields) all.append(all.size() > 1 ? ", " : "").append(k).append(": ").append(literal(v));
+      for (const auto& [k, v] : c.fields)
+        all.append(all.size() > 1 ? ", " : "").append(k).append(": ").append(literal(v));
       return all.append("}");
     }
     default: return c.text;
@@ -35,7 +37,8 @@
 
 class Introspection {
  public:
-  Introspection(const Schema& s, const Document& d, const Variables& v, std::size_t most) : s_(s), d_(d), v_(v), most_(most) {}
+  Introspection(const Schema& s, const Document& d, const Variables& v, std::size_t most)
+      : s_(s), d_(d), v_(v), most_(most) {}
 
   ordered_json run(const Operation& o) {
     return each({o.selections}, "Query", [&](const Selection& x, const Merged& inner) -> ordered_json {
@@ -108,12 +111,15 @@
 
   ordered_json schema(const Merged& selections) {
     return each(selections, "__Schema", [&](const Selection& x, const Merged& inner) -> ordered_json {
-      const auto root = [&](OperationKind kind) { return s_.root(kind) ? type(*s_.root(kind), inner) : ordered_json(nullptr); };
+      const auto root = [&](OperationKind kind) {
+        return s_.root(kind) ? type(*s_.root(kind), inner) : ordered_json(nullptr);
+      };
       if (x.name == "types") return list(s_.types(), [&](const auto& t) { return type(t.second, inner); });
       if (x.name == "queryType") return root(OperationKind::query);
       if (x.name == "mutationType") return root(OperationKind::mutation);
       if (x.name == "subscriptionType") return root(OperationKind::subscription);
-      if (x.name == "directives") return list(s_.directives(), [&](const auto& d) { return directive(d.first, d.second, inner); });
+      if (x.name == "directives")
+        return list(s_.directives(), [&](const auto& d) { return directive(d.first, d.second, inner); });
       return nullptr;
     });
   }
@@ -129,7 +135,8 @@
         for (const auto& [name, f] : t.fields) all.push_back(field(f, inner));
         return all;
       }
-      if (x.name == "interfaces" && fields) return list(t.interfaces, [&](const auto& i) { return named(i, inner); });
+      if (x.name == "interfaces" && fields)
+        return list(t.interfaces, [&](const auto& i) { return named(i, inner); });
       if (x.name == "possibleTypes" && (t.kind == TypeKind::interface || t.kind == TypeKind::union_type))
         return list(t.possible, [&](const auto& p) { return named(p, inner); });
       if (x.name == "enumValues" && t.kind == TypeKind::enumeration)
@@ -140,7 +147,8 @@
             return nullptr;
           });
         });
-      if (x.name == "inputFields" && t.kind == TypeKind::input) return list(t.inputs, [&](const auto& i) { return input(i, inner); });
+      if (x.name == "inputFields" && t.kind == TypeKind::input)
+        return list(t.inputs, [&](const auto& i) { return input(i, inner); });
       return nullptr;
     });
   }
@@ -190,9 +198,11 @@
 
 }  // namespace
 
-std::string introspected(const Schema& schema, const Document& document, const Operation& operation, const Variables& variables, std::size_t most) {
+std::string introspected(const Schema& schema, const Document& document, const Operation& operation,
+                         const Variables& variables, std::size_t most) {
   try {
-    return ordered_json{{"data", Introspection(schema, document, variables, most).run(operation)}}.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+    return ordered_json{{"data", Introspection(schema, document, variables, most).run(operation)}}.dump(
+        -1, ' ', false, ordered_json::error_handler_t::replace);
   } catch (const TooLarge&) {
     return error_answer({{"The answer would be too large.", {}, {}, "LIMIT_EXCEEDED"}});
   }
--- a/src/graphql/introspect.hpp
+++ b/src/graphql/introspect.hpp
@@ -9,7 +9,7 @@
 namespace docklift::graphql {
 
 // The whole answer of a query whose root fields are __schema, __type and __typename; errors where it would be too large.
-std::string introspected(const Schema& schema, const Document& document, const Operation& operation, const Variables& variables,
-                         std::size_t most_values = 200'000);
+std::string introspected(const Schema& schema, const Document& document, const Operation& operation,
+                         const Variables& variables, std::size_t most_values = 200'000);
 
 }  // namespace docklift::graphql
--- a/src/graphql/lexer.cpp
+++ b/src/graphql/lexer.cpp
@@ -23,7 +23,8 @@
   if (c < 0x80) return byte(c);
   if (c < 0x800) return byte(0xC0 | (c >> 6U)), byte(0x80 | (c & 0x3FU));
   if (c < 0x10000) return byte(0xE0 | (c >> 12U)), byte(0x80 | ((c >> 6U) & 0x3FU)), byte(0x80 | (c & 0x3FU));
-  byte(0xF0 | (c >> 18U)), byte(0x80 | ((c >> 12U) & 0x3FU)), byte(0x80 | ((c >> 6U) & 0x3FU)), byte(0x80 | (c & 0x3FU));
+  byte(0xF0 | (c >> 18U)), byte(0x80 | ((c >> 12U) & 0x3FU)), byte(0x80 | ((c >> 6U) & 0x3FU)),
+      byte(0x80 | (c & 0x3FU));
 }
 
 std::string shown(char c) {
@@ -39,13 +40,18 @@
 bool valid_utf8(std::string_view s) {
   for (std::size_t i = 0; i < s.size();) {
     const auto c = static_cast<unsigned char>(s[i]);
-    const std::size_t n = c < 0x80 ? 1 : c >= 0xC2 && c < 0xE0 ? 2 : c >= 0xE0 && c < 0xF0 ? 3 : c >= 0xF0 && c < 0xF5 ? 4 : 0;
+    const std::size_t n = c < 0x80                ? 1
+                          : c >= 0xC2 && c < 0xE0 ? 2
+                          : c >= 0xE0 && c < 0xF0 ? 3
+                          : c >= 0xF0 && c < 0xF5 ? 4
+                                                  : 0;
     if (n == 0 || i + n > s.size()) return false;
     for (std::size_t k = 1; k < n; ++k)
       if ((static_cast<unsigned char>(s[i + k]) & 0xC0U) != 0x80) return false;
     const auto second = n > 1 ? static_cast<unsigned char>(s[i + 1]) : 0;
     // Longer than need be, surrogates, beyond U+10FFFF.
-    if ((c == 0xE0 && second < 0xA0) || (c == 0xED && second > 0x9F) || (c == 0xF0 && second < 0x90) || (c == 0xF4 && second > 0x8F))
+    if ((c == 0xE0 && second < 0xA0) || (c == 0xED && second > 0x9F) || (c == 0xF0 && second < 0x90) ||
+        (c == 0xF4 && second > 0x8F))
       return false;
     i += n;
   }
@@ -104,7 +110,8 @@
     if (text_.substr(at_, 3) == "...") return take(TokenKind::punctuator, 3);
     return wrong(at, "Unexpected \".\"");
   }
-  if (std::string_view("!$&()=:@[]{|}").find(c) != std::string_view::npos) return take(TokenKind::punctuator, 1);
+  if (std::string_view("!$&()=:@[]{|}").find(c) != std::string_view::npos)
+    return take(TokenKind::punctuator, 1);
   return wrong(at, "Unexpected character " + shown(c));
 }
 
@@ -134,7 +141,8 @@
     if (peek(n) == '+' || peek(n) == '-') ++n;
     if (!digits()) return wrong(at, "A number needs a digit in its exponent");
   }
-  if (name_start(peek(n)) || peek(n) == '.') return wrong(at, "A number may not be followed by " + shown(peek(n)));
+  if (name_start(peek(n)) || peek(n) == '.')
+    return wrong(at, "A number may not be followed by " + shown(peek(n)));
   const auto text = text_.substr(at_, n);
   advance(n);
   return {real ? TokenKind::real : TokenKind::integer, text, at};
@@ -147,7 +155,8 @@
     const char c = peek(n);
     if (c == '"') break;
     if (c == '\n' || c == '\r') return wrong(at, "Unterminated string");
-    if (static_cast<unsigned char>(c) < 0x20 && c != '\t') return wrong(at, "Character " + shown(c) + " in a string");
+    if (static_cast<unsigned char>(c) < 0x20 && c != '\t')
+      return wrong(at, "Character " + shown(c) + " in a string");
     if (c == '\\') ++n;
   }
   const auto text = text_.substr(at_ + 1, n - 1);
@@ -205,7 +214,8 @@
     std::int64_t point = -1;
     if (i + 1 < text.size() && text[i + 1] == '{') {  // \u{1F37A}: of the draft after 2021, and harmless
       const auto end = text.find('}', i);
-      if (end == std::string_view::npos || end == i + 2 || end > i + 8) return why = "Invalid Unicode escape", false;
+      if (end == std::string_view::npos || end == i + 2 || end > i + 8)
+        return why = "Invalid Unicode escape", false;
       point = 0;
       for (auto k = i + 2; k < end; ++k) {
         const int h = hex(text[k]);
@@ -224,7 +234,8 @@
         i += 6;
       }
     }
-    if (point > 0x10FFFF || (point >= 0xD800 && point <= 0xDFFF)) return why = "Lone surrogate in a string", false;
+    if (point > 0x10FFFF || (point >= 0xD800 && point <= 0xDFFF))
+      return why = "Lone surrogate in a string", false;
     append_utf8(value, static_cast<std::uint32_t>(point));
   }
   return true;
@@ -238,7 +249,9 @@
     if (end == std::string_view::npos) break;
     at = end + (raw.substr(end, 2) == "\r\n" ? 2 : 1);
   }
-  const auto indent_of = [](std::string_view line) { return std::min(line.find_first_not_of(" \t"), line.size()); };
+  const auto indent_of = [](std::string_view line) {
+    return std::min(line.find_first_not_of(" \t"), line.size());
+  };
   std::size_t common = std::string_view::npos;
   for (std::size_t i = 1; i < lines.size(); ++i)
     if (const auto n = indent_of(lines[i]); n < lines[i].size()) common = std::min(common, n);
@@ -253,7 +266,8 @@
     if (i > first) value += '\n';
     value += lines[i];
   }
-  for (std::size_t at = 0; (at = value.find("\\\"\"\"", at)) != std::string::npos; at += 3) value.erase(at, 1);
+  for (std::size_t at = 0; (at = value.find("\\\"\"\"", at)) != std::string::npos; at += 3)
+    value.erase(at, 1);
   return value;
 }
 
--- a/src/graphql/parser.cpp
+++ b/src/graphql/parser.cpp
@@ -9,7 +9,8 @@
 // Recursive descent with a depth that is counted, one token ahead. The first mistake ends it.
 class Parser {
  public:
-  Parser(Document& document, const Limits& limits) : doc_(document), limits_(limits), lexer_(document.text()) {}
+  Parser(Document& document, const Limits& limits)
+      : doc_(document), limits_(limits), lexer_(document.text()) {}
 
   void executable() {
     open();
@@ -33,7 +34,8 @@
   void type_system() {
     open();
     do {
-      if (token_.kind == TokenKind::string || token_.kind == TokenKind::block_string) shift();  // a description
+      if (token_.kind == TokenKind::string || token_.kind == TokenKind::block_string)
+        shift();  // a description
       const auto begun = token_.at;
       bool extends = false;
       if (at_name("extend")) shift(), extends = true;
@@ -56,7 +58,8 @@
     throw Stop{};
   }
   [[noreturn]] void over(const char* what, std::size_t most) {
-    fail(std::string("The document has more than ") + std::to_string(most) + " " + what, token_.at, "LIMIT_EXCEEDED");
+    fail(std::string("The document has more than ") + std::to_string(most) + " " + what, token_.at,
+         "LIMIT_EXCEEDED");
   }
   [[noreturn]] void unexpected() {
     std::string message = "Syntax Error: Unexpected ";
@@ -153,7 +156,9 @@
   void operation() {
     Operation o;
     o.at = token_.at;
-    o.kind = at_name("query") ? OperationKind::query : at_name("mutation") ? OperationKind::mutation : OperationKind::subscription;
+    o.kind = at_name("query")      ? OperationKind::query
+             : at_name("mutation") ? OperationKind::mutation
+                                   : OperationKind::subscription;
     shift();
     if (token_.kind == TokenKind::name) o.name = name();
     if (at("(")) o.variables = list<VariableDefinition>("(", ")", [&] { return variable(); });
@@ -261,9 +266,9 @@
         v.text = keep(block_value(token_.text));
         break;
       case TokenKind::name:
-        v.kind = token_.text == "null"                               ? ValueKind::null
+        v.kind = token_.text == "null"                             ? ValueKind::null
                  : token_.text == "true" || token_.text == "false" ? ValueKind::boolean
-                                                                     : ValueKind::enumeration;
+                                                                   : ValueKind::enumeration;
         break;
       default:
         if (at("$") && !constant) {
@@ -360,10 +365,14 @@
         const auto kind = name();
         expect(":");
         const auto type = name();
-        if (kind == "query") s.query = type;
-        else if (kind == "mutation") s.mutation = type;
-        else if (kind == "subscription") s.subscription = type;
-        else fail("Syntax Error: Unexpected root operation", what.at);
+        if (kind == "query")
+          s.query = type;
+        else if (kind == "mutation")
+          s.mutation = type;
+        else if (kind == "subscription")
+          s.subscription = type;
+        else
+          fail("Syntax Error: Unexpected root operation", what.at);
       }
       shift();
     }
@@ -385,13 +394,20 @@
     TypeDefinition t;
     t.at = begun, t.extends = extends;
     const auto kind = token_.kind == TokenKind::name ? token_.text : std::string_view();
-    if (kind == "scalar") t.kind = TypeKind::scalar;
-    else if (kind == "type") t.kind = TypeKind::object;
-    else if (kind == "interface") t.kind = TypeKind::interface;
-    else if (kind == "union") t.kind = TypeKind::union_type;
-    else if (kind == "enum") t.kind = TypeKind::enumeration;
-    else if (kind == "input") t.kind = TypeKind::input;
-    else unexpected();
+    if (kind == "scalar")
+      t.kind = TypeKind::scalar;
+    else if (kind == "type")
+      t.kind = TypeKind::object;
+    else if (kind == "interface")
+      t.kind = TypeKind::interface;
+    else if (kind == "union")
+      t.kind = TypeKind::union_type;
+    else if (kind == "enum")
+      t.kind = TypeKind::enumeration;
+    else if (kind == "input")
+      t.kind = TypeKind::input;
+    else
+      unexpected();
     shift();
     t.name = name();
     const bool fields = t.kind == TypeKind::object || t.kind == TypeKind::interface;
@@ -432,7 +448,8 @@
     try {
       (this->*what)();
     } catch (const Stop&) {
-      doc_.operations_.clear(), doc_.fragments_.clear(), doc_.types_.clear(), doc_.directives_.clear(), doc_.schemas_.clear();
+      doc_.operations_.clear(), doc_.fragments_.clear(), doc_.types_.clear(), doc_.directives_.clear(),
+          doc_.schemas_.clear();
     }
   }
 
--- a/src/graphql/request.cpp
+++ b/src/graphql/request.cpp
@@ -19,7 +19,8 @@
 
 std::string lower(std::string_view text) {
   std::string out(text);
-  std::ranges::transform(out, out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  std::ranges::transform(out, out.begin(),
+                         [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
   return out;
 }
 
@@ -31,7 +32,8 @@
     case json::value_t::number_float: {
       // 3.0 is an integer too, as the specification lets input coercion have it.
       const double n = j.get<double>();
-      if (n == std::floor(n) && std::abs(n) < 1e15) return {ValueKind::integer, std::to_string(static_cast<std::int64_t>(n)), {}, {}};
+      if (n == std::floor(n) && std::abs(n) < 1e15)
+        return {ValueKind::integer, std::to_string(static_cast<std::int64_t>(n)), {}, {}};
       return {ValueKind::real, j.dump(), {}, {}};
     }
     case json::value_t::string: return {ValueKind::string, j.get<std::string>(), {}, {}};
@@ -55,7 +57,12 @@
     if (text[i] == '+') {
       out += ' ';
     } else if (text[i] == '%') {
-      const auto hex = [](char c) { return c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1; };
+      const auto hex = [](char c) {
+        return c >= '0' && c <= '9'   ? c - '0'
+               : c >= 'a' && c <= 'f' ? c - 'a' + 10
+               : c >= 'A' && c <= 'F' ? c - 'A' + 10
+                                      : -1;
+      };
       if (i + 2 >= text.size() || hex(text[i + 1]) < 0 || hex(text[i + 2]) < 0) return std::nullopt;
       out += static_cast<char>(hex(text[i + 1]) * 16 + hex(text[i + 2]));
       i += 2;
@@ -72,8 +79,10 @@
   for (std::size_t i = 0; i < text.size(); ++i) {
     const char c = text[i];
     if (in_string) {
-      if (c == '\\') ++i;
-      else if (c == '"') in_string = false;
+      if (c == '\\')
+        ++i;
+      else if (c == '"')
+        in_string = false;
     } else if (c == '"') {
       in_string = true;
     } else if ((c == '[' || c == '{') && ++depth > most) {
@@ -110,13 +119,15 @@
     if (!it->is_object()) {
       wrong("\"extensions\" must be a JSON object.");
     } else if (const auto p = it->find("persistedQuery"); p != it->end()) {
-      if (!p->is_object() || !p->contains("sha256Hash") || !(*p)["sha256Hash"].is_string() || p->value("version", json(1)) != 1)
+      if (!p->is_object() || !p->contains("sha256Hash") || !(*p)["sha256Hash"].is_string() ||
+          p->value("version", json(1)) != 1)
         wrong("\"extensions.persistedQuery\" must have version 1 and a sha256Hash.");
       else
         c.hash = lower((*p)["sha256Hash"].get<std::string>());
     }
   }
-  if (c.errors.empty() && c.query.empty() && c.hash.empty()) wrong("A GraphQL request must have a \"query\".");
+  if (c.errors.empty() && c.query.empty() && c.hash.empty())
+    wrong("A GraphQL request must have a \"query\".");
   return c;
 }
 
@@ -142,7 +153,8 @@
     d.get = true;
     json j = json::object();
     const auto question = r.target.find('?');
-    std::string_view rest = question == std::string::npos ? std::string_view() : std::string_view(r.target).substr(question + 1);
+    std::string_view rest = question == std::string::npos ? std::string_view()
+                                                          : std::string_view(r.target).substr(question + 1);
     while (!rest.empty()) {
       const auto end = std::min(rest.find('&'), rest.size());
       const auto pair = rest.substr(0, end);
@@ -165,14 +177,16 @@
     const auto type = lower(r.content_type);
     const auto main = type.substr(0, type.find_first_of("; "));
     if (main != "application/json") return refuse(415, "The body must be application/json.");
-    if (const auto set = type.find("charset="); set != std::string::npos && type.compare(set + 8, 5, "utf-8") != 0)
+    if (const auto set = type.find("charset=");
+        set != std::string::npos && type.compare(set + 8, 5, "utf-8") != 0)
       return refuse(415, "The body must be UTF-8.");
     json j;
     if (!parse(r.body, j)) return refuse(400, "The body is not JSON.");
     if (j.is_array()) {
       d.batch = true;
       if (j.empty()) return refuse(400, "A batch must not be empty.");
-      if (j.size() > limits.batch) return refuse(413, "A batch may hold " + std::to_string(limits.batch) + " operations.");
+      if (j.size() > limits.batch)
+        return refuse(413, "A batch may hold " + std::to_string(limits.batch) + " operations.");
       for (const auto& one : j) d.calls.push_back(call_of(one));
     } else {
       d.calls.push_back(call_of(j));
@@ -211,7 +225,8 @@
   std::unordered_map<std::string, std::string> all;
   for (const auto& [hash, query] : j.items()) {
     if (!query.is_string()) return why = "the entry " + hash + " is no text", false;
-    if (const auto real = sha256(query.get<std::string>()); real && *real != lower(hash)) return why = "the text of " + hash + " has another hash", false;
+    if (const auto real = sha256(query.get<std::string>()); real && *real != lower(hash))
+      return why = "the text of " + hash + " has another hash", false;
     all[lower(hash)] = query.get<std::string>();
   }
   listed_ = std::move(all);
@@ -228,11 +243,13 @@
     if (!c.hash.empty()) {
       const auto it = listed_.find(c.hash);
       if (it == listed_.end()) return fail("PersistedQueryNotFound", "PERSISTED_QUERY_NOT_FOUND");
-      if (!c.query.empty() && c.query != it->second) return fail("provided sha does not match query", "PERSISTED_QUERY_HASH_MISMATCH");
+      if (!c.query.empty() && c.query != it->second)
+        return fail("provided sha does not match query", "PERSISTED_QUERY_HASH_MISMATCH");
       return it->second;
     }
     const auto it = std::ranges::find_if(listed_, [&](const auto& e) { return e.second == c.query; });
-    if (it == listed_.end()) return fail("Only queries of the list are answered here.", "PERSISTED_QUERY_NOT_IN_LIST");
+    if (it == listed_.end())
+      return fail("Only queries of the list are answered here.", "PERSISTED_QUERY_NOT_IN_LIST");
     return c.query;
   }
   if (c.hash.empty()) return c.query;
@@ -243,13 +260,15 @@
     order_.splice(order_.begin(), order_, it->second.place);
     return it->second.text;
   }
-  if (sha256(c.query) != c.hash) return fail("provided sha does not match query", "PERSISTED_QUERY_HASH_MISMATCH");
+  if (sha256(c.query) != c.hash)
+    return fail("provided sha does not match query", "PERSISTED_QUERY_HASH_MISMATCH");
   put(c.hash, c.query);
   return c.query;
 }
 
 void PersistedQueries::put(const std::string& hash, const std::string& text) {
-  if (const auto it = texts_.find(hash); it != texts_.end()) return order_.splice(order_.begin(), order_, it->second.place);
+  if (const auto it = texts_.find(hash); it != texts_.end())
+    return order_.splice(order_.begin(), order_, it->second.place);
   const auto size = hash.size() + text.size();
   if (size > most_) return;
   order_.push_front(hash);
@@ -270,7 +289,8 @@
     return it->second.parsed;
   }
   auto parsed = std::make_shared<Parsed>(Document::executable(text, limits_));
-  parsed->errors = parsed->document.good() ? validate(schema_, parsed->document, validation_) : parsed->document.errors();
+  parsed->errors = parsed->document.good() ? validate(schema_, parsed->document, validation_)
+                                           : parsed->document.errors();
   constexpr std::size_t kTree = 8;  // a tree takes some times its text
   if (kTree * text.size() > most_) return parsed;
   order_.push_front(text);
@@ -289,7 +309,8 @@
 namespace {
 
 // The names of an operation's root fields that are let in.
-void root_fields(const Document& d, Selections all, const Variables& variables, std::set<std::string_view>& spread, std::set<std::string_view>& names) {
+void root_fields(const Document& d, Selections all, const Variables& variables,
+                 std::set<std::string_view>& spread, std::set<std::string_view>& names) {
   for (const auto& x : all) {
     if (!included(x.directives, variables)) continue;
     if (x.kind == Selection::Kind::field) {
@@ -304,7 +325,8 @@
 
 }  // namespace
 
-Plan plan_of(const Schema& schema, DocumentCache& documents, PersistedQueries& persisted, const Call& call, bool get, const PlanOptions& o) {
+Plan plan_of(const Schema& schema, DocumentCache& documents, PersistedQueries& persisted, const Call& call,
+             bool get, const PlanOptions& o) {
   Plan p;
   p.errors = call.errors;
   if (!p.errors.empty()) return p;
@@ -317,12 +339,15 @@
   if (call.operation.empty() && all.size() == 1) {
     p.operation = &all[0];
   } else {
-    const auto it = std::ranges::find_if(all, [&](const auto& x) { return !x.name.empty() && x.name == call.operation; });
+    const auto it = std::ranges::find_if(
+        all, [&](const auto& x) { return !x.name.empty() && x.name == call.operation; });
     if (it != all.end()) p.operation = &*it;
   }
   if (!p.operation) {
-    p.errors.push_back(error(call.operation.empty() ? "Must provide operation name if query contains multiple operations."
-                                                    : "Unknown operation named \"" + call.operation + "\".", "BAD_USER_INPUT"));
+    p.errors.push_back(error(call.operation.empty()
+                                 ? "Must provide operation name if query contains multiple operations."
+                                 : "Unknown operation named \"" + call.operation + "\".",
+                             "BAD_USER_INPUT"));
     return p;
   }
   if (p.operation->kind == OperationKind::subscription) {
@@ -345,8 +370,10 @@
   if (!o.introspection && std::ranges::any_of(names, [](auto n) { return n == "__schema" || n == "__type"; }))
     p.errors.push_back(error("Introspection is not answered here.", "INTROSPECTION_DISABLED"));
   if (p.operation->kind == OperationKind::mutation)
-    p.effect = std::ranges::all_of(names, [&](auto n) { return std::ranges::find(o.keyed, n) != o.keyed.end(); }) ? OperationEffect::keyed
-                                                                                                                  : OperationEffect::unsafe;
+    p.effect = std::ranges::all_of(names,
+                                   [&](auto n) { return std::ranges::find(o.keyed, n) != o.keyed.end(); })
+                   ? OperationEffect::keyed
+                   : OperationEffect::unsafe;
   return p;
 }
 
@@ -377,14 +404,19 @@
   return json{{"errors", std::move(all)}}.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::string refusal(const std::string& code, const std::string& message, double cost, double limit, double retry_after_s) {
+std::string refusal(const std::string& code, const std::string& message, double cost, double limit,
+                    double retry_after_s) {
   json more{{"cost", cost}, {"limit", limit}};
   if (retry_after_s > 0) more["retryAfter"] = retry_after_s;
   return error_answer({error(message, code)}, more.dump());
 }
 
 std::string dry_run(const Plan& plan) {
-  return json{{"data", nullptr}, {"extensions", {{"cost", {{"typeCost", plan.cost.type}, {"fieldCost", plan.cost.field}, {"units", plan.units}}}}}}.dump();
+  return json{
+      {"data", nullptr},
+      {"extensions",
+       {{"cost", {{"typeCost", plan.cost.type}, {"fieldCost", plan.cost.field}, {"units", plan.units}}}}}}
+      .dump();
 }
 
 // Request errors are 400 for those who know the newer media type; for others they are 200, as that specification has it,
@@ -397,10 +429,12 @@
 }
 
 std::string media_type_of(const Decoded& request) {
-  return request.response_json ? "application/graphql-response+json; charset=utf-8" : "application/json; charset=utf-8";
+  return request.response_json ? "application/graphql-response+json; charset=utf-8"
+                               : "application/json; charset=utf-8";
 }
 
-Batch::Batch(std::vector<bool> in_order) : in_order_(std::move(in_order)), answers_(in_order_.size()), left_(in_order_.size()) {}
+Batch::Batch(std::vector<bool> in_order)
+    : in_order_(std::move(in_order)), answers_(in_order_.size()), left_(in_order_.size()) {}
 
 std::optional<std::size_t> Batch::next_in_order(std::size_t from) const {
   for (auto i = from; i < in_order_.size(); ++i)
--- a/src/graphql/request.hpp
+++ b/src/graphql/request.hpp
@@ -26,20 +26,21 @@
 struct Call {
   std::string query, operation, hash;  // hash: of a persisted query
   Variables variables;
-  std::string variables_json;          // as they came, to be sent on; empty: none
-  std::vector<Error> errors;           // in this call alone, as in a batch
+  std::string variables_json;  // as they came, to be sent on; empty: none
+  std::vector<Error> errors;   // in this call alone, as in a batch
 };
 
 struct Decoded {
   int status = 200;  // else nothing is asked for, and errors say why
   bool batch = false, get = false;
-  bool response_json = false;  // application/graphql-response+json is wanted: request errors have a status of their own
+  bool response_json =
+      false;  // application/graphql-response+json is wanted: request errors have a status of their own
   std::vector<Call> calls;
   std::vector<Error> errors;
 };
 
 struct RequestLimits {
-  std::size_t batch = 20;      // operations
+  std::size_t batch = 20;  // operations
   std::size_t json_depth = 64;
 };
 
@@ -106,9 +107,10 @@
 enum class OperationEffect { safe, keyed, unsafe };
 
 struct PlanOptions {
-  std::vector<std::string> keyed;  // root fields of mutations that drop repeats by a key; other mutations are unsafe
-  bool by_field_cost = false;      // units by field cost rather than type cost
-  double units_each = 1;           // units of one point of cost
+  std::vector<std::string>
+      keyed;  // root fields of mutations that drop repeats by a key; other mutations are unsafe
+  bool by_field_cost = false;  // units by field cost rather than type cost
+  double units_each = 1;       // units of one point of cost
   double least_units = 1;
   CostOptions cost;
   bool introspection = true;
@@ -125,8 +127,8 @@
   bool only_introspection = false;  // __schema, __type and __typename alone: the node answers
 };
 
-Plan plan_of(const Schema& schema, DocumentCache& documents, PersistedQueries& persisted, const Call& call, bool get,
-             const PlanOptions& options);
+Plan plan_of(const Schema& schema, DocumentCache& documents, PersistedQueries& persisted, const Call& call,
+             bool get, const PlanOptions& options);
 
 // The request that goes on to a server: JSON of query, operationName and variables.
 std::string forwarded(const Call& call, const Plan& plan);
@@ -136,7 +138,8 @@
 // {"errors":[...]}, with extensions.code and whatever else is given for all of them (a JSON object's members).
 std::string error_answer(const std::vector<Error>& errors, const std::string& more_extensions = {});
 // For a refusal: code, cost, limit and, where waiting helps, retryAfter in seconds.
-std::string refusal(const std::string& code, const std::string& message, double cost, double limit, double retry_after_s);
+std::string refusal(const std::string& code, const std::string& message, double cost, double limit,
+                    double retry_after_s);
 std::string dry_run(const Plan& plan);
 int status_of(const Decoded& request, const std::vector<Error>& errors);
 std::string media_type_of(const Decoded& request);
--- a/src/graphql/schema.cpp
+++ b/src/graphql/schema.cpp
@@ -50,7 +50,9 @@
   return it == directives_.end() ? nullptr : &it->second;
 }
 const Type* Schema::root(OperationKind kind) const {
-  const auto* t = type(kind == OperationKind::query ? query_ : kind == OperationKind::mutation ? mutation_ : subscription_);
+  const auto* t = type(kind == OperationKind::query      ? query_
+                       : kind == OperationKind::mutation ? mutation_
+                                                         : subscription_);
   return t && t->kind == TypeKind::object ? t : nullptr;
 }
 bool Schema::overlap(const Type& a, const Type& b) {
@@ -131,7 +133,8 @@
       if (t.kind == TypeKind::union_type)
         for (const auto& m : t.possible) {
           const auto* member = s.type(m);
-          if (!member || member->kind != TypeKind::object) wrong("Union " + t.name + " can't have " + m + ": it is no object type.", {});
+          if (!member || member->kind != TypeKind::object)
+            wrong("Union " + t.name + " can't have " + m + ": it is no object type.", {});
         }
     }
     if (!s.root(OperationKind::query)) wrong("The schema has no query root type.", {});
@@ -141,7 +144,10 @@
 
  private:
   void wrong(std::string message, Location at) {
-    errors_.push_back({std::move(message), at.line == 0 ? std::vector<Location>{} : std::vector<Location>{at}, {}, "SCHEMA"});
+    errors_.push_back({std::move(message),
+                       at.line == 0 ? std::vector<Location>{} : std::vector<Location>{at},
+                       {},
+                       "SCHEMA"});
   }
   void known(const TypeUse& use, const std::string& where, bool input) {
     const auto* t = s.type(use.name);
@@ -154,19 +160,23 @@
     const auto where = t.name + "." + f.name;
     for (const auto& path : f.list_size->slicing) {
       const auto dot = path.find('.');
-      if (!f.argument(path.substr(0, dot))) wrong("@listSize at " + where + ": no argument \"" + path + "\".", {});
+      if (!f.argument(path.substr(0, dot)))
+        wrong("@listSize at " + where + ": no argument \"" + path + "\".", {});
     }
     const auto* of = s.type(f.type.name);
     for (const auto& name : f.list_size->sized)
-      if (!of || !of->fields.contains(name)) wrong("@listSize at " + where + ": no field \"" + name + "\".", {});
-    if (f.list_size->sized.empty() && f.type.lists() == 0) wrong("@listSize at " + where + ": it is no list.", {});
+      if (!of || !of->fields.contains(name))
+        wrong("@listSize at " + where + ": no field \"" + name + "\".", {});
+    if (f.list_size->sized.empty() && f.type.lists() == 0)
+      wrong("@listSize at " + where + ": it is no list.", {});
   }
 
   std::optional<double> weight_of(std::span<Directive> all) {
     for (const auto& d : all) {
       if (d.name != "cost") continue;
       for (const auto& a : d.arguments)
-        if (a.name == "weight" && (a.value.kind == ValueKind::string || a.value.kind == ValueKind::integer || a.value.kind == ValueKind::real)) {
+        if (a.name == "weight" && (a.value.kind == ValueKind::string || a.value.kind == ValueKind::integer ||
+                                   a.value.kind == ValueKind::real)) {
           double n = 0;
           const auto* end = a.value.text.data() + a.value.text.size();
           const auto [at, failed] = std::from_chars(a.value.text.data(), end, n);
@@ -207,15 +217,18 @@
   std::vector<Input> inputs(std::span<InputDefinition> all) {
     std::vector<Input> out;
     for (const auto& i : all) {
-      if (std::ranges::find(out, i.name, &Input::name) != out.end()) wrong("\"" + std::string(i.name) + "\" is there twice.", i.at);
+      if (std::ranges::find(out, i.name, &Input::name) != out.end())
+        wrong("\"" + std::string(i.name) + "\" is there twice.", i.at);
       out.push_back({std::string(i.name), use_of(*i.type), std::nullopt, weight_of(i.directives)});
       if (i.fallback) out.back().fallback = constant_of(*i.fallback);
     }
     return out;
   }
   void define(const TypeDefinition& d, bool built_in) {
-    if (s.types_.contains(d.name)) return wrong("There can be only one type named \"" + std::string(d.name) + "\".", d.at);
-    if (!built_in && d.name.starts_with("__")) return wrong("Names that begin with \"__\" are reserved: " + std::string(d.name), d.at);
+    if (s.types_.contains(d.name))
+      return wrong("There can be only one type named \"" + std::string(d.name) + "\".", d.at);
+    if (!built_in && d.name.starts_with("__"))
+      return wrong("Names that begin with \"__\" are reserved: " + std::string(d.name), d.at);
     Type t;
     t.kind = d.kind, t.name = d.name;
     add(t, d);
@@ -223,21 +236,26 @@
   }
   void extend(const TypeDefinition& d) {
     const auto it = s.types_.find(d.name);
-    if (it == s.types_.end() || it->second.kind != d.kind) return wrong("There is no such type to extend: " + std::string(d.name), d.at);
+    if (it == s.types_.end() || it->second.kind != d.kind)
+      return wrong("There is no such type to extend: " + std::string(d.name), d.at);
     add(it->second, d);
   }
   void add(Type& t, const TypeDefinition& d) {
     if (const auto w = weight_of(d.directives)) t.weight = w;
     for (const auto& f : d.fields) {
-      Field field{std::string(f.name), use_of(*f.type), inputs(f.arguments), weight_of(f.directives), size_of(f.directives)};
+      Field field{std::string(f.name), use_of(*f.type), inputs(f.arguments), weight_of(f.directives),
+                  size_of(f.directives)};
       if (!t.fields.emplace(field.name, std::move(field)).second)
         wrong("Field \"" + std::string(d.name) + "." + std::string(f.name) + "\" is there twice.", f.at);
     }
     for (auto& i : inputs(d.inputs)) t.inputs.push_back(std::move(i));
     for (const auto name : d.interfaces) {
-      if (d.kind == TypeKind::enumeration) t.values.emplace(name);
-      else if (d.kind == TypeKind::union_type) t.possible.emplace(name);
-      else t.interfaces.emplace_back(name);
+      if (d.kind == TypeKind::enumeration)
+        t.values.emplace(name);
+      else if (d.kind == TypeKind::union_type)
+        t.possible.emplace(name);
+      else
+        t.interfaces.emplace_back(name);
     }
   }
 
--- a/src/graphql/schema.hpp
+++ b/src/graphql/schema.hpp
@@ -60,13 +60,17 @@
   TypeKind kind = TypeKind::scalar;
   std::string name;
   std::map<std::string, Field, std::less<>> fields;
-  std::vector<Input> inputs;              // of an input object
+  std::vector<Input> inputs;                    // of an input object
   std::set<std::string, std::less<>> values;    // of an enumeration
   std::set<std::string, std::less<>> possible;  // object types that may stand here; an object's own name
   std::vector<std::string> interfaces;
   std::optional<double> weight;
-  bool composite() const { return kind == TypeKind::object || kind == TypeKind::interface || kind == TypeKind::union_type; }
-  bool is_input() const { return kind == TypeKind::scalar || kind == TypeKind::enumeration || kind == TypeKind::input; }
+  bool composite() const {
+    return kind == TypeKind::object || kind == TypeKind::interface || kind == TypeKind::union_type;
+  }
+  bool is_input() const {
+    return kind == TypeKind::scalar || kind == TypeKind::enumeration || kind == TypeKind::input;
+  }
   const Input* input(std::string_view input_name) const;
 };
 
--- a/src/graphql/sections.cpp
+++ b/src/graphql/sections.cpp
@@ -10,14 +10,28 @@
 namespace {
 
 Option text(std::string key, docklift::Type type, std::string fallback, std::string doc) {
-  return {.key = std::move(key), .type = type, .fallback = std::move(fallback), .doc = std::move(doc), .reloadable = false};
+  return {.key = std::move(key),
+          .type = type,
+          .fallback = std::move(fallback),
+          .doc = std::move(doc),
+          .reloadable = false};
 }
-Option number(std::string key, std::int64_t fallback, std::int64_t least, std::int64_t most, std::string doc) {
-  return {.key = std::move(key), .type = docklift::Type::whole, .fallback = fallback, .doc = std::move(doc), .reloadable = false,
-          .least = least, .most = most};
+Option number(std::string key, std::int64_t fallback, std::int64_t least, std::int64_t most,
+              std::string doc) {
+  return {.key = std::move(key),
+          .type = docklift::Type::whole,
+          .fallback = fallback,
+          .doc = std::move(doc),
+          .reloadable = false,
+          .least = least,
+          .most = most};
 }
 Option flag(std::string key, bool fallback, std::string doc) {
-  return {.key = std::move(key), .type = docklift::Type::boolean, .fallback = fallback, .doc = std::move(doc), .reloadable = false};
+  return {.key = std::move(key),
+          .type = docklift::Type::boolean,
+          .fallback = fallback,
+          .doc = std::move(doc),
+          .reloadable = false};
 }
 
 std::string whole(const std::string& path, const char* key) {
@@ -33,19 +47,32 @@
   Section s{.name = "graphql", .doc = "GraphQL with a cost for each query, on a path of its own."};
   s.options = {
       text("path", docklift::Type::text, "", "Where it is answered, `/graphql` say; empty: nowhere."),
-      text("upstream_path", docklift::Type::text, "/graphql", "Where the app servers answer it (POST, application/json)."),
+      text("upstream_path", docklift::Type::text, "/graphql",
+           "Where the app servers answer it (POST, application/json)."),
       text("schema", docklift::Type::path, "", "The members' schema (SDL), with @cost and @listSize."),
-      text("query_class", docklift::Type::text, "", "Class of queries, one of the platform's that is safe to repeat."),
-      text("keyed_class", docklift::Type::text, "", "Class of mutations that drop repeats by their Idempotency-Key; empty: none do."),
-      text("mutation_class", docklift::Type::text, "", "Class of all other mutations, one that is unsafe to repeat."),
-      text("keyed_fields", docklift::Type::text, "", "Root fields of mutations that drop repeats, with spaces between."),
-      text("allow_list", docklift::Type::path, "", "JSON object of SHA-256 and text: only these are answered. Empty: all are."),
-      {.key = "units", .type = docklift::Type::choice, .fallback = std::string("type"), .doc = "What counts: type cost or field cost.",
-       .reloadable = false, .choices = {"type", "field"}},
+      text("query_class", docklift::Type::text, "",
+           "Class of queries, one of the platform's that is safe to repeat."),
+      text("keyed_class", docklift::Type::text, "",
+           "Class of mutations that drop repeats by their Idempotency-Key; empty: none do."),
+      text("mutation_class", docklift::Type::text, "",
+           "Class of all other mutations, one that is unsafe to repeat."),
+      text("keyed_fields", docklift::Type::text, "",
+           "Root fields of mutations that drop repeats, with spaces between."),
+      text("allow_list", docklift::Type::path, "",
+           "JSON object of SHA-256 and text: only these are answered. Empty: all are."),
+      {.key = "units",
+       .type = docklift::Type::choice,
+       .fallback = std::string("type"),
+       .doc = "What counts: type cost or field cost.",
+       .reloadable = false,
+       .choices = {"type", "field"}},
       number("points_per_unit", 1, 1, 1'000'000, "Points of cost for one unit of quota."),
       number("list_size", 10, 1, 1'000'000, "Of a list that nothing is said of."),
-      flag("trust_server", false, "An app server's own word (extensions.cost, X-Units-Charged) is what is charged, up to the bound."),
-      flag("introspection", true, "Whether __schema and __type are answered (by the node itself, from the schema)."),
+      flag(
+          "trust_server", false,
+          "An app server's own word (extensions.cost, X-Units-Charged) is what is charged, up to the bound."),
+      flag("introspection", true,
+           "Whether __schema and __type are answered (by the node itself, from the schema)."),
       number("most_batch", 20, 1, 1'000, "Operations of one request."),
       number("most_tokens", 20'000, 100, 1'000'000, "Of one document."),
       number("most_depth", 64, 4, 128, "Of selections, values and types in each other."),
@@ -59,8 +86,10 @@
     if (path.starts_with("/-/")) wrong("path", "is kept for the node itself");
     for (const auto* key : {"schema", "query_class", "mutation_class"})
       if (c.text(std::string("graphql.") + key).empty()) wrong(key, "is needed where path is named");
-    if (!c.text("graphql.keyed_fields").empty() && c.text("graphql.keyed_class").empty()) wrong("keyed_fields", "needs keyed_class");
-    if (!c.text("graphql.allow_list").empty() && !sha256("")) wrong("allow_list", "this build has no library for hashes");
+    if (!c.text("graphql.keyed_fields").empty() && c.text("graphql.keyed_class").empty())
+      wrong("keyed_fields", "needs keyed_class");
+    if (!c.text("graphql.allow_list").empty() && !sha256(""))
+      wrong("allow_list", "this build has no library for hashes");
   };
   return s;
 }
@@ -84,7 +113,8 @@
     const auto& name = c.text(std::string("graphql.") + key);
     const auto& classes = node.settings().classes;
     const auto it = std::ranges::find(classes, name, &snowknot::RequestClass::name);
-    if (it == classes.end()) throw std::runtime_error(std::string("graphql.") + key + ": the platform has no class " + name);
+    if (it == classes.end())
+      throw std::runtime_error(std::string("graphql.") + key + ": the platform has no class " + name);
     const auto index = static_cast<std::size_t>(it - classes.begin());
     if (it->effect != effect)
       throw std::runtime_error(std::string("graphql.") + key + ": class " + name + " has another effect");
@@ -109,7 +139,8 @@
   auto front = std::make_unique<GraphqlFront>(node, std::move(*schema), std::move(o));
   if (const auto& list = c.text("graphql.allow_list"); !list.empty()) {
     std::string why;
-    if (!front->allow_only(whole(list, "graphql.allow_list"), why)) throw std::runtime_error("graphql.allow_list: " + why);
+    if (!front->allow_only(whole(list, "graphql.allow_list"), why))
+      throw std::runtime_error("graphql.allow_list: " + why);
   }
   return front;
 }
--- a/src/graphql/validate.cpp
+++ b/src/graphql/validate.cpp
@@ -15,13 +15,13 @@
   return all.append(text.substr(0, 80)).append("\"");
 }
 
-std::optional<std::string> misfit_at(const Schema& s, const Constant& v, const TypeUse& type, std::size_t level, bool json) {
+std::optional<std::string> misfit_at(const Schema& s, const Constant& v, const TypeUse& type,
+                                     std::size_t level, bool json) {
   if (v.kind == ValueKind::variable) return std::nullopt;
   const auto wanted = [&](const std::string& what) {
     return std::optional("Expected value of type " + in_quotes(type.text()) + ", found " + what + ".");
   };
-  if (v.kind == ValueKind::null)
-    return type.non_null.at(level) ? wanted("null") : std::nullopt;
+  if (v.kind == ValueKind::null) return type.non_null.at(level) ? wanted("null") : std::nullopt;
   if (level < type.lists()) {
     if (v.kind != ValueKind::list) return misfit_at(s, v, type, level + 1, json);  // one item for the list
     for (const auto& i : v.items)
@@ -32,7 +32,8 @@
   if (!t) return wanted("a value of an unknown type");
   if (v.kind == ValueKind::list) return wanted("a list");
   if (t->kind == TypeKind::enumeration) {
-    if (v.kind == (json ? ValueKind::string : ValueKind::enumeration) && t->values.contains(v.text)) return std::nullopt;
+    if (v.kind == (json ? ValueKind::string : ValueKind::enumeration) && t->values.contains(v.text))
+      return std::nullopt;
     return "Value " + in_quotes(v.text) + " does not exist in " + in_quotes(t->name) + " enum.";
   }
   if (t->kind == TypeKind::input) {
@@ -41,16 +42,18 @@
     for (const auto& [name, field] : v.fields) {
       const auto* input = t->input(name);
       if (!input) return "Field " + in_quotes(name) + " is not defined by type " + in_quotes(t->name) + ".";
-      if (!seen.insert(name).second) return "There can be only one input field named " + in_quotes(name) + ".";
+      if (!seen.insert(name).second)
+        return "There can be only one input field named " + in_quotes(name) + ".";
       if (auto why = misfit_at(s, field, input->type, 0, json)) return why;
     }
     for (const auto& i : t->inputs)
       if (i.type.non_null.at(0) && !i.fallback && !seen.contains(i.name))
-        return "Field " + in_quotes(t->name + "." + i.name) + " of required type " + in_quotes(i.type.text()) + " was not provided.";
+        return "Field " + in_quotes(t->name + "." + i.name) + " of required type " +
+               in_quotes(i.type.text()) + " was not provided.";
     return std::nullopt;
   }
-  if (v.kind == ValueKind::object && t->name != "Int" && t->name != "Float" && t->name != "String" && t->name != "Boolean" &&
-      t->name != "ID")
+  if (v.kind == ValueKind::object && t->name != "Int" && t->name != "Float" && t->name != "String" &&
+      t->name != "Boolean" && t->name != "ID")
     return std::nullopt;  // a scalar of the schema's own may hold anything
   bool good = true;
   if (t->name == "Int") {
@@ -73,7 +76,8 @@
 
 class Validator {
  public:
-  Validator(const Schema& s, const Document& d, const ValidationLimits& limits) : s_(s), d_(d), limits_(limits) {}
+  Validator(const Schema& s, const Document& d, const ValidationLimits& limits)
+      : s_(s), d_(d), limits_(limits) {}
 
   std::vector<Error> run() {
     try {
@@ -85,8 +89,7 @@
         for (const auto& o : d_.operations()) operation(o);
       }
       if (errors_.empty()) merging();
-    } catch (const TooMuch&) {
-    }
+    } catch (const TooMuch&) {}
     return std::move(errors_);
   }
 
@@ -110,7 +113,10 @@
   }
   void deep(std::size_t depth) {
     if (depth <= limits_.depth) return;
-    errors_.assign(1, {"The document nests more than " + std::to_string(limits_.depth) + " levels.", {}, {}, "LIMIT_EXCEEDED"});
+    errors_.assign(1, {"The document nests more than " + std::to_string(limits_.depth) + " levels.",
+                       {},
+                       {},
+                       "LIMIT_EXCEEDED"});
     throw TooMuch{};
   }
 
@@ -120,7 +126,8 @@
     std::map<std::string_view, Location> seen;
     for (const auto& o : d_.operations()) {
       if (o.name.empty()) {
-        if (d_.operations().size() > 1) wrong("This anonymous operation must be the only defined operation.", {o.at});
+        if (d_.operations().size() > 1)
+          wrong("This anonymous operation must be the only defined operation.", {o.at});
       } else if (const auto [it, fresh] = seen.emplace(o.name, o.at); !fresh) {
         wrong("There can be only one operation named " + in_quotes(o.name) + ".", {it->second, o.at});
       }
@@ -186,7 +193,10 @@
     spreads_ = &fragment_spreads_[&f];
     const auto* t = s_.type(f.on);
     if (!t) return wrong("Unknown type " + in_quotes(f.on) + ".", {f.at});
-    if (!t->composite()) return wrong("Fragment " + in_quotes(f.name) + " cannot condition on non composite type " + in_quotes(f.on) + ".", {f.at});
+    if (!t->composite())
+      return wrong("Fragment " + in_quotes(f.name) + " cannot condition on non composite type " +
+                       in_quotes(f.on) + ".",
+                   {f.at});
     directives(f.directives, "FRAGMENT_DEFINITION");
     selections(f.selections, *t);
   }
@@ -200,13 +210,17 @@
                                                                  : "SUBSCRIPTION");
     std::map<std::string_view, const VariableDefinition*> variables;
     for (const auto& v : o.variables) {
-      if (!variables.emplace(v.name, &v).second) wrong("There can be only one variable named " + in_quotes(std::string("$").append(v.name)) + ".", {v.at});
+      if (!variables.emplace(v.name, &v).second)
+        wrong("There can be only one variable named " + in_quotes(std::string("$").append(v.name)) + ".",
+              {v.at});
       const auto use = use_of(*v.type);
       const auto* t = s_.type(use.name);
       if (!t)
         wrong("Unknown type " + in_quotes(use.name) + ".", {v.type->at});
       else if (!t->is_input())
-        wrong("Variable " + in_quotes(std::string("$").append(v.name)) + " cannot be non-input type " + in_quotes(use.text()) + ".", {v.type->at});
+        wrong("Variable " + in_quotes(std::string("$").append(v.name)) + " cannot be non-input type " +
+                  in_quotes(use.text()) + ".",
+              {v.type->at});
       else if (v.fallback)
         if (const auto why = misfit(s_, constant_of(*v.fallback), use)) wrong(*why, {v.fallback->at});
       directives(v.directives, "VARIABLE_DEFINITION");
@@ -231,10 +245,13 @@
       const auto it = variables.find(u.name);
       if (it == variables.end()) {
         wrong("Variable " + in_quotes(std::string("$").append(u.name)) + " is not defined" +
-                  (o.name.empty() ? "." : " by operation " + in_quotes(o.name) + "."), {u.at, o.at});
+                  (o.name.empty() ? "." : " by operation " + in_quotes(o.name) + "."),
+              {u.at, o.at});
       } else if (s_.type(use_of(*it->second->type).name) && !allowed(*it->second, u)) {
-        wrong("Variable " + in_quotes(std::string("$").append(u.name)) + " of type " + in_quotes(use_of(*it->second->type).text()) +
-                  " used in position expecting type " + in_quotes(u.type.text()) + ".", {it->second->at, u.at});
+        wrong("Variable " + in_quotes(std::string("$").append(u.name)) + " of type " +
+                  in_quotes(use_of(*it->second->type).text()) + " used in position expecting type " +
+                  in_quotes(u.type.text()) + ".",
+              {it->second->at, u.at});
       }
     }
   }
@@ -292,8 +309,9 @@
           }
           spreads_->insert(f);
           if (const auto* t = s_.type(f->on); t && t->composite() && !Schema::overlap(*t, parent))
-            wrong("Fragment " + in_quotes(x.name) + " cannot be spread here as objects of type " + in_quotes(parent.name) +
-                      " can never be of type " + in_quotes(t->name) + ".", {x.at});
+            wrong("Fragment " + in_quotes(x.name) + " cannot be spread here as objects of type " +
+                      in_quotes(parent.name) + " can never be of type " + in_quotes(t->name) + ".",
+                  {x.at});
           break;
         }
         default: {
@@ -305,8 +323,9 @@
             wrong("Fragment cannot condition on non composite type " + in_quotes(x.name) + ".", {x.at});
           } else {
             if (!Schema::overlap(*t, parent))
-              wrong("Fragment cannot be spread here as objects of type " + in_quotes(parent.name) + " can never be of type " +
-                        in_quotes(t->name) + ".", {x.at});
+              wrong("Fragment cannot be spread here as objects of type " + in_quotes(parent.name) +
+                        " can never be of type " + in_quotes(t->name) + ".",
+                    {x.at});
             selections(x.selections, *t);
           }
         }
@@ -331,19 +350,26 @@
   void field(const Selection& x, const Type& parent) {
     directives(x.directives, "FIELD");
     const auto* f = definition(parent, x.name);
-    if (!f) return wrong("Cannot query field " + in_quotes(x.name) + " on type " + in_quotes(parent.name) + ".", {x.at});
+    if (!f)
+      return wrong("Cannot query field " + in_quotes(x.name) + " on type " + in_quotes(parent.name) + ".",
+                   {x.at});
     arguments(x.arguments, f->arguments, x.at, "field " + in_quotes(parent.name + "." + f->name));
     const auto* t = s_.type(f->type.name);
     if (!t) return;
     if (t->composite() && x.selections.empty())
-      wrong("Field " + in_quotes(x.name) + " of type " + in_quotes(f->type.text()) + " must have a selection of subfields.", {x.at});
+      wrong("Field " + in_quotes(x.name) + " of type " + in_quotes(f->type.text()) +
+                " must have a selection of subfields.",
+            {x.at});
     if (!t->composite() && !x.selections.empty())
-      wrong("Field " + in_quotes(x.name) + " must not have a selection since type " + in_quotes(f->type.text()) + " has no subfields.", {x.at});
+      wrong("Field " + in_quotes(x.name) + " must not have a selection since type " +
+                in_quotes(f->type.text()) + " has no subfields.",
+            {x.at});
     else if (t->composite())
       selections(x.selections, *t);
   }
 
-  void arguments(std::span<Argument> given, const std::vector<Input>& known, Location at, const std::string& where) {
+  void arguments(std::span<Argument> given, const std::vector<Input>& known, Location at,
+                 const std::string& where) {
     std::map<std::string_view, Location> seen;
     for (const auto& a : given) {
       work();
@@ -359,7 +385,9 @@
     }
     for (const auto& i : known)
       if (i.type.non_null.front() && !i.fallback && !seen.contains(i.name))
-        wrong("Argument " + in_quotes(i.name) + " of type " + in_quotes(i.type.text()) + " is required, but it was not provided.", {at});
+        wrong("Argument " + in_quotes(i.name) + " of type " + in_quotes(i.type.text()) +
+                  " is required, but it was not provided.",
+              {at});
   }
 
   // Variables within a value, with the type that is wanted where they stand.
@@ -376,7 +404,8 @@
     } else if (v.kind == ValueKind::object) {
       const auto* t = s_.type(type.name);
       for (const auto& f : v.fields)
-        if (const auto* i = t ? t->input(f.name) : nullptr) value(f.value, i->type, i->fallback.has_value(), 0);
+        if (const auto* i = t ? t->input(f.name) : nullptr)
+          value(f.value, i->type, i->fallback.has_value(), 0);
     }
   }
 
@@ -390,7 +419,8 @@
         wrong("Unknown directive " + shown + ".", {d.at});
         continue;
       }
-      if (!use->locations.contains(location)) wrong("Directive " + shown + " may not be used on " + std::string(location) + ".", {d.at});
+      if (!use->locations.contains(location))
+        wrong("Directive " + shown + " may not be used on " + std::string(location) + ".", {d.at});
       if (!seen.insert(d.name).second && !use->repeatable)
         wrong("The directive " + shown + " can only be used once at this location.", {d.at});
       arguments(d.arguments, use->arguments, d.at, "directive " + shown);
@@ -409,7 +439,8 @@
   };
   using Level = std::vector<std::pair<Selections, const Type*>>;
 
-  void collect(Selections all, const Type& parent, std::set<const Fragment*>& seen, std::map<std::string_view, std::vector<Found>>& out) {
+  void collect(Selections all, const Type& parent, std::set<const Fragment*>& seen,
+               std::map<std::string_view, std::vector<Found>>& out) {
     for (const auto& x : all) {
       work();
       if (x.kind == Selection::Kind::field) {
@@ -438,8 +469,10 @@
       work(fields.size());
       for (std::size_t i = 1; i < fields.size(); ++i)
         if (!same_shape(fields[0].definition->type, fields[i].definition->type)) {
-          wrong("Fields " + in_quotes(name) + " conflict because they return conflicting types " + in_quotes(fields[0].definition->type.text()) +
-                    " and " + in_quotes(fields[i].definition->type.text()) + ". Use different aliases on the fields to fetch both if this was intentional.",
+          wrong("Fields " + in_quotes(name) + " conflict because they return conflicting types " +
+                    in_quotes(fields[0].definition->type.text()) + " and " +
+                    in_quotes(fields[i].definition->type.text()) +
+                    ". Use different aliases on the fields to fetch both if this was intentional.",
                 {fields[0].field->at, fields[i].field->at});
         }
       // Those on different object types never meet; those on abstract types meet all.
@@ -474,7 +507,8 @@
     Level level;
     std::set<const Selection*> seen;
     for (const auto* f : fields)
-      if (const auto* t = s_.type(f->definition->type.name); t && t->composite() && !f->field->selections.empty())
+      if (const auto* t = s_.type(f->definition->type.name);
+          t && t->composite() && !f->field->selections.empty())
         if (seen.insert(f->field->selections.data()).second) level.emplace_back(f->field->selections, t);
     return level;
   }
@@ -491,7 +525,8 @@
     else if (!same_arguments(a.field->arguments, b.field->arguments))
       why = "they have differing arguments";
     if (!why.empty())
-      wrong("Fields " + in_quotes(name) + " conflict because " + why + ". Use different aliases on the fields to fetch both if this was intentional.",
+      wrong("Fields " + in_quotes(name) + " conflict because " + why +
+                ". Use different aliases on the fields to fetch both if this was intentional.",
             {a.field->at, b.field->at});
   }
   bool same_arguments(std::span<Argument> a, std::span<Argument> b) {
@@ -505,7 +540,9 @@
   }
   bool same_value(const Value& a, const Value& b) {
     work();
-    if (a.kind != b.kind || a.text != b.text || a.items.size() != b.items.size() || a.fields.size() != b.fields.size()) return false;
+    if (a.kind != b.kind || a.text != b.text || a.items.size() != b.items.size() ||
+        a.fields.size() != b.fields.size())
+      return false;
     for (std::size_t i = 0; i < a.items.size(); ++i)
       if (!same_value(a.items[i], b.items[i])) return false;
     for (const auto& f : a.fields) {
@@ -537,7 +574,8 @@
 
 }  // namespace
 
-std::optional<std::string> misfit(const Schema& schema, const Constant& value, const TypeUse& type, bool json) {
+std::optional<std::string> misfit(const Schema& schema, const Constant& value, const TypeUse& type,
+                                  bool json) {
   return misfit_at(schema, value, type, 0, json);
 }
 
--- a/src/graphql/validate.hpp
+++ b/src/graphql/validate.hpp
@@ -18,10 +18,12 @@
 };
 
 // Empty: valid. The document must be good.
-std::vector<Error> validate(const Schema& schema, const Document& document, const ValidationLimits& limits = {});
+std::vector<Error> validate(const Schema& schema, const Document& document,
+                            const ValidationLimits& limits = {});
 
 // Whether a value is one of that type; otherwise why not. Variables within are passed over. `json`: it came as a variable's
 // value, where an enumeration's stand as strings.
-std::optional<std::string> misfit(const Schema& schema, const Constant& value, const TypeUse& type, bool json = false);
+std::optional<std::string> misfit(const Schema& schema, const Constant& value, const TypeUse& type,
+                                  bool json = false);
 
 }  // namespace docklift::graphql
--- a/src/redis/client.cpp
+++ b/src/redis/client.cpp
@@ -13,16 +13,17 @@
 
 namespace {
 
-constexpr Duration kTryAgain = 5ms;      // TRYAGAIN: keys of a slot are on their way
-constexpr int kTagTries = 1'000'000;     // to find an epoch key in a server's slots
-constexpr std::size_t kIdPart = 40;      // of a run id, and of a replication id
+constexpr Duration kTryAgain = 5ms;        // TRYAGAIN: keys of a slot are on their way
+constexpr int kTagTries = 1'000'000;       // to find an epoch key in a server's slots
+constexpr std::size_t kIdPart = 40;        // of a run id, and of a replication id
 constexpr std::size_t kLongestNote = 120;  // of what a server says
 
 }  // namespace
 
 struct Client::Link {
   enum class State { idle, connecting, up };
-  Link(const SessionOptions& options, Server* of, Endpoint where) : server(of), to(std::move(where)), session(options) {}
+  Link(const SessionOptions& options, Server* of, Endpoint where)
+      : server(of), to(std::move(where)), session(options) {}
 
   Server* server;  // none: the scout
   Endpoint to;
@@ -38,12 +39,12 @@
 struct Client::Server {
   Endpoint at;
   std::vector<std::unique_ptr<Link>> lanes;
-  std::string life;             // which was seen last: run id and replication id; empty: not told
-  std::optional<Epoch> epoch;   // of that life
-  bool looked_at = false;       // its epoch has been
-  bool off = false;             // looks are not allowed there
-  bool looking = false;         // one at a time
-  bool wanted = true;           // by the topology, not only by a redirect
+  std::string life;            // which was seen last: run id and replication id; empty: not told
+  std::optional<Epoch> epoch;  // of that life
+  bool looked_at = false;      // its epoch has been
+  bool off = false;            // looks are not allowed there
+  bool looking = false;        // one at a time
+  bool wanted = true;          // by the topology, not only by a redirect
   Time next_look{};
 };
 
@@ -231,7 +232,8 @@
 }
 
 void Client::greeted(Time now, Link& l) {
-  if (l.server) return l.session.ask(now, command({"INFO", "server"}) + command({"INFO", "replication"}), 2, kInfo);
+  if (l.server)
+    return l.session.ask(now, command({"INFO", "server"}) + command({"INFO", "replication"}), 2, kInfo);
   if (options_.mode == Mode::sentinel && l.session.protocol() == 3)
     l.session.ask(now, command({"SUBSCRIBE", "+switch-master"}), 0, 0);
   l.tried = true;
@@ -283,7 +285,8 @@
     return l.session.give_up("its role is " + who.role);
   }
   // A process that was demoted and takes over again has kept its run id, but not its history.
-  l.life = who.run_id.empty() ? std::string() : who.run_id.substr(0, kIdPart) + who.history.substr(0, kIdPart);
+  l.life = who.run_id.empty() ? std::string()
+                              : who.run_id.substr(0, kIdPart) + who.history.substr(0, kIdPart);
   if (l.life != s.life || !s.epoch) {
     const bool another = l.life != s.life;
     s.life = l.life;
@@ -307,15 +310,19 @@
 
 void Client::look(Time now, Server& s) {
   if (s.looking || !s.epoch || s.off) return;
-  const auto usable = [](const auto& l) { return l->state == Link::State::up && l->greeted && !l->session.broken(); };
+  const auto usable = [](const auto& l) {
+    return l->state == Link::State::up && l->greeted && !l->session.broken();
+  };
   auto it = std::ranges::find_if(s.lanes, [&](const auto& l) { return usable(l) && l->wants_look; });
   if (it == s.lanes.end())
-    it = std::ranges::find_if(s.lanes, [&](const auto& l) { return usable(l) && l->session.up() && l->life == s.life; });
+    it = std::ranges::find_if(
+        s.lanes, [&](const auto& l) { return usable(l) && l->session.up() && l->life == s.life; });
   s.next_look = now + options_.epoch_interval;
   if (it == s.lanes.end()) return;
   s.looking = true;
   (*it)->session.ask(now, s.epoch->look(now), Epoch::kReplies, kLook);
-  if (auto text = (*it)->session.output(); !text.empty()) actions_.emplace_back(Write{(*it)->id, std::move(text)});
+  if (auto text = (*it)->session.output(); !text.empty())
+    actions_.emplace_back(Write{(*it)->id, std::move(text)});
 }
 
 void Client::looked(Time now, Link& l, const Asked& a) {
@@ -338,7 +345,8 @@
         }
     } else if (word == "NOPERM" || word == "ERR") {
       s.off = true;
-      note("redis: " + shown(s.at) + ": lost counts are not recognised there: " + v.error.substr(0, kLongestNote));
+      note("redis: " + shown(s.at) +
+           ": lost counts are not recognised there: " + v.error.substr(0, kLongestNote));
     } else if (is_redirect(v.error)) {
       new_epoch(s);  // by the map that is there; the next topology may have a better one
       want_refresh(now);
@@ -373,7 +381,8 @@
   if (options_.mode == Mode::cluster)
     scout_->session.ask(now, command({"CLUSTER", "SLOTS"}), 1, kSlotsAsked);
   else
-    scout_->session.ask(now, command({"SENTINEL", "GET-MASTER-ADDR-BY-NAME", options_.master}), 1, kMasterAsked);
+    scout_->session.ask(now, command({"SENTINEL", "GET-MASTER-ADDR-BY-NAME", options_.master}), 1,
+                        kMasterAsked);
 }
 
 void Client::slots_came(Time now, const Asked& a) {
--- a/src/redis/counts.cpp
+++ b/src/redis/counts.cpp
@@ -15,8 +15,9 @@
 
 // Words of the documentation that are said before a command runs, so that nothing was added.
 constexpr std::array<std::string_view, 19> kNotAdded{
-    "LOADING", "READONLY", "OOM",      "NOAUTH",      "NOPERM",   "MOVED",     "ASK",        "TRYAGAIN", "CLUSTERDOWN", "CROSSSLOT",
-    "BUSY",    "MASTERDOWN", "MISCONF", "NOREPLICAS", "EXECABORT", "WRONGPASS", "WRONGTYPE", "NOPROTO",  "DENIED"};
+    "LOADING",   "READONLY",    "OOM",       "NOAUTH",  "NOPERM",     "MOVED",   "ASK",
+    "TRYAGAIN",  "CLUSTERDOWN", "CROSSSLOT", "BUSY",    "MASTERDOWN", "MISCONF", "NOREPLICAS",
+    "EXECABORT", "WRONGPASS",   "WRONGTYPE", "NOPROTO", "DENIED"};
 
 }  // namespace
 
@@ -90,7 +91,8 @@
     default:
       if (!queued_) break;
       if (r.kind == Reply::Kind::array && r.items.size() == 2 && r.items[1].is_error())
-        outcome_ = CountOutcome::refused, error_ = r.items[1].text;  // a command of it that fails does nothing
+        outcome_ = CountOutcome::refused,
+        error_ = r.items[1].text;  // a command of it that fails does nothing
       else if (r.kind == Reply::Kind::array && r.items.size() == 2)
         read_total(r.items[1]);
       else if (r.kind == Reply::Kind::null)
--- a/src/redis/epoch.hpp
+++ b/src/redis/epoch.hpp
@@ -41,8 +41,9 @@
 
   std::string key_;
   snowknot::Duration life_, step_;
-  std::optional<std::int64_t> last_;                            // value at the last look
-  std::optional<std::pair<std::int64_t, std::int64_t>> ahead_;  // the store's clock before ours by, in ms: between
+  std::optional<std::int64_t> last_;  // value at the last look
+  std::optional<std::pair<std::int64_t, std::int64_t>>
+      ahead_;  // the store's clock before ours by, in ms: between
 };
 
 }  // namespace docklift::redis
--- a/src/redis/redis_store.cpp
+++ b/src/redis/redis_store.cpp
@@ -19,7 +19,10 @@
 class RedisStore::Links : public std::enable_shared_from_this<Links> {
  public:
   Links(snowknot::asio::io_context& io, snowknot::Timers& timers, ClientOptions options, Told told, Lost lost)
-      : io_(io), timers_(timers), client_(std::move(options), timers.now()), told_(std::move(told)),
+      : io_(io),
+        timers_(timers),
+        client_(std::move(options), timers.now()),
+        told_(std::move(told)),
         lost_(std::move(lost)) {}
 
   Client& client() { return client_; }
--- a/src/redis/resp.cpp
+++ b/src/redis/resp.cpp
@@ -116,7 +116,8 @@
     case '(': r.kind = Kind::big, r.text = rest; return finished(std::move(r), out);
     case ',': r.kind = Kind::real, r.text = rest; return finished(std::move(r), out);
     case ':':
-      if (const auto n = whole(rest)) return r.kind = Kind::integer, r.integer = *n, finished(std::move(r), out);
+      if (const auto n = whole(rest))
+        return r.kind = Kind::integer, r.integer = *n, finished(std::move(r), out);
       return fail("an integer can't be read");
     case '#':
       if (rest != "t" && rest != "f") return fail("a boolean can't be read");
@@ -151,7 +152,8 @@
     return finished(std::move(r), out);
   }
   const auto count = static_cast<std::size_t>(*n) * (r.kind == Kind::map ? 2 : 1);
-  if (static_cast<std::uint64_t>(*n) > limits_.items || (items_ += count) > limits_.items) return fail("too many items");
+  if (static_cast<std::uint64_t>(*n) > limits_.items || (items_ += count) > limits_.items)
+    return fail("too many items");
   if (open_.size() == limits_.depth) return fail("aggregates too deep in each other");
   if (count == 0 && type == '|') return Step::more;
   if (count == 0) return finished(std::move(r), out);
--- a/src/redis/resp.hpp
+++ b/src/redis/resp.hpp
@@ -14,18 +14,18 @@
 struct Reply {
   enum class Kind { simple, error, integer, bulk, null, array, map, set, push, boolean, real, big, verbatim };
   Kind kind = Kind::null;
-  std::string text;           // of simple, error, bulk, verbatim (without its format), real and big, as it came
-  std::int64_t integer = 0;   // of integer and boolean
-  std::vector<Reply> items;   // of array, set and push; a map's keys and values in turn
+  std::string text;  // of simple, error, bulk, verbatim (without its format), real and big, as it came
+  std::int64_t integer = 0;  // of integer and boolean
+  std::vector<Reply> items;  // of array, set and push; a map's keys and values in turn
 
   bool is_error() const { return kind == Kind::error; }
 };
 
 struct RespLimits {
-  std::size_t line = 64 * 1024;        // bytes of a line
-  std::size_t bulk = 1024 * 1024;      // bytes of a bulk
-  std::size_t items = 64 * 1024;       // of one reply, over all levels
-  std::size_t depth = 16;              // of aggregates in each other
+  std::size_t line = 64 * 1024;    // bytes of a line
+  std::size_t bulk = 1024 * 1024;  // bytes of a bulk
+  std::size_t items = 64 * 1024;   // of one reply, over all levels
+  std::size_t depth = 16;          // of aggregates in each other
 };
 
 // Replies from a stream of bytes that may be split anywhere. Each byte is looked at once. What breaks the protocol or a
--- a/src/redis/sections.cpp
+++ b/src/redis/sections.cpp
@@ -15,33 +15,54 @@
 constexpr std::int64_t kMs = 1'000'000, kS = 1'000 * kMs, kMinute = 60 * kS;
 
 Option span(std::string key, std::int64_t fallback, std::int64_t least, std::int64_t most, std::string doc) {
-  return {.key = std::move(key), .type = Type::duration, .fallback = fallback, .doc = std::move(doc),
-          .reloadable = false, .least = least, .most = most};
+  return {.key = std::move(key),
+          .type = Type::duration,
+          .fallback = fallback,
+          .doc = std::move(doc),
+          .reloadable = false,
+          .least = least,
+          .most = most};
 }
 Option text(std::string key, Type type, std::string fallback, std::string doc) {
-  return {.key = std::move(key), .type = type, .fallback = std::move(fallback), .doc = std::move(doc), .reloadable = false};
+  return {.key = std::move(key),
+          .type = type,
+          .fallback = std::move(fallback),
+          .doc = std::move(doc),
+          .reloadable = false};
 }
-Option number(std::string key, std::int64_t fallback, std::int64_t least, std::int64_t most, std::string doc) {
-  return {.key = std::move(key), .type = Type::whole, .fallback = fallback, .doc = std::move(doc), .reloadable = false,
-          .least = least, .most = most};
+Option number(std::string key, std::int64_t fallback, std::int64_t least, std::int64_t most,
+              std::string doc) {
+  return {.key = std::move(key),
+          .type = Type::whole,
+          .fallback = fallback,
+          .doc = std::move(doc),
+          .reloadable = false,
+          .least = least,
+          .most = most};
 }
 
 }  // namespace
 
 Section store_section() {
   Section s{.name = "store", .doc = "Where the counts are kept that all nodes share."};
-  s.options = {{.key = "kind", .type = Type::choice, .fallback = std::string("platform"),
-                .doc = "`platform`: the platform's counter; `redis`: the server in `[redis]`. All nodes of a fleet must "
+  s.options = {{.key = "kind",
+                .type = Type::choice,
+                .fallback = std::string("platform"),
+                .doc = "`platform`: the platform's counter; `redis`: the server in `[redis]`. All nodes of a "
+                       "fleet must "
                        "name the same.",
-                .reloadable = false, .choices = {"platform", "redis"}}};
-  s.options.push_back(text("move_from", Type::choice, "none",
-                           "A fleet that moves: counts are kept in that store too, and it decides until `cut_over`."));
+                .reloadable = false,
+                .choices = {"platform", "redis"}}};
+  s.options.push_back(
+      text("move_from", Type::choice, "none",
+           "A fleet that moves: counts are kept in that store too, and it decides until `cut_over`."));
   s.options.back().choices = {"none", "platform", "redis"};
   s.options.push_back(text("cut_over", Type::text, "",
                            "From when on `kind` decides: `2026-12-24T02:30:00Z`. The same at all nodes."));
-  s.options.push_back(span("overlap", kMinute, 1 * kS, 60 * kMinute,
-                           "Both stores count for so long after the cut-over, and must have for so long before: no window "
-                           "is longer."));
+  s.options.push_back(
+      span("overlap", kMinute, 1 * kS, 60 * kMinute,
+           "Both stores count for so long after the cut-over, and must have for so long before: no window "
+           "is longer."));
   s.check = [](const Config& c, const Section::Wrong& wrong) {
     const auto& kind = c.text("store.kind");
     const auto& from = c.text("store.move_from");
@@ -59,15 +80,24 @@
 }
 
 Section redis_section() {
-  Section s{.name = "redis", .doc = "The Redis server (6 or later, or what speaks its protocol) for `store.kind = \"redis\"`."};
+  Section s{
+      .name = "redis",
+      .doc = "The Redis server (6 or later, or what speaks its protocol) for `store.kind = \"redis\"`."};
   s.options = {
-      {.key = "mode", .type = Type::choice, .fallback = std::string("single"),
-       .doc = "`single`: the server at `address`; `cluster`: those that `seeds` tell of; `sentinel`: the master `master` of "
+      {.key = "mode",
+       .type = Type::choice,
+       .fallback = std::string("single"),
+       .doc = "`single`: the server at `address`; `cluster`: those that `seeds` tell of; `sentinel`: the "
+              "master `master` of "
               "the Sentinels in `seeds`.",
-       .reloadable = false, .choices = {"single", "cluster", "sentinel"}},
+       .reloadable = false,
+       .choices = {"single", "cluster", "sentinel"}},
       text("address", Type::address, "", "Where it listens: an IP address and a port."),
-      {.key = "seeds", .type = Type::addresses, .fallback = std::vector<std::string>(),
-       .doc = "Some of the cluster's servers, or the Sentinels. Asked in turn; what they tell must be IP addresses.",
+      {.key = "seeds",
+       .type = Type::addresses,
+       .fallback = std::vector<std::string>(),
+       .doc = "Some of the cluster's servers, or the Sentinels. Asked in turn; what they tell must be IP "
+              "addresses.",
        .reloadable = false},
       text("master", Type::text, "mymaster", "Its name at the Sentinels."),
       text("user", Type::text, "", "ACL user; empty: the default one."),
@@ -78,18 +108,26 @@
       number("connections", 4, 1, 64, "To the server, from each node. A name keeps to one."),
       number("most_calls", 1'024, 1, 1'000'000,
              "Calls on one connection that wait for a reply; further ones count as refused at once."),
-      {.key = "resp3", .type = Type::boolean, .fallback = true,
-       .doc = "Ask for version 3 of the protocol; falls back to 2 where the server doesn't know it.", .reloadable = false},
+      {.key = "resp3",
+       .type = Type::boolean,
+       .fallback = true,
+       .doc = "Ask for version 3 of the protocol; falls back to 2 where the server doesn't know it.",
+       .reloadable = false},
       span("connect_limit", 1 * kS, 10 * kMs, kMinute, "For a connection to come up."),
       span("call_limit", 0, 0, kMinute, "For a call; 0: as the platform's settings have it for the counter."),
-      span("idle_limit", 10 * kS, 100 * kMs, 60 * kMinute, "A connection that idles so long is kept alive by a PING."),
-      span("refresh_least", 200 * kMs, 10 * kMs, kMinute, "Between two questions after the topology, whatever happens."),
-      span("refresh_every", 30 * kS, 100 * kMs, 60 * kMinute, "The topology is asked for again after so long."),
+      span("idle_limit", 10 * kS, 100 * kMs, 60 * kMinute,
+           "A connection that idles so long is kept alive by a PING."),
+      span("refresh_least", 200 * kMs, 10 * kMs, kMinute,
+           "Between two questions after the topology, whatever happens."),
+      span("refresh_every", 30 * kS, 100 * kMs, 60 * kMinute,
+           "The topology is asked for again after so long."),
       number("most_redirects", 5, 1, 64, "Of one call in a cluster."),
       span("epoch_interval", 1 * kS, 0, kMinute,
            "Between two looks at whether a server still has its counts; 0: only the totals tell."),
-      span("epoch_life", 600 * kS, 10 * kS, 24 * 60 * kMinute, "How long the key for that outlives the last look."),
-      span("first_back_off", 50 * kMs, 1 * kMs, kMinute, "Before a lost connection is made again; doubles, with jitter."),
+      span("epoch_life", 600 * kS, 10 * kS, 24 * 60 * kMinute,
+           "How long the key for that outlives the last look."),
+      span("first_back_off", 50 * kMs, 1 * kMs, kMinute,
+           "Before a lost connection is made again; doubles, with jitter."),
       span("longest_back_off", 1 * kS, 1 * kMs, 10 * kMinute, "The longest of those."),
   };
   s.check = [](const Config& c, const Section::Wrong& wrong) {
@@ -101,7 +139,8 @@
       wrong("client_name", "holds white space, which the server refuses");
     const bool cluster = c.text("redis.mode") == "cluster";
     if (cluster && c.whole("redis.database") != 0) wrong("database", "a cluster has no other than 0");
-    if (c.text("redis.mode") == "sentinel" && c.text("redis.master").find_first_of(" \r\n\t") != std::string::npos)
+    if (c.text("redis.mode") == "sentinel" &&
+        c.text("redis.master").find_first_of(" \r\n\t") != std::string::npos)
       wrong("master", "holds white space");
     if (c.duration("redis.refresh_every") < c.duration("redis.refresh_least"))
       wrong("refresh_every", "is shorter than refresh_least");
@@ -159,9 +198,10 @@
   o.seed = seed;
   return [o, own = c.duration("redis.call_limit")](
              snowknot::asio::io_context& io, snowknot::Timers& timers, snowknot::Duration limit,
-             snowknot::CountStore::Told told, snowknot::CountStore::Lost lost) -> std::unique_ptr<snowknot::CountStore> {
-    return std::make_unique<RedisStore>(io, timers, o, own == snowknot::Duration{} ? limit : own, std::move(told),
-                                        std::move(lost));
+             snowknot::CountStore::Told told,
+             snowknot::CountStore::Lost lost) -> std::unique_ptr<snowknot::CountStore> {
+    return std::make_unique<RedisStore>(io, timers, o, own == snowknot::Duration{} ? limit : own,
+                                        std::move(told), std::move(lost));
   };
 }
 
@@ -179,8 +219,8 @@
     };
   };
   if (from != "none")
-    return store::moving(factory(from), factory(c.text("store.kind")), *store::time_of(c.text("store.cut_over")),
-                         c.duration("store.overlap"));
+    return store::moving(factory(from), factory(c.text("store.kind")),
+                         *store::time_of(c.text("store.cut_over")), c.duration("store.overlap"));
   return c.text("store.kind") == "redis" ? redis_factory(c, seed) : snowknot::StoreFactory{};
 }
 
--- a/src/redis/session.cpp
+++ b/src/redis/session.cpp
@@ -35,7 +35,8 @@
       case Stage::hello: {
         std::vector<std::string> words{"HELLO", "3"};
         if (!options_.password.empty())
-          words.insert(words.end(), {"AUTH", options_.user.empty() ? "default" : options_.user, options_.password});
+          words.insert(words.end(),
+                       {"AUTH", options_.user.empty() ? "default" : options_.user, options_.password});
         if (!options_.client_name.empty()) words.insert(words.end(), {"SETNAME", options_.client_name});
         return put(command(words));
       }
@@ -58,7 +59,8 @@
   switch (stage_) {
     case Stage::hello:
       // A server before version 6 doesn't know the command, a proxy perhaps not the version.
-      if (r.is_error() && (r.text.starts_with("ERR") || r.text.starts_with("NOPROTO"))) return shake(Stage::auth);
+      if (r.is_error() && (r.text.starts_with("ERR") || r.text.starts_with("NOPROTO")))
+        return shake(Stage::auth);
       if (r.is_error()) broken_ = "HELLO: " + r.text;
       protocol_ = 3;
       return broken_.empty() ? shake(Stage::select) : void();
@@ -153,7 +155,8 @@
     return;
   }
   auto& c = sent_.front();
-  if (std::exchange(c.asking, false)) return;  // what ASKING is answered; a refused one shows in the replies behind it
+  if (std::exchange(c.asking, false))
+    return;  // what ASKING is answered; a refused one shows in the replies behind it
   switch (c.kind) {
     case Kind::ping: break;
     case Kind::ask:
--- a/src/redis/session.hpp
+++ b/src/redis/session.hpp
@@ -20,12 +20,12 @@
   std::string client_name;     // CLIENT SETNAME, if there is one
   std::int64_t database = 0;   // SELECT
   std::string prefix = "docklift:";
-  bool resp3 = true;                    // HELLO 3; falls back to version 2 where the server doesn't know it
-  snowknot::Duration call_limit{};      // from a call to its answer
-  snowknot::Duration idle_limit{};      // a PING keeps a connection that idles from being closed
-  snowknot::Duration silence_limit{};   // without a byte while replies are owed: the connection is dead
-  std::size_t most_calls = 1024;        // waiting for a reply; further ones are refused at once
-  bool held = false;       // after the handshake calls wait until release(): who uses it looks at the server first
+  bool resp3 = true;                   // HELLO 3; falls back to version 2 where the server doesn't know it
+  snowknot::Duration call_limit{};     // from a call to its answer
+  snowknot::Duration idle_limit{};     // a PING keeps a connection that idles from being closed
+  snowknot::Duration silence_limit{};  // without a byte while replies are owed: the connection is dead
+  std::size_t most_calls = 1024;       // waiting for a reply; further ones are refused at once
+  bool held = false;  // after the handshake calls wait until release(): who uses it looks at the server first
   bool redirects = false;  // calls that a cluster turns away come out of turned_away() rather than as answers
 };
 
--- a/src/redis/topology.cpp
+++ b/src/redis/topology.cpp
@@ -68,7 +68,8 @@
       return false;
     // A null or empty address is that of the server which answered, as its clients know it.
     const auto& host = master.items[0].text;
-    const auto at = endpoint(host.empty() ? from.address().to_string() : host, std::to_string(master.items[1].integer));
+    const auto at = endpoint(host.empty() ? from.address().to_string() : host,
+                             std::to_string(master.items[1].integer));
     if (!at) {
       ++next.unread_;
       continue;
--- a/src/redis/topology.hpp
+++ b/src/redis/topology.hpp
@@ -48,9 +48,9 @@
 
 // From the texts of INFO server and INFO replication; what is missing is empty.
 struct Identity {
-  std::string run_id;  // of this life of the process
-  std::string history; // master_replid: of the data, new when a replica takes over
-  std::string role;    // master, slave
+  std::string run_id;   // of this life of the process
+  std::string history;  // master_replid: of the data, new when a replica takes over
+  std::string role;     // master, slave
 };
 Identity identity_of(const Reply& server, const Reply& replication);
 
--- a/src/store/count_store.hpp
+++ b/src/store/count_store.hpp
@@ -27,7 +27,7 @@
 };
 
 // Makes the store of a node that has another than the platform's counter. The settings' time-out for a call is given.
-using StoreFactory = std::function<std::unique_ptr<CountStore>(asio::io_context&, Timers&, Duration, CountStore::Told,
-                                                               CountStore::Lost)>;
+using StoreFactory = std::function<std::unique_ptr<CountStore>(asio::io_context&, Timers&, Duration,
+                                                               CountStore::Told, CountStore::Lost)>;
 
 }  // namespace snowknot
--- a/src/store/cut_over.cpp
+++ b/src/store/cut_over.cpp
@@ -36,11 +36,13 @@
       fraction += unit * (c - '0');
     }
   }
-  const std::chrono::year_month_day day{std::chrono::year(part[0]), std::chrono::month(static_cast<unsigned>(part[1])),
+  const std::chrono::year_month_day day{std::chrono::year(part[0]),
+                                        std::chrono::month(static_cast<unsigned>(part[1])),
                                         std::chrono::day(static_cast<unsigned>(part[2]))};
   if (!day.ok() || part[3] > 23 || part[4] > 59 || part[5] > 59) return std::nullopt;
   const auto days = std::chrono::sys_days(day).time_since_epoch();
-  return Time(days + std::chrono::hours(part[3]) + std::chrono::minutes(part[4]) + std::chrono::seconds(part[5]) + fraction);
+  return Time(days + std::chrono::hours(part[3]) + std::chrono::minutes(part[4]) +
+              std::chrono::seconds(part[5]) + fraction);
 }
 
 void CutOver::word_of_switch(Time now, Out& out) {
--- a/src/store/moving_store.cpp
+++ b/src/store/moving_store.cpp
@@ -10,14 +10,19 @@
 
 class MovingStore : public snowknot::CountStore {
  public:
-  MovingStore(snowknot::asio::io_context& io, snowknot::Timers& timers, snowknot::Duration limit, Told told, Lost lost,
-              const snowknot::StoreFactory& before, const snowknot::StoreFactory& after, snowknot::Time cut_over,
-              snowknot::Duration overlap)
-      : timers_(timers), choice_(timers.now(), cut_over, overlap), told_(std::move(told)), lost_(std::move(lost)) {
+  MovingStore(snowknot::asio::io_context& io, snowknot::Timers& timers, snowknot::Duration limit, Told told,
+              Lost lost, const snowknot::StoreFactory& before, const snowknot::StoreFactory& after,
+              snowknot::Time cut_over, snowknot::Duration overlap)
+      : timers_(timers),
+        choice_(timers.now(), cut_over, overlap),
+        told_(std::move(told)),
+        lost_(std::move(lost)) {
     const auto make = [&](const snowknot::StoreFactory& factory, Side side) {
       return factory(
           io, timers, limit,
-          [this, side](const snowknot::CountAnswer& a) { carry_out(choice_.answered(timers_.now(), side, a)); },
+          [this, side](const snowknot::CountAnswer& a) {
+            carry_out(choice_.answered(timers_.now(), side, a));
+          },
           [this, side](const snowknot::CountsLost& l) { carry_out(choice_.lost(timers_.now(), side, l)); });
     };
     before_ = make(before, Side::before);
@@ -45,7 +50,8 @@
  private:
   void carry_out(const CutOver::Out& out) {
     if (out.lost) lost_(*out.lost);
-    for (const auto& a : out.adds) (a.side == Side::before ? before_ : after_)->add(a.name, a.amount, a.lifetime);
+    for (const auto& a : out.adds)
+      (a.side == Side::before ? before_ : after_)->add(a.name, a.amount, a.lifetime);
     for (const auto& a : out.answers) told_(a);
   }
 
@@ -59,13 +65,14 @@
 
 }  // namespace
 
-snowknot::StoreFactory moving(snowknot::StoreFactory before, snowknot::StoreFactory after, snowknot::Time cut_over,
-                              snowknot::Duration overlap) {
+snowknot::StoreFactory moving(snowknot::StoreFactory before, snowknot::StoreFactory after,
+                              snowknot::Time cut_over, snowknot::Duration overlap) {
   return [before = std::move(before), after = std::move(after), cut_over, overlap](
              snowknot::asio::io_context& io, snowknot::Timers& timers, snowknot::Duration limit,
-             snowknot::CountStore::Told told, snowknot::CountStore::Lost lost) -> std::unique_ptr<snowknot::CountStore> {
-    return std::make_unique<MovingStore>(io, timers, limit, std::move(told), std::move(lost), before, after, cut_over,
-                                         overlap);
+             snowknot::CountStore::Told told,
+             snowknot::CountStore::Lost lost) -> std::unique_ptr<snowknot::CountStore> {
+    return std::make_unique<MovingStore>(io, timers, limit, std::move(told), std::move(lost), before, after,
+                                         cut_over, overlap);
   };
 }
 
--- a/standins/graphql/main.cpp
+++ b/standins/graphql/main.cpp
@@ -21,7 +21,8 @@
   }
   try {
     const auto at = snowknot::endpoint_of(listen);
-    if (!at || !at->address().is_loopback()) throw std::invalid_argument("--listen is not a port of 127.0.0.0/8");
+    if (!at || !at->address().is_loopback())
+      throw std::invalid_argument("--listen is not a port of 127.0.0.0/8");
     boost::asio::io_context io(1);
     docklift::standins::MembersServer server(io, seed, *at);
     boost::asio::basic_signal_set<snowknot::Executor> signals(io.get_executor(), SIGTERM, SIGINT);
--- a/standins/graphql/members.cpp
+++ b/standins/graphql/members.cpp
@@ -52,7 +52,8 @@
 
 using Groups = std::vector<std::pair<std::string_view, std::vector<const Selection*>>>;
 
-void collect(const Schema& s, const Document& d, const Variables& v, Selections all, const Type& type, std::set<std::string_view>& seen, Groups& out) {
+void collect(const Schema& s, const Document& d, const Variables& v, Selections all, const Type& type,
+             std::set<std::string_view>& seen, Groups& out) {
   for (const auto& x : all) {
     if (!included(x.directives, v)) continue;
     if (x.kind == Selection::Kind::field) {
@@ -67,7 +68,8 @@
     if (x.kind == Selection::Kind::spread && (!f || !seen.insert(x.name).second)) continue;
     const auto on = f ? f->on : x.name;
     const auto* t = on.empty() ? &type : s.type(on);
-    if (t && t->possible.contains(type.name)) collect(s, d, v, f ? f->selections : x.selections, type, seen, out);
+    if (t && t->possible.contains(type.name))
+      collect(s, d, v, f ? f->selections : x.selections, type, seen, out);
   }
 }
 
@@ -109,7 +111,8 @@
       }()),
       random_(seed) {}
 
-json Members::value(Run& run, const Field& field, const Selection& x, const Merged& inner, const TypeUse& type, std::size_t level, std::size_t length, json path) {
+json Members::value(Run& run, const Field& field, const Selection& x, const Merged& inner,
+                    const TypeUse& type, std::size_t level, std::size_t length, json path) {
   if (++run.made > kMostObjects) throw std::length_error("too large an answer");
   if (level < type.lists()) {
     json all = json::array();
@@ -154,9 +157,11 @@
     at.push_back(response);
     json arguments = json::object();
     for (const auto& a : x.arguments) arguments[std::string(a.name)] = json_of(a.value, run.variables);
-    if (run.mutation && path.empty() && (run.key.empty() || keys_.insert(run.key + " " + field.name + arguments.dump()).second))
+    if (run.mutation && path.empty() &&
+        (run.key.empty() || keys_.insert(run.key + " " + field.name + arguments.dump()).second))
       effects_.push_back({field.name, run.id, run.key, arguments.dump()});
-    if (const auto slow = faults_.slow_ms.find(where); slow != faults_.slow_ms.end()) run.wait_ms += slow->second;
+    if (const auto slow = faults_.slow_ms.find(where); slow != faults_.slow_ms.end())
+      run.wait_ms += slow->second;
     try {
       if (const auto bad = faults_.errors.find(where); bad != faults_.errors.end() && chance(bad->second)) {
         run.errors.push_back({{"message", "made to fail"}, {"path", at}});
@@ -167,9 +172,11 @@
       std::size_t length = kUsualLength;
       if (field.list_size)
         for (const auto& s : field.list_size->slicing) {
-          if (arguments.contains(s) && arguments[s].is_number_integer()) length = static_cast<std::size_t>(std::max<std::int64_t>(0, arguments[s].get<std::int64_t>()));
+          if (arguments.contains(s) && arguments[s].is_number_integer())
+            length = static_cast<std::size_t>(std::max<std::int64_t>(0, arguments[s].get<std::int64_t>()));
         }
-      if (const auto hidden = faults_.lengths.find(where); hidden != faults_.lengths.end()) length = hidden->second;
+      if (const auto hidden = faults_.lengths.find(where); hidden != faults_.lengths.end())
+        length = hidden->second;
       Merged inner;
       for (const auto* f : fields) inner.push_back(f->selections);
       out[response] = value(run, field, x, inner, field.type, 0, length, at);
--- a/standins/graphql/members.hpp
+++ b/standins/graphql/members.hpp
@@ -24,8 +24,8 @@
   // By "Type.field".
   std::map<std::string, std::size_t> lengths{};  // of lists, whatever was asked for: hidden ones
   std::map<std::string, int> slow_ms{};
-  std::map<std::string, double> errors{};      // part of the times: null, and an error with its path
-  double cut = 0;      // part of the answers that end inside a string
+  std::map<std::string, double> errors{};  // part of the times: null, and an error with its path
+  double cut = 0;                          // part of the answers that end inside a string
   double reset = 0;    // part of the requests whose connection ends after the last byte, once they have run
   double garbage = 0;  // part of the answers that are no JSON
   std::optional<double> cost{};  // extensions.cost and X-Units-Charged, true or not
@@ -57,8 +57,9 @@
   struct Run;
   using Merged = std::vector<graphql::Selections>;
   nlohmann::json object(Run& run, const graphql::Type& type, const Merged& selections, nlohmann::json path);
-  nlohmann::json value(Run& run, const graphql::Field& field, const graphql::Selection& selection, const Merged& inner,
-                       const graphql::TypeUse& type, std::size_t level, std::size_t length, nlohmann::json path);
+  nlohmann::json value(Run& run, const graphql::Field& field, const graphql::Selection& selection,
+                       const Merged& inner, const graphql::TypeUse& type, std::size_t level,
+                       std::size_t length, nlohmann::json path);
   bool chance(double part) { return part > 0 && std::uniform_real_distribution<>(0, 1)(random_) < part; }
 
   graphql::Schema schema_;
--- a/standins/graphql/members_server.cpp
+++ b/standins/graphql/members_server.cpp
@@ -21,14 +21,22 @@
   MembersFaults f;
   try {
     for (const auto& [name, v] : j.items()) {
-      if (name == "lengths") f.lengths = v.get<std::map<std::string, std::size_t>>();
-      else if (name == "slow_ms") f.slow_ms = v.get<std::map<std::string, int>>();
-      else if (name == "errors") f.errors = v.get<std::map<std::string, double>>();
-      else if (name == "cut") f.cut = v.get<double>();
-      else if (name == "reset") f.reset = v.get<double>();
-      else if (name == "garbage") f.garbage = v.get<double>();
-      else if (name == "cost") f.cost = v.get<double>();
-      else return false;
+      if (name == "lengths")
+        f.lengths = v.get<std::map<std::string, std::size_t>>();
+      else if (name == "slow_ms")
+        f.slow_ms = v.get<std::map<std::string, int>>();
+      else if (name == "errors")
+        f.errors = v.get<std::map<std::string, double>>();
+      else if (name == "cut")
+        f.cut = v.get<double>();
+      else if (name == "reset")
+        f.reset = v.get<double>();
+      else if (name == "garbage")
+        f.garbage = v.get<double>();
+      else if (name == "cost")
+        f.cost = v.get<double>();
+      else
+        return false;
     }
   } catch (const json::exception&) {
     return false;
@@ -82,12 +90,14 @@
     } else if (request.target() == "/-/effects") {
       json all = json::array();
       for (const auto& e : members_.effects())
-        all.push_back({{"field", e.field}, {"id", e.id}, {"key", e.key}, {"arguments", json::parse(e.arguments)}});
+        all.push_back(
+            {{"field", e.field}, {"id", e.id}, {"key", e.key}, {"arguments", json::parse(e.arguments)}});
       response.body() = all.dump();
     } else if (request.target() == "/-/faults" && request.method() == http::verb::post) {
       if (!read_faults(request.body(), members_.faults())) response.result(http::status::bad_request);
     } else if (request.target() == "/graphql" && request.method() == http::verb::post) {
-      auto a = members_.answer(request.body(), std::string(request["X-Request-ID"]), std::string(request["Idempotency-Key"]));
+      auto a = members_.answer(request.body(), std::string(request["X-Request-ID"]),
+                               std::string(request["Idempotency-Key"]));
       if (a.wait_ms > 0) co_await async::pause(io_, std::chrono::milliseconds(a.wait_ms));
       if (a.reset) co_return async::reset(socket);
       response.result(static_cast<http::status>(a.status));
--- a/standins/redis/cluster.cpp
+++ b/standins/redis/cluster.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 std::string upper(std::string text) {
-  std::ranges::transform(text, text.begin(), [](unsigned char c) { return static_cast<char>(std::toupper(c)); });
+  std::ranges::transform(text, text.begin(),
+                         [](unsigned char c) { return static_cast<char>(std::toupper(c)); });
   return text;
 }
 std::string line(char kind, std::size_t n) {
@@ -23,7 +24,9 @@
   for (const auto& i : items) all += i;
   return all;
 }
-std::string map(const Client& c, const std::vector<std::string>& items) { return array(items, c.protocol == 3 ? '%' : '*'); }
+std::string map(const Client& c, const std::vector<std::string>& items) {
+  return array(items, c.protocol == 3 ? '%' : '*');
+}
 
 }  // namespace
 
@@ -59,7 +62,9 @@
   for (std::size_t s = first; s <= last; ++s) owners_.at(s) = member;
 }
 
-void Cluster::begin_migration(std::uint16_t slot, std::size_t to) { migrations_[slot] = {*owners_.at(slot), to}; }
+void Cluster::begin_migration(std::uint16_t slot, std::size_t to) {
+  migrations_[slot] = {*owners_.at(slot), to};
+}
 
 void Cluster::move_some(std::uint16_t slot, std::size_t most, std::int64_t now) {
   const auto& m = migrations_.at(slot);
@@ -143,8 +148,9 @@
     if (publish)
       for (std::size_t s = 0; s < members_.size(); ++s)
         if (members_[s].sentinel && s != cut_sentinel())
-          publish(s, "+switch-master", name_ + " " + members_[master].host + " " + std::to_string(members_[master].port) +
-                                           " " + members_[i].host + " " + std::to_string(members_[i].port));
+          publish(s, "+switch-master",
+                  name_ + " " + members_[master].host + " " + std::to_string(members_[master].port) + " " +
+                      members_[i].host + " " + std::to_string(members_[i].port));
     return true;
   }
   return false;
@@ -153,8 +159,9 @@
 void Cluster::heal(std::int64_t) {
   if (const auto s = cut_sentinel(); s && publish) {
     const auto& [old, now] = split_.front();
-    publish(*s, "+switch-master", name_ + " " + members_[old].host + " " + std::to_string(members_[old].port) + " " +
-                                      members_[now].host + " " + std::to_string(members_[now].port));
+    publish(*s, "+switch-master",
+            name_ + " " + members_[old].host + " " + std::to_string(members_[old].port) + " " +
+                members_[now].host + " " + std::to_string(members_[now].port));
   }
   for (const auto& [old, now] : std::exchange(split_, {})) {
     members_[old].database->copy_data(*members_[now].database);
@@ -167,7 +174,8 @@
 // ---- Where keys lie ----------------------------------------------------------------------------------------
 
 bool Cluster::down() const {
-  return full_coverage && std::ranges::any_of(owners_, [&](const auto& o) { return !o || !members_[*o].alive; });
+  return full_coverage &&
+         std::ranges::any_of(owners_, [&](const auto& o) { return !o || !members_[*o].alive; });
 }
 
 std::optional<std::string> Cluster::elsewhere(std::size_t member, const std::vector<std::string>& keys,
@@ -193,7 +201,8 @@
     if (several && missing > 0) return "-TRYAGAIN Multiple keys request during rehashing of slot\r\n";
     return std::nullopt;
   }
-  if (*owner == member || (reads && client.reads_here && members_[member].master == owner)) return std::nullopt;
+  if (*owner == member || (reads && client.reads_here && members_[member].master == owner))
+    return std::nullopt;
   return "-MOVED " + std::to_string(slot) + " " + at(*owner) + "\r\n";
 }
 
@@ -250,10 +259,10 @@
       if (owner == i) slots.push_back(integer(first)), slots.push_back(integer(last));
     for (std::size_t n = 0; n < members_.size(); ++n)
       if (n == i || members_[n].master == i)
-        nodes.push_back(map(c, {bulk("id"), bulk(id_of(n)), bulk("port"), integer(members_[n].port), bulk("ip"),
-                                bulk(members_[n].host), bulk("endpoint"), bulk(members_[n].host), bulk("role"),
-                                bulk(n == i ? "master" : "replica"), bulk("replication-offset"), integer(0),
-                                bulk("health"), bulk(members_[n].alive ? "online" : "failed")}));
+        nodes.push_back(map(c, {bulk("id"), bulk(id_of(n)), bulk("port"), integer(members_[n].port),
+                                bulk("ip"), bulk(members_[n].host), bulk("endpoint"), bulk(members_[n].host),
+                                bulk("role"), bulk(n == i ? "master" : "replica"), bulk("replication-offset"),
+                                integer(0), bulk("health"), bulk(members_[n].alive ? "online" : "failed")}));
     all.push_back(map(c, {bulk("slots"), array(slots), bulk("nodes"), array(nodes)}));
   }
   return array(all);
@@ -263,18 +272,18 @@
   std::string text;
   for (std::size_t i = 0; i < members_.size(); ++i) {
     const auto& m = members_[i];
-    text += id_of(i) + " " + at(i) + "@" + std::to_string(m.port + 10000) + " " + (i == member ? "myself," : "") +
-            (m.master ? "slave " + id_of(*m.master) : "master -") + " 0 0 " + std::to_string(i + 1) +
-            (m.alive ? " connected" : " disconnected");
+    text += id_of(i) + " " + at(i) + "@" + std::to_string(m.port + 10000) + " " +
+            (i == member ? "myself," : "") + (m.master ? "slave " + id_of(*m.master) : "master -") + " 0 0 " +
+            std::to_string(i + 1) + (m.alive ? " connected" : " disconnected");
     for (const auto& [first, last, owner] : ranges())
-      if (owner == i)
-        text.append(" ").append(std::to_string(first)).append("-").append(std::to_string(last));
+      if (owner == i) text.append(" ").append(std::to_string(first)).append("-").append(std::to_string(last));
     text += "\n";
   }
   return text;
 }
 
-std::optional<std::string> Cluster::command(std::size_t member, Client& client, const Words& words, std::int64_t now) {
+std::optional<std::string> Cluster::command(std::size_t member, Client& client, const Words& words,
+                                            std::int64_t now) {
   const auto name = upper(words[0]);
   const auto& me = members_.at(member);
   if (me.master) catch_up(member, now - me.lag_ms);
@@ -288,27 +297,31 @@
         else
           client.channels.insert(words[i]);
         std::string lower = name;
-        std::ranges::transform(lower, lower.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        all += array({bulk(lower), bulk(words[i]), integer(client.channels.size())}, client.protocol == 3 ? '>' : '*');
+        std::ranges::transform(lower, lower.begin(),
+                               [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        all += array({bulk(lower), bulk(words[i]), integer(client.channels.size())},
+                     client.protocol == 3 ? '>' : '*');
       }
       return all;
     }
-    if (name == "PING" && client.protocol == 2 && !client.channels.empty()) return array({bulk("pong"), bulk("")});
+    if (name == "PING" && client.protocol == 2 && !client.channels.empty())
+      return array({bulk("pong"), bulk("")});
     if (name == "ROLE") return array({bulk("sentinel"), array({bulk(name_)})});
-    if (name == "HELLO" || name == "PING" || name == "CLIENT" || name == "INFO" || name == "AUTH" || name == "QUIT" ||
-        name == "COMMAND" || name == "RESET")
+    if (name == "HELLO" || name == "PING" || name == "CLIENT" || name == "INFO" || name == "AUTH" ||
+        name == "QUIT" || name == "COMMAND" || name == "RESET")
       return std::nullopt;
     return "-ERR unknown command '" + words[0] + "', with args beginning with: \r\n";
   }
   if (name == "ROLE") {
     if (!me.master) return array({bulk("master"), integer(me.database->log_end()), array({})});
-    return array({bulk("slave"), bulk(members_[*me.master].host), integer(members_[*me.master].port), bulk("connected"),
-                  integer(me.position)});
+    return array({bulk("slave"), bulk(members_[*me.master].host), integer(members_[*me.master].port),
+                  bulk("connected"), integer(me.position)});
   }
   if (!slots_) return std::nullopt;
   if (name == "ASKING") return client.asking = true, "+OK\r\n";
   if (name == "READONLY" || name == "READWRITE") return client.reads_here = name == "READONLY", "+OK\r\n";
-  if (name == "SELECT" && words.size() == 2 && words[1] != "0") return "-ERR SELECT is not allowed in cluster mode\r\n";
+  if (name == "SELECT" && words.size() == 2 && words[1] != "0")
+    return "-ERR SELECT is not allowed in cluster mode\r\n";
   if (name != "CLUSTER") return std::nullopt;
   const auto what = words.size() > 1 ? upper(words[1]) : "";
   if (what == "SLOTS") return slots_reply();
@@ -329,8 +342,8 @@
   const auto now = master_by(member);
   const auto described = [&](std::size_t i, const std::string& flags) {
     return map(c, {bulk("name"), bulk(flags == "master" ? name_ : at(i)), bulk("ip"), bulk(members_[i].host),
-                   bulk("port"), bulk(std::to_string(members_[i].port)), bulk("runid"), bulk(id_of(i)), bulk("flags"),
-                   bulk(flags), bulk("num-other-sentinels"), bulk("0")});
+                   bulk("port"), bulk(std::to_string(members_[i].port)), bulk("runid"), bulk(id_of(i)),
+                   bulk("flags"), bulk(flags), bulk("num-other-sentinels"), bulk("0")});
   };
   if (what == "MASTERS") return array({described(now, "master")});
   if (w.size() < 3) return "-ERR wrong number of arguments for 'sentinel' command\r\n";
@@ -343,7 +356,8 @@
   if (what == "MASTER") return described(now, "master");
   std::vector<std::string> all;
   for (std::size_t i = 0; i < members_.size(); ++i) {
-    if ((what == "REPLICAS" || what == "SLAVES") && members_[i].master == now) all.push_back(described(i, "slave"));
+    if ((what == "REPLICAS" || what == "SLAVES") && members_[i].master == now)
+      all.push_back(described(i, "slave"));
     if (what == "SENTINELS" && members_[i].sentinel && i != member) all.push_back(described(i, "sentinel"));
   }
   if (what == "REPLICAS" || what == "SLAVES" || what == "SENTINELS") return array(all);
--- a/standins/redis/cluster.hpp
+++ b/standins/redis/cluster.hpp
@@ -22,8 +22,8 @@
     std::string host;
     std::uint16_t port = 0;
     std::optional<std::size_t> master{};  // whose replica it is
-    std::int64_t lag_ms = 0;            // of a replica
-    std::uint64_t position = 0;         // in its master's log
+    std::int64_t lag_ms = 0;              // of a replica
+    std::uint64_t position = 0;           // in its master's log
     bool alive = true, sentinel = false;
     std::uint64_t history = 0;  // of its data: another one when it takes over
   };
@@ -57,9 +57,10 @@
   std::size_t master() const { return master_by(members_.size()); }
 
   // For Database: the reply to CLUSTER, SENTINEL, ASKING, READONLY, ROLE, SUBSCRIBE and their like; none: not one of them.
-  std::optional<std::string> command(std::size_t member, Client& client, const Words& words, std::int64_t now_ms);
-  std::optional<std::string> elsewhere(std::size_t member, const std::vector<std::string>& keys, const Client& client,
-                                       bool reads, std::int64_t now_ms);
+  std::optional<std::string> command(std::size_t member, Client& client, const Words& words,
+                                     std::int64_t now_ms);
+  std::optional<std::string> elsewhere(std::size_t member, const std::vector<std::string>& keys,
+                                       const Client& client, bool reads, std::int64_t now_ms);
   void logged(std::size_t member, std::int64_t now_ms);
   // A message on a channel, for the subscribers of one member.
   std::function<void(std::size_t member, const std::string& channel, const std::string& text)> publish;
--- a/standins/redis/main.cpp
+++ b/standins/redis/main.cpp
@@ -28,24 +28,32 @@
   options.resp3 = !resp2;
   try {
     const auto at = snowknot::endpoint_of(listen);
-    if (!at || !at->address().is_loopback()) throw std::invalid_argument("--listen is not a port of 127.0.0.0/8");
+    if (!at || !at->address().is_loopback())
+      throw std::invalid_argument("--listen is not a port of 127.0.0.0/8");
     boost::asio::io_context io(1);
     std::optional<docklift::standins::RedisServer> server;
     std::optional<docklift::standins::RedisFleet> fleet;
     if (shards == 0 && sentinels == 0)
       server.emplace(io, options, seed, *at);
     else
-      fleet.emplace(io, docklift::standins::RedisFleetOptions{
-                            .cluster = shards > 0, .shards = std::max<std::size_t>(shards, 1), .replicas = replicas,
-                            .sentinels = sentinels, .lag = std::chrono::milliseconds(lag), .database = options,
-                            .seed = seed, .host = at->address(), .first_port = at->port()});
+      fleet.emplace(io, docklift::standins::RedisFleetOptions{.cluster = shards > 0,
+                                                              .shards = std::max<std::size_t>(shards, 1),
+                                                              .replicas = replicas,
+                                                              .sentinels = sentinels,
+                                                              .lag = std::chrono::milliseconds(lag),
+                                                              .database = options,
+                                                              .seed = seed,
+                                                              .host = at->address(),
+                                                              .first_port = at->port()});
     boost::asio::basic_signal_set<snowknot::Executor> signals(io.get_executor(), SIGTERM, SIGINT);
     signals.async_wait([&](const snowknot::error_code&, int) { io.stop(); });
     if (server) std::cout << "listening on " << server->at() << std::endl;
     for (std::size_t i = 0; fleet && i < fleet->size(); ++i) {
       const auto& m = fleet->cluster().members()[i];
-      std::cout << (m.sentinel ? "sentinel" : m.master ? "replica" : "master") << " listening on " << fleet->server(i).at()
-                << std::endl;
+      std::cout << (m.sentinel ? "sentinel"
+                    : m.master ? "replica"
+                               : "master")
+                << " listening on " << fleet->server(i).at() << std::endl;
     }
     io.run();
     return 0;
--- a/standins/redis/redis_fleet.cpp
+++ b/standins/redis/redis_fleet.cpp
@@ -19,8 +19,14 @@
                                                      snowknot::Tcp::endpoint(o.host, port)));
     auto& server = *servers_.back();
     server.more_faults = [this](const Words& w) { return fault(w); };
-    return cluster_.add({.database = &server.database(), .host = o.host.to_string(), .port = server.at().port(),
-                         .master = master, .lag_ms = o.lag.count(), .position = 0, .alive = true, .sentinel = sentinel});
+    return cluster_.add({.database = &server.database(),
+                         .host = o.host.to_string(),
+                         .port = server.at().port(),
+                         .master = master,
+                         .lag_ms = o.lag.count(),
+                         .position = 0,
+                         .alive = true,
+                         .sentinel = sentinel});
   };
   for (std::size_t i = 0; i < o.shards; ++i) masters_.push_back(make(std::nullopt, false));
   for (std::size_t i = 0; i < o.shards; ++i)
@@ -45,7 +51,8 @@
   for (std::size_t i = 0; i < cluster_.members().size(); ++i) {
     const auto& m = cluster_.members()[i];
     if (m.sentinel || m.master || i == old) continue;
-    if (std::ranges::find(masters_, i) == masters_.end() && std::ranges::find(cut_, i) == cut_.end()) masters_[shard] = i;
+    if (std::ranges::find(masters_, i) == masters_.end() && std::ranges::find(cut_, i) == cut_.end())
+      masters_[shard] = i;
   }
   if (split)
     cut_.push_back(old);
@@ -69,7 +76,8 @@
   cluster_.set_alive(masters_[shard], true);
 }
 
-void RedisFleet::migrate(std::uint16_t first, std::uint16_t last, std::size_t shard, std::chrono::milliseconds step) {
+void RedisFleet::migrate(std::uint16_t first, std::uint16_t last, std::size_t shard,
+                         std::chrono::milliseconds step) {
   ++migrating_;
   asio::co_spawn(
       io_.get_executor(),
@@ -107,7 +115,8 @@
 std::optional<std::string> RedisFleet::fault(const Words& w) {
   const auto word = [&](std::size_t i) {
     std::string text = i < w.size() ? w[i] : "";
-    std::ranges::transform(text, text.begin(), [](unsigned char c) { return static_cast<char>(std::toupper(c)); });
+    std::ranges::transform(text, text.begin(),
+                           [](unsigned char c) { return static_cast<char>(std::toupper(c)); });
     return text;
   };
   const auto number = [&](std::size_t i) {
@@ -128,7 +137,8 @@
   } else if (what == "MIGRATE") {
     const auto last = number(4);
     if (last >= 16384 || number(3) > last) return "-ERR no such slots\r\n";
-    migrate(static_cast<std::uint16_t>(number(3)), static_cast<std::uint16_t>(last), std::min(number(5), masters_.size() - 1),
+    migrate(static_cast<std::uint16_t>(number(3)), static_cast<std::uint16_t>(last),
+            std::min(number(5), masters_.size() - 1),
             std::chrono::milliseconds(word(6) == "STEP" ? number(7) : 0));
   } else {
     return std::nullopt;
--- a/standins/redis/redis_fleet.hpp
+++ b/standins/redis/redis_fleet.hpp
@@ -14,9 +14,9 @@
 namespace docklift::standins {
 
 struct RedisFleetOptions {
-  bool cluster = true;         // slots; else one shard, watched by Sentinels
-  std::size_t shards = 3;      // masters
-  std::size_t replicas = 1;    // of each
+  bool cluster = true;       // slots; else one shard, watched by Sentinels
+  std::size_t shards = 3;    // masters
+  std::size_t replicas = 1;  // of each
   std::size_t sentinels = 0;
   std::chrono::milliseconds lag{0};  // of the replicas
   DatabaseOptions database{};
--- a/standins/redis/redis_server.cpp
+++ b/standins/redis/redis_server.cpp
@@ -9,15 +9,16 @@
 namespace docklift::standins {
 
 namespace asio = boost::asio;
-using snowknot::error_code;
 using async::into;
 using async::Steady;
 using async::Timer;
+using snowknot::error_code;
 
 namespace {
 
 bool same(const std::string& word, const char* name) {
-  return std::ranges::equal(word, std::string_view(name), [](unsigned char a, char b) { return std::toupper(a) == b; });
+  return std::ranges::equal(word, std::string_view(name),
+                            [](unsigned char a, char b) { return std::toupper(a) == b; });
 }
 
 }  // namespace
@@ -50,7 +51,8 @@
 RedisServer::~RedisServer() { stop(); }
 
 std::int64_t RedisServer::now_ms() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
@@ -91,10 +93,11 @@
     return;
   }
   p->writing.swap(p->out);
-  asio::async_write(p->socket, asio::buffer(p->writing), [this, p, life = life_](const error_code& failed, std::size_t) {
-    p->writing.clear();
-    if (!failed && p->socket.is_open() && life == life_) flush(p);
-  });
+  asio::async_write(p->socket, asio::buffer(p->writing),
+                    [this, p, life = life_](const error_code& failed, std::size_t) {
+                      p->writing.clear();
+                      if (!failed && p->socket.is_open() && life == life_) flush(p);
+                    });
 }
 
 void RedisServer::restart_empty() {
--- a/standins/redis/redis_server.hpp
+++ b/standins/redis/redis_server.hpp
@@ -18,8 +18,8 @@
 namespace docklift::standins {
 
 struct RedisFaults {
-  std::chrono::milliseconds delay{0};    // before each batch of replies
-  bool steady = false;                   // always that delay; else it is the mean of an exponential distribution
+  std::chrono::milliseconds delay{0};  // before each batch of replies
+  bool steady = false;  // always that delay; else it is the mean of an exponential distribution
   std::chrono::steady_clock::time_point stalled_until{};  // no reply before
   double drop_after = 0;   // part of the batches that are applied, and then the connection is reset
   double drop_before = 0;  // part that is reset unread
--- a/tests/graphql_front_test.cpp
+++ b/tests/graphql_front_test.cpp
@@ -29,14 +29,22 @@
     c.discovery = agent.at(), c.discovery_host = agent.text(), c.counter = counter.at();
     c.descriptors = 1024, c.memory = 192UL << 20U, c.seed = 1, c.keep_alive = 30s;
     c.named.settings = settings();
-    c.named.settings.connect_timeout = 250ms, c.named.settings.retry_after = true, c.named.settings.settled_after = true;
+    c.named.settings.connect_timeout = 250ms, c.named.settings.retry_after = true,
+    c.named.settings.settled_after = true;
     c.named.names.zones = {{"a", 0}};
-    c.known = {{"revision", 1}, {"complete", true},
-               {"members", {{{"id", "s-00000001"}, {"host_port", known.empty() ? server.text() : known}, {"locality", "a"}, {"cell", 1},
-                             {"phase", "SERVING"}, {"up_since_ms", 0}}}}};
+    c.known = {{"revision", 1},
+               {"complete", true},
+               {"members",
+                {{{"id", "s-00000001"},
+                  {"host_port", known.empty() ? server.text() : known},
+                  {"locality", "a"},
+                  {"cell", 1},
+                  {"phase", "SERVING"},
+                  {"up_since_ms", 0}}}}};
     node.emplace(loop.io, std::move(c));
     std::vector<Error> errors;
-    o.query = snowknot::ClassIndex(0), o.keyed = snowknot::ClassIndex(1), o.mutation = snowknot::ClassIndex(2);
+    o.query = snowknot::ClassIndex(0), o.keyed = snowknot::ClassIndex(1),
+    o.mutation = snowknot::ClassIndex(2);
     o.plan.keyed = {"planCorrection"};
     front.emplace(*node, *Schema::read(schema, errors), o);
     node->serve_front(&*front);
@@ -55,8 +63,9 @@
   }
   std::string text(const std::string& json_body, const std::string& more = "") {
     return "POST /graphql HTTP/1.1\r\nHost: x\r\nX-Request-ID: q" + std::to_string(++ids) +
-           "\r\nX-Plan: plain\r\nCookie: client=0000000000000007\r\nX-Timeout-Ms: 1000\r\nContent-Type: application/json\r\n" + more +
-           "Content-Length: " + std::to_string(json_body.size()) + "\r\n\r\n" + json_body;
+           "\r\nX-Plan: plain\r\nCookie: client=0000000000000007\r\nX-Timeout-Ms: 1000\r\nContent-Type: "
+           "application/json\r\n" +
+           more + "Content-Length: " + std::to_string(json_body.size()) + "\r\n\r\n" + json_body;
   }
   int post(const std::string& json_body, const std::string& more = "") {
     const auto w = client();
@@ -110,7 +119,9 @@
 
 TEST_F(FrontTest, QueryGoesOnAndItsAnswerComesBack) {
   start();
-  respond = [](Wire& w, const std::string&) { w.send(http_answer("200 OK", R"({"data":{"gates":[{"name":"A1"}]}})")); };
+  respond = [](Wire& w, const std::string&) {
+    w.send(http_answer("200 OK", R"({"data":{"gates":[{"name":"A1"}]}})"));
+  };
   EXPECT_EQ(post(R"({"query":"query ($n: Int!) { gates(first: $n) { name } }","variables":{"n":3}})"), 200);
   EXPECT_EQ(body, R"({"data":{"gates":[{"name":"A1"}]}})");
   EXPECT_NE(answer.find("application/json; charset=utf-8"), std::string::npos);
@@ -138,8 +149,10 @@
   EXPECT_EQ(post(query("{ __schema { queryType { name } } }")), 200);
   EXPECT_EQ(body, R"({"data":{"__schema":{"queryType":{"name":"Query"}}}})");
   const auto w = client();
-  w->send("GET /graphql?query=mutation%7BgateNotice(gate:1)%7Bname%7D%7D HTTP/1.1\r\nHost: x\r\nX-Request-ID: g\r\nX-Plan: plain\r\n"
-          "Cookie: client=0000000000000007\r\nX-Timeout-Ms: 1000\r\n\r\n");
+  w->send(
+      "GET /graphql?query=mutation%7BgateNotice(gate:1)%7Bname%7D%7D HTTP/1.1\r\nHost: x\r\nX-Request-ID: "
+      "g\r\nX-Plan: plain\r\n"
+      "Cookie: client=0000000000000007\r\nX-Timeout-Ms: 1000\r\n\r\n");
   EXPECT_EQ(read(w), 405);
   w->send("POST /other HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
   EXPECT_EQ(read(w), 404);
@@ -164,7 +177,9 @@
   for (int i = 0; i < 12; ++i) served += post(query("{ gates(first: 8) { name } }")) == 200;
   EXPECT_GE(served, 8);
   // Where the answers can't be read the whole is charged: the store is soon empty.
-  respond = [](Wire& w, const std::string&) { w.send(http_answer("200 OK", R"({"data":{"gates":[{"name":"cut)")); };
+  respond = [](Wire& w, const std::string&) {
+    w.send(http_answer("200 OK", R"({"data":{"gates":[{"name":"cut)"));
+  };
   served = 0;
   for (int i = 0; i < 12; ++i) served += post(query("{ gates(first: 8) { name } }")) == 200;
   EXPECT_LE(served, 5);
@@ -176,11 +191,16 @@
   FrontOptions o;
   o.trust_server = true;
   start(o);
-  respond = [](Wire& w, const std::string&) { w.send(http_answer("200 OK", R"({"data":{"gates":[{"name":"a"}]}})", "X-Units-Charged: 1\r\n")); };
+  respond = [](Wire& w, const std::string&) {
+    w.send(http_answer("200 OK", R"({"data":{"gates":[{"name":"a"}]}})", "X-Units-Charged: 1\r\n"));
+  };
   int served = 0;
   for (int i = 0; i < 12; ++i) served += post(query("{ gates(first: 8) { name } }")) == 200;
   EXPECT_GE(served, 8);
-  respond = [](Wire& w, const std::string&) { w.send(http_answer("200 OK", R"({"data":{"gates":[]},"extensions":{"cost":1e300}})", "X-Units-Charged: -4\r\n")); };
+  respond = [](Wire& w, const std::string&) {
+    w.send(http_answer("200 OK", R"({"data":{"gates":[]},"extensions":{"cost":1e300}})",
+                       "X-Units-Charged: -4\r\n"));
+  };
   served = 0;
   for (int i = 0; i < 12; ++i) served += post(query("{ gates(first: 8) { name } }")) == 200;
   EXPECT_LE(served, 5);  // absurd: the bound, not more
@@ -189,11 +209,15 @@
   start();
   std::map<std::string, int> came;
   respond = [&](Wire& w, const std::string& m) {
-    const auto id = m.substr(m.find("X-Request-ID: ") + 14, m.find("\r\n", m.find("X-Request-ID: ")) - m.find("X-Request-ID: ") - 14);
+    const auto id = m.substr(m.find("X-Request-ID: ") + 14,
+                             m.find("\r\n", m.find("X-Request-ID: ")) - m.find("X-Request-ID: ") - 14);
     if (++came[id] == 1) return w.reset();  // after the last byte
     w.send(http_answer("200 OK", R"({"data":{"hours":1}})"));
   };
-  EXPECT_EQ(post(R"([{"query":"{ hours }"},{"query":"mutation { gateNotice(gate: 1) { name } }"},{"query":"{ h: hours }"},{"query":"{ nothing }"}])"), 200);
+  EXPECT_EQ(
+      post(
+          R"([{"query":"{ hours }"},{"query":"mutation { gateNotice(gate: 1) { name } }"},{"query":"{ h: hours }"},{"query":"{ nothing }"}])"),
+      200);
   const auto j = json::parse(body);
   ASSERT_EQ(j.size(), 4U);
   EXPECT_EQ(j[0]["data"]["hours"], 1);  // the look-ups were tried again
@@ -206,8 +230,11 @@
 TEST_F(FrontTest, KeyedMutationGoesWithAKeyOfItsOwn) {
   start();
   respond = [&](Wire& w, const std::string&) { w.send(http_answer("200 OK", R"({"data":{}})")); };
-  EXPECT_EQ(post(R"([{"query":"mutation { planCorrection(plan: 1) { name } }"},{"query":"mutation { planCorrection(plan: 2) { name } }"}])",
-                 "Idempotency-Key: k\r\n"), 200);
+  EXPECT_EQ(
+      post(
+          R"([{"query":"mutation { planCorrection(plan: 1) { name } }"},{"query":"mutation { planCorrection(plan: 2) { name } }"}])",
+          "Idempotency-Key: k\r\n"),
+      200);
   ASSERT_EQ(seen.size(), 2U);
   EXPECT_NE(seen[0].find("Idempotency-Key: k-0\r\n"), std::string::npos);
   EXPECT_NE(seen[1].find("Idempotency-Key: k-1\r\n"), std::string::npos);
@@ -219,7 +246,8 @@
   std::shared_ptr<Wire> held;
   respond = [&](Wire& w, const std::string&) { held = w.shared_from_this(); };
   const auto w = client();
-  w->send(text(R"([{"query":"mutation { gateNotice(gate: 1) { name } }"},{"query":"mutation { gateNotice(gate: 2) { name } }"}])"));
+  w->send(text(
+      R"([{"query":"mutation { gateNotice(gate: 1) { name } }"},{"query":"mutation { gateNotice(gate: 2) { name } }"}])"));
   ASSERT_TRUE(loop.until([&] { return held != nullptr; }));
   EXPECT_EQ(front->open(), 1U);
   w->close();
@@ -246,12 +274,16 @@
 
 struct MembersTest : ::testing::Test {
   json ask(const std::string& query, const json& variables = json::object(), const std::string& key = "") {
-    return json::parse(m.answer(json{{"query", query}, {"variables", variables}}.dump(), "id", key).body, nullptr, false);
+    return json::parse(m.answer(json{{"query", query}, {"variables", variables}}.dump(), "id", key).body,
+                       nullptr, false);
   }
   standins::Members m;
 };
 TEST_F(MembersTest, AnswersByItsSchema) {
-  const auto a = ask("query ($n: Int!) { t: terminals(first: $n) { __typename name gates(first: 1) { level route(to: 1) { steps { stairs } } } } }", {{"n", 3}});
+  const auto a = ask(
+      "query ($n: Int!) { t: terminals(first: $n) { __typename name gates(first: 1) { level route(to: 1) { "
+      "steps { stairs } } } } }",
+      {{"n", 3}});
   ASSERT_EQ(a["data"]["t"].size(), 3U) << a;
   EXPECT_EQ(a["data"]["t"][0]["__typename"], "Terminal");
   EXPECT_EQ(a["data"]["t"][2]["gates"][0]["level"], "ARRIVALS");
@@ -271,7 +303,8 @@
   EXPECT_EQ(a["data"], nullptr);
 }
 TEST_F(MembersTest, EffectsAreKeptAndRepeatsOfAKeyDropped) {
-  const std::string notice = "mutation { gateNotice(gate: 1, text: \"shut\") { name } }", plan = "mutation { planCorrection(plan: 1) { id } }";
+  const std::string notice = "mutation { gateNotice(gate: 1, text: \"shut\") { name } }",
+                    plan = "mutation { planCorrection(plan: 1) { id } }";
   ask(notice), ask(notice), ask(plan, json::object(), "k"), ask(plan, json::object(), "k");
   ASSERT_EQ(m.effects().size(), 3U);
   EXPECT_EQ(m.effects()[0].field, "gateNotice");
@@ -292,7 +325,10 @@
   members.members().faults().lengths["Query.terminals"] = 1;
   schema = standins::members_schema(), known = snowknot::shown(members.at());
   start();
-  EXPECT_EQ(post(R"([{"query":"{ terminals(first: 4) { name } }"},{"query":"mutation { gateNotice(gate: 7, text: \"shut\") { name } }"}])"), 200);
+  EXPECT_EQ(
+      post(
+          R"([{"query":"{ terminals(first: 4) { name } }"},{"query":"mutation { gateNotice(gate: 7, text: \"shut\") { name } }"}])"),
+      200);
   auto j = json::parse(body);
   EXPECT_EQ(j[0]["data"]["terminals"].size(), 1U);
   EXPECT_TRUE(j[1]["data"]["gateNotice"].contains("name")) << body;
@@ -312,7 +348,8 @@
   };
   EXPECT_EQ(field(""), "");
   EXPECT_EQ(field("[graphql]\npath = \"/graphql\"\n"), "graphql.schema");
-  const std::string good = "[graphql]\npath = \"/graphql\"\nschema = \"s\"\nquery_class = \"a\"\nmutation_class = \"b\"\n";
+  const std::string
+      good = "[graphql]\npath = \"/graphql\"\nschema = \"s\"\nquery_class = \"a\"\nmutation_class = \"b\"\n";
   EXPECT_EQ(field(good), "");
   EXPECT_EQ(field(good + "keyed_fields = \"x\"\n"), "graphql.keyed_fields");
   const std::string rest = "schema = \"s\"\nquery_class = \"a\"\nmutation_class = \"b\"\n";
