--- a/tests/graphql_test.cpp
+++ b/tests/graphql_test.cpp
@@ -21,7 +21,12 @@
   for (auto t = l.next();; t = l.next()) {
     if (t.kind == TokenKind::end) return all;
     if (t.kind == TokenKind::wrong) return all + "WRONG " + l.why();
-    all.append(t.text).append("@").append(std::to_string(t.at.line)).append(":").append(std::to_string(t.at.column)).append(" ");
+    all.append(t.text)
+        .append("@")
+        .append(std::to_string(t.at.line))
+        .append(":")
+        .append(std::to_string(t.at.column))
+        .append(" ");
   }
 }
 TEST(Lexer, IgnoredTokensAndPlaces) {
@@ -42,18 +47,22 @@
   std::string v, why;
   ASSERT_TRUE(unescape("a\\n\\u00e4\\uD83C\\uDF7A\\u{1F37A}\\\\\\/", v, why));
   EXPECT_EQ(v, "a\n\xC3\xA4\xF0\x9F\x8D\xBA\xF0\x9F\x8D\xBA\\/");
-  for (const auto* bad : {"\\x", "\\u12", "\\uZZZZ", "\\uD83C", "\\uD83Cx", "\\uD83C\\u0041", "\\uDF7A", "\\u{}", "\\u{D800}", "\\u{110000}", "\\u{12"})
+  for (const auto* bad : {"\\x", "\\u12", "\\uZZZZ", "\\uD83C", "\\uD83Cx", "\\uD83C\\u0041", "\\uDF7A",
+                          "\\u{}", "\\u{D800}", "\\u{110000}", "\\u{12"})
     EXPECT_FALSE(unescape(bad, v, why)) << bad;
 }
 TEST(Strings, BlockStringsLoseTheirCommonIndentation) {
-  EXPECT_EQ(block_value("\n    Hello,\n      World!\n\n    Yours,\n      GraphQL.\n  "), "Hello,\n  World!\n\nYours,\n  GraphQL.");
+  EXPECT_EQ(block_value("\n    Hello,\n      World!\n\n    Yours,\n      GraphQL.\n  "),
+            "Hello,\n  World!\n\nYours,\n  GraphQL.");
   EXPECT_EQ(block_value("a\r\n  b\r  c"), "a\nb\nc");
   EXPECT_EQ(block_value("  \n \t \n"), "");
   EXPECT_EQ(block_value("x\\\"\"\"y"), "x\"\"\"y");
 }
 TEST(Strings, Utf8IsChecked) {
-  for (const auto* good : {"", "a", "\xC3\xA4", "\xED\x9F\xBF", "\xEE\x80\x80", "\xF4\x8F\xBF\xBF"}) EXPECT_TRUE(valid_utf8(good));
-  for (const auto* bad : {"\x80", "\xC3", "\xC0\x80", "\xE0\x80\x80", "\xED\xA0\x80", "\xF4\x90\x80\x80", "\xFF", "\xC3(", "\xF0\x80\x80\x80"})
+  for (const auto* good : {"", "a", "\xC3\xA4", "\xED\x9F\xBF", "\xEE\x80\x80", "\xF4\x8F\xBF\xBF"})
+    EXPECT_TRUE(valid_utf8(good));
+  for (const auto* bad : {"\x80", "\xC3", "\xC0\x80", "\xE0\x80\x80", "\xED\xA0\x80", "\xF4\x90\x80\x80",
+                          "\xFF", "\xC3(", "\xF0\x80\x80\x80"})
     EXPECT_FALSE(valid_utf8(bad));
   EXPECT_FALSE(Document::executable("{ a(b: \"\xFF\") }").good());
 }
@@ -83,14 +92,17 @@
 TEST(Documents, MistakesTellWhere) {
   const auto error = [](const std::string& text) {
     const auto d = Document::executable(text);
-    return d.good() ? "" : d.errors()[0].message + " " + std::to_string(d.errors()[0].locations[0].line) + ":" +
-                               std::to_string(d.errors()[0].locations[0].column);
+    return d.good() ? ""
+                    : d.errors()[0].message + " " + std::to_string(d.errors()[0].locations[0].line) + ":" +
+                          std::to_string(d.errors()[0].locations[0].column);
   };
   EXPECT_EQ(error("{ a"), "Syntax Error: Unexpected <EOF> 1:4");
   EXPECT_EQ(error("{ a\n  ? }"), "Syntax Error: Unexpected character \"?\" 2:3");
   EXPECT_EQ(error("{}"), "Syntax Error: Unexpected \"}\" 1:2");
-  for (const auto* bad : {"", "  # only\n", "query", "{ a( }", "{ a() }", "{ a(b) }", "query ($a) { b }", "query ($a: Int = $b) { c }", "fragment on on T { a }",
-                          "fragment F { a }", "{ ...on }", "{ a: }", "{ a(b: [1) }", "{ a(b: {c}) }", "query Q { a } }", "type A { b: C }", "{ a @ }", "subscribe { a }"})
+  for (const auto* bad :
+       {"", "  # only\n", "query", "{ a( }", "{ a() }", "{ a(b) }", "query ($a) { b }",
+        "query ($a: Int = $b) { c }", "fragment on on T { a }", "fragment F { a }", "{ ...on }", "{ a: }",
+        "{ a(b: [1) }", "{ a(b: {c}) }", "query Q { a } }", "type A { b: C }", "{ a @ }", "subscribe { a }"})
     EXPECT_NE(error(bad), "") << bad;
   EXPECT_EQ(error("{ a(b: \"\\uD800\") }"), "Syntax Error: Lone surrogate in a string 1:8");
 }
@@ -118,12 +130,15 @@
 }
 TEST(Documents, NoiseNeverDoesHarm) {
   std::mt19937 random(5);
-  const std::vector<std::string> words{"{", "}", "(", ")", "...", "on", "query", "fragment", "a", "b:", "$c", "@d", "[", "]", "1", "\"s\"", "\"\"\"", ":", "=",
-                                       "!", "|", "type", "input", "extend", "\xFF", "\\u", "\n"};
+  const std::vector<std::string> words{"{",        "}",     "(",      ")",    "...", "on", "query",
+                                       "fragment", "a",     "b:",     "$c",   "@d",  "[",  "]",
+                                       "1",        "\"s\"", "\"\"\"", ":",    "=",   "!",  "|",
+                                       "type",     "input", "extend", "\xFF", "\\u", "\n"};
   int good = 0;
   for (int i = 0; i < 30'000; ++i) {
     std::string text;
-    for (unsigned n = random() % 20; n > 0; --n) text += words[random() % words.size()] + (random() % 3 == 0 ? "" : " ");
+    for (unsigned n = random() % 20; n > 0; --n)
+      text += words[random() % words.size()] + (random() % 3 == 0 ? "" : " ");
     good += Document::executable(text).good();
     good += Document::type_system(text).good();
   }
@@ -184,25 +199,30 @@
   EXPECT_EQ(first("type Query { a: B }"), "Unknown type \"B\" at Query.a.");
   EXPECT_EQ(first("type A { a: Int }"), "The schema has no query root type.");
   EXPECT_EQ(first("type Query { a: Int a: Int }"), "Field \"Query.a\" is there twice.");
-  EXPECT_EQ(first("type Query { a: Int } type Query { b: Int }"), "There can be only one type named \"Query\".");
+  EXPECT_EQ(first("type Query { a: Int } type Query { b: Int }"),
+            "There can be only one type named \"Query\".");
   EXPECT_EQ(first("type Query { a(b: Query): Int }"), "Type \"Query\" can't be used at Query.a(b:).");
   EXPECT_EQ(first("type Query { a: Int @cost(weight: \"x\") }"), "@cost needs a weight that is a number.");
   EXPECT_EQ(first("type Query { a: Int @listSize(assumedSize: 3) }"), "@listSize at Query.a: it is no list.");
-  EXPECT_EQ(first("type Query { a: [Int] @listSize(slicingArguments: [\"n\"]) }"), "@listSize at Query.a: no argument \"n\".");
+  EXPECT_EQ(first("type Query { a: [Int] @listSize(slicingArguments: [\"n\"]) }"),
+            "@listSize at Query.a: no argument \"n\".");
   EXPECT_EQ(first("schema { query: Q } type Q { a: Int } extend type Q { b: Int }"), "");
   EXPECT_EQ(first("type Query implements I { a: Int }"), "Type Query can't implement I: it is no interface.");
   EXPECT_NE(first("type Query { a: Int"), "");
 }
 
 TEST(Validation, GoodDocuments) {
-  for (const auto* good : {
-           "{ terminals(first: 2) { name gates(first: 3) { name level } } }",
-           "query Q($n: Int!, $g: ID!) { terminals(first: $n) { ...T } } fragment T on Terminal { name gates(first: $n) { route(to: $g) { steps } } }",
-           "{ search(text: \"a\") { name ... on Gate { level } ... on Terminal { l: level } __typename } }",
-           "{ gates(page: {size: 3}) { name } a: gates(page: {size: 4, from: null}) { name } }",
-           "mutation { gateNotice(gate: \"1\", text: \"x\") { name } }", "subscription { moved { name } }", "{ __schema { types { name } } __type(name: \"Gate\") { name } }",
-           "query ($p: Page = {size: 1}) { gates(page: $p) { name } }", "{ hours terminals { name } terminals { level } }",
-           "query ($s: Int = 3) { gates(page: {size: $s}) { name } }"})
+  for (const auto* good :
+       {"{ terminals(first: 2) { name gates(first: 3) { name level } } }",
+        "query Q($n: Int!, $g: ID!) { terminals(first: $n) { ...T } } fragment T on Terminal { name "
+        "gates(first: $n) { route(to: $g) { steps } } }",
+        "{ search(text: \"a\") { name ... on Gate { level } ... on Terminal { l: level } __typename } }",
+        "{ gates(page: {size: 3}) { name } a: gates(page: {size: 4, from: null}) { name } }",
+        "mutation { gateNotice(gate: \"1\", text: \"x\") { name } }", "subscription { moved { name } }",
+        "{ __schema { types { name } } __type(name: \"Gate\") { name } }",
+        "query ($p: Page = {size: 1}) { gates(page: $p) { name } }",
+        "{ hours terminals { name } terminals { level } }",
+        "query ($s: Int = 3) { gates(page: {size: $s}) { name } }"})
     EXPECT_EQ(mistakes(good), std::vector<std::string>{}) << good;
 }
 TEST(Validation, EachRule) {
@@ -213,18 +233,25 @@
       {"{ terminal(code: 1, code: 2) { name } }", "There can be only one argument named \"code\"."},
       {"{ terminal(code: 1.5) { name } }", "Expected value of type \"ID!\", found \"1.5\"."},
       {"{ terminal(code: null) { name } }", "Expected value of type \"ID!\", found null."},
-      {"{ terminals(first: 2147483648) { name } }", "Int cannot represent non 32-bit signed integer value: 2147483648"},
+      {"{ terminals(first: 2147483648) { name } }",
+       "Int cannot represent non 32-bit signed integer value: 2147483648"},
       {"{ gates(page: {size: 1, to: 2}) { name } }", "Field \"to\" is not defined by type \"Page\"."},
-      {"{ gates(page: {from: 1}) { name } }", "Field \"Page.size\" of required type \"Int!\" was not provided."},
+      {"{ gates(page: {from: 1}) { name } }",
+       "Field \"Page.size\" of required type \"Int!\" was not provided."},
       {"{ gates(page: {size: 1, size: 1}) { name } }", "There can be only one input field named \"size\"."},
       {"{ terminals }", "Field \"terminals\" of type \"[Terminal!]!\" must have a selection of subfields."},
-      {"{ hours { a } }", "Field \"hours\" must not have a selection since type \"[Int!]!\" has no subfields."},
+      {"{ hours { a } }",
+       "Field \"hours\" must not have a selection since type \"[Int!]!\" has no subfields."},
       {"{ ...F }", "Unknown fragment \"F\"."},
-      {"{ ...F } fragment F on Query { ...G } fragment G on Query { ...F }", "Cannot spread fragment \"F\" within itself."},
+      {"{ ...F } fragment F on Query { ...G } fragment G on Query { ...F }",
+       "Cannot spread fragment \"F\" within itself."},
       {"{ hours } fragment F on Nothing { a }", "Unknown type \"Nothing\"."},
-      {"{ hours } fragment F on Page { a }", "Fragment \"F\" cannot condition on non composite type \"Page\"."},
-      {"{ ... on Gate { name } }", "Fragment cannot be spread here as objects of type \"Query\" can never be of type \"Gate\"."},
-      {"{ hours } fragment F on Query { hours } fragment F on Query { hours }", "There can be only one fragment named \"F\"."},
+      {"{ hours } fragment F on Page { a }",
+       "Fragment \"F\" cannot condition on non composite type \"Page\"."},
+      {"{ ... on Gate { name } }",
+       "Fragment cannot be spread here as objects of type \"Query\" can never be of type \"Gate\"."},
+      {"{ hours } fragment F on Query { hours } fragment F on Query { hours }",
+       "There can be only one fragment named \"F\"."},
       {"query A { hours } query A { hours }", "There can be only one operation named \"A\"."},
       {"{ hours } query A { hours }", "This anonymous operation must be the only defined operation."},
       {"query ($a: Int, $a: Int) { hours }", "There can be only one variable named \"$a\"."},
@@ -232,16 +259,23 @@
       {"query ($a: What) { hours }", "Unknown type \"What\"."},
       {"query ($a: Int = \"x\") { hours }", "Expected value of type \"Int\", found \"x\"."},
       {"{ terminals(first: $n) { name } }", "Variable \"$n\" is not defined."},
-      {"query Q { ...F } fragment F on Query { terminals(first: $n) { name } }", "Variable \"$n\" is not defined by operation \"Q\"."},
-      {"query ($n: String) { terminals(first: $n) { name } }", "Variable \"$n\" of type \"String\" used in position expecting type \"Int\"."},
-      {"query ($n: Int) { gates(page: {size: $n}) { name } }", "Variable \"$n\" of type \"Int\" used in position expecting type \"Int!\"."},
-      {"query ($n: [Int]) { terminals(first: $n) { name } }", "Variable \"$n\" of type \"[Int]\" used in position expecting type \"Int\"."},
+      {"query Q { ...F } fragment F on Query { terminals(first: $n) { name } }",
+       "Variable \"$n\" is not defined by operation \"Q\"."},
+      {"query ($n: String) { terminals(first: $n) { name } }",
+       "Variable \"$n\" of type \"String\" used in position expecting type \"Int\"."},
+      {"query ($n: Int) { gates(page: {size: $n}) { name } }",
+       "Variable \"$n\" of type \"Int\" used in position expecting type \"Int!\"."},
+      {"query ($n: [Int]) { terminals(first: $n) { name } }",
+       "Variable \"$n\" of type \"[Int]\" used in position expecting type \"Int\"."},
       {"{ hours @nope }", "Unknown directive \"@nope\"."},
       {"query @skip(if: true) { hours }", "Directive \"@skip\" may not be used on QUERY."},
-      {"{ hours @skip(if: true) @skip(if: true) }", "The directive \"@skip\" can only be used once at this location."},
+      {"{ hours @skip(if: true) @skip(if: true) }",
+       "The directive \"@skip\" can only be used once at this location."},
       {"{ hours @include }", "Argument \"if\" of type \"Boolean!\" is required, but it was not provided."},
-      {"subscription { moved { name } other: moved { name } }", "A subscription must select only one top level field."},
-      {"subscription { ...F } fragment F on Subscription { a: moved { name } moved { name } }", "A subscription must select only one top level field."},
+      {"subscription { moved { name } other: moved { name } }",
+       "A subscription must select only one top level field."},
+      {"subscription { ...F } fragment F on Subscription { a: moved { name } moved { name } }",
+       "A subscription must select only one top level field."},
   };
   for (const auto& [text, message] : all) {
     const auto found = mistakes(text);
@@ -254,27 +288,32 @@
   EXPECT_TRUE(conflict("{ a: hours a: terminals { name } }"));
   EXPECT_TRUE(conflict("{ terminals(first: 1) { name } terminals(first: 2) { name } }"));
   EXPECT_TRUE(conflict("{ terminals { name } terminals(first: 2) { name } }"));
-  EXPECT_TRUE(conflict("query ($a: Int, $b: Int) { terminals(first: $a) { name } terminals(first: $b) { name } }"));
+  EXPECT_TRUE(
+      conflict("query ($a: Int, $b: Int) { terminals(first: $a) { name } terminals(first: $b) { name } }"));
   EXPECT_FALSE(conflict("query ($a: Int) { terminals(first: $a) { name } terminals(first: $a) { level } }"));
-  EXPECT_TRUE(conflict("{ terminals { x: name } terminals { x: level } }"));             // deeper
+  EXPECT_TRUE(conflict("{ terminals { x: name } terminals { x: level } }"));  // deeper
   EXPECT_TRUE(conflict("{ ...F terminals { x: level } } fragment F on Query { terminals { x: name } }"));
   // On different object types the names may differ, not the shapes.
   EXPECT_FALSE(conflict("{ search(text: \"\") { ... on Gate { x: name } ... on Terminal { x: name } } }"));
   EXPECT_TRUE(conflict("{ search(text: \"\") { ... on Gate { x: name } ... on Terminal { x: level } } }"));
   EXPECT_TRUE(conflict("{ search(text: \"\") { x: name ... on Terminal { x: __typename } } }"));
-  EXPECT_TRUE(conflict("{ search(text: \"\") { ... on Gate { x: terminal { y: name } } ... on Terminal { x: map { y: id } } } }"));  // String! and ID!
+  EXPECT_TRUE(
+      conflict("{ search(text: \"\") { ... on Gate { x: terminal { y: name } } ... on Terminal { x: map { y: "
+               "id } } } }"));  // String! and ID!
 }
 TEST(Validation, BombsAreRefusedOrCheap) {
   // 2^40 spreads if each were followed.
   std::string bomb = "{ ...F0 } ";
   for (int i = 0; i < 40; ++i)
-    bomb += "fragment F" + std::to_string(i) + " on Query { ...F" + std::to_string(i + 1) + " ...F" + std::to_string(i + 1) + " } ";
+    bomb += "fragment F" + std::to_string(i) + " on Query { ...F" + std::to_string(i + 1) + " ...F" +
+            std::to_string(i + 1) + " } ";
   bomb += "fragment F40 on Query { hours }";
   EXPECT_EQ(mistakes(bomb), std::vector<std::string>{});
   std::string nested = "{ terminal(code: 1) { ...G0 } } ";
   for (int i = 0; i < 60; ++i)
-    nested += "fragment G" + std::to_string(i) + " on Terminal { a: gates(first: 9) { terminal { ...G" + std::to_string(i + 1) + " } } b: gates(first: 9) { terminal { ...G" +
-              std::to_string(i + 1) + " } } } ";
+    nested += "fragment G" + std::to_string(i) + " on Terminal { a: gates(first: 9) { terminal { ...G" +
+              std::to_string(i + 1) + " } } b: gates(first: 9) { terminal { ...G" + std::to_string(i + 1) +
+              " } } } ";
   nested += "fragment G60 on Terminal { name }";
   const auto d = Document::executable(nested);
   ASSERT_TRUE(d.good());
@@ -285,7 +324,8 @@
   EXPECT_TRUE(cost.errors.empty()) << cost.errors[0].message;
   EXPECT_EQ(cost.type, 1e15);  // 18^60 ends where sums end
   std::string chain = "{ ...C0 } ";
-  for (int i = 0; i < 900; ++i) chain += "fragment C" + std::to_string(i) + " on Query { ...C" + std::to_string(i + 1) + " } ";
+  for (int i = 0; i < 900; ++i)
+    chain += "fragment C" + std::to_string(i) + " on Query { ...C" + std::to_string(i + 1) + " } ";
   chain += "fragment C900 on Query { hours }";
   EXPECT_LE(mistakes(chain).size(), 1U);
 }
@@ -313,20 +353,24 @@
   return shown;
 }
 TEST(CostOf, TheSpecificationsOwnTerms) {
-  EXPECT_EQ(costs("{ hours }"), "1 0");                                    // the root type; a list of scalars
-  EXPECT_EQ(costs("{ terminal(code: 1) { name level } }"), "3 1");         // root 1, Terminal 2; one field that returns a composite type
-  EXPECT_EQ(costs("{ terminals(first: 3) { name } }"), "7 1");             // 1 + 3 x 2
-  EXPECT_EQ(costs("{ terminals { name } }"), "17 1");                      // assumed: 8
-  EXPECT_EQ(costs("{ terminals(first: 3) { gates(first: 4) { name } } }"), "19 4");  // 1 + 3 x (2 + 4 x 1); 1 + 3 x 1
-  EXPECT_EQ(costs("{ terminals(first: 3) { gates(first: 4) { route(to: 1) { steps } } } }"), "31 40");  // routes weigh 3 x 12
-  EXPECT_EQ(costs("{ grid { name } }"), "101 1");                          // 10 of 10, as nothing is said of it
+  EXPECT_EQ(costs("{ hours }"), "1 0");  // the root type; a list of scalars
+  EXPECT_EQ(costs("{ terminal(code: 1) { name level } }"),
+            "3 1");  // root 1, Terminal 2; one field that returns a composite type
+  EXPECT_EQ(costs("{ terminals(first: 3) { name } }"), "7 1");  // 1 + 3 x 2
+  EXPECT_EQ(costs("{ terminals { name } }"), "17 1");           // assumed: 8
+  EXPECT_EQ(costs("{ terminals(first: 3) { gates(first: 4) { name } } }"),
+            "19 4");  // 1 + 3 x (2 + 4 x 1); 1 + 3 x 1
+  EXPECT_EQ(costs("{ terminals(first: 3) { gates(first: 4) { route(to: 1) { steps } } } }"),
+            "31 40");                              // routes weigh 3 x 12
+  EXPECT_EQ(costs("{ grid { name } }"), "101 1");  // 10 of 10, as nothing is said of it
   EXPECT_EQ(costs("mutation { gateNotice(gate: 1, text: \"\") { name } }"), "2 5");
-  EXPECT_EQ(costs("mutation { planCorrection(plan: 1, note: {text: \"\", at: {size: 1}}) { id big } }"), "2 13");  // note 1, at 1, big 10
+  EXPECT_EQ(costs("mutation { planCorrection(plan: 1, note: {text: \"\", at: {size: 1}}) { id big } }"),
+            "2 13");  // note 1, at 1, big 10
 }
 TEST(CostOf, SlicingAndSizedFields) {
-  EXPECT_EQ(costs("{ gates(page: {size: 7}) { name } }"), "8 2");     // the input object weighs 1
+  EXPECT_EQ(costs("{ gates(page: {size: 7}) { name } }"), "8 2");         // the input object weighs 1
   EXPECT_EQ(costs("{ plans(first: 5) { nodes { id } total } }"), "7 2");  // the connection 1, its nodes 5
-  EXPECT_EQ(costs("{ plans { nodes { id } } }"), "6 2");              // the argument's default: 4
+  EXPECT_EQ(costs("{ plans { nodes { id } } }"), "6 2");                  // the argument's default: 4
   EXPECT_EQ(costs("{ terminals(first: 2, last: 5) { name } }"), "11 1");  // the larger one
   EXPECT_EQ(costs("query ($n: Int) { plans(first: $n) { nodes { id } } }", variables({{"n", {}}})),
             "Field \"plans\" must be given exactly one of its slicing arguments.");  // null
@@ -337,29 +381,42 @@
   EXPECT_EQ(costs(q, variables({{"n", integer("6")}})), "13 1");
   EXPECT_EQ(costs(q, variables({{"n", integer("0")}})), "1 1");
   EXPECT_EQ(costs(q, variables({{"n", {}}})), "17 1");  // null: the assumed size
-  EXPECT_EQ(costs(q, variables({{"n", integer("-1")}})), "Field \"terminals\" can't have a slicing argument below 0.");
+  EXPECT_EQ(costs(q, variables({{"n", integer("-1")}})),
+            "Field \"terminals\" can't have a slicing argument below 0.");
   EXPECT_EQ(costs(q, variables({{"n", integer("2147483647")}})), "4.29497e+09 1");
-  EXPECT_EQ(costs(q, variables({{"n", integer("2147483648")}})),
-            "Variable \"$n\" got invalid value; Int cannot represent non 32-bit signed integer value: 2147483648");
-  EXPECT_EQ(costs("query ($n: Int!) { terminals(first: $n) { name } }"), "Variable \"$n\" of required type \"Int!\" was not provided.");
-  EXPECT_EQ(costs("query ($s: Int!) { gates(page: {size: $s}) { name } }", variables({{"s", integer("9")}})), "10 2");
+  EXPECT_EQ(
+      costs(q, variables({{"n", integer("2147483648")}})),
+      "Variable \"$n\" got invalid value; Int cannot represent non 32-bit signed integer value: 2147483648");
+  EXPECT_EQ(costs("query ($n: Int!) { terminals(first: $n) { name } }"),
+            "Variable \"$n\" of required type \"Int!\" was not provided.");
+  EXPECT_EQ(costs("query ($s: Int!) { gates(page: {size: $s}) { name } }", variables({{"s", integer("9")}})),
+            "10 2");
 }
 TEST(CostOf, FragmentsAliasesAndConditions) {
-  EXPECT_EQ(costs("{ a: terminals(first: 3) { name } b: terminals(first: 3) { name } }"), "13 2");  // each alias
-  EXPECT_EQ(costs("{ ...F ...F terminals(first: 3) { level } } fragment F on Query { terminals(first: 3) { name } }"), "7 1");  // one field
+  EXPECT_EQ(costs("{ a: terminals(first: 3) { name } b: terminals(first: 3) { name } }"),
+            "13 2");  // each alias
+  EXPECT_EQ(
+      costs(
+          "{ ...F ...F terminals(first: 3) { level } } fragment F on Query { terminals(first: 3) { name } }"),
+      "7 1");  // one field
   // The same field under two fragments, each let in by its own variable.
-  const std::string q = "query ($a: Boolean!, $b: Boolean!) { ...A @include(if: $a) ...B @skip(if: $b) } fragment A on Query { terminals(first: 3) { name } } "
-                        "fragment B on Query { terminals(first: 3) { gates(first: 2) { name } } }";
+  const std::string
+      q = "query ($a: Boolean!, $b: Boolean!) { ...A @include(if: $a) ...B @skip(if: $b) } fragment A on "
+          "Query { terminals(first: 3) { name } } "
+          "fragment B on Query { terminals(first: 3) { gates(first: 2) { name } } }";
   EXPECT_EQ(costs(q, variables({{"a", boolean(true)}, {"b", boolean(false)}})), "13 4");
   EXPECT_EQ(costs(q, variables({{"a", boolean(true)}, {"b", boolean(true)}})), "7 1");
   EXPECT_EQ(costs(q, variables({{"a", boolean(false)}, {"b", boolean(true)}})), "1 0");
   // Of an abstract type the dearest possible one: Terminals weigh 2 and have gates.
   EXPECT_EQ(costs("{ search(text: \"\") { name } }"), "11 1");
-  EXPECT_EQ(costs("{ search(text: \"\") { ... on Terminal { gates(first: 2) { name } } ... on Gate { level } } }"), "21 6");
+  EXPECT_EQ(
+      costs("{ search(text: \"\") { ... on Terminal { gates(first: 2) { name } } ... on Gate { level } } }"),
+      "21 6");
 }
 TEST(CostOf, NeverBelowZeroAndNeverWithoutEnd) {
   std::vector<Error> errors;
-  const auto s = Schema::read("type Query { a: [Query!]! @listSize(assumedSize: 2147483647) b: Int @cost(weight: \"-5\") }", errors);
+  const auto s = Schema::read(
+      "type Query { a: [Query!]! @listSize(assumedSize: 2147483647) b: Int @cost(weight: \"-5\") }", errors);
   ASSERT_TRUE(s);
   std::string text = "b";
   for (int i = 0; i < 40; ++i) text = "a { " + text + " }";
@@ -385,27 +442,39 @@
   return counted(schema(), d, d.operations()[0], {}, answer);
 }
 TEST(Answers, AreCountedByWhatCameBack) {
-  const std::string q = "{ terminals(first: 50) { n: name gates(first: 9) { name route(to: 1) { steps } } } }";
-  const auto a = answered(q, R"({"data":{"terminals":[{"n":"a","gates":[{"name":"1","route":{"steps":["x","y"]}},{"name":"2","route":null}]},{"n":"b","gates":[]}]}})");
+  const std::string
+      q = "{ terminals(first: 50) { n: name gates(first: 9) { name route(to: 1) { steps } } } }";
+  const auto a = answered(
+      q,
+      R"({"data":{"terminals":[{"n":"a","gates":[{"name":"1","route":{"steps":["x","y"]}},{"name":"2","route":null}]},{"n":"b","gates":[]}]}})");
   EXPECT_TRUE(a.whole && a.has_data && !a.has_errors);
-  EXPECT_EQ(a.cost.type, 1 + 2 * 2 + 2 + 1);        // root, two terminals, two gates, one route
-  EXPECT_EQ(a.cost.field, 1 + 2 * 1 + 2 * 3);       // the list; each terminal's gates; each gate's route
+  EXPECT_EQ(a.cost.type, 1 + 2 * 2 + 2 + 1);   // root, two terminals, two gates, one route
+  EXPECT_EQ(a.cost.field, 1 + 2 * 1 + 2 * 3);  // the list; each terminal's gates; each gate's route
   EXPECT_EQ(answered(q, R"({"data":{"terminals":[]}})").cost.type, 1);
   EXPECT_EQ(answered(q, R"({"data":{"terminals":null},"errors":[{"message":"no"}]})").cost.type, 1);
 }
 TEST(Answers, AbstractTypesCountAsTheDearest) {
   const std::string q = "{ search(text: \"\") { name ... on Terminal { gates(first: 1) { name } } } }";
-  EXPECT_EQ(answered(q, R"({"data":{"search":[{"name":"a"},{"name":"b","gates":[{"name":"c"}]}]}})").cost.type, 1 + 2 * 2 + 1);
+  EXPECT_EQ(
+      answered(q, R"({"data":{"search":[{"name":"a"},{"name":"b","gates":[{"name":"c"}]}]}})").cost.type,
+      1 + 2 * 2 + 1);
 }
 TEST(Answers, WhatIsNotInTheQueryCountsNothing) {
-  EXPECT_EQ(answered("{ hours }", R"({"x":{"data":{"hours":[{}]}},"data":{"hours":[1,2],"terminals":[{},{}]},"extensions":{"data":{}}})").cost.type, 1);
+  EXPECT_EQ(
+      answered(
+          "{ hours }",
+          R"({"x":{"data":{"hours":[{}]}},"data":{"hours":[1,2],"terminals":[{},{}]},"extensions":{"data":{}}})")
+          .cost.type,
+      1);
 }
 TEST(Answers, TheServersWord) {
   EXPECT_EQ(answered("{ hours }", R"({"data":{},"extensions":{"cost":3.5}})").told, 3.5);
   EXPECT_EQ(answered("{ hours }", R"({"data":{},"extensions":{"cost":{"requested":9,"actual":4}}})").told, 4);
   EXPECT_EQ(answered("{ hours }", R"({"data":{},"extensions":{"cost":{"typeCost":2}}})").told, 2);
-  for (const auto* bad : {R"({"extensions":{"cost":-1}})", R"({"extensions":{"cost":"4"}})", R"({"extensions":{"cost":{"x":{"actual":4}}}})",
-                          R"({"extensions":{"x":{"cost":4}}})", R"({"cost":4})", R"({"extensions":{"cost":[4]}})"})
+  for (const auto* bad :
+       {R"({"extensions":{"cost":-1}})", R"({"extensions":{"cost":"4"}})",
+        R"({"extensions":{"cost":{"x":{"actual":4}}}})", R"({"extensions":{"x":{"cost":4}}})",
+        R"({"cost":4})", R"({"extensions":{"cost":[4]}})"})
     EXPECT_FALSE(answered("{ hours }", bad).told) << bad;
   EXPECT_FALSE(answered("{ hours }", R"({"extensions":{"cost":1e999}})").told);
 }
@@ -415,12 +484,15 @@
   EXPECT_EQ(charged(answered(q, whole), 101, false), 3);
   for (std::size_t cut = 0; cut < whole.size(); ++cut)
     ASSERT_EQ(charged(answered(q, whole.substr(0, cut)), 101, false), 101) << cut;
-  for (const auto* bad : {"[]", "1", "\"x\"", "{\"data\":{}}x", "{\"data\":{\"terminals\":[{\"name\":\"\xFF\"}]}}", "{\"errors\":[]}", "{\"data\":null}"})
+  for (const auto* bad :
+       {"[]", "1", "\"x\"", "{\"data\":{}}x", "{\"data\":{\"terminals\":[{\"name\":\"\xFF\"}]}}",
+        "{\"errors\":[]}", "{\"data\":null}"})
     EXPECT_EQ(charged(answered(q, bad), 101, false), 101) << bad;
   std::string deep = "{\"data\":";
   for (int i = 0; i < 100'000; ++i) deep += "[";
   EXPECT_EQ(charged(answered(q, deep), 101, false), 101);
-  EXPECT_EQ(charged(answered(q, R"({"data":{"terminals":[]},"extensions":{"cost":1e12}})"), 101, true), 101);  // absurd
+  EXPECT_EQ(charged(answered(q, R"({"data":{"terminals":[]},"extensions":{"cost":1e12}})"), 101, true),
+            101);  // absurd
   EXPECT_EQ(charged(answered(q, R"({"data":{"terminals":[]},"extensions":{"cost":-7}})"), 101, true), 1);
   EXPECT_EQ(charged(answered(q, R"({"data":{"terminals":[]},"extensions":{"cost":40}})"), 101, true), 40);
   EXPECT_EQ(charged(answered(q, R"({"data":{"terminals":[]},"extensions":{"cost":40}})"), 101, false), 1);
@@ -430,11 +502,14 @@
   std::mt19937 random(3);
   for (int i = 0; i < 300; ++i) {
     const auto first = 1 + random() % 6, gates = 1 + random() % 4;
-    const std::string q = "{ terminals(first: " + std::to_string(first) + ") { name gates(first: " + std::to_string(gates) + ") { name level } } plans(first: 3) { nodes { id } } }";
+    const std::string q = "{ terminals(first: " + std::to_string(first) +
+                          ") { name gates(first: " + std::to_string(gates) +
+                          ") { name level } } plans(first: 3) { nodes { id } } }";
     std::string a = "{\"data\":{\"terminals\":[";
     for (auto t = random() % (first + 1), n = t; n > 0; --n) {
       a += std::string(n == t ? "" : ",") + "{\"name\":\"t\",\"gates\":[";
-      for (auto g = random() % (gates + 1), m = g; m > 0; --m) a += std::string(m == g ? "" : ",") + "{\"name\":\"g\",\"level\":\"ARRIVALS\"}";
+      for (auto g = random() % (gates + 1), m = g; m > 0; --m)
+        a += std::string(m == g ? "" : ",") + "{\"name\":\"g\",\"level\":\"ARRIVALS\"}";
       a += "]}";
     }
     a += "],\"plans\":{\"nodes\":[{\"id\":1}]}}}";
@@ -454,20 +529,24 @@
 
 // ---- Requests over HTTP ------------------------------------------------------------------------------------------
 
-Decoded post(const std::string& body, const std::string& type = "application/json", const std::string& accept = "") {
+Decoded post(const std::string& body, const std::string& type = "application/json",
+             const std::string& accept = "") {
   return decode({"POST", "/graphql", type, accept, body});
 }
 Decoded get(const std::string& target) { return decode({"GET", target, "", "", ""}); }
 
 TEST(Requests, PostAndGet) {
-  auto d = post(R"({"query":"{ hours }","operationName":"A","variables":{"a":1,"b":[true,null,2.5,3.0],"c":{"d":"x"}}})");
+  auto d = post(
+      R"({"query":"{ hours }","operationName":"A","variables":{"a":1,"b":[true,null,2.5,3.0],"c":{"d":"x"}}})");
   ASSERT_EQ(d.calls.size(), 1U);
   EXPECT_EQ(d.calls[0].operation, "A");
   EXPECT_EQ(d.calls[0].variables.at("a").kind, ValueKind::integer);
   EXPECT_EQ(d.calls[0].variables.at("b").items[2].kind, ValueKind::real);
   EXPECT_EQ(d.calls[0].variables.at("b").items[3].kind, ValueKind::integer);  // 3.0
   EXPECT_EQ(d.calls[0].variables.at("c").fields[0].second.text, "x");
-  d = get("/graphql?query=query%20A(%24n%3AInt)%7Bterminals(first%3A%24n)%7Bname%7D%7D&variables=%7B%22n%22%3A2%7D&operationName=A&other=1");
+  d = get(
+      "/graphql?query=query%20A(%24n%3AInt)%7Bterminals(first%3A%24n)%7Bname%7D%7D&variables=%7B%22n%22%3A2%"
+      "7D&operationName=A&other=1");
   ASSERT_EQ(d.calls.size(), 1U) << d.errors[0].message;
   EXPECT_EQ(d.calls[0].query, "query A($n:Int){terminals(first:$n){name}}");
   EXPECT_EQ(d.calls[0].variables.at("n").text, "2");
@@ -481,7 +560,10 @@
   EXPECT_EQ(post("1").status, 400);
   EXPECT_EQ(post("{\"query\":1}").status, 400);
   EXPECT_EQ(post("{\"query\":\"{ hours }\",\"variables\":[1]}").status, 400);
-  EXPECT_EQ(post("{\"query\":\"{ hours }\",\"extensions\":{\"persistedQuery\":{\"version\":2,\"sha256Hash\":\"a\"}}}").status, 400);
+  EXPECT_EQ(post("{\"query\":\"{ hours "
+                 "}\",\"extensions\":{\"persistedQuery\":{\"version\":2,\"sha256Hash\":\"a\"}}}")
+                .status,
+            400);
   EXPECT_EQ(post("{\"query\":\"{ hours }\"}", "text/plain").status, 415);
   EXPECT_EQ(post("{\"query\":\"{ hours }\"}", "application/json; charset=latin1").status, 415);
   EXPECT_EQ(post("{\"query\":\"{ hours }\"}", "application/json; charset=utf-8").status, 200);
@@ -508,18 +590,26 @@
 TEST(Requests, StatusFollowsTheMediaType) {
   const std::vector<Error> wrong{{"x", {}, {}, "GRAPHQL_VALIDATION_FAILED"}};
   EXPECT_EQ(status_of(post("{\"query\":\"{ a }\"}"), wrong), 200);
-  EXPECT_EQ(status_of(post("{\"query\":\"{ a }\"}", "application/json", "application/graphql-response+json, */*"), wrong), 400);
+  EXPECT_EQ(
+      status_of(post("{\"query\":\"{ a }\"}", "application/json", "application/graphql-response+json, */*"),
+                wrong),
+      400);
   EXPECT_EQ(status_of(post("{\"query\":\"{ a }\"}"), {{"x", {}, {}, "METHOD_NOT_ALLOWED"}}), 405);
   EXPECT_EQ(status_of(post("{"), wrong), 400);
-  EXPECT_EQ(media_type_of(post("{}", "application/json", "application/graphql-response+json")), "application/graphql-response+json; charset=utf-8");
+  EXPECT_EQ(media_type_of(post("{}", "application/json", "application/graphql-response+json")),
+            "application/graphql-response+json; charset=utf-8");
 }
 
 struct Planned {
   DocumentCache documents{schema(), {}, {}, 1 << 20};
   PersistedQueries persisted{1000};
   PlanOptions options;
-  Plan plan(const Call& call, bool as_get = false) { return plan_of(schema(), documents, persisted, call, as_get, options); }
-  Plan plan(const std::string& query, const std::string& operation = "") { return plan(Call{query, operation, "", {}, "", {}}); }
+  Plan plan(const Call& call, bool as_get = false) {
+    return plan_of(schema(), documents, persisted, call, as_get, options);
+  }
+  Plan plan(const std::string& query, const std::string& operation = "") {
+    return plan(Call{query, operation, "", {}, "", {}});
+  }
   std::string code(const Call& call) {
     const auto p = plan(call);
     return p.errors.empty() ? "" : p.errors[0].code;
@@ -531,16 +621,24 @@
   EXPECT_EQ(x.plan("{ hours }").effect, OperationEffect::safe);
   EXPECT_EQ(x.plan("mutation { planCorrection(plan: 1) { id } }").effect, OperationEffect::keyed);
   EXPECT_EQ(x.plan("mutation { gateNotice(gate: 1, text: \"\") { name } }").effect, OperationEffect::unsafe);
-  EXPECT_EQ(x.plan("mutation { planCorrection(plan: 1) { id } ...F } fragment F on Mutation { gateNotice(gate: 1, text: \"\") { name } }").effect,
+  EXPECT_EQ(x.plan("mutation { planCorrection(plan: 1) { id } ...F } fragment F on Mutation { "
+                   "gateNotice(gate: 1, text: \"\") { name } }")
+                .effect,
             OperationEffect::unsafe);  // as its worst, wherever that stands
-  EXPECT_EQ(x.plan("mutation { planCorrection(plan: 1) { id } gateNotice(gate: 1, text: \"\") @skip(if: true) { name } }").effect, OperationEffect::keyed);
-  EXPECT_EQ(x.plan(Call{"mutation { planCorrection(plan: 1) { id } }", "", "", {}, "", {}}, true).errors[0].code, "METHOD_NOT_ALLOWED");
+  EXPECT_EQ(x.plan("mutation { planCorrection(plan: 1) { id } gateNotice(gate: 1, text: \"\") @skip(if: "
+                   "true) { name } }")
+                .effect,
+            OperationEffect::keyed);
+  EXPECT_EQ(
+      x.plan(Call{"mutation { planCorrection(plan: 1) { id } }", "", "", {}, "", {}}, true).errors[0].code,
+      "METHOD_NOT_ALLOWED");
   EXPECT_EQ(x.plan("subscription { moved { name } }").errors.size(), 1U);
 }
 TEST(Plans, OperationsAndUnits) {
   Planned x;
   const std::string two = "query A { hours } query B { terminals(first: 4) { name } }";
-  EXPECT_EQ(x.plan(two).errors[0].message, "Must provide operation name if query contains multiple operations.");
+  EXPECT_EQ(x.plan(two).errors[0].message,
+            "Must provide operation name if query contains multiple operations.");
   EXPECT_EQ(x.plan(two, "C").errors[0].message, "Unknown operation named \"C\".");
   EXPECT_EQ(x.plan(two, "B").units, 9);
   EXPECT_EQ(x.documents.hits(), 2U);
@@ -595,12 +693,16 @@
   EXPECT_EQ(forwarded(c, x.plan(c)), "{\"query\":\"{ a: hours }\",\"variables\":{\"x\":1}}");
 }
 TEST(OwnAnswers, AreGraphqlErrors) {
-  EXPECT_EQ(error_answer({{"no \"x\"", {{1, 2}}, {"a"}, "C"}}),
-            R"({"errors":[{"extensions":{"code":"C"},"locations":[{"column":2,"line":1}],"message":"no \"x\"","path":["a"]}]})");
-  EXPECT_EQ(refusal("OVER_QUOTA", "m", 9, 4, 1.5), R"({"errors":[{"extensions":{"code":"OVER_QUOTA","cost":9.0,"limit":4.0,"retryAfter":1.5},"message":"m"}]})");
+  EXPECT_EQ(
+      error_answer({{"no \"x\"", {{1, 2}}, {"a"}, "C"}}),
+      R"({"errors":[{"extensions":{"code":"C"},"locations":[{"column":2,"line":1}],"message":"no \"x\"","path":["a"]}]})");
+  EXPECT_EQ(
+      refusal("OVER_QUOTA", "m", 9, 4, 1.5),
+      R"({"errors":[{"extensions":{"code":"OVER_QUOTA","cost":9.0,"limit":4.0,"retryAfter":1.5},"message":"m"}]})");
   EXPECT_EQ(refusal("TOO_DEAR", "m", 9, 4, 0).find("retryAfter"), std::string::npos);
   Planned x;
-  EXPECT_EQ(dry_run(x.plan("{ terminals(first: 4) { name } }")), R"({"data":null,"extensions":{"cost":{"fieldCost":1.0,"typeCost":9.0,"units":9.0}}})");
+  EXPECT_EQ(dry_run(x.plan("{ terminals(first: 4) { name } }")),
+            R"({"data":null,"extensions":{"cost":{"fieldCost":1.0,"typeCost":9.0,"units":9.0}}})");
 }
 
 std::string introspect(const std::string& query, std::size_t most = 200'000) {
@@ -609,17 +711,25 @@
   return introspected(schema(), d, d.operations()[0], {}, most);
 }
 TEST(Introspection, TypesFieldsAndWrappings) {
-  EXPECT_EQ(introspect("{ __type(name: \"Terminal\") { __typename kind name interfaces { name } } nope: __type(name: \"X\") { name } __typename }"),
-            R"({"data":{"__type":{"__typename":"__Type","kind":"OBJECT","name":"Terminal","interfaces":[{"name":"Place"}]},"nope":null,"__typename":"Query"}})");
-  EXPECT_EQ(introspect("{ __type(name: \"Query\") { fields { ...F } } } fragment F on __Field { name type { kind ofType { kind ofType { kind ofType { name } } } } }")
-                .substr(0, 131),
-            R"({"data":{"__type":{"fields":[{"name":"gates","type":{"kind":"LIST","ofType":{"kind":"OBJECT","ofType":null}}},{"name":"grid","type")");
-  EXPECT_EQ(introspect("{ __type(name: \"Page\") { inputFields { name defaultValue type { kind ofType { name } } } } }"),
-            R"({"data":{"__type":{"inputFields":[{"name":"size","defaultValue":null,"type":{"kind":"NON_NULL","ofType":{"name":"Int"}}},)"
-            R"({"name":"from","defaultValue":"0","type":{"kind":"SCALAR","ofType":null}}]}}})");
-  EXPECT_EQ(introspect("{ __schema { queryType { name } mutationType { name } } __type(name: \"Level\") { enumValues { name } } t: __type(name: \"Thing\") { possibleTypes { name } } }"),
-            R"({"data":{"__schema":{"queryType":{"name":"Query"},"mutationType":{"name":"Mutation"}},"__type":{"enumValues":[{"name":"ARRIVALS"},{"name":"DEPARTURES"}]},)"
-            R"("t":{"possibleTypes":[{"name":"Gate"},{"name":"Route"}]}}})");
+  EXPECT_EQ(
+      introspect("{ __type(name: \"Terminal\") { __typename kind name interfaces { name } } nope: "
+                 "__type(name: \"X\") { name } __typename }"),
+      R"({"data":{"__type":{"__typename":"__Type","kind":"OBJECT","name":"Terminal","interfaces":[{"name":"Place"}]},"nope":null,"__typename":"Query"}})");
+  EXPECT_EQ(
+      introspect("{ __type(name: \"Query\") { fields { ...F } } } fragment F on __Field { name type { kind "
+                 "ofType { kind ofType { kind ofType { name } } } } }")
+          .substr(0, 131),
+      R"({"data":{"__type":{"fields":[{"name":"gates","type":{"kind":"LIST","ofType":{"kind":"OBJECT","ofType":null}}},{"name":"grid","type")");
+  EXPECT_EQ(
+      introspect(
+          "{ __type(name: \"Page\") { inputFields { name defaultValue type { kind ofType { name } } } } }"),
+      R"({"data":{"__type":{"inputFields":[{"name":"size","defaultValue":null,"type":{"kind":"NON_NULL","ofType":{"name":"Int"}}},)"
+      R"({"name":"from","defaultValue":"0","type":{"kind":"SCALAR","ofType":null}}]}}})");
+  EXPECT_EQ(
+      introspect("{ __schema { queryType { name } mutationType { name } } __type(name: \"Level\") { "
+                 "enumValues { name } } t: __type(name: \"Thing\") { possibleTypes { name } } }"),
+      R"({"data":{"__schema":{"queryType":{"name":"Query"},"mutationType":{"name":"Mutation"}},"__type":{"enumValues":[{"name":"ARRIVALS"},{"name":"DEPARTURES"}]},)"
+      R"("t":{"possibleTypes":[{"name":"Gate"},{"name":"Route"}]}}})");
 }
 TEST(Introspection, IsBounded) {
   std::string all = "name";
@@ -639,7 +749,8 @@
   EXPECT_FALSE(b.done());
   b.ended(4, "{\"e\":1}");
   ASSERT_TRUE(b.done());
-  EXPECT_EQ(b.answer(), "[" + error_answer({{"The server's answer can't be read.", {}, {}, "BAD_GATEWAY"}}) + ",{\"b\":1},{\"c\":1},{\"d\":1},{\"e\":1}]");
+  EXPECT_EQ(b.answer(), "[" + error_answer({{"The server's answer can't be read.", {}, {}, "BAD_GATEWAY"}}) +
+                            ",{\"b\":1},{\"c\":1},{\"d\":1},{\"e\":1}]");
 }
 TEST(Batches, RandomOrdersAnswerEachOnceInOrder) {
   for (unsigned seed = 1; seed <= 500; ++seed) {
--- a/tests/redis_client_test.cpp
+++ b/tests/redis_client_test.cpp
@@ -42,12 +42,13 @@
 TEST(SlotMap, ReadsWhatClusterSlotsGives) {
   SlotMap m;
   ASSERT_TRUE(m.read(reply("*3\r\n"
-                           "*4\r\n:0\r\n:5460\r\n*4\r\n$9\r\n127.0.0.1\r\n:7001\r\n$1\r\na\r\n*0\r\n*2\r\n$9\r\n127.0.0.1\r\n:7011\r\n"
+                           "*4\r\n:0\r\n:5460\r\n*4\r\n$9\r\n127.0.0.1\r\n:7001\r\n$1\r\na\r\n*0\r\n*2\r\n$"
+                           "9\r\n127.0.0.1\r\n:7011\r\n"
                            "*3\r\n:5461\r\n:10922\r\n*3\r\n$0\r\n\r\n:7002\r\n$1\r\nb\r\n"
                            "*3\r\n:10923\r\n:16383\r\n*3\r\n$-1\r\n:7003\r\n$1\r\nc\r\n"),
                      kHere));
   EXPECT_EQ(*m.owner(0), at("127.0.0.1", 7001));
-  EXPECT_EQ(*m.owner(5461), at("127.0.0.9", 7002));   // empty and null: the one that answered
+  EXPECT_EQ(*m.owner(5461), at("127.0.0.9", 7002));  // empty and null: the one that answered
   EXPECT_EQ(*m.owner(16383), at("127.0.0.9", 7003));
   EXPECT_EQ(m.covered(), 16384U);
   EXPECT_EQ(m.owners().size(), 3U);
@@ -57,13 +58,17 @@
 }
 TEST(SlotMap, GapsNamesAndNonsense) {
   SlotMap m;
-  ASSERT_TRUE(m.read(reply("*2\r\n*3\r\n:0\r\n:1\r\n*2\r\n$4\r\nhost\r\n:1\r\n*3\r\n:9\r\n:9\r\n*2\r\n$3\r\n::1\r\n:2\r\n"), kHere));
+  ASSERT_TRUE(m.read(
+      reply("*2\r\n*3\r\n:0\r\n:1\r\n*2\r\n$4\r\nhost\r\n:1\r\n*3\r\n:9\r\n:9\r\n*2\r\n$3\r\n::1\r\n:2\r\n"),
+      kHere));
   EXPECT_EQ(m.unread(), 1U);  // a name
   EXPECT_EQ(m.owner(0), nullptr);
   EXPECT_EQ(*m.owner(9), at("::1", 2));
-  for (const auto* bad : {"-ERR This instance has cluster support disabled\r\n", "*1\r\n:1\r\n", "*1\r\n*2\r\n:0\r\n:1\r\n",
-                          "*1\r\n*3\r\n:5\r\n:1\r\n*2\r\n$3\r\n::1\r\n:2\r\n", "*1\r\n*3\r\n:0\r\n:16384\r\n*2\r\n$3\r\n::1\r\n:2\r\n",
-                          "*1\r\n*3\r\n:-1\r\n:1\r\n*2\r\n$3\r\n::1\r\n:2\r\n", "*1\r\n*3\r\n:0\r\n:1\r\n:2\r\n"}) {
+  for (const auto* bad :
+       {"-ERR This instance has cluster support disabled\r\n", "*1\r\n:1\r\n", "*1\r\n*2\r\n:0\r\n:1\r\n",
+        "*1\r\n*3\r\n:5\r\n:1\r\n*2\r\n$3\r\n::1\r\n:2\r\n",
+        "*1\r\n*3\r\n:0\r\n:16384\r\n*2\r\n$3\r\n::1\r\n:2\r\n",
+        "*1\r\n*3\r\n:-1\r\n:1\r\n*2\r\n$3\r\n::1\r\n:2\r\n", "*1\r\n*3\r\n:0\r\n:1\r\n:2\r\n"}) {
     EXPECT_FALSE(m.read(reply(bad), kHere)) << bad;
     EXPECT_EQ(*m.owner(9), at("::1", 2)) << bad;  // what was known stays
   }
@@ -76,8 +81,9 @@
   EXPECT_EQ(moved->to, at("127.0.0.1", 6381));
   EXPECT_TRUE(redirect_of("ASK 1 ::1:6381", kHere)->ask);
   EXPECT_EQ(redirect_of("MOVED 1 :6381", kHere)->to, at("127.0.0.9", 6381));
-  for (const auto* bad : {"MOVED", "MOVED 1", "MOVED x 127.0.0.1:1", "MOVED 16384 127.0.0.1:1", "MOVED 1 127.0.0.1",
-                          "MOVED 1 host:1", "MOVED 1 127.0.0.1:0", "MOVED 1 127.0.0.1:70000", "TRYAGAIN", "ERR 1 127.0.0.1:1"})
+  for (const auto* bad :
+       {"MOVED", "MOVED 1", "MOVED x 127.0.0.1:1", "MOVED 16384 127.0.0.1:1", "MOVED 1 127.0.0.1",
+        "MOVED 1 host:1", "MOVED 1 127.0.0.1:0", "MOVED 1 127.0.0.1:70000", "TRYAGAIN", "ERR 1 127.0.0.1:1"})
     EXPECT_FALSE(redirect_of(bad, kHere)) << bad;
 }
 TEST(Topology, SentinelsAndInfo) {
@@ -91,7 +97,8 @@
   EXPECT_EQ(switched_master(push("m 127.0.0.1 1 127.0.0.2 2"), "m"), at("127.0.0.2", 2));
   EXPECT_FALSE(switched_master(push("other 127.0.0.1 1 127.0.0.2 2"), "m"));
   EXPECT_FALSE(switched_master(push("m 127.0.0.1 1 127.0.0.2"), "m"));
-  const auto i = identity_of(reply("$29\r\n# Server\r\nrun_id:abc\r\nx_run:1\r\n"), reply("$22\r\n# R\r\nrole:slave\r\nb:c\r\n\r\n"));
+  const auto i = identity_of(reply("$29\r\n# Server\r\nrun_id:abc\r\nx_run:1\r\n"),
+                             reply("$22\r\n# R\r\nrole:slave\r\nb:c\r\n\r\n"));
   EXPECT_EQ(i.run_id, "abc");
   EXPECT_EQ(i.role, "slave");
   EXPECT_TRUE(identity_of(reply("-NOPERM no\r\n"), reply("-NOPERM no\r\n")).run_id.empty());
@@ -104,7 +111,9 @@
   Database db;
   standins::Client client = db.connect();
   std::int64_t clock_ahead = 0;  // of the store, in ms
-  std::int64_t ms() const { return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count(); }
+  std::int64_t ms() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  }
   std::vector<Reply> run(const std::string& text) {
     standins::CommandReader in;
     in.feed(text);
@@ -230,14 +239,21 @@
  public:
   using Link = VirtualLink;
 
-  World(std::uint64_t seed, bool slots, std::size_t shards, std::size_t replicas, std::int64_t lag_ms, std::size_t sentinels = 0)
+  World(std::uint64_t seed, bool slots, std::size_t shards, std::size_t replicas, std::int64_t lag_ms,
+        std::size_t sentinels = 0)
       : group(slots), random(seed) {
     const auto make = [&](std::optional<std::size_t> master, bool sentinel) {
-      databases.push_back(std::make_unique<Database>(
-          standins::DatabaseOptions{.user = "default", .password = {}, .resp3 = true, .identity = databases.size() + 1}));
+      databases.push_back(std::make_unique<Database>(standins::DatabaseOptions{
+          .user = "default", .password = {}, .resp3 = true, .identity = databases.size() + 1}));
       const auto i = databases.size() - 1;
-      group.add({.database = databases.back().get(), .host = "127.0.0.1", .port = static_cast<std::uint16_t>(7000 + i),
-                 .master = master, .lag_ms = lag_ms, .position = 0, .alive = true, .sentinel = sentinel});
+      group.add({.database = databases.back().get(),
+                 .host = "127.0.0.1",
+                 .port = static_cast<std::uint16_t>(7000 + i),
+                 .master = master,
+                 .lag_ms = lag_ms,
+                 .position = 0,
+                 .alive = true,
+                 .sentinel = sentinel});
     };
     for (std::size_t i = 0; i < shards; ++i) make(std::nullopt, false);
     for (std::size_t i = 0; i < shards; ++i)
@@ -245,7 +261,8 @@
     for (std::size_t i = 0; i < sentinels; ++i) make(std::nullopt, true);
     if (slots)
       for (std::size_t i = 0; i < shards; ++i)
-        group.own(static_cast<std::uint16_t>(16384 * i / shards), static_cast<std::uint16_t>(16384 * (i + 1) / shards - 1), i);
+        group.own(static_cast<std::uint16_t>(16384 * i / shards),
+                  static_cast<std::uint16_t>(16384 * (i + 1) / shards - 1), i);
     group.publish = [this](std::size_t member, const std::string& channel, const std::string& text) {
       for (auto* h : hosts)
         for (auto& [id, l] : h->links)
@@ -261,8 +278,10 @@
     for (std::size_t i = 0; i < (sentinels > 0 ? sentinels : shards); ++i)
       options.seeds.push_back(at("127.0.0.1", static_cast<std::uint16_t>(7000 + first_seed + i)));
     options.master = "mymaster";
-    options.lanes = 2, options.connect_limit = 200ms, options.first_back_off = 5ms, options.longest_back_off = 50ms;
-    options.refresh_least = 20ms, options.refresh_every = 1s, options.epoch_interval = 100ms, options.epoch_life = 60s;
+    options.lanes = 2, options.connect_limit = 200ms, options.first_back_off = 5ms,
+    options.longest_back_off = 50ms;
+    options.refresh_least = 20ms, options.refresh_every = 1s, options.epoch_interval = 100ms,
+    options.epoch_life = 60s;
     options.session.call_limit = 50ms, options.session.idle_limit = 1s, options.session.silence_limit = 300ms;
     options.seed = seed;
   }
@@ -289,7 +308,8 @@
       if (!events.empty()) next = std::min(next, events.begin()->first);
       Host* first = nullptr;
       for (auto* h : hosts)
-        if (const auto due = h->client->due(); due && std::max(*due, now) < next) first = h, next = std::max(*due, now);
+        if (const auto due = h->client->due(); due && std::max(*due, now) < next)
+          first = h, next = std::max(*due, now);
       if (next >= until) break;
       now = std::max(now, next);
       if (!first) {
@@ -312,7 +332,9 @@
     return done();
   }
   void at_once(std::function<void()> what, Duration in = {}) { events.emplace(now + in, std::move(what)); }
-  std::int64_t ms() const { return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count(); }
+  std::int64_t ms() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  }
   void reset_links(std::size_t member) {
     for (auto* h : hosts) {
       std::vector<LinkId> gone;
@@ -372,7 +394,10 @@
   std::multimap<Time, std::function<void()>> events;
 
  private:
-  Duration way() { return 100us + Duration(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(slowest.count()))); }
+  Duration way() {
+    return 100us +
+           Duration(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(slowest.count())));
+  }
 
   // What is still on its way when the link, or the life of its client, has ended is passed over.
   static bool open(const Host& h, LinkId id, const std::shared_ptr<Link>& l) {
@@ -383,15 +408,17 @@
     auto l = std::make_shared<Link>();
     l->member = a.to.port() - 7000U;
     h.links[a.link] = l;
-    at_once([this, &h, id = a.link, l] {
-      if (!open(h, id, l)) return;
-      const bool cut = group.is_sentinel(l->member) && std::ranges::find(cut_off, &h) != cut_off.end();
-      if (cut || !group.members()[l->member].alive) return reset(h, id);
-      l->up = true;
-      l->client = databases[l->member]->connect();
-      h.client->opened(now, id);
-      settle(h);
-    }, way());
+    at_once(
+        [this, &h, id = a.link, l] {
+          if (!open(h, id, l)) return;
+          const bool cut = group.is_sentinel(l->member) && std::ranges::find(cut_off, &h) != cut_off.end();
+          if (cut || !group.members()[l->member].alive) return reset(h, id);
+          l->up = true;
+          l->client = databases[l->member]->connect();
+          h.client->opened(now, id);
+          settle(h);
+        },
+        way());
   }
   void to_server(Host& h, LinkId id, std::string text) {
     const auto it = h.links.find(id);
@@ -507,13 +534,15 @@
     ASSERT_EQ(w.answers.size(), w.adds);
     for (const auto& a : w.answers) {
       const auto slot = Cluster::slot_of(key_of("docklift:", a.answer.name));
-      EXPECT_EQ(a.answer.outcome, *w.group.owner(slot) == 0 || coverage ? CountOutcome::refused : CountOutcome::ok);
+      EXPECT_EQ(a.answer.outcome,
+                *w.group.owner(slot) == 0 || coverage ? CountOutcome::refused : CountOutcome::ok);
     }
     w.group.set_alive(0, true);  // with what it had: a break, not a restart
     w.run(1s);
     w.add(1, 1), w.add(2, 1), w.add(3, 1);
     w.run(100ms);
-    for (int i = 0; i < 3; ++i) EXPECT_EQ(w.answers.at(w.answers.size() - 1 - i).answer.outcome, CountOutcome::ok);
+    for (int i = 0; i < 3; ++i)
+      EXPECT_EQ(w.answers.at(w.answers.size() - 1 - i).answer.outcome, CountOutcome::ok);
     EXPECT_EQ(w.lost.size(), 3U);  // one for each epoch that began, none for the break
   }
 }
@@ -646,15 +675,22 @@
       if (w.random() % 2 == 0) w.add(w.random() % 60, 1);
       switch (w.random() % 24) {
         case 0:
-          if (!w.links.empty()) w.reset(w, std::next(w.links.begin(), static_cast<std::ptrdiff_t>(w.random() % w.links.size()))->first);
+          if (!w.links.empty())
+            w.reset(
+                w,
+                std::next(w.links.begin(), static_cast<std::ptrdiff_t>(w.random() % w.links.size()))->first);
           break;
         case 1: w.slowest = 1ms + Duration(static_cast<std::int64_t>(w.random() % 80'000'000)); break;
         case 2: w.slowest = 2ms; break;
         case 3: w.kill(w.random() % 3); break;
-        case 4: case 5: case 6:
+        case 4:
+        case 5:
+        case 6:
           for (std::size_t i = 0; i < 3; ++i) w.group.set_alive(i, true);
           break;
-        case 7: case 8: case 9: {
+        case 7:
+        case 8:
+        case 9: {
           const auto slot = Cluster::slot_of(key_of("docklift:", CountName(w.random() % 60)));
           if (moving[slot]) {
             w.group.finish_migration(slot, w.ms()), moving[slot] = false;
@@ -679,7 +715,8 @@
 TEST(Client, LossesAreToldBeforeTheTotalsThatShowThem) {
   std::size_t seen = 0;
   for (std::uint64_t seed = 1; seed <= 150; ++seed) {
-    World w(seed, seed % 2 == 0, seed % 2 == 0 ? 2 : 1, 1, static_cast<std::int64_t>(seed % 5) * 300, seed % 2 == 0 ? 0 : 2);
+    World w(seed, seed % 2 == 0, seed % 2 == 0 ? 2 : 1, 1, static_cast<std::int64_t>(seed % 5) * 300,
+            seed % 2 == 0 ? 0 : 2);
     w.start();
     w.run(300ms);
     std::size_t told = 0;
@@ -694,7 +731,8 @@
         if (a.lost_before > known_lost) known_lost = a.lost_before, sure.clear();
         auto& s = sure[static_cast<std::uint64_t>(a.answer.name)];
         ++s;
-        ASSERT_GE(a.answer.total, s) << "seed " << seed << " name " << static_cast<std::uint64_t>(a.answer.name);
+        ASSERT_GE(a.answer.total, s) << "seed " << seed << " name "
+                                     << static_cast<std::uint64_t>(a.answer.name);
       }
       if (w.random() % 60 == 0) {
         // Any that is a master now.
@@ -747,9 +785,11 @@
     auto& n = *nodes[i];
     ++n.life;
     auto s = snowknot::test::settings();
-    s.fleet_size = 4, s.index = static_cast<std::uint32_t>(i), s.counter_timeout = world.options.session.call_limit;
+    s.fleet_size = 4, s.index = static_cast<std::uint32_t>(i),
+    s.counter_timeout = world.options.session.call_limit;
     auto& p = s.plans[1];
-    p.rate = kRate, p.burst = kBurst, p.ceiling_rate = kRate, p.ceiling_burst = kBurst, p.ceiling_slack = kSlack;
+    p.rate = kRate, p.burst = kBurst, p.ceiling_rate = kRate, p.ceiling_burst = kBurst,
+    p.ceiling_slack = kSlack;
     n.gateway.emplace(s, random_());
     n.host.told = [this, i](const CountAnswer& a) { tell(i, a); };
     n.host.told_lost = [this, i](const CountsLost& l) { tell(i, l); };
@@ -761,9 +801,13 @@
   void ask(std::uint64_t member) {
     const auto i = home ? *home : random_() % nodes.size();
     members_[++requests_] = member;
-    tell(i, snowknot::Arrival{.request = snowknot::RequestId(requests_), .request_class = snowknot::ClassIndex(0),
-                              .plan = snowknot::PlanIndex(1), .customer = snowknot::CustomerId(member), .time_left = 1s,
-                              .units = 1, .gateways = 4});
+    tell(i, snowknot::Arrival{.request = snowknot::RequestId(requests_),
+                              .request_class = snowknot::ClassIndex(0),
+                              .plan = snowknot::PlanIndex(1),
+                              .customer = snowknot::CustomerId(member),
+                              .time_left = 1s,
+                              .units = 1,
+                              .gateways = 4});
   }
   void flood(Duration span, double per_second) {
     for (const auto end = world.now + span; world.now < end;) {
@@ -811,9 +855,11 @@
     n.telling = false;
   }
   void later(std::size_t i, Duration in, snowknot::Event e) {
-    world.at_once([this, i, life = nodes[i]->life, e = std::move(e)] {
-      if (life == nodes[i]->life) tell(i, e);
-    }, in);
+    world.at_once(
+        [this, i, life = nodes[i]->life, e = std::move(e)] {
+          if (life == nodes[i]->life) tell(i, e);
+        },
+        in);
   }
   void act(std::size_t i, const snowknot::Action& action) {
     if (const auto* c = std::get_if<snowknot::AddToCount>(&action)) {
@@ -824,7 +870,9 @@
       const auto id = static_cast<std::uint64_t>(s->request);
       buckets[members_.at(id)].pass(1, world.now);
       ++passed;
-      later(i, 1ms, snowknot::AttemptEnded{.request = s->request, .server = s->server, .took = 1ms, .finished = true});
+      later(
+          i, 1ms,
+          snowknot::AttemptEnded{.request = s->request, .server = s->server, .took = 1ms, .finished = true});
     } else if (const auto* t = std::get_if<snowknot::SetTimer>(&action)) {
       later(i, t->delay, snowknot::TimerDue{t->timer});
     } else if (const auto* p = std::get_if<snowknot::Probe>(&action)) {
@@ -861,12 +909,15 @@
     for (const auto m : masters) {
       switch (trouble) {
         case Trouble::empty: f.world.databases[m]->restart_empty(); break;
-        case Trouble::older: f.world.databases[m]->restart_from(f.world.ms(), static_cast<std::int64_t>(random() % 2000)); break;
+        case Trouble::older:
+          f.world.databases[m]->restart_from(f.world.ms(), static_cast<std::int64_t>(random() % 2000));
+          break;
         case Trouble::fail_over: f.world.group.fail_over(m, f.world.ms()); break;
         case Trouble::silent: f.world.databases[m]->flush(); break;
         default: break;
       }
-      if (trouble == Trouble::empty || trouble == Trouble::older || trouble == Trouble::fail_over) f.world.reset_links(m);
+      if (trouble == Trouble::empty || trouble == Trouble::older || trouble == Trouble::fail_over)
+        f.world.reset_links(m);
     }
     if (trouble == Trouble::node || random() % 4 == 0) f.start(random() % 4);
     for (int move = 0; move < 3; ++move) {
@@ -883,7 +934,9 @@
 TEST(Flood, CeilingHoldsThroughLossesThatBreakConnections) {
   double worst = -1e9, passed = 0;
   for (std::uint64_t seed = 1; seed <= 16; ++seed) {
-    const double over = worst_of(seed, seed % 2 == 0, {Trouble::none, Trouble::empty, Trouble::older, Trouble::fail_over, Trouble::node}, passed);
+    const double over = worst_of(
+        seed, seed % 2 == 0,
+        {Trouble::none, Trouble::empty, Trouble::older, Trouble::fail_over, Trouble::node}, passed);
     EXPECT_LE(over, 0) << "seed " << seed;
     worst = std::max(worst, over);
   }
@@ -932,8 +985,9 @@
 TEST(CutOver, TimesAreRead) {
   EXPECT_EQ(store::time_of("1970-01-01T00:00:01Z"), Time(1s));
   EXPECT_EQ(store::time_of("2026-12-24T02:30:00.25Z"), Time(1'798'079'400s + 250ms));
-  for (const auto* bad : {"", "2026-12-24", "2026-12-24T02:30:00", "2026-13-24T02:30:00Z", "2026-02-30T02:30:00Z",
-                          "2026-12-24T24:30:00Z", "2026-12-24T02:30:00.Z", "2026-12-24 02:30:00Z", "2026-12-24T02:30:00+00Z"})
+  for (const auto* bad :
+       {"", "2026-12-24", "2026-12-24T02:30:00", "2026-13-24T02:30:00Z", "2026-02-30T02:30:00Z",
+        "2026-12-24T24:30:00Z", "2026-12-24T02:30:00.Z", "2026-12-24 02:30:00Z", "2026-12-24T02:30:00+00Z"})
     EXPECT_FALSE(store::time_of(bad)) << bad;
 }
 TEST(CutOver, BothCountAndOneDecides) {
@@ -942,20 +996,25 @@
   ASSERT_EQ(out.adds.size(), 2U);
   // The shadow's answer says nothing, whichever comes first.
   EXPECT_TRUE(c.answered(Time(99s), Side::after, {CountName(1), CountOutcome::ok, 3, {}}).answers.empty());
-  EXPECT_EQ(c.answered(Time(99s), Side::before, {CountName(1), CountOutcome::ok, 9, {}}).answers.at(0).total, 9);
+  EXPECT_EQ(c.answered(Time(99s), Side::before, {CountName(1), CountOutcome::ok, 9, {}}).answers.at(0).total,
+            9);
   // After: the other way round.
   out = c.add(Time(100s), CountName(1), 5, 4s);
   EXPECT_EQ(out.adds.size(), 2U);
   EXPECT_FALSE(out.lost);
-  EXPECT_TRUE(c.answered(Time(100s), Side::before, {CountName(1), CountOutcome::timeout, 0, {}}).answers.empty());
-  EXPECT_EQ(c.answered(Time(100s), Side::after, {CountName(1), CountOutcome::ok, 8, {}}).answers.at(0).total, 8);
+  EXPECT_TRUE(
+      c.answered(Time(100s), Side::before, {CountName(1), CountOutcome::timeout, 0, {}}).answers.empty());
+  EXPECT_EQ(c.answered(Time(100s), Side::after, {CountName(1), CountOutcome::ok, 8, {}}).answers.at(0).total,
+            8);
   EXPECT_EQ(c.add(Time(110s), CountName(1), 5, 4s).adds.size(), 1U);  // the old one is left alone
 }
 TEST(CutOver, OneThatWasOutAtTheSwitchIsAnsweredByTheOldOne) {
   CutOver c(Time(0s), Time(100s), 10s);
   c.add(Time(100s) - 1ms, CountName(1), 5, 4s);
-  EXPECT_EQ(c.answered(Time(100s) + 5ms, Side::before, {CountName(1), CountOutcome::ok, 9, {}}).answers.size(), 1U);
-  EXPECT_TRUE(c.answered(Time(100s) + 6ms, Side::after, {CountName(1), CountOutcome::ok, 9, {}}).answers.empty());
+  EXPECT_EQ(
+      c.answered(Time(100s) + 5ms, Side::before, {CountName(1), CountOutcome::ok, 9, {}}).answers.size(), 1U);
+  EXPECT_TRUE(
+      c.answered(Time(100s) + 6ms, Side::after, {CountName(1), CountOutcome::ok, 9, {}}).answers.empty());
 }
 TEST(CutOver, WhatTheNewOneRefusedIsMadeUpForOrTold) {
   CutOver c(Time(0s), Time(100s), 10s);
@@ -980,7 +1039,7 @@
   CutOver after(Time(105s), Time(100s), 10s);
   EXPECT_FALSE(after.add(Time(105s), CountName(1), 1, 4s).lost);
   CutOver c(Time(0s), Time(100s), 10s);
-  EXPECT_FALSE(c.lost(Time(96s), Side::after, {Time(96s)}).lost);   // it does not decide yet
+  EXPECT_FALSE(c.lost(Time(96s), Side::after, {Time(96s)}).lost);  // it does not decide yet
   EXPECT_TRUE(c.lost(Time(97s), Side::before, {Time(97s)}).lost);
   EXPECT_EQ(c.add(Time(100s), CountName(1), 1, 4s).lost->at, Time(96s));
 }
