Follow a store's level answer by answer, and refuse a request for its own size alone

The recorded wire showed two faults that one unit a request, as on the first site, had hidden or made small: - after a refusal the window was shut for the whole customer until there was room for the refused request: one of 4 units shut out those of 1 for up to 2.7 s (opens_at in place of shut_until_filled: each by its own size); - a store that was full and hardly used for most of a window was taken to hold its limit and all that had flowed in (limit_at): a late burst got up to twice the limit. Now the level is followed from answer to answer, others' leases taken off as they show in the total.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -121,7 +121,8 @@
   double seen = 0;      // that total, with what is known to have been added since
   Time seen_at{};       // when it came
   bool empty = false;   // a reserve of which no units are left
-  Time shut{};          // until then the present window is known to have no unit for a request
+  Time shut{};          // until then nothing can be had of the present window
+  double lacked = 0;    // units of the request that the last answer had no room for; 0: it had room
 };
 
 struct Lease {
@@ -131,6 +132,8 @@
   std::map<std::int64_t, Units> reserves;  // of it and of windows to come, for an outage of the counter
   double store = -1;                       // units that the store held at its start; below 0: taken for full
   double total = -1;                       // of its count, at the last answer; below 0: none came
+  double level = -1;                       // what the store then held, by all that was seen; below 0: full
+  Time level_at{};
   double units = 1;                        // of its last request
   std::uint32_t gateways = 1;              // that it comes through
   double asked = 0;                        // units asked for here in this window
@@ -247,6 +250,19 @@
     const double gone = 1 - seconds(window_end(c, t, l.window) - now) / seconds(t.window);
     return std::min(t.most, store_of(l, t) + t.limit * std::clamp(gone, 0.0, 1.0));
   }
+  static double flown_in(Duration d, const Terms& t) { return t.limit * (seconds(d) / seconds(t.window)); }
+  // What the store holds, as far as was seen here. A count alone doesn't tell: a store that was full and not
+  // used for most of a window holds the limit then, not that and what flowed in.
+  static double level_of(Time now, const Lease& l, const Terms& t) {
+    return l.level < 0 ? t.limit : std::min(t.limit, l.level + flown_in(now - l.level_at, t));
+  }
+  // With an answer by which others have leased so much since the last one: just now, at a guess, as they look as
+  // often; where it is the first of the window, evenly in it.
+  double level_after(Time now, CustomerId c, const Lease& l, double others) const {
+    const auto& t = at(terms, l.plan);
+    const auto since = l.total < 0 ? std::max(window_end(c, t, l.window) - t.window, l.level_at) : now;
+    return std::clamp(level_of(since, l, t) + flown_in(now - since, t) - others, 0.0, t.limit);
+  }
   void roll(Time now, CustomerId c, Lease& l) const {
     const auto& t = at(terms, l.plan);
     const auto w = window_at(now, c, t);
@@ -375,7 +391,7 @@
     const bool held = l.waiting.empty() && take(r, l);
     lease_reserves(r.customer, l);
     if (held) return send_on(id, r);
-    if (now_ < l.now.shut) return refuse(id, r, l.now.shut - now_);
+    if (const auto opens = opens_at(r.customer, l, r.units); now_ < opens) return refuse(id, r, opens - now_);
     if (!has_place(r, l)) return wait_for_place(id, r, l);
     if (!l.call_out && book_.pace.down() && !book_.pace.may_call(1)) return refuse(id, r, counter_back_off());
     if (!l.call_out && book_.pace.short_of_calls(call_value(r))) {
@@ -654,7 +670,9 @@
     total += lacks;
     u.doubt = 0, u.seen = e.total;
     u.seen_at = now_;
-    const double limit = book_.limit_at(now_, done.customer, l);
+    const double others = total - done.quantum - std::max(0.0, l.total);  // since the last answer
+    const double level = book_.level_after(now_, done.customer, l, others);
+    const double limit = std::min(book_.limit_at(now_, done.customer, l), total - done.quantum + level);
     const double excess = std::clamp(total - limit, 0.0, done.quantum);
     if (done.quantum > 0) {
       const auto gone = 1 - seconds(until_roll(done.customer, l)) / seconds(t.window);
@@ -663,22 +681,28 @@
     }
     u.held += done.quantum - excess;
     l.total = total - excess;
-    shut_until_filled(done.customer, l, limit);
+    l.level = std::max(0.0, level - (done.quantum - excess)), l.level_at = now_;
+    const double wanted = l.waiting.empty() ? 1 : requests_.at(l.waiting.front()).units;
+    l.now.lacked = l.total + wanted - limit > kUnitSlop ? wanted : 0;
     u.owed -= lacks;
     if (excess <= slop) return;
     if (excess >= done.quantum - slop || book_.pace.short_of_calls()) return void(u.owed += excess);
     call(done.customer, l, done.window, 0, -excess - std::exchange(u.owed, 0));
   }
 
-  // The store has no whole request left: the next one that flows in belongs to whoever calls first then.
-  void shut_until_filled(CustomerId c, Lease& l, double limit) {
+  // When units may be asked for: at once, or if the last answer had no room for a request, when the store has
+  // filled as far as these need. A smaller one than was refused may have room before; one as large is not asked
+  // for again at once, as what has flowed in belongs to whoever calls first then.
+  Time opens_at(CustomerId c, const Lease& l, double units) const {
     const auto& t = at(book_.terms, l.plan);
-    const double wanted = l.waiting.empty() ? 1 : requests_.at(l.waiting.front()).units;
-    const double lacks = l.total + wanted - limit;
-    if (lacks <= kUnitSlop) return;
-    auto wait = scaled(t.window, std::max(lacks / t.limit, kShutLeast)) + Duration(1ms);  // rounded up
-    if (l.total + wanted > t.most) wait = until_roll(c, l);
-    l.now.shut = now_ + std::min(wait, until_roll(c, l));
+    if (now_ < l.now.shut || l.now.lacked == 0) return l.now.shut;
+    const auto end = book_.window_end(c, t, l.window);
+    if (l.total + units > t.most + kUnitSlop) return end;
+    const double room = std::min(book_.limit_at(now_, c, l) - l.total, LeaseBook::level_of(now_, l, t));
+    const double lacks = units - room;
+    auto opens = lacks > kUnitSlop ? now_ + scaled(t.window, lacks / t.limit) + Duration(1ms) : now_;
+    if (units >= l.now.lacked) opens = std::max(opens, l.now.seen_at + scaled(t.window, kShutLeast));
+    return std::min(opens, end);
   }
 
   // After an answer: whoever fits passes in order of arrival; the others get one more call or a refusal.
@@ -690,9 +714,9 @@
       if (take(r, l)) {
         l.waiting.pop_front();
         send_on(id, r);
-      } else if (now_ < l.now.shut) {
+      } else if (const auto opens = opens_at(c, l, r.units); now_ < opens) {
         l.waiting.pop_front();
-        refuse(id, r, l.now.shut - now_);
+        refuse(id, r, opens - now_);
       } else if (l.call_out) {
         return;
       } else if (book_.pace.down()) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -190,6 +190,64 @@
   EXPECT_TRUE(h.has<Send>());
 }
 
+// Asks, and answers all calls as a counter that keeps count; returns what was sent on.
+struct Counted : Host {
+  using Host::Host;
+  std::map<CountName, double> counts;
+  std::size_t calls = 0;  // that the last request made, but for reserves
+  Duration opens{};       // what the last refusal said
+
+  std::size_t ask_counted(double units = 1) {
+    now += 10ms;  // calls are few and far between
+    ask(1, 0, units);
+    std::size_t sent = 0;
+    calls = 0;
+    std::deque<AddToCount> out;
+    const auto take = [&] {
+      sent += all<Send>().size();
+      for (const auto& r : all<Refuse>()) opens = r.retry_after;
+      for (const auto& c : all<AddToCount>()) out.push_back(c);
+    };
+    for (take(); !out.empty(); take()) {
+      const auto call = out.front();
+      out.pop_front();
+      calls += call.lifetime < 2500ms;  // the present window's, of 2 s
+      count(call, counts[call.name] += call.amount);
+    }
+    return sent;
+  }
+};
+
+// One that was full and unused for most of a window holds its limit then, not that and all that flowed in: a burst
+// late in the window is granted no more than one early in it.
+TEST(Leases, AFullStoreThatWasNotUsedGrantsItsLimitAtOnceAndNoMore) {
+  for (const auto late : {0ms, 500ms, 1000ms, 1500ms, 1900ms}) {
+    Counted h;
+    h.now += late;
+    h.servers(10);
+    std::size_t sent = 0;
+    for (int i = 0; i < 60; ++i) sent += h.ask_counted();
+    EXPECT_GE(sent, 24u) << late.count();
+    EXPECT_LE(sent, 26u) << late.count();  // and what flows in meanwhile
+  }
+}
+
+// A request that is refused for its size leaves those alone that would fit.
+TEST(Leases, ALargeRequestThatIsRefusedDoesNotShutOutSmallerOnes) {
+  auto s = settings();
+  s.max_units = 4;
+  Counted h(s);
+  h.servers(10);
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(h.ask_counted(4), 1u);
+  EXPECT_EQ(h.ask_counted(4), 0u);
+  EXPECT_GT(h.opens, 300ms);  // 4 units at 10 a second, of which some have flowed in
+  EXPECT_LE(h.opens, 400ms);
+  h.now += 250ms;
+  EXPECT_EQ(h.ask_counted(4), 0u);
+  EXPECT_EQ(h.calls, 0u);  // nor is it asked for again
+  EXPECT_EQ(h.ask_counted(1), 1u);
+}
+
 TEST(Leases, TimedOutAddIsTakenOffAtTheNextCall) {
   Host h;
   h.servers(2);
