Answer everything before SIGKILL where deadlines are longer than 3 s; margin for repeats

Cause: the second deployment's classes wait up to 5 s, and the platform kills a stopping node 0.7 s after the longest deadline, which it counts as 3 s where it is longer. The node drained without a limit, so requests that wait for a silent server at a stop were lost with it; the first deployment's longest deadline (2.5 s) hid that. Also its keyed requests are remembered for longer (4 s) than they wait (2 s); here for 1.5 s of 2.5 s, and a repeat whose connection comes up late could have been written behind that. Change: after SIGTERM all that is open is answered 0.1 s before the platform kills (Node::stop_limit), and what is out for it is cancelled, so that the process ends by itself; on the first site all is over by then as before. A repeat of a keyed request that may have run is sent only if even a connection at its limit comes up in time.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -61,7 +61,6 @@
 constexpr double kParkShare = 0.3;   // part of the aim that a request may wait for a place; later is too late
 constexpr double kRetryEarn = 0.1;   // further attempts earned per request: keeps retries under a tenth
 constexpr double kRetryMost = 10;    // and how many can be saved up
-constexpr double kPatience = 10;     // expected latencies before an attempt counts as stuck
 constexpr double kZoneWeight = 20;   // how strongly the price of crossing zones weighs in the choice
 constexpr Duration kLogGap = 10s;    // a server that comes and goes is told of once in so long
 constexpr Duration kSweep = 250ms;   // period of the housekeeping
@@ -256,8 +255,8 @@
   static double level_of(Time now, const Lease& l, const Terms& t) {
     return l.level < 0 ? t.limit : std::min(t.limit, l.level + flown_in(now - l.level_at, t));
   }
-  // With an answer by which others have leased so much since the last one: just now, at a guess, as they look as
-  // often; where it is the first of the window, evenly in it.
+  // With an answer by which others have leased so much since the last one: just now, at a guess, as they look
+  // as often; where it is the first of the window, evenly in it.
   double level_after(Time now, CustomerId c, const Lease& l, double others) const {
     const auto& t = at(terms, l.plan);
     const auto since = l.total < 0 ? std::max(window_end(c, t, l.window) - t.window, l.level_at) : now;
@@ -691,8 +690,8 @@
   }
 
   // When units may be asked for: at once, or if the last answer had no room for a request, when the store has
-  // filled as far as these need. A smaller one than was refused may have room before; one as large is not asked
-  // for again at once, as what has flowed in belongs to whoever calls first then.
+  // filled as far as these need. A smaller one than was refused may have room before; one as large is not
+  // asked for again at once, as what has flowed in belongs to whoever calls first then.
   Time opens_at(CustomerId c, const Lease& l, double units) const {
     const auto& t = at(book_.terms, l.plan);
     if (now_ < l.now.shut || l.now.lacked == 0) return l.now.shut;
@@ -971,7 +970,9 @@
     const auto& c = cls(r);
     bool allowed = r.attempts.size() < set_.max_attempts && now_ < r.deadline && retry_tokens_ >= 1;
     if (r.may_have_run && c.effect == Effect::unsafe) allowed = false;
-    if (r.may_have_run && c.effect == Effect::keyed && now_ >= r.first_run + c.memory_span) allowed = false;
+    // Its first byte may come as late as a connection does: repeats are dropped from the first sending on.
+    const bool forgotten = now_ + set_.connect_timeout >= r.first_run + c.memory_span;
+    if (r.may_have_run && c.effect == Effect::keyed && forgotten) allowed = false;
     if (c.late_worth == 0 && now_ >= r.arrived + c.aim) allowed = false;
     ServerId server{};
     if (allowed && choose(r, server) == Pick::server) return send(id, r, server);
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -21,6 +21,9 @@
 inline constexpr double kMostTotal = 1e15;        // of a count: millions of the largest amounts (1e9)
 inline constexpr Duration kCounterIdle = 10s;     // a counter connection that stood idle so long is closed
 inline constexpr Duration kNewAfterTerm = 600ms;  // new connections come for 400 ms after SIGTERM; and margin
+// After SIGTERM comes SIGKILL, no sooner than the longest deadline, counted as this where it is longer, and 700 ms more.
+inline constexpr Duration kLongestKept = 3s;
+inline constexpr Duration kAfterStop = 1s;  // who is refused at a stop may come back after this: others serve then
 
 // ---- Guards against peers that misbehave or vanish --------------------------------------------------
 inline constexpr std::size_t kMostHeader = 8 * 1024;  // bytes of a message's head; more is answered 431
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -83,8 +83,14 @@
     Node node(io, read_node_config(platform_file()));
     Reload reload(io, node);
     asio::signal_set signals(io, SIGTERM, SIGINT);
+    asio::basic_waitable_timer<Clock::Steady, asio::wait_traits<Clock::Steady>, Executor> last(io.get_executor());
     signals.async_wait([&](const error_code& failed, int) {
-      if (!failed) node.drain([&io] { io.stop(); });
+      if (failed) return;
+      node.drain([&io] { io.stop(); });
+      last.expires_after(node.stop_limit());
+      last.async_wait([&node](const error_code& stopped) {
+        if (!stopped) node.answer_remaining(facts::kAfterStop);
+      });
     });
     try {
       node.start();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -55,7 +55,13 @@
   wait_until_drained();
 }
 
-// To the module it is as if these clients had gone: it stops what is out for them and gives back what it held.
+Duration Node::stop_limit() const {
+  Duration longest{};
+  for (const auto& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
+  return std::min(longest, facts::kLongestKept) + facts::kNewAfterTerm;
+}
+
+// To the module it is as if these clients had gone: it gives back what it held for them.
 void Node::answer_remaining(Duration retry_after) {
   if (!config_.named.settings.retry_after) retry_after = {};
   std::vector<RequestId> waiting;
@@ -64,11 +70,13 @@
   for (const auto id : waiting) {
     const auto it = open_.find(id);
     if (it == open_.end()) continue;
-    if (it->second.attempts == 0)
+    const auto attempts = it->second.attempts;
+    if (attempts == 0)
       finish(id, {http::status::service_unavailable, "stopping\n", "text/plain", retry_after});
     else
       carry_out(Fail{id});
     happened(ClientGone{id});
+    for (std::uint32_t n = 0; n < attempts; ++n) upstream_.cancel(id, n);
   }
   clients_.end_unanswered(retry_after);
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -44,6 +44,9 @@
   void begin();
   // Takes no new sessions for longer than `take_new` and calls `done` when nothing is open any more.
   void drain(std::function<void()> done, Duration take_new = facts::kNewAfterTerm);
+  // How long a drain may take before the platform ends the process: then answer_remaining() is due. Requests whose
+  // class has a longer deadline may still be open, those of other classes are not.
+  Duration stop_limit() const;
   // The one final answer for each request that is open: refused where nothing was sent for it, else failed. What is
   // out for them is cancelled, sessions that wait for nothing are closed.
   void answer_remaining(Duration retry_after);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -61,6 +61,25 @@
   EXPECT_EQ(h.all<Send>().size(), 2u);
 }
 
+// ---- Repeats that are dropped for a while only -------------------------------------------------------
+
+// A connection may come up as late as its limit: a repeat that could be written behind the span is not sent.
+TEST(Repeats, NoneIsSentThatMayComeWhenItsServersHaveForgotten) {
+  for (const auto& [took, again] : {std::pair{200ms, true}, {300ms, false}, {600ms, false}}) {
+    auto s = settings();
+    s.classes[1].memory_span = 500ms;
+    s.connect_timeout = 250ms;
+    Host h(s);
+    h.servers(2);
+    const auto sent = h.ask_granted(1, 1);
+    ASSERT_TRUE(sent);
+    h.now += took;
+    h.outcome(*sent, Outcome::reset, false, took);
+    EXPECT_EQ(h.has<Send>(), again) << took.count();
+    EXPECT_EQ(h.has<Fail>(), !again) << took.count();
+  }
+}
+
 // ---- A cap on attempts out at once -------------------------------------------------------------------
 
 Settings capped(std::uint32_t most) {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -33,6 +33,24 @@
   EXPECT_TRUE(served(w));
   EXPECT_EQ(exit_status(), 0);
 }
+// The platform kills 0.7 s after the longest deadline, which it counts as 3 s at most: what is open by then under a
+// longer one has its answer before, and the process has ended.
+TEST_F(ProcessTest, TermAnswersWhatWouldOutliveTheProcess) {
+  config["settings"]["grades"][0]["hard-limit-ns"] = 60'000'000'000;
+  run();
+  ASSERT_TRUE(up());
+  answers = false;
+  const auto w = loop.connect(listen);
+  auto request = ask();
+  request.replace(request.find("2000"), 4, "60000");
+  w->send(request);
+  ASSERT_TRUE(loop.until([&] { return held != nullptr; }));
+  kill(child, SIGTERM);
+  ASSERT_TRUE(loop.until([&] { return w->in.find("\r\n\r\n") != std::string::npos || w->ended; }));
+  EXPECT_TRUE(w->message().starts_with("HTTP/1.1 502 ")) << w->in;
+  EXPECT_TRUE(loop.until([&] { return held->ended; }));  // the attempt is given up
+  EXPECT_EQ(exit_status(), 0);
+}
 // More connections than the process has descriptors for, against what it was told: it goes on serving.
 TEST_F(ProcessTest, SurvivesALackOfDescriptors) {
   run(40);
