Calls go on after an outage at what they were; broken connections are no sign of a line

Change: a broken connection counts by its time alone, a rate resumes at seven tenths of what it was before a row of failures, a quick answer adds two calls a second.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,7 +33,7 @@
 constexpr double kFirstCall = 0.05;  // part of the counter's time-out that a call takes, before one was seen
 constexpr double kSlowCall = 0.3;    // part of the counter's time-out past which an answer shows a line there
 constexpr double kCallRise = 0.2;  // of the fair rate, added at most for a quick answer while calls wait
-constexpr double kCallStep = 1;    // calls a second, added at most for it: any rate grows e-fold in a second
+constexpr double kCallStep = 2;    // calls a second, added at most for it: any rate grows e^2 in a second
 constexpr Duration kFastestSpan = 1s;  // the quickest answer in one or two of these shows what it can do
 constexpr double kCallCut = 0.3;   // part of the rate taken off for a call that failed; less for a slow one
 constexpr double kCallLeast = 0.25;  // of the fair rate, however bad: the fleet together then leaves it room
@@ -165,6 +165,7 @@
   Duration timeout{};
   double fleet = 1, fastest = 0;  // seconds: the quickest answer lately
   double span_fastest = 0;        // of the span that began then
+  double sound = 0;               // the rate when the last row of failures began
   Time span_at{};
   double rate = 0, saved = 0;     // calls a second; calls that may be made now
   Time saved_at{}, cut_at{}, struck_at{}, crowded_at{}, down_since{};
@@ -205,14 +206,17 @@
   void learn(Time now, CountOutcome o, Duration took) {
     const bool ok = o == CountOutcome::ok || o == CountOutcome::added;
     if (ok) see(now, std::clamp(seconds(took), 1e-5, seconds(timeout)));
-    if (ok && down()) rate = std::max(rate, fair());
+    if (ok && down()) rate = std::max({rate, fair(), sound * (1 - kCallCut)});
+    if (!ok && strikes == 0) sound = rate;
     // Calls that were out together when a connection broke are one strike: only one made since tells more.
     if (ok) strikes = 0;
     if (!ok && now - took >= struck_at) {
       struck_at = now;
       if (++strikes == kCounterStrikes) down_since = now;
     }
-    const double part = ok ? seconds(took) / seconds(timeout) : 1.0;
+    // A connection that broke, or an answer that can't be read, tells of no line there: its time alone counts.
+    const bool turned_away = o == CountOutcome::refused;
+    const double part = turned_away ? 1.0 : seconds(took) / seconds(timeout);
     if (o == CountOutcome::refused || took >= timeout) crowded_at = now;
     if (part < kSlowCall) {
       if (!spare()) rate += std::min(kCallRise * fair(), kCallStep);
