--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -32,9 +32,7 @@
 constexpr double kAheadPace = 0.4;       // requests a window here from which a customer counts as steady
 constexpr double kFirstCall = 0.05;  // part of the counter's time-out that a call takes, before one was seen
 constexpr double kSlowCall = 0.3;    // part of the counter's time-out past which an answer shows a line there
-constexpr double kCallRise = 0.2;  // of the fair rate, added at most for a quick answer while calls wait
-constexpr double kCallStep = 2;    // calls a second, added at most for it: any rate grows e^2 in a second
-constexpr Duration kFastestSpan = 1s;  // the quickest answer in one or two of these shows what it can do
+constexpr double kCallRise = 0.2;  // of the fair rate, added for each quick answer while calls are held back
 constexpr double kCallCut = 0.3;   // part of the rate taken off for a call that failed; less for a slow one
 constexpr double kCallLeast = 0.25;  // of the fair rate, however bad: the fleet together then leaves it room
 constexpr double kCallsSaved = 3;    // calls that can be saved up at least
@@ -158,15 +156,12 @@
 
 // How many calls this gateway makes. Invariant: of all that wait, the one worth most is made first. No
 // gateway sees the others: each keeps to a rate of its own, which falls with slow and failed calls and rises
-// with quick ones, from its fair part of a counter that takes one call at a time, as quickly as lately.
-// Guards against a line at the counter in which calls time out and are worked on for nobody: a large fleet, a
-// surge, a slow counter, one that is down. It can hurt when single answers are slow without a line.
+// with quick ones, from its fair part of a counter that takes one call at a time. Guards against a line at
+// the counter in which calls time out and are worked on for nobody: a large fleet, a surge, a slow counter,
+// one that is down. It can hurt when single answers are slow without a line.
 struct CounterPace {
   Duration timeout{};
-  double fleet = 1, fastest = 0;  // seconds: the quickest answer lately
-  double span_fastest = 0;        // of the span that began then
-  double sound = 0;               // the rate when the last row of failures began
-  Time span_at{};
+  double fleet = 1, fastest = 0;  // seconds: the quickest answer so far
   double rate = 0, saved = 0;     // calls a second; calls that may be made now
   Time saved_at{}, cut_at{}, struck_at{}, crowded_at{}, down_since{};
   std::set<std::pair<double, CustomerId>> waiting;  // by what the call is worth, 0 to 1
@@ -193,33 +188,20 @@
     if (since != Time{}) saved = std::min(most(), saved + rate * seconds(now - since));
   }
 
-  // A counter that has become slower takes fewer calls: what it once did is forgotten.
-  void see(Time now, double took) {
-    if (now - span_at >= kFastestSpan) {
-      fastest = span_at == Time{} ? std::min(fastest, took) : span_fastest;
-      span_fastest = took, span_at = now;
-    }
-    span_fastest = std::min(span_fastest, took);
-    fastest = std::min(fastest, took);
-  }
-
   void learn(Time now, CountOutcome o, Duration took) {
     const bool ok = o == CountOutcome::ok || o == CountOutcome::added;
-    if (ok) see(now, std::clamp(seconds(took), 1e-5, seconds(timeout)));
-    if (ok && down()) rate = std::max({rate, fair(), sound * (1 - kCallCut)});
-    if (!ok && strikes == 0) sound = rate;
+    if (ok) fastest = std::clamp(seconds(took), 1e-5, fastest);
+    if (ok && down()) rate = std::max(rate, fair());
     // Calls that were out together when a connection broke are one strike: only one made since tells more.
     if (ok) strikes = 0;
     if (!ok && now - took >= struck_at) {
       struck_at = now;
       if (++strikes == kCounterStrikes) down_since = now;
     }
-    // A connection that broke, or an answer that can't be read, tells of no line there: its time alone counts.
-    const bool turned_away = o == CountOutcome::refused;
-    const double part = turned_away ? 1.0 : seconds(took) / seconds(timeout);
+    const double part = ok ? seconds(took) / seconds(timeout) : 1.0;
     if (o == CountOutcome::refused || took >= timeout) crowded_at = now;
     if (part < kSlowCall) {
-      if (!spare()) rate += std::min(kCallRise * fair(), kCallStep);
+      if (!spare()) rate += kCallRise * fair();
     } else if (now - took >= cut_at) {  // one cut for all calls made before the last one
       rate *= 1 - kCallCut * std::min(1.0, (part - kSlowCall) / (1 - kSlowCall));
       cut_at = now;
