Wide fleets: a part of the servers for each node, and list calls spread over the fleet

Discovery answered 503, at once or after its 2 s: all that had been turned away or had lost their watch came back each second (Discovery::Watch::again, no jitter, 1 s at most), it queued calls past its own time-out and worked for nobody. Healthy servers got 3 to 20 a second, by lucky favourites (choose). Cold ones with credit lost on cost: 15% late there, 50% at the warm ones. - all: the bound on what a node keeps at the servers fell from 6.5 to 2.3 hardly used, as it rose only when used (bound_by). - 5,942 connections for 19,412 tries: nodes times servers.

Change, by fleet_size alone (over 15): a part of the servers by rendezvous hashing, in an order of its own, the first sound ones of it, weighed by how many nodes meet each; own sends of 4 s spread evenly; what is out for longer than usual counts before it ends; slowness learnt in few answers and forgotten in 10 s; cold servers first while they have credit, which no longer falls with what is answered; one that turns work away is left out at once; the bound comes back with good answers. Calls for lists are spread by seed over 50 ms a node, doubling. Everywhere: a repeat after a failed connect needs no budget.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -36,12 +36,12 @@
 constexpr double kCallCut = 0.3;   // part of the rate taken off for a call that failed; less for a slow one
 constexpr double kCallLeast = 0.25;  // of the fair rate, however bad: the fleet together then leaves it room
 constexpr double kCallsSaved = 3;    // calls that can be saved up at least
-constexpr Duration kCallSpan = 100ms;  // and the span over which more are
-constexpr int kCounterStrikes = 3;     // failed calls in a row before the counter is held to be down
-constexpr Duration kCalm = 500ms;  // without a call turned away or overdue, before reserves are leased
+constexpr Duration kCallSpan = 100ms;   // and the span over which more are
+constexpr int kCounterStrikes = 3;      // failed calls in a row before the counter is held to be down
+constexpr Duration kCalm = 500ms;       // without a call turned away or overdue, before reserves are leased
 constexpr Duration kRestarted = 500ms;  // an outage as long may have been a restart: counts may be gone
-constexpr double kCounterRetry = 2;    // trial calls to a counter that is down: one in so many time-outs
-constexpr Duration kUseMemory = 20s;   // over which a customer's own tries here, and its use, are remembered
+constexpr double kCounterRetry = 2;     // trial calls to a counter that is down: one in so many time-outs
+constexpr Duration kUseMemory = 20s;    // over which a customer's own tries here, and its use, are remembered
 constexpr double kOverCalls = 1.5;   // calls made for a customer over its quota, times those that can succeed
 constexpr double kShutLeast = 0.05;  // part of a window in which a spent store is not asked again
 constexpr double kUnitSlop = 1e-6;   // totals come rounded to seven digits
@@ -58,12 +58,25 @@
 constexpr double kBoundCut = 0.1;   // part of the bound taken off for each such answer: halved in about 7
 constexpr double kBoundRise = 0.15;  // requests added for each answer in good time at a used bound
 constexpr double kBoundUsed = 0.8;   // "nearly used"
-constexpr double kParkShare = 0.3;   // part of the aim that a request may wait for a place; later is too late
-constexpr double kRetryEarn = 0.1;   // further attempts earned per request: keeps retries under a tenth
-constexpr double kRetryMost = 10;    // and how many can be saved up
-constexpr double kZoneWeight = 20;   // how strongly the price of crossing zones weighs in the choice
-constexpr Duration kLogGap = 10s;    // a server that comes and goes is told of once in so long
-constexpr Duration kSweep = 250ms;   // period of the housekeeping
+constexpr double
+    kBoundBack = 0.02;  // part added for each other answer, up to the first bound: a sixth may be late
+constexpr std::uint32_t
+    kWideFleet = 15;                    // gateways past which each has a part of the servers, met by so many
+constexpr std::size_t kNearLeast = 12;  // servers in a part at least
+constexpr double kColdPush = 1.2;  // wide fleet: a cold server's share, against its warmth times a warm one's
+constexpr Duration kSteadyMemory = 30s;  // and for how long what a warm one was sent is remembered
+constexpr double kColdFirst = 0.3;       // wide fleet: of its cost, for a cold server that has earned a send
+constexpr Duration
+    kOwnSpan = 4s;  // wide fleet: own sends that are remembered, to go round the servers evenly
+constexpr double kWideGain = 0.15;  // and the gain per answer there, as they come seldom
+constexpr Duration
+    kSlowMemory = 10s;  // and over which a server that is not sent to is held for as good as others
+constexpr double kParkShare = 0.3;  // part of the aim that a request may wait for a place; later is too late
+constexpr double kRetryEarn = 0.1;  // further attempts earned per request: keeps retries under a tenth
+constexpr double kRetryMost = 10;   // and how many can be saved up
+constexpr double kZoneWeight = 20;  // how strongly the price of crossing zones weighs in the choice
+constexpr Duration kLogGap = 10s;   // a server that comes and goes is told of once in so long
+constexpr Duration kSweep = 250ms;  // period of the housekeeping
 
 // A count of events that forgets: each weighs e^-1 after `span`.
 struct Recent {
@@ -133,14 +146,14 @@
   double total = -1;                       // of its count, at the last answer; below 0: none came
   double level = -1;                       // what the store then held, by all that was seen; below 0: full
   Time level_at{};
-  double units = 1;                        // of its last request
-  std::uint32_t gateways = 1;              // that it comes through
-  double asked = 0;                        // units asked for here in this window
-  double pace = 0;                         // EWMA of that over windows
-  double queued = -1;     // what the call that waits its turn is worth; below 0: none waits
-  bool call_out = false;  // for the present window's name
-  Recent tries;           // here
-  double over = 0;        // what was asked of the last window called for, times its limit
+  double units = 1;            // of its last request
+  std::uint32_t gateways = 1;  // that it comes through
+  double asked = 0;            // units asked for here in this window
+  double pace = 0;             // EWMA of that over windows
+  double queued = -1;          // what the call that waits its turn is worth; below 0: none waits
+  bool call_out = false;       // for the present window's name
+  Recent tries;                // here
+  double over = 0;             // what was asked of the last window called for, times its limit
   Time called_at{};
   std::uint32_t open = 0;  // requests here that hold a place under their plan's cap
   std::deque<RequestId> waiting;
@@ -289,7 +302,12 @@
   std::uint32_t in_flight = 0;
   double load = 0;      // expected seconds of work that own attempts keep there
   double slowness = 1;  // EWMA of latency over what its class takes on average
-  double success = 1;   // EWMA of outcomes
+  Time slow_at{};       // when that was learnt
+  double sent_sum = 0;  // of when own attempts that are out there were sent, seconds since `sent_base`
+  Time sent_base{};
+  Recent own;          // own sends
+  double share = 1;    // wide fleet: of what a server gets of each gateway, so that all get the same in all
+  double success = 1;  // EWMA of outcomes
   Time cold_since = Time::min();
   double credit = 0;  // sends a cold server may take, as of credit_at
   Time credit_at{}, ejected_until = Time::min();
@@ -324,6 +342,7 @@
   bool speaks = false;  // its call also adds what its plan has on credit
   double lot = 0;       // 0 to 2: what must be free of the bound, by chance and by worth
   bool may_have_run = false;
+  bool unmet = false;       // its last attempt could not connect
   Time first_run{};         // sending of the first attempt that may have run
   ServerInfo ran_at;        // where that was
   std::int64_t window = 0;  // of the units taken
@@ -740,6 +759,48 @@
       if (restarted) start_cold(s, *entry.started);
     }
     std::erase_if(servers_, [](const auto& e2) { return !e2.second.listed && e2.second.in_flight == 0; });
+    pick_near();
+  }
+
+  // In a wide fleet each gateway keeps to a part of the servers, the first sound ones in an order of its own,
+  // by rendezvous hashing: it changes with the servers that come and go alone. All know the fleet's size, so
+  // each knows by how many gateways a server is met, and sends it the less the more they are. Where crossing
+  // zones has a price every zone has a part of its own. Guards against connections that grow with gateways
+  // times servers, against learning of each server by too few answers, and of each that is gone by a failure
+  // at every gateway. It hurts while gateways go by different lists.
+  bool wide() const { return set_.fleet_size > kWideFleet; }
+  void pick_near() {
+    near_.clear();
+    if (!wide()) return;
+    std::map<ZoneIndex, std::vector<Server*>> zones;
+    for (auto& [id, s] : servers_)
+      if (s.ready()) zones[set_.cross_zone_price > 0 ? s.info.zone : ZoneIndex{}].push_back(&s);
+    for (auto& [zone, all] : zones) {
+      const auto part = std::max(kNearLeast,
+                                 (all.size() * kWideFleet + set_.fleet_size - 1) / set_.fleet_size);
+      if (part >= all.size()) {
+        near_.push_back({all.size(), all});
+        for (auto* s : all) s->share = 1;
+        continue;
+      }
+      std::vector<std::uint32_t> met(all.size());
+      std::vector<std::pair<std::uint64_t, std::size_t>> order(all.size()), own;
+      for (std::uint32_t g = 0; g < set_.fleet_size; ++g) {
+        const auto salt = mix(g);
+        for (std::size_t i = 0; i < all.size(); ++i)
+          order[i] = {mix(salt ^ static_cast<std::uint64_t>(all[i]->info.id)), i};
+        std::nth_element(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(part), order.end());
+        for (std::size_t i = 0; i < part; ++i) ++met[order[i].second];
+        if (g == set_.index) own = order;
+      }
+      std::sort(own.begin(), own.end());
+      const double even = static_cast<double>(part) * set_.fleet_size / static_cast<double>(all.size());
+      auto& mine = near_.emplace_back(part, std::vector<Server*>{}).second;
+      for (const auto& [score, i] : own) {
+        all[i]->share = even / std::max(1u, met[i]);
+        mine.push_back(all[i]);
+      }
+    }
   }
 
   // Slow start. Guards a server that began anew, as the list says or a probe after failed connects. It hurts
@@ -748,7 +809,7 @@
     if (now_ - since >= set_.warm_within) return;
     s.cold_since = std::max(s.cold_since, since);
     s.credit = unit_random(), s.credit_at = now_;
-    s.slowness = s.success = 1;
+    s.slowness = s.success = 1, s.own = {};
     s.ejected_until = Time::min(), s.ejection = {}, s.misses = 0;
   }
 
@@ -767,12 +828,19 @@
   // all. Its first part is drawn by lot, as in a large fleet each sends a server less than one request in
   // its warm-up.
   void earn_credit(Server& s, bool any_warm, double capacity) {
-    const double each = any_warm ? answers_.rate(now_, kRateMemory) / capacity
-                                 : arrivals_.rate(now_, kRateMemory) / static_cast<double>(servers_.size());
-    s.credit = std::min(1.0, s.credit + seconds(now_ - s.credit_at) * each * warmth(s));
+    double each = any_warm ? answers_.rate(now_, kRateMemory) / capacity
+                           : arrivals_.rate(now_, kRateMemory) / static_cast<double>(servers_.size());
+    if (wide()) each = kColdPush * std::max(each, steady(now_));
+    s.credit = std::min(1.0, s.credit + seconds(now_ - s.credit_at) * each * warmth(s) * s.share);
     s.credit_at = now_;
   }
 
+  // What a warm server answered this gateway in its better times: when most are gone or cold, what is
+  // answered falls, and the cold ones' share would fall with it.
+  double steady(Time now) const {
+    return steady_ * std::exp(-seconds(now - steady_at_) / seconds(kSteadyMemory));
+  }
+
   bool ejected(const Server& s) const { return now_ < s.ejected_until; }
 
   void eject(Server& s, const char* why) {
@@ -791,7 +859,9 @@
       const double took = seconds(e.took);
       auto& usual = at(latency_, r.cls);
       if (good) usual += (usual == 0 ? 1 : kLatencyGain / 2) * (took - usual);
-      if (usual > 0 && (good || took > usual)) s.slowness += kLatencyGain * (took / usual - s.slowness);
+      const double known = slowness(s);
+      if (usual > 0 && (good || took > usual))
+        s.slowness = known + (wide() ? kWideGain : kLatencyGain) * (took / usual - known), s.slow_at = now_;
       bound_by(r, e);
     }
     if (good) {
@@ -804,7 +874,9 @@
     // failed connect takes it out at once, and two in a row mean a restart. It hurts when connections break
     // as it dies.
     if (e.outcome == Outcome::connect_failed) ++s.misses;
-    if (!ejected(s) && (e.outcome == Outcome::connect_failed || s.success < kSickBelow)) eject(s, "failures");
+    // Of a wide fleet each keeps too little at a server to fill it: one that turns it away is about to go.
+    const bool leaves = e.outcome == Outcome::connect_failed || (wide() && e.outcome == Outcome::full);
+    if (!ejected(s) && (leaves || s.success < kSickBelow)) eject(s, "failures");
   }
 
   // The bound on what this gateway keeps at the servers, learned from how answers stand against their aims.
@@ -815,15 +887,18 @@
       bound_ = std::max(kLeastBound, bound_ * (1 - kBoundCut));
     } else if (e.outcome == Outcome::ok && in_flight_ + 1 >= bound_ * kBoundUsed) {
       bound_ += kBoundRise * std::min(1.0, bound_ / kFirstPerServer);
+    } else if (e.outcome == Outcome::ok && wide() && bound_ < first_bound()) {
+      bound_ = std::min(first_bound(), bound_ * (1 + kBoundBack));
     }
   }
 
   // At first this gateway's part of a few for each server, and room for the chance of arrivals about that.
+  double first_bound() const {
+    const double part = kFirstPerServer * static_cast<double>(servers_.size()) / set_.fleet_size;
+    return std::max(kLeastBound, part + 2 * std::sqrt(part));
+  }
   double bound() {
-    if (bound_ == 0) {
-      const double part = kFirstPerServer * static_cast<double>(servers_.size()) / set_.fleet_size;
-      bound_ = std::max(kLeastBound, part + 2 * std::sqrt(part));
-    }
+    if (bound_ == 0) bound_ = first_bound();
     return bound_;
   }
 
@@ -853,17 +928,52 @@
     return l > 0 ? l : seconds(cls(r).aim) / 8;  // before the first answer
   }
 
+  // How slow a server is held to be. In a wide fleet one that is avoided gets no answers to show that it is
+  // well.
+  double slowness(const Server& s) const {
+    if (!wide()) return s.slowness;
+    return 1 + (s.slowness - 1) * std::exp(-seconds(now_ - s.slow_at) / seconds(kSlowMemory));
+  }
+  // In a wide fleet the own load says little, as others have theirs there too: own sends of the last seconds
+  // are spread evenly, and what is out for longer than usual counts with its time, before it has ended.
+  double burden(const Request& r, const Server& s) const {
+    if (!wide()) return s.load + expected(r);
+    const double out_for = s.in_flight * seconds(now_ - s.sent_base) - s.sent_sum;
+    return std::max(s.load, out_for) + expected(r) * (1 + s.own.count(now_, kOwnSpan) / s.share);
+  }
+
+  // Among the near servers, or among all where none of them is sound.
   Pick choose(const Request& r, ServerId& chosen) {
+    std::vector<Server*> some;
+    for (const auto& [part, order] : near_) {
+      std::size_t sound = 0;
+      for (auto* s : order) {
+        if (sound == part) break;
+        if (!s->ready() || ejected(*s)) continue;
+        ++sound;
+        some.push_back(s);
+      }
+    }
+    if (const auto pick = choose(r, chosen, some); pick != Pick::none) return pick;
+    some.clear();
+    for (auto& [id, s] : servers_) some.push_back(&s);
+    return choose(r, chosen, some);
+  }
+
+  Pick choose(const Request& r, ServerId& chosen, const std::vector<Server*>& among) {
     double best = std::numeric_limits<double>::infinity();
     bool any = false, sound = false, warm = false;
     double capacity = 0;  // of all that is sound, in warm servers
     const bool room = in_flight_ + r.lot < bound();
-    for (const auto& [id, s] : servers_) {
-      if (!s.ready() || ejected(s)) continue;
-      sound = sound || may_go_to(r, s), warm = warm || !is_cold(s);
-      capacity += is_cold(s) ? warmth(s) : 1;
+    for (const auto* s : among) {
+      if (!s->ready() || ejected(*s)) continue;
+      sound = sound || may_go_to(r, *s), warm = warm || !is_cold(*s);
+      capacity += is_cold(*s) ? warmth(*s) : 1;
     }
-    for (auto& [id, s] : servers_) {
+    if (warm)
+      steady_ = std::max(answers_.rate(now_, kRateMemory) / capacity, steady(now_)), steady_at_ = now_;
+    for (auto* p : among) {
+      auto& s = *p;
       if (!may_go_to(r, s)) continue;
       any = true;
       if (!room) break;
@@ -872,13 +982,14 @@
         earn_credit(s, warm, capacity);
         if (s.credit < 1) continue;
       }
-      double cost = s.slowness * (s.load + expected(r)) / std::max(0.1, s.success);
+      double cost = slowness(s) * burden(r, s) / std::max(0.1, s.success);
+      if (is_cold(s) && wide()) cost *= kColdFirst;
       if (set_.weights_known && s.info.weight > 0) cost /= s.info.weight;
       if (s.info.zone != set_.zone) cost *= 1 + kZoneWeight * set_.cross_zone_price;
       for (const auto& a : r.attempts)
-        if (a.server == id) cost *= 4;  // somewhere else, if there is such a place
+        if (a.server == s.info.id) cost *= 4;  // somewhere else, if there is such a place
       cost *= 1 + 0.05 * unit_random();
-      if (cost < best) best = cost, chosen = id;
+      if (cost < best) best = cost, chosen = s.info.id;
     }
     return best < std::numeric_limits<double>::infinity() ? Pick::server : any ? Pick::wait : Pick::none;
   }
@@ -931,9 +1042,12 @@
 
   void send(RequestId id, Request& r, ServerId server) {
     auto& s = servers_.at(server);
-    if (!r.attempts.empty()) retry_tokens_ -= 1;
+    if (!r.attempts.empty() && !r.unmet) retry_tokens_ -= 1;
     r.holds_units = false, r.stage = Stage::sent;
     if (is_cold(s)) s.credit -= 1;
+    if (s.in_flight == 0) s.sent_base = now_, s.sent_sum = 0;
+    s.sent_sum += seconds(now_ - s.sent_base);
+    s.own.add(now_, kOwnSpan);
     ++s.in_flight, ++in_flight_;
     s.load += expected(r);
     r.attempts.push_back(Attempt{server, now_, expected(r), true});
@@ -949,9 +1063,11 @@
     auto& a = r.attempts[e.attempt];
     if (!a.out) return;
     a.out = false;
+    r.unmet = e.outcome == Outcome::connect_failed || (wide() && e.outcome == Outcome::full);
     --in_flight_;
     if (auto* s = find(servers_, a.server)) {
       --s->in_flight;
+      s->sent_sum -= seconds(a.sent - s->sent_base);
       s->load = s->in_flight == 0 ? 0 : s->load - a.work;
       learn(*s, r, e);
       if (!proves_not_run(e.outcome) && !std::exchange(r.may_have_run, true)) {
@@ -968,7 +1084,9 @@
   // No attempt is out and the client waits: another one where the class allows it, or the final answer.
   void further(RequestId id, Request& r) {
     const auto& c = cls(r);
-    bool allowed = r.attempts.size() < set_.max_attempts && now_ < r.deadline && retry_tokens_ >= 1;
+    // One that found nobody there was no work: it needs none of the budget.
+    bool allowed = r.attempts.size() < set_.max_attempts && now_ < r.deadline &&
+                   (r.unmet || retry_tokens_ >= 1);
     if (r.may_have_run && c.effect == Effect::unsafe) allowed = false;
     // Its first byte may come as late as a connection does: repeats are dropped from the first sending on.
     const bool forgotten = now_ + set_.connect_timeout >= r.first_run + c.memory_span;
@@ -1088,7 +1206,10 @@
   std::vector<double> latency_;  // per class: EWMA of good answers, seconds; 0: none yet
   std::unordered_map<RequestId, Request> requests_;
   std::deque<RequestId> parked_;
-  std::set<CustomerId> freed_;  // whose places came free with this event
+  std::set<CustomerId> freed_;                                      // whose places came free with this event
+  std::vector<std::pair<std::size_t, std::vector<Server*>>> near_;  // wide fleet, by zone: how many, by rank
+  double steady_ = 0;  // answers a second for each warm server, here
+  Time steady_at_{};
   Recent answers_, arrivals_;         // good answers of all servers; requests
   double bound_ = 0, in_flight_ = 0;  // own requests at all servers; bound 0: nothing sent yet
   double retry_tokens_ = kRetryMost;
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -138,6 +138,13 @@
 
   bool up() const { return up_; }
 
+  void connect_after(Duration pause) {
+    silence_ = timers_.after(pause, [this] {
+      silence_.reset();
+      connect();
+    });
+  }
+
   void connect() {
     const auto number = ++life_;
     silence_ = timers_.after(facts::kConnectLimit, [this] {
@@ -229,20 +236,16 @@
       const auto list = json::parse(line, nullptr, false);
       // What was in it is not known: the watch is begun again from the last version that could be read.
       if (list.is_discarded() || !owner_.take(list, false)) return false;
-      backoff_ = {};
+      owner_.pause_.worked();
     }
     body.erase(0, begin);
     return !parser_->is_done() && body.size() <= facts::kMostList;
   }
 
   void again() {
+    const bool ended = up_;
     stop();
-    if (last_) return;
-    backoff_ = std::clamp(2 * backoff_, facts::kFirstBackoff, facts::kLongestBackoff);
-    silence_ = timers_.after(backoff_, [this] {
-      silence_.reset();
-      connect();
-    });
+    if (!last_) connect_after(ended ? owner_.pause_.after_end() : owner_.pause_.after_failure());
   }
 
   Discovery& owner_;
@@ -256,17 +259,17 @@
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
   Timers::Handle silence_;
-  Duration backoff_{};
 };
 
 Discovery::Discovery(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, std::string host,
-                     std::map<std::string, std::uint32_t> zones, Told told)
+                     std::map<std::string, std::uint32_t> zones, Told told, CallPause pause)
     : io_(io),
       timers_(timers),
       at_(at),
       host_(std::move(host)),
       zones_(std::move(zones)),
-      told_(std::move(told)) {}
+      told_(std::move(told)),
+      pause_(std::move(pause)) {}
 
 Discovery::~Discovery() {
   for (const auto& w : {watch_, former_})
@@ -276,6 +279,7 @@
 void Discovery::start(const json& known) {
   take(known, true);
   watch_ = std::make_shared<Watch>(*this, at_, host_);
+  if (const auto pause = pause_.at_start(); pause > Duration{}) return watch_->connect_after(pause);
   watch_->connect();
 }
 
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "call_pause.hpp"
 #include "net.hpp"
 #include "snowknot/gateway.hpp"
 
@@ -27,7 +28,7 @@
   using Told = std::function<void(ListKind, const std::vector<Entry>&)>;
 
   Discovery(asio::io_context& io, Timers& timers, const Tcp::endpoint& at, std::string host,
-            std::map<std::string, std::uint32_t> zones, Told told);
+            std::map<std::string, std::uint32_t> zones, Told told, CallPause pause = {1, 0});
 
   ~Discovery();
 
@@ -57,6 +58,7 @@
   std::map<std::string, ServerId> numbers_;  // of the servers that are listed
   std::map<ServerId, std::string> ids_;
   std::uint64_t revision_ = 0;
+  CallPause pause_;
   std::shared_ptr<Watch> watch_, former_;  // former: at the address before, until the other one has begun
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -29,7 +29,8 @@
       upstream_(io, timers_, config_.named.settings.connect_timeout, config_.keep_alive,
                 within_memory(config_, for_peers(config_) - for_clients(config_)), *this),
       discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
-                 [this](ListKind kind, const auto& entries) { list_changed(kind, entries); }),
+                 [this](ListKind kind, const auto& entries) { list_changed(kind, entries); },
+                 CallPause(config_.named.settings.fleet_size, config_.seed)),
       clients_(io, timers_, config_.named.settings, within_memory(config_, for_clients(config_)), *this) {
   const auto& settings = config_.named.settings;
   const auto told = [this](const CountAnswer& a) { happened(a); };
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,6 +1,9 @@
 // The watch on the list of servers over loopback sockets.
 #include "discovery.hpp"
 
+#include "facts.hpp"
+#include "helpers.hpp"
+
 #include "peers.hpp"
 
 namespace snowknot::test {
@@ -193,5 +196,52 @@
   EXPECT_NE(told[0].entries[2].info.id, told[0].entries[1].info.id);
 }
 
+// Discovery takes `rate` calls a second one behind another and gives up each that would wait past its time-out: it
+// works for that one all the same. All of a fleet come at once; the share of those that have their list after `span`.
+double served_in(std::uint32_t fleet, double rate, Duration span, auto pause_of) {
+  constexpr double kTimeout = 2, kQueue = 3;  // seconds that a call waits at most; and that it stands in line for
+  std::vector<CallPause> pauses;
+  std::multimap<double, std::uint32_t> calls;
+  for (std::uint32_t n = 0; n < fleet; ++n) {
+    pauses.push_back(pause_of(n));
+    calls.emplace(seconds(pauses.back().at_start()), n);
+  }
+  double free_at = 0;
+  std::uint32_t served = 0;
+  while (!calls.empty() && calls.begin()->first < seconds(span)) {
+    const auto [at, n] = *calls.begin();
+    calls.erase(calls.begin());
+    const double done = std::max(at, free_at) + 1 / rate;
+    const bool turned_away = done - at > kTimeout * kQueue;
+    if (!turned_away) free_at = done;
+    if (done - at <= kTimeout) {
+      ++served;
+    } else {
+      calls.emplace((turned_away ? at : at + kTimeout) + seconds(pauses[n].after_failure()), n);
+    }
+  }
+  return static_cast<double>(served) / fleet;
+}
+
+TEST(CallPause, AFleetThatIsTurnedAwayTogetherHasItsListsSoonAfter) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    for (const double rate : {12.5, 25.0, 50.0})
+      EXPECT_GE(served_in(100, rate, 40s, [&](auto n) { return CallPause(100, seed * 1000 + n); }), 0.95)
+          << rate << " seed " << seed;
+  // As each would ask alone, discovery works for nobody for as long as one looks.
+  EXPECT_LE(served_in(100, 12.5, 40s, [](auto n) { return CallPause(1, n); }), 0.5);
+}
+
+TEST(CallPause, AloneANodeAsksSoonAgain) {
+  CallPause p(3, 1);
+  EXPECT_EQ(p.at_start(), Duration{});
+  EXPECT_EQ(p.after_end(), facts::kFirstBackoff);
+  EXPECT_EQ(p.after_failure(), 2 * facts::kFirstBackoff);
+  for (int i = 0; i < 9; ++i) p.after_failure();
+  EXPECT_EQ(p.after_failure(), facts::kLongestBackoff);
+  p.worked();
+  EXPECT_EQ(p.after_failure(), facts::kFirstBackoff);
+}
+
 }  // namespace
 }  // namespace snowknot::test
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -923,7 +923,7 @@
   Host h(settings_of_many);
   h.servers(20);
   int sent = 0;
-  for (int i = 0; i < 100; ++i) {
+  for (int i = 0; i < 260; ++i) {
     h.now += 3s;
     const auto s = h.ask_granted(static_cast<std::uint64_t>(100 + i));
     if (i >= 60) sent += s.has_value();
@@ -931,7 +931,7 @@
     h.now += 1s;
     h.give(TimerDue{TimerId{1}});
   }
-  EXPECT_LT(sent, 20);  // of 40: a share of them
+  EXPECT_LT(sent, 100);  // of 200: a share of them
   EXPECT_GT(sent, 0);
 }
 
--- /dev/null
+++ b/tests/wide_fleet_test.cpp
@@ -0,0 +1,164 @@
+// What a gateway does otherwise where the settings tell of a wide fleet.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+#include "host.hpp"
+
+namespace snowknot::test {
+namespace {
+
+Settings wide(std::uint32_t index = 0, std::uint32_t fleet = 100) {
+  auto s = settings();
+  s.plans = {{.name = "free"}};
+  s.counter = false;
+  s.fleet_size = fleet, s.index = index;
+  return s;
+}
+
+// Asks every 100 ms; each request is answered at once as `answer` has it.
+template <class Answer>
+void run(Host& h, int requests, Answer answer) {
+  for (int i = 0; i < requests; ++i) {
+    h.now += 100ms;
+    h.ask(static_cast<std::uint64_t>(i));
+    for (const auto& s : h.all<Send>()) answer(s);
+  }
+}
+
+TEST(WideFleet, EachGatewayKeepsToAPartOfTheServersAndAllGetTheirShare) {
+  std::map<ServerId, int> sent;
+  for (std::uint32_t g = 0; g < 100; ++g) {
+    Host h(wide(g), g);
+    h.servers(60);
+    std::set<ServerId> met;
+    run(h, 120, [&](const Send& s) {
+      met.insert(s.server), ++sent[s.server];
+      h.outcome(s, Outcome::ok, true, 100ms);
+    });
+    EXPECT_LE(met.size(), 12u) << "gateway " << g;
+    EXPECT_GE(met.size(), 10u) << "gateway " << g;
+  }
+  ASSERT_EQ(sent.size(), 60u);
+  for (const auto& [server, n] : sent) EXPECT_NEAR(n, 200, 50) << static_cast<std::uint32_t>(server);
+}
+
+TEST(WideFleet, AServerThatComesOrGoesChangesNoOtherGatewaysPartBeyondIt) {
+  Host a(wide(7), 1), b(wide(7), 2);
+  a.servers(60), b.servers(61);
+  const auto part = [](Host& h) {
+    std::set<ServerId> met;
+    run(h, 120, [&](const Send& s) { met.insert(s.server), h.outcome(s, Outcome::ok, true, 100ms); });
+    return met;
+  };
+  std::vector<ServerId> differ;
+  std::ranges::set_symmetric_difference(part(a), part(b), std::back_inserter(differ));
+  EXPECT_LE(differ.size(), 2u);
+}
+
+TEST(WideFleet, WhenItsPartIsGoneOthersAreFound) {
+  Host h(wide(), 1);
+  h.servers(60);
+  std::set<ServerId> met;
+  run(h, 120, [&](const Send& s) { met.insert(s.server), h.outcome(s, Outcome::ok, true, 100ms); });
+  std::size_t served = 0;
+  std::uint32_t attempts = 0;
+  for (int i = 0; i < 40; ++i) {
+    h.now += 100ms;
+    h.ask();
+    auto sends = h.all<Send>();
+    for (std::uint32_t n = 0; !sends.empty(); ++n) {
+      const auto s = sends[0];
+      ++attempts;
+      h.outcome(s, met.contains(s.server) ? Outcome::connect_failed : Outcome::ok, !met.contains(s.server),
+                1ms, n);
+      served += !met.contains(s.server);
+      sends = h.all<Send>();
+    }
+  }
+  // A connection that fails is no work and needs no budget for repeats; each server is found gone about once.
+  EXPECT_EQ(served, 40u);
+  EXPECT_LE(attempts, 40u + 2 * met.size());
+}
+
+TEST(WideFleet, AFewLateAnswersLeaveRoomWhereTheBoundIsHardlyUsed) {
+  Host h(wide(), 1);
+  h.servers(60);
+  int n = 0, refused = 0;
+  for (int i = 0; i < 400; ++i) {  // one in ten is late, as work varies; never more than one is out
+    h.now += 100ms;
+    h.ask();
+    for (const auto& s : h.all<Send>()) h.outcome(s, Outcome::ok, true, ++n % 10 == 0 ? 600ms : 100ms);
+  }
+  std::vector<Send> out;
+  for (int i = 0; i < 4; ++i) {
+    h.ask();
+    for (const auto& s : h.all<Send>()) out.push_back(s);
+    refused += static_cast<int>(h.all<Refuse>().size());
+  }
+  EXPECT_EQ(out.size(), 4u);
+  EXPECT_EQ(refused, 0);
+}
+
+TEST(WideFleet, AServerThatHoldsARequestForLongGetsNoMoreBeforeItHasEnded) {
+  Host h(wide(), 1);
+  h.servers(60);
+  run(h, 60, [&](const Send& s) { h.outcome(s, Outcome::ok, true, 100ms); });
+  std::optional<Send> stuck;
+  int there = 0;
+  run(h, 60, [&](const Send& s) {
+    if (!stuck) return void(stuck = s);
+    there += s.server == stuck->server;
+    h.outcome(s, Outcome::ok, true, 100ms);
+  });
+  EXPECT_LE(there, 1);
+}
+
+TEST(WideFleet, AServerThatTurnsWorkAwayIsLeftOutAtOnceAndTheRequestGoesOn) {
+  Host h(wide(), 1);
+  h.servers(60);
+  const auto first = h.ask_granted();
+  ASSERT_TRUE(first);
+  h.outcome(*first, Outcome::full, false, 1ms);
+  ASSERT_EQ(h.all<Send>().size(), 1u);
+  EXPECT_NE(h.all<Send>()[0].server, first->server);
+  for (int i = 0; i < 20; ++i) {
+    h.now += 10ms;
+    h.ask();
+    for (const auto& s : h.all<Send>()) EXPECT_NE(s.server, first->server);
+  }
+}
+
+// What all gateways together send a cold server, where most of the servers are cold.
+TEST(WideFleet, ColdServersAreWarmedByAllTogetherAndNotPushedOver) {
+  constexpr int kServers = 60, kWarm = 24;
+  std::map<ServerId, std::vector<double>> cold_sends;
+  for (std::uint32_t g = 0; g < 100; ++g) {
+    Host h(wide(g), g);
+    h.servers(kServers);
+    run(h, 100, [&](const Send& s) { h.outcome(s, Outcome::ok, true, 100ms); });
+    ListUpdate u{ListKind::changes, {}};
+    for (std::uint32_t i = kWarm; i < kServers; ++i)
+      u.entries.push_back({.id = ServerId(i + 1), .cell = i / 2, .started = h.now});
+    h.give(u);
+    const auto begin = h.now;
+    run(h, 50, [&](const Send& s) {
+      if (static_cast<std::uint32_t>(s.server) > kWarm)
+        cold_sends[s.server].push_back(std::chrono::duration<double>(h.now - begin).count());
+      h.outcome(s, Outcome::ok, true, 100ms);
+    });
+  }
+  // The warm ones take all else, so they are able to do that. In 3 s a cold one may be sent twice what it can do, a
+  // fifth of a warm one at first, as all of the settings have it.
+  const double able = 100.0 * 10 / (kWarm + 0.2 * (kServers - kWarm));
+  for (const auto& [server, times] : cold_sends) {
+    const auto n = std::ranges::count_if(times, [](double t) { return t < 3; });
+    EXPECT_LE(n, 3 * 2 * 0.2 * able) << static_cast<std::uint32_t>(server);
+  }
+  EXPECT_EQ(cold_sends.size(), static_cast<std::size_t>(kServers - kWarm));
+}
+
+}  // namespace
+}  // namespace snowknot::test
