Wide fleets: one error or few slow answers tell of a server; calls held back sooner

Change, over 15 nodes only: an error leaves a server out at once, 2 s at first; slowness counts twice over in the choice; calls are held back from 10 ms on.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -32,6 +32,7 @@
 constexpr double kAheadPace = 0.4;       // requests a window here from which a customer counts as steady
 constexpr double kFirstCall = 0.05;  // part of the counter's time-out that a call takes, before one was seen
 constexpr double kSlowCall = 0.3;    // part of the counter's time-out past which an answer shows a line there
+constexpr double kSlowCallWide = 0.2;  // the same in a wide fleet: more join the line before one is seen
 constexpr double kCallRise = 0.2;  // of the fair rate, added for each quick answer while calls are held back
 constexpr double kCallCut = 0.3;   // part of the rate taken off for a call that failed; less for a slow one
 constexpr double kCallLeast = 0.25;  // of the fair rate, however bad: the fleet together then leaves it room
@@ -48,11 +49,14 @@
 constexpr double kCountSlop = 2e-3;  // or to thousandths: less than that is missing from no count
 constexpr double kLatencyGain = 0.07;       // EWMA gain per answer: about the last 14, as work varies a lot
 constexpr double kHealthGain = 0.2;         // EWMA gain of success per outcome: five failures show clearly
+constexpr double kWideHealthGain = 0.4;     // the same in a wide fleet: as two do, where each sees few
 constexpr double kSickBelow = 0.4;          // success EWMA under which a server is ejected
 constexpr Duration kFirstEjection = 400ms;  // first time out of the choice; doubles while it goes on failing
-constexpr Duration kLongestEjection = 5s;   // longer would waste a server that came back
-constexpr Duration kRateMemory = 4s;        // over which own answers a second are averaged
-constexpr double kFirstPerServer = 5;       // in flight per server, fleet-wide, before anything is learned
+constexpr Duration
+    kWideEjection = 2s;  // the same in a wide fleet: each sends a server one request in so long
+constexpr Duration kLongestEjection = 5s;  // longer would waste a server that came back
+constexpr Duration kRateMemory = 4s;       // over which own answers a second are averaged
+constexpr double kFirstPerServer = 5;      // in flight per server, fleet-wide, before anything is learned
 constexpr double kLeastBound = 0.1;  // own requests in flight: fewer would never show that servers recovered
 constexpr double kLateShare = 0.6;  // an answer past this part of its aim says that the servers hold too many
 constexpr double kBoundCut = 0.1;   // part of the bound taken off for each such answer: halved in about 7
@@ -174,14 +178,17 @@
 // one that is down. It can hurt when single answers are slow without a line.
 struct CounterPace {
   Duration timeout{};
-  double fleet = 1, fastest = 0;  // seconds: the quickest answer so far
-  double rate = 0, saved = 0;     // calls a second; calls that may be made now
+  double fleet = 1, slow = kSlowCall, fastest = 0;  // seconds: the quickest answer so far
+  double rate = 0, saved = 0;                       // calls a second; calls that may be made now
   Time saved_at{}, cut_at{}, struck_at{}, crowded_at{}, down_since{};
   std::set<std::pair<double, CustomerId>> waiting;  // by what the call is worth, 0 to 1
   int strikes = 0;
 
   CounterPace(Duration limit, double gateways)
-      : timeout(std::max(limit, Duration(1))), fleet(gateways), fastest(seconds(timeout) * kFirstCall) {
+      : timeout(std::max(limit, Duration(1))),
+        fleet(gateways),
+        slow(gateways > kWideFleet ? kSlowCallWide : kSlowCall),
+        fastest(seconds(timeout) * kFirstCall) {
     rate = fair();
     saved = std::min(most(), 1 + rate * seconds(timeout));
   }
@@ -213,10 +220,10 @@
     }
     const double part = ok ? seconds(took) / seconds(timeout) : 1.0;
     if (o == CountOutcome::refused || took >= timeout) crowded_at = now;
-    if (part < kSlowCall) {
+    if (part < slow) {
       if (!spare()) rate += kCallRise * fair();
     } else if (now - took >= cut_at) {  // one cut for all calls made before the last one
-      rate *= 1 - kCallCut * std::min(1.0, (part - kSlowCall) / (1 - kSlowCall));
+      rate *= 1 - kCallCut * std::min(1.0, (part - slow) / (1 - slow));
       cut_at = now;
     }
     rate = std::max(rate, kCallLeast * fair());
@@ -844,9 +851,10 @@
   bool ejected(const Server& s) const { return now_ < s.ejected_until; }
 
   void eject(Server& s, const char* why) {
-    s.ejection = std::clamp(s.ejection * 2, kFirstEjection, kLongestEjection);
+    const auto first = wide() ? kWideEjection : kFirstEjection;
+    s.ejection = std::clamp(s.ejection * 2, first, kLongestEjection);
     s.ejected_until = now_ + s.ejection;
-    if (s.ejection == kFirstEjection && now_ - std::exchange(s.first_ejected, now_) > kLogGap)
+    if (s.ejection == first && now_ - std::exchange(s.first_ejected, now_) > kLogGap)
       log("server " + std::to_string(static_cast<std::uint32_t>(s.info.id)) + " ejected: " + why);
   }
 
@@ -854,7 +862,7 @@
     const bool good = e.outcome == Outcome::ok;
     if (e.outcome == Outcome::cancelled || e.outcome == Outcome::never_sent) return;
     const bool late = e.outcome == Outcome::timeout;  // a sign of load, not of ill health
-    if (!late) s.success += kHealthGain * ((good ? 1.0 : 0.0) - s.success);
+    if (!late) s.success += (wide() ? kWideHealthGain : kHealthGain) * ((good ? 1.0 : 0.0) - s.success);
     if (good || late) {
       const double took = seconds(e.took);
       auto& usual = at(latency_, r.cls);
@@ -875,8 +883,10 @@
     // as it dies.
     if (e.outcome == Outcome::connect_failed) ++s.misses;
     // Of a wide fleet each keeps too little at a server to fill it: one that turns it away is about to go.
-    const bool leaves = e.outcome == Outcome::connect_failed || (wide() && e.outcome == Outcome::full);
-    if (!ejected(s) && (leaves || s.success < kSickBelow)) eject(s, "failures");
+    // An error there is as telling: waiting for more of them would be one for each gateway.
+    const bool tells = wide() && (e.outcome == Outcome::full || e.outcome == Outcome::error);
+    if (!ejected(s) && (e.outcome == Outcome::connect_failed || tells || s.success < kSickBelow))
+      eject(s, "failures");
   }
 
   // The bound on what this gateway keeps at the servers, learned from how answers stand against their aims.
@@ -984,6 +994,7 @@
       }
       double cost = slowness(s) * burden(r, s) / std::max(0.1, s.success);
       if (is_cold(s) && wide()) cost *= kColdFirst;
+      if (wide()) cost *= slowness(s);  // few see it: what one has seen there counts the more
       if (set_.weights_known && s.info.weight > 0) cost /= s.info.weight;
       if (s.info.zone != set_.zone) cost *= 1 + kZoneWeight * set_.cross_zone_price;
       for (const auto& a : r.attempts)
--- a/tests/wide_fleet_test.cpp
+++ b/tests/wide_fleet_test.cpp
@@ -131,6 +131,58 @@
   }
 }
 
+// It looks idle, as it fails at once: the more so the less each gateway learns of it.
+TEST(WideFleet, AServerThatFailsAtOnceIsLeftOutAfterOneFailure) {
+  int failures = 0, sent = 0;
+  for (std::uint32_t g = 0; g < 100; ++g) {
+    Host h(wide(g), g);
+    h.servers(60);
+    run(h, 60, [&](const Send& s) {  // 6 s
+      const bool bad = static_cast<std::uint32_t>(s.server) <= 10;
+      ++sent, failures += bad;
+      h.outcome(s, bad ? Outcome::error : Outcome::ok, true, bad ? 1ms : 100ms);
+    });
+  }
+  EXPECT_LE(failures, sent / 12);  // a sixth of the servers; each pair of gateway and server meets about 5 times
+}
+
+TEST(WideFleet, AServerFoundSlowGetsLittleForSomeSeconds) {
+  Host h(wide(), 1);
+  h.servers(60);
+  ServerId slow{};
+  int there = 0;
+  run(h, 60, [&](const Send& s) { h.outcome(s, Outcome::ok, true, 100ms), slow = s.server; });
+  run(h, 60, [&](const Send& s) {
+    there += s.server == slow;
+    h.outcome(s, Outcome::ok, true, s.server == slow ? 1s : 100ms);
+  });
+  EXPECT_LE(there, 2);  // an even part is 5
+}
+
+// The line at the counter that a hundred gateways make is seen by each only in its own few calls.
+TEST(WideFleet, CallsAreHeldBackWhenAnswersSlowDownBeforeTheyTimeOut) {
+  const auto calls_in = [](std::uint32_t fleet, Duration took) {
+    auto s = settings();
+    s.fleet_size = fleet;
+    Host h(s, 1);
+    h.servers(20);
+    int calls = 0;
+    for (int i = 0; i < 600; ++i) {  // 30 s, of which the last 10 count
+      h.now += 50ms;
+      h.ask(static_cast<std::uint64_t>(1000 + i));
+      auto pending = h.all<AddToCount>();
+      for (std::size_t n = 0; n < pending.size() && n < 20; ++n) {
+        calls += i >= 400;
+        h.give(CountAnswer{pending[n].name, CountOutcome::ok, pending[n].amount, took});
+        for (const auto& c : h.all<AddToCount>()) pending.push_back(c);
+      }
+    }
+    return calls;
+  };
+  EXPECT_LT(calls_in(100, 13ms), calls_in(100, 4ms));  // of a time-out of 50 ms
+  EXPECT_EQ(calls_in(2, 13ms), calls_in(2, 4ms));      // alone that is no line yet
+}
+
 // What all gateways together send a cold server, where most of the servers are cold.
 TEST(WideFleet, ColdServersAreWarmedByAllTogetherAndNotPushedOver) {
   constexpr int kServers = 60, kWarm = 24;
