--- a/src/node/call_pause.hpp
+++ b/src/node/call_pause.hpp
@@ -16,8 +16,6 @@
   CallPause(std::uint32_t fleet, std::uint64_t seed)
       : span_(fleet > facts::kWideFleet ? fleet * facts::kCallSpan : Duration{}), rng_(seed) {}
 
-  // Before the first call, when a whole fleet may start at once.
-  Duration at_start() { return part(facts::kStartPart); }
   // After a call that was not answered as asked. Its first part is for the queue to shrink that others stand
   // in.
   Duration after_failure() {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -279,7 +279,6 @@
 void Discovery::start(const json& known) {
   take(known, true);
   watch_ = std::make_shared<Watch>(*this, at_, host_);
-  if (const auto pause = pause_.at_start(); pause > Duration{}) return watch_->connect_after(pause);
   watch_->connect();
 }
 
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -63,7 +63,6 @@
 inline constexpr std::uint32_t kWideFleet = 15;  // nodes past which calls that failed are spread over the fleet
 inline constexpr Duration kCallSpan = 50ms;      // for each node of a wide fleet: what a call of it may take of discovery
 inline constexpr int kMostSpans = 4;             // pauses grow to so many times that for all
-inline constexpr double kStartPart = 0;          // part of it over which first calls are spread
 inline constexpr Duration kConnectLimit = 1s;    // for a connection to discovery or the counter to come up
 
 // ---- Descriptors: shares of the limit ---------------------------------------------------------------
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -204,7 +204,7 @@
   std::multimap<double, std::uint32_t> calls;
   for (std::uint32_t n = 0; n < fleet; ++n) {
     pauses.push_back(pause_of(n));
-    calls.emplace(seconds(pauses.back().at_start()), n);
+    calls.emplace(0, n);
   }
   double free_at = 0;
   std::uint32_t served = 0;
@@ -234,7 +234,6 @@
 
 TEST(CallPause, AloneANodeAsksSoonAgain) {
   CallPause p(3, 1);
-  EXPECT_EQ(p.at_start(), Duration{});
   EXPECT_EQ(p.after_end(), facts::kFirstBackoff);
   EXPECT_EQ(p.after_failure(), 2 * facts::kFirstBackoff);
   for (int i = 0; i < 9; ++i) p.after_failure();
