--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -43,7 +43,6 @@
 constexpr Duration kRestarted = 500ms;  // an outage as long may have been a restart: counts may be gone
 constexpr double kCounterRetry = 2;     // trial calls to a counter that is down: one in so many time-outs
 constexpr Duration kUseMemory = 20s;    // over which a customer's own tries here, and its use, are remembered
-constexpr double kOverCalls = 1.5;   // calls made for a customer over its quota, times those that can succeed
 constexpr double kShutLeast = 0.05;  // part of a window in which a spent store is not asked again
 constexpr double kUnitSlop = 1e-6;   // totals come rounded to seven digits
 constexpr double kCountSlop = 2e-3;  // or to thousandths: less than that is missing from no count
