What a warm server was sent is learnt only while a whole part is there

Found on reading again, in choose(): the most that was answered for each warm server was kept for 30 s and also learnt just after most servers had gone or were replaced, when 4 s of answers from all are divided by the capacity of a few; cold servers would then be sent too much. Learnt now only while all of a whole part is sound and warm; and not at all in small fleets, nor own sends, which nothing there uses.

No test of its own: the one that sums over 100 nodes passes before and after.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -777,6 +777,7 @@
   bool wide() const { return set_.fleet_size > kWideFleet; }
   void pick_near() {
     near_.clear();
+    near_size_ = 0;
     if (!wide()) return;
     std::map<ZoneIndex, std::vector<Server*>> zones;
     for (auto& [id, s] : servers_)
@@ -786,6 +787,7 @@
                                  (all.size() * kWideFleet + set_.fleet_size - 1) / set_.fleet_size);
       if (part >= all.size()) {
         near_.push_back({all.size(), all});
+        near_size_ += static_cast<double>(all.size());
         for (auto* s : all) s->share = 1;
         continue;
       }
@@ -800,6 +802,7 @@
         if (g == set_.index) own = order;
       }
       std::sort(own.begin(), own.end());
+      near_size_ += static_cast<double>(part);
       const double even = static_cast<double>(part) * set_.fleet_size / static_cast<double>(all.size());
       auto& mine = near_.emplace_back(part, std::vector<Server*>{}).second;
       for (const auto& [score, i] : own) {
@@ -980,7 +983,8 @@
       sound = sound || may_go_to(r, *s), warm = warm || !is_cold(*s);
       capacity += is_cold(*s) ? warmth(*s) : 1;
     }
-    if (warm)
+    // Not while some are missing or cold: the answers of the last seconds came from more than there are now.
+    if (wide() && capacity > 0 && capacity >= near_size_)
       steady_ = std::max(answers_.rate(now_, kRateMemory) / capacity, steady(now_)), steady_at_ = now_;
     for (auto* p : among) {
       auto& s = *p;
@@ -1058,7 +1062,7 @@
     if (is_cold(s)) s.credit -= 1;
     if (s.in_flight == 0) s.sent_base = now_, s.sent_sum = 0;
     s.sent_sum += seconds(now_ - s.sent_base);
-    s.own.add(now_, kOwnSpan);
+    if (wide()) s.own.add(now_, kOwnSpan);
     ++s.in_flight, ++in_flight_;
     s.load += expected(r);
     r.attempts.push_back(Attempt{server, now_, expected(r), true});
@@ -1220,6 +1224,7 @@
   std::set<CustomerId> freed_;                                      // whose places came free with this event
   std::vector<std::pair<std::size_t, std::vector<Server*>>> near_;  // wide fleet, by zone: how many, by rank
   std::vector<Server*> among_;  // of the last choice, kept for its memory
+  double near_size_ = 0;        // servers in a whole part, of all zones
   double steady_ = 0;  // answers a second for each warm server, here
   Time steady_at_{};
   Recent answers_, arrivals_;         // good answers of all servers; requests
