--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -619,7 +619,7 @@
     const bool known = l.pace > 0 || l.asked > l.units || l.total > l.now.added + kCountSlop;
     const double part = std::floor(t.limit / l.gateways);
     if (!set_.counter || wide() || !known || book_.pace.strikes > 0 || asked < kAheadPace * l.units)
-      return;  // in a wide fleet a gateway meets a customer too seldom for what it costs
+      return;  // in a wide fleet each try needs a call, and there are none to spare for these
     if (part < l.units || !book_.pace.spare() || now_ < book_.pace.crowded_at + kCalm) return;
     const double wanted = std::max(std::ceil(asked * kAheadPart), kQuantumRequests * l.units);
     const double quantum = std::min(wanted, part);
--- a/tests/wide_fleet_test.cpp
+++ b/tests/wide_fleet_test.cpp
@@ -280,6 +280,29 @@
   }
 }
 
+TEST(WideFleet, NoCallsAreMadeForWindowsToCome) {
+  const auto ahead = [](std::uint32_t fleet) {
+    auto s = settings();
+    s.fleet_size = fleet;
+    Host h(s, 1);
+    h.servers(60);
+    int calls = 0;
+    for (int i = 0; i < 100; ++i) {
+      h.now += 200ms;
+      h.ask(7);  // its store fills in 2 s
+      auto pending = h.all<AddToCount>();
+      for (std::size_t n = 0; n < pending.size() && n < 20; ++n) {
+        calls += pending[n].lifetime > 2s + s.counter_timeout;
+        h.count(pending[n], pending[n].amount);
+        for (const auto& c : h.all<AddToCount>()) pending.push_back(c);
+      }
+    }
+    return calls;
+  };
+  EXPECT_GT(ahead(2), 0);
+  EXPECT_EQ(ahead(100), 0);
+}
+
 // A call for each try is more than a counter may have: who was refused before is the least likely to be granted.
 TEST(WideFleet, ARepeatGetsACallOnlyWhereOneIsSpare) {
   auto s = settings();
