Long bodies are streamed in both directions, in bounded memory, through the module

Need: bodies are held whole and end at 64 KiB; a plan correction over a slow link, or a whole terminal map, can't pass.

Ruled out: sending after the whole body or after a prefix (docs/design/streaming.md). Seen on the way: the module sent 6 of 8 uploads to one server and let two wait until their time was up, as it counts what is out as load (Logic::send, choose); a body that trickles is none.

Change: src/stream (framing, exchange, shares of memory, timing wheel and progress without I/O; a front on sockets), [stream] in the operator's file, off unless named. ClientSession hands the connection over at the head.

--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -147,6 +147,7 @@
   bool finished = false;  // the client has its final answer
   double true_units = 0;  // 0: not told
   std::optional<LoadReport> load{};
+  bool last = false;  // the request can't be sent again: part of what it takes is no longer held
 };
 
 struct StreamStarted {
@@ -154,6 +155,14 @@
   std::uint32_t attempt = 0;
 };
 
+// The server of an attempt waits for more of the request, or is done but for the passing on of its answer; or (not `waits`) has
+// the request whole and works on it, as is taken for granted until this is told. Only what it works on counts as its load.
+struct AttemptWaits {
+  RequestId request{};
+  std::uint32_t attempt = 0;
+  bool waits = true;
+};
+
 struct ProbeEnded {
   ServerId server{};
   Outcome outcome = Outcome::ok;
@@ -189,7 +198,7 @@
   std::uint32_t from = 0;
 };
 
-using Event = std::variant<ListUpdate, Arrival, AttemptEnded, StreamStarted, ProbeEnded, TimerDue, ClientGone,
+using Event = std::variant<ListUpdate, Arrival, AttemptEnded, StreamStarted, AttemptWaits, ProbeEnded, TimerDue, ClientGone,
                            CountAnswer, CountsLost, PeerMessage>;
 
 // ---- Actions: what the host must do, in the given order -----------------------------------------
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -22,6 +22,7 @@
 #include "daemon/system.hpp"
 #include "node_config.hpp"
 #include "graphql/sections.hpp"
+#include "stream/sections.hpp"
 #include "redis/sections.hpp"
 
 namespace docklift {
@@ -95,12 +96,14 @@
         notifier_(std::getenv("NOTIFY_SOCKET")),
         node_(io, platform_, store),
         graphql_(graphql::front_of(config_, node_)),
+        streams_(stream::front_of(config_, io_, node_)),
         life_(life_limits(config_), channel.has_value()),
         signals_(io, SIGHUP, SIGTERM, SIGINT),
         listen_part_(node_.front(), platform_.listen),
         platform_part_(io, node_, platform_),
         parts_{&listen_part_, &platform_part_} {
     if (graphql_) node_.serve_front(graphql_.get());
+    if (streams_) node_.serve_streams(streams_.get());
     signals_.add(SIGUSR2);
     signals_.add(SIGCHLD);
     await_signal();
@@ -394,6 +397,7 @@
   Notifier notifier_;
   snowknot::Node node_;
   std::unique_ptr<graphql::GraphqlFront> graphql_;
+  std::unique_ptr<stream::StreamFront> streams_;
   Lifecycle life_;
   asio::basic_signal_set<snowknot::Executor> signals_;
   ListenPart listen_part_;
@@ -436,8 +440,8 @@
   try {
     platform.emplace(snowknot::read_node_config(options.platform_config));
     store = redis::store_factory(options.config, platform->seed, platform->counter);
-    // What a query costs shows in its answer; nothing else is settled by it.
-    if (!options.config.text("graphql.path").empty()) platform->named.settings.settled_after = true;
+    // What a query costs shows in its answer, and a long body's units when it has come; nothing else is settled after.
+    if (!options.config.text("graphql.path").empty() || options.config.whole("stream.bytes_per_unit") > 0) platform->named.settings.settled_after = true;
   } catch (const std::exception& x) {
     note(std::string("docklift: ") + x.what());
     return ExitCode::config;
--- a/src/daemon/sections.cpp
+++ b/src/daemon/sections.cpp
@@ -4,6 +4,7 @@
 #include "config/options.hpp"
 #include "graphql/sections.hpp"
 #include "redis/sections.hpp"
+#include "stream/sections.hpp"
 
 namespace docklift {
 namespace {
@@ -84,7 +85,7 @@
   static const Schema schema = [] {
     Schema s;
     s.add(daemon_section()).add(listen_section()).add(upgrade_section());
-    s.add(redis::store_section()).add(redis::redis_section()).add(graphql::graphql_section());
+    s.add(redis::store_section()).add(redis::redis_section()).add(graphql::graphql_section()).add(stream::stream_section());
     return s;
   }();
   return schema;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -327,7 +327,7 @@
 struct Server {
   ServerInfo info;
   bool listed = false;
-  std::uint32_t in_flight = 0;
+  std::uint32_t in_flight = 0, out = 0;  // own attempts: that it works on, and all
   double load = 0;      // expected seconds of work that own attempts keep there
   double slowness = 1;  // EWMA of latency over what its class takes on average
   Time slow_at{};       // when that was learnt
@@ -353,7 +353,8 @@
   ServerId server{};
   Time sent{};
   double work = 0;  // its part of Server::load
-  bool out = true;
+  Time since{};     // counted there
+  bool counted = false, out = true;
 };
 
 enum class Stage { leasing, parked, sent, ended };
@@ -791,7 +792,7 @@
       s.listed = entry.phase != Phase::gone;
       if (restarted) start_cold(s, *entry.started);
     }
-    std::erase_if(servers_, [](const auto& e2) { return !e2.second.listed && e2.second.in_flight == 0; });
+    std::erase_if(servers_, [](const auto& e2) { return !e2.second.listed && e2.second.out == 0; });
     pick_near();
   }
 
@@ -1088,17 +1089,33 @@
     if (!r.attempts.empty() && !r.unmet) retry_tokens_ -= 1;
     r.holds_units = false, r.stage = Stage::sent;
     if (is_cold(s)) s.credit -= 1;
-    if (s.in_flight == 0) s.sent_base = now_, s.sent_sum = 0;
-    s.sent_sum += seconds(now_ - s.sent_base);
     if (wide()) s.own.add(now_, kOwnSpan);
-    ++s.in_flight, ++in_flight_;
-    s.load += expected(r);
-    r.attempts.push_back(Attempt{server, now_, expected(r), true});
+    ++s.out;
+    count(r.attempts.emplace_back(Attempt{server, now_, expected(r)}), true);
     // No time-out before the client's, and no second copy: on pressed servers both were work done twice.
     set_alarm(id, r, Time::max());
     out_.push_back(Send{id, server, std::max(r.deadline - now_, Duration(1))});
   }
 
+  // Its server works on an attempt, or it waits for bytes of a long body and has room for others.
+  void count(Attempt& a, bool works) {
+    if (std::exchange(a.counted, works) == works) return;
+    in_flight_ += works ? 1 : -1;
+    auto* s = find(servers_, a.server);
+    if (!s) return;
+    if (works && s->in_flight == 0) s->sent_base = now_, s->sent_sum = 0;
+    if (works) a.since = now_;
+    s->in_flight += works ? 1U : -1U;
+    s->sent_sum += (works ? 1 : -1) * seconds(a.since - s->sent_base);
+    s->load = s->in_flight == 0 ? 0 : s->load + (works ? a.work : -a.work);
+  }
+
+  void on(const AttemptWaits& e) {
+    auto* r = find(requests_, e.request);
+    if (!r || e.attempt >= r->attempts.size()) return;
+    if (auto& a = r->attempts[e.attempt]; a.out) count(a, !e.waits);
+  }
+
   void on(const AttemptEnded& e) {
     auto* known = find(requests_, e.request);
     if (!known || e.attempt >= known->attempts.size()) return;
@@ -1107,11 +1124,9 @@
     if (!a.out) return;
     a.out = false;
     r.unmet = e.outcome == Outcome::connect_failed || (wide() && e.outcome == Outcome::full);
-    --in_flight_;
+    count(a, false);
     if (auto* s = find(servers_, a.server)) {
-      --s->in_flight;
-      s->sent_sum -= seconds(a.sent - s->sent_base);
-      s->load = s->in_flight == 0 ? 0 : s->load - a.work;
+      --s->out;
       learn(*s, r, e);
       if (!proves_not_run(e.outcome) && !std::exchange(r.may_have_run, true)) {
         r.first_run = a.sent;
@@ -1120,15 +1135,15 @@
     }
     if (e.true_units > 0 && set_.settled_after) put_back(r, r.units - e.true_units);
     if (e.finished) end(e.request, r);
-    if (r.stage != Stage::ended && r.out() == 0) further(e.request, r);
+    if (r.stage != Stage::ended && r.out() == 0) further(e.request, r, e.last);
     forget_if_done(e.request);
   }
 
   // No attempt is out and the client waits: another one where the class allows it, or the final answer.
-  void further(RequestId id, Request& r) {
+  void further(RequestId id, Request& r, bool last) {
     const auto& c = cls(r);
     // One that found nobody there was no work: it needs none of the budget.
-    bool allowed = r.attempts.size() < set_.max_attempts && now_ < r.deadline &&
+    bool allowed = !last && r.attempts.size() < set_.max_attempts && now_ < r.deadline &&
                    (r.unmet || retry_tokens_ >= 1);
     if (r.may_have_run && c.effect == Effect::unsafe) allowed = false;
     // Its first byte may come as late as a connection does: repeats are dropped from the first sending on.
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -143,7 +143,8 @@
   return r;
 }
 
-ClientRequest read_request(Fields& f, const Settings& s, Time began) {
+// `longest`: for one that is streamed, in place of its class's deadline.
+ClientRequest read_request(Fields& f, const Settings& s, Time began, std::optional<Duration> longest = std::nullopt) {
   ClientRequest r;
   const string_view target(f.target().data(), f.target().size());
   const auto path_class = first_part(target);
@@ -158,7 +159,7 @@
   const auto timeout = whole<std::uint64_t>(header(f, "X-Timeout-Ms"), "X-Timeout-Ms");
   if (timeout == 0 || timeout > facts::kMostTimeoutMs) bad("X-Timeout-Ms is out of range");
   const Duration wait = std::chrono::milliseconds(timeout);
-  r.deadline = began + std::min(wait, s.classes[cls].deadline);  // nobody waits longer than that
+  r.deadline = began + std::min(wait, longest.value_or(s.classes[cls].deadline));  // nobody waits longer than that
   read_quota(f, s, a);
   if (f.count("X-Retried") > 0) {
     if (header(f, "X-Retried") != "1") bad("X-Retried is not 1");
@@ -274,7 +275,8 @@
     parser_.emplace();
     parser_->header_limit(facts::kMostHeader);
     parser_->body_limit(facts::kMostBody);
-    parser_->eager(true);
+    if (clients_.streams_) parser_->body_limit(boost::none);  // until it is known whether it is streamed
+    parser_->eager(!clients_.streams_);
     began_ = clients_.timers_.now();
     if (stage_ == Stage::idle) enter(Stage::coming);  // a fresh one has its limit from its accept on
   }
@@ -295,6 +297,7 @@
       } catch (const BadRequest& x) {
         return reject(x.status, x.what());
       }
+      if (clients_.streams_ && pass_on()) return;
       if (boost::beast::iequals(head[http::field::expect], "100-continue") && !parser_->is_done()) {
         // Small enough for any socket's buffer; if it is lost the client sends its body after a while.
         static constexpr string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -310,6 +313,60 @@
     reject(http::status::bad_request, "the request can't be read");  // a chunk's head without end, say
 }
 
+// At the head of a request that is streamed the connection passes to the streams, or the head is answered; else the limits
+// are those of other requests. False: it is one of those.
+bool ClientSession::pass_on() {
+  auto& streams = *clients_.streams_;
+  auto& head = parser_->get();
+  const string_view target(head.target().data(), head.target().size());
+  if (!streams.takes(first_part(target))) {
+    parser_->eager(true);
+    parser_->body_limit(facts::kMostBody);
+    if (parser_->content_length().value_or(0) <= facts::kMostBody) return false;
+    reject(http::status::payload_too_large, "the body is too large");
+    return true;
+  }
+  StreamHead out;
+  out.body.coding = parser_->chunked() ? docklift::stream::Coding::chunked
+                    : parser_->content_length().value_or(0) > 0 ? docklift::stream::Coding::length
+                                                                : docklift::stream::Coding::none;
+  out.body.length = parser_->content_length().value_or(0);
+  out.keep_alive = parser_->keep_alive() && !clients_.draining_;
+  out.old_client = head.version() == 10;
+  const auto expects = head[http::field::expect];
+  out.expects_continue = boost::beast::iequals(expects, "100-continue");
+  const auto& settings = clients_.settings_;
+  try {
+    if (!expects.empty() && !out.expects_continue) throw BadRequest(http::status::expectation_failed, "Expect");
+    out.request = read_request(head, settings, began_, streams.longest());
+    const auto effect = settings.classes[static_cast<std::size_t>(out.request.arrival.request_class)].effect;
+    if (effect == Effect::safe && out.body.coding != docklift::stream::Coding::none) bad("a body does not go with the class");
+    if (out.body.coding == docklift::stream::Coding::chunked && streams.requires_length())
+      throw BadRequest(http::status::length_required, "a length is required");
+    if (out.body.length > streams.most_request()) throw BadRequest(http::status::payload_too_large, "the body is too large");
+  } catch (const BadRequest& x) {
+    reject(x.status, x.what());
+    return true;
+  }
+  if (const auto away = streams.no_room()) {
+    reject(http::status::service_unavailable, "no room for a long body", settings.retry_after ? *away : Duration{});
+    return true;
+  }
+  auto& a = out.request.arrival;
+  out.units_told = a.units;
+  std::optional<std::uint64_t> length = out.body.length;
+  if (out.body.coding == docklift::stream::Coding::chunked) length.reset();
+  a.units = streams.units_of(a.units, length);
+  a.time_left = out.request.deadline - clients_.timers_.now();
+  std::string rest(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  buffer_.clear();
+  parser_.reset();
+  const auto self = shared_from_this();
+  clients_.at(std::exchange(stage_, Stage::closed)).erase(place_);  // counted on, as lent
+  streams.take(std::move(socket_), std::move(out), std::move(rest));
+  return true;
+}
+
 void ClientSession::take_request() {
   auto message = parser_->release();
   parser_.reset();
@@ -544,8 +601,31 @@
   at(to).splice(at(to).end(), at(from), session.place_);
 }
 
+void Clients::give_back(Socket socket, std::string rest, bool keep_alive) {
+  const auto session = std::make_shared<ClientSession>(*this, std::move(socket));
+  const auto stage = keep_alive && !draining_ ? Stage::idle : Stage::lingering;
+  session->place_ = at(stage).insert(at(stage).end(), session);
+  session->stage_ = stage, session->since_ = timers_.now();
+  if (stage == Stage::lingering) {
+    error_code ignored;
+    session->socket_.shutdown(Socket::shutdown_send, ignored);
+    return session->read();
+  }
+  const auto to = session->buffer_.prepare(rest.size());
+  std::ranges::copy(rest, static_cast<char*>(to.data()));
+  session->buffer_.commit(rest.size());
+  session->parse();
+  session->read();
+}
+
+void Clients::lost() { one_less(); }
+
 void Clients::forget(ClientSession& session, Stage from) {
   at(from).erase(session.place_);
+  one_less();
+}
+
+void Clients::one_less() {
   --size_;
   if (!std::exchange(waits_, false)) return;
   const auto all = listeners_;
@@ -588,6 +668,7 @@
 }
 
 void Clients::end_unanswered(Duration retry_after) {
+  if (streams_) streams_->end_all();
   for (const auto stage : {Stage::fresh, Stage::idle, Stage::coming}) {
     const Sessions all = at(stage);
     for (const auto& s : all) {
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -16,6 +16,7 @@
 
 #include "net.hpp"
 #include "snowknot/gateway.hpp"
+#include "stream/framing.hpp"
 
 namespace snowknot {
 
@@ -23,6 +24,17 @@
 
 struct Answer;
 
+struct Errand;
+
+// Who carries the attempts of a request whose body does not lie ready.
+class Carrier {
+ public:
+  virtual ~Carrier() = default;
+  // Begins an attempt, and tells the node of its end by Node::carried(), later and exactly once.
+  virtual void send(const Errand& errand, const Tcp::endpoint& to) = 0;
+  virtual void cancel(std::uint32_t attempt) = 0;
+};
+
 // A request as it came: what the module is told of it and what goes on to a server.
 struct ClientRequest {
   Arrival arrival;  // its number is the node's to give
@@ -32,6 +44,8 @@
   bool safe = false;  // though its method is not GET
   // What a 200 answer shows to have been used, in units; none: nothing is settled afterwards. 0: it can't be told.
   std::function<double(const Answer&)> true_units{};
+  bool streamed = false;  // by its carrier; if that has ended, nothing is sent any more
+  std::weak_ptr<Carrier> carrier{};
   bool repeatable() const { return safe || method == http::verb::get || !key.empty(); }
 };
 
@@ -74,6 +88,28 @@
   virtual void stop(Duration retry_after) = 0;
 };
 
+// A request whose head has come and whose body is to be passed on as it comes.
+struct StreamHead {
+  ClientRequest request;  // without its body; its units are known
+  docklift::stream::BodyKind body;
+  double units_told = 1;  // by X-Quota
+  bool keep_alive = true, expects_continue = false;
+  bool old_client = false;  // speaks HTTP/1.0: no chunks, and the connection ends with the answer
+};
+// Takes connections over at such a head, and gives them back with Clients::give_back() or says that they are lost().
+class Streams {
+ public:
+  virtual ~Streams() = default;
+  virtual bool takes(std::string_view class_name) const = 0;
+  virtual Duration longest() const = 0;  // for a request and its answer whole
+  virtual std::uint64_t most_request() const = 0;
+  virtual bool requires_length() const = 0;
+  virtual std::optional<Duration> no_room() const = 0;  // how long to stay away, if there is none
+  virtual double units_of(double told, const std::optional<std::uint64_t>& length) const = 0;
+  virtual void take(Socket socket, StreamHead head, std::string rest) = 0;
+  virtual void end_all() = 0;  // what is open is answered for, or cut, now
+};
+
 class Clients;
 
 // One connection. It reads on while a request is out, so that a client that goes away is seen.
@@ -105,6 +141,7 @@
   void parse();
   void drop_rest();
   void take_request();
+  bool pass_on();
   void slim();
   // Answers what can't be parsed, or is no longer taken, and ends the session.
   void reject(http::status status, const std::string& why, Duration retry_after = {});
@@ -167,6 +204,11 @@
   std::size_t size() const { return size_; }
   // Not owned; it has to outlive all sessions.
   void set_front(Front* front) { front_ = front; }
+  void set_streams(Streams* streams) { streams_ = streams; }
+  // A connection that was taken over for a stream: it goes on with these bytes that were read already, or is of no more use
+  // after the answer that was written.
+  void give_back(Socket socket, std::string rest, bool keep_alive);
+  void lost();
 
  private:
   friend class ClientSession;
@@ -182,6 +224,7 @@
   const Sessions& at(Stage stage) const { return stages_[static_cast<std::size_t>(stage)]; }
   void move(ClientSession& session, Stage from, Stage to);
   void forget(ClientSession& session, Stage from);
+  void one_less();
   void close_idle(Time since_before);
 
   asio::io_context& io_;
@@ -190,6 +233,7 @@
   std::size_t most_sessions_;
   Owner& owner_;
   Front* front_ = nullptr;
+  Streams* streams_ = nullptr;
   std::vector<ListenerPtr> listeners_;
   std::array<Sessions, kStages> stages_;
   std::size_t size_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -171,7 +171,8 @@
   e.attempt = errand.attempt;
   e.server = errand.server;
   e.outcome = outcome;
-  e.took = timers_.now() - errand.began;
+  e.took = errand.took.value_or(timers_.now() - errand.began);
+  e.last = errand.last;
   if (outcome == Outcome::ok && errand.message->true_units) e.true_units = errand.message->true_units(answer);
   if (outcome == Outcome::ok) finish(errand.request, answer);
   const auto it = open_.find(errand.request);
@@ -213,7 +214,11 @@
   finish(s.request, {http::status::bad_gateway, "failed\n", "text/plain", {}});
 }
 
-void Node::carry_out(const Cancel& s) { upstream_.cancel(s.request, s.attempt); }
+void Node::carry_out(const Cancel& s) {
+  const auto it = open_.find(s.request);
+  if (it == open_.end() || !it->second.message->streamed) return upstream_.cancel(s.request, s.attempt);
+  if (const auto carrier = it->second.message->carrier.lock()) carrier->cancel(s.attempt);
+}
 
 void Node::carry_out(const AddToCount& s) {
   if (!counter_) return happened(CountAnswer{s.name, CountOutcome::refused, 0, {}});
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -58,6 +58,13 @@
   // One request that a front has made of one of its own. The number is for abandon(); 0: a request of this id is open.
   std::uint64_t ask(ClientRequest request, std::shared_ptr<Asker> asker) { return arrived(std::move(request), std::move(asker)); }
   void abandon(std::uint64_t request) { client_gone(request); }
+  // Requests whose bodies are streamed. Not owned.
+  void serve_streams(Streams* streams) { clients_.set_streams(streams); }
+  // Of a carrier: its attempt's answer has begun; its server waits for bytes; it has ended; and whether its first byte may still be written.
+  void stream_started(const Errand& errand) { happened(StreamStarted{errand.request, errand.attempt}); }
+  void attempt_waits(const Errand& errand, bool waits) { happened(AttemptWaits{errand.request, errand.attempt, waits}); }
+  void carried(const Errand& errand, Outcome outcome) { upstream_.carried(errand, outcome); }
+  bool may_start(const Errand& errand) const { return upstream_.may_start(errand); }
   std::uint64_t next_number() { return ++requests_; }
   Timers& timers() { return timers_; }
   const Settings& settings() const { return config_.named.settings; }
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -292,6 +292,12 @@
   const auto it = pools_.find(errand.server);
   if (it == pools_.end() || !may_start(errand)) return report(errand, Outcome::never_sent, {});
   auto& p = it->second;
+  if (errand.message && errand.message->streamed) {
+    const auto carrier = errand.message->carrier.lock();
+    if (!carrier || (connections_ >= most_connections_ && !make_room())) return report(errand, Outcome::never_sent, {});
+    ++connections_;
+    return carrier->send(errand, p.address);
+  }
   while (!p.idle.empty()) {
     const auto c = p.idle.back();
     const Time now = timers_.now();
@@ -311,6 +317,13 @@
   c->open(p.address, std::move(errand));
 }
 
+void Upstream::carried(const Errand& errand, Outcome outcome) {
+  --connections_;
+  Answer answer;
+  answer.status = http::status::ok;  // where that is the outcome; the answer itself has passed
+  report(errand, outcome, std::move(answer));
+}
+
 bool Upstream::may_start(const Errand& e) const {
   const auto it = pools_.find(e.server);
   if (it == pools_.end() || !it->second.takes_work || timers_.now() >= e.deadline) return false;
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -25,6 +25,8 @@
   ServerId server{};
   Time began{}, deadline{};
   std::shared_ptr<const ClientRequest> message;
+  std::optional<Duration> took{};  // by who carried it: the server's part of the time
+  bool last = false;               // it can't be sent again: its body has been let go
 };
 
 // How connections fared that were used again, by how long they had idled: servers close those that idle, sooner
@@ -111,6 +113,9 @@
   void probe(ServerId server);
   void cancel(RequestId request, std::uint32_t attempt);
   std::size_t size() const { return connections_; }
+  // An attempt that a carrier has begun has ended.
+  void carried(const Errand& errand, Outcome outcome);
+  bool may_start(const Errand& errand) const;
 
  private:
   friend class ServerConnection;
@@ -124,7 +129,6 @@
 
   void run(Errand errand);
   void report(const Errand& errand, Outcome outcome, Answer answer);
-  bool may_start(const Errand& errand) const;
   void rest(const Connection& c);    // it has become idle
   void forget(const Connection& c);  // it has ended
   void drop_idle(ServerId server);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -662,6 +662,48 @@
   EXPECT_EQ(sent, 0);
 }
 
+TEST(Streams, OnlyWhatAServerWorksOnCountsAsItsLoad) {
+  auto free = settings();
+  free.plans = {{.name = "free"}};
+  free.counter = false;
+  Host h(free);
+  h.servers(1);
+  std::vector<Send> sent;
+  const auto ask = [&](std::uint64_t customer) {
+    if (const auto s = h.ask_granted(customer)) sent.push_back(*s);
+    return sent.size();
+  };
+  std::uint64_t c = 1;
+  while (ask(c) == c) ++c;
+  const auto most = sent.size();  // the next ones wait for a place
+  ASSERT_GE(most, 2U);
+  std::size_t more = 0;
+  for (int twice = 0; twice < 2; ++twice)  // told twice it counts once
+    for (std::size_t i = 0; i < most; ++i) {
+      h.give(AttemptWaits{sent[i].request, 0, true});
+      more += h.all<Send>().size();
+    }
+  EXPECT_GE(more, 1U) << "who waited for a place has one";
+  for (std::size_t i = 0; i < most; ++i) h.give(AttemptWaits{sent[i].request, 0, false});
+  const auto before = sent.size();
+  ask(++c);
+  EXPECT_EQ(sent.size(), before) << "with all of them worked on there is none";
+}
+
+TEST(Streams, WhatCannotBeSentAgainIsNot) {
+  for (const bool last : {false, true}) {
+    Host h;
+    h.servers(4);
+    const auto s = h.ask_granted(1, 2);
+    ASSERT_TRUE(s);
+    AttemptEnded e{s->request, 0, s->server, Outcome::connect_failed, 1ms, false, 0, std::nullopt};
+    e.last = last;
+    h.give(e);
+    EXPECT_EQ(h.has<Send>(), !last);
+    EXPECT_EQ(h.has<Refuse>(), last) << "it never ran: trying again does no harm";
+  }
+}
+
 TEST(Leases, WhatACallIsWorthDecidesWhoGetsTheNextOne) {
   auto s = settings();
   s.classes[2].worth = 5;
