--- a/src/stream/front.cpp
+++ b/src/stream/front.cpp
@@ -293,6 +293,7 @@
   // ---- The client's socket ----
   void read_client() {
     if (!early_.empty() && !exchange_.waits_for_client_bytes() && !exchange_.drains()) {
+      if (exchange_.answer_is_whole()) return;  // read on when the answer is out
       extra_ = true;  // behind the request: one request at a time
       early_.clear();
     }
@@ -335,6 +336,10 @@
   // Raw bytes: decoded, kept if they are still wanted, and told of.
   void came(std::string_view raw) {
     if (!exchange_.waits_for_client_bytes() && !exchange_.drains()) {
+      if (exchange_.answer_is_whole()) {
+        early_ += raw;
+        return;
+      }
       extra_ = true;
       extra_bytes_ += raw.size();
       if (extra_bytes_ > facts::kMostDropped) return;  // nothing more is read: who sends on and on waits
--- a/tests/stream_front_test.cpp
+++ b/tests/stream_front_test.cpp
@@ -197,6 +197,36 @@
   EXPECT_EQ(status(w), 200);
 }
 
+TEST_F(StreamTest, TheConnectionIsKeptBehindUploads) {
+  start();
+  const auto w = client();
+  react = [&](Wire& at) {
+    if (at.in.ends_with("last")) at.in.clear(), at.send(http_answer("200 OK", "x"));
+  };
+  for (const std::string id : {"a", "b", "c"}) {
+    auto ask = upload(104);
+    ask.id = id;
+    w->send(ask.head());
+    if (id == "b") w->send(bytes(50)), loop.until([&] { return front->open() == 1; });
+    w->send(bytes(id == "b" ? 50 : 100) + "last");
+    EXPECT_EQ(status(w), 200) << id;
+  }
+  EXPECT_FALSE(w->ended);
+  // The next one is sent as soon as the answer is there, often before the node knows that it has been written.
+  int answers = 0;
+  w->came = [&](Wire& at) {
+    if (at.message().empty() || ++answers == 200) return;
+    auto ask = upload(4);
+    ask.id = "d" + std::to_string(answers);
+    at.send(ask.head() + "last");
+  };
+  auto ask = upload(4);
+  ask.id = "d";
+  w->send(ask.head() + "last");
+  EXPECT_TRUE(loop.until([&] { return answers == 200 || w->ended; }));
+  EXPECT_EQ(answers, 200);
+}
+
 TEST_F(StreamTest, NamedTrailersPassBothWays) {
   options.trailers = {"x-sum"};
   start();
