--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,7 +12,9 @@
 build-test/rigs/fleet --short
 build-test/rigs/redis --short
 build-test/rigs/graphql --short
+build-test/rigs/streaming --short
 build-test/rigs/graphql_bench --short
+build-test/rigs/wheel_bench --short
 
 cmake --install build-test --prefix "$PWD/build-test/prefix" >/dev/null
 cmake -S examples -B build-test/consumer -DCMAKE_PREFIX_PATH="$PWD/build-test/prefix"
