Streams: memory granted and needed no more goes back; one loop that decodes bodies

A pipe whose turn came while its body was being dropped already kept the slab that it was granted until its stream ended (StreamFront::Stream::turn); it declines it now. Two loops that decode became one, four members that nothing used are gone. Ruled out: the bound was never passed, as grants count. No test tells the grant apart: the stream's end gives it back as well.

--- a/src/stream/exchange.hpp
+++ b/src/stream/exchange.hpp
@@ -101,11 +101,8 @@
   bool waits_for_answer_bytes() const { return reads_server_ && answer_ == Answer::passing; }
   bool drains() const { return client_ == Client::draining; }
   bool over() const { return client_ == Client::closed && server_ == Server::none; }
-  bool answered() const { return answer_ != Answer::none; }
   // The client may have all of it by now: what it sends then is its next request.
   bool answer_is_whole() const { return answer_ == Answer::own || answer_ == Answer::done || reply_.whole; }
-  // Part of the request was let go.
-  bool spent() const { return request_.base > 0; }
   std::size_t held_of_request() const { return static_cast<std::size_t>(request_.end - request_.base); }
   std::size_t held_of_answer() const { return static_cast<std::size_t>(reply_.end - reply_.base); }
 
--- a/src/stream/front.cpp
+++ b/src/stream/front.cpp
@@ -116,7 +116,6 @@
     set_buffers(client_, front_.options_.socket_buffer);
     deadline_ = head_.request.deadline;
     auto request = std::move(head_.request);
-    key_ = request.key;
     if (front_.options_.bytes_per_unit > 0 && head_.body.coding == Coding::chunked) {
       const double told = head_.units_told;
       request.true_units = [w = weak_from_this(), told](const Answer&) {
@@ -156,12 +155,11 @@
 
   // ---- From the front ----
   void turn(bool reply) {
-    if (reply ? std::exchange(reply_waits_, false) : std::exchange(request_waits_, false)) {
+    if (std::exchange(reply ? reply_waits_ : request_waits_, false)) {
       reply ? read_server() : read_client();
       touch();
-    } else {
-      front_.budget_.decline(pipe(reply));
     }
+    front_.budget_.decline(pipe(reply));  // what it needs no more: its body is being dropped by now, say
   }
   void due() {
     const auto now = front_.now();
@@ -346,15 +344,7 @@
       return tell(Happened::client_bytes, 0);
     }
     const bool keep = exchange_.waits_for_client_bytes();
-    std::uint64_t n = 0;
-    auto status = BodyDecoder::Status::data;
-    while (status == BodyDecoder::Status::data) {
-      const auto step = decoder_.next(raw);
-      raw.remove_prefix(step.used);
-      status = step.status;
-      n += step.data.size();
-      if (keep) put(upload_queue_, step.data);
-    }
+    const auto [status, n] = decode(decoder_, raw, keep ? &upload_queue_ : nullptr);
     came_ += n;
     upload_.moved(front_.now(), n);
     early_.insert(0, raw);  // of the next message
@@ -366,6 +356,16 @@
     telling_ = was;
     tell_all();
   }
+  // Takes what belongs to the body off `raw`; how many bytes of the body that were, and at what it is.
+  static std::pair<BodyDecoder::Status, std::uint64_t> decode(BodyDecoder& decoder, std::string_view& raw, SlabQueue* keep) {
+    for (std::uint64_t n = 0;;) {
+      const auto step = decoder.next(raw);
+      raw.remove_prefix(step.used);
+      n += step.data.size();
+      if (keep) put(*keep, step.data);
+      if (step.status != BodyDecoder::Status::data) return {step.status, n};
+    }
+  }
   // Raw bytes are at least as many as those of the body in them, and no more are read than there is space for.
   static void put(SlabQueue& queue, std::string_view data) {
     while (!data.empty()) {
@@ -595,15 +595,7 @@
   }
   void reply_bytes(std::string_view raw) {
     const bool any = !raw.empty();
-    std::uint64_t n = 0;
-    auto status = BodyDecoder::Status::data;
-    while (status == BodyDecoder::Status::data) {
-      const auto step = reply_decoder_.next(raw);
-      raw.remove_prefix(step.used);
-      status = step.status;
-      n += step.data.size();
-      put(reply_queue_, step.data);
-    }
+    const auto [status, n] = decode(reply_decoder_, raw, &reply_queue_);
     // Bytes behind an answer that don't begin like another one are the rest of a body whose length was told too short.
     static constexpr std::string_view start = "HTTP/1.";
     const bool doubt = status == BodyDecoder::Status::done && raw.substr(0, start.size()) != start.substr(0, raw.size());
@@ -647,7 +639,7 @@
   SlabQueue upload_queue_, reply_queue_;
   std::uint64_t number_ = 0, came_ = 0;
   snowknot::Time deadline_{};
-  std::string key_, reply_head_, reply_type_, server_head_;
+  std::string reply_head_, reply_type_, server_head_;
   std::optional<Errand> errand_;
   snowknot::Tcp::endpoint to_;
   Out to_client_, to_server_;
--- a/src/stream/front.hpp
+++ b/src/stream/front.hpp
@@ -55,7 +55,7 @@
   std::size_t open() const { return streams_.size(); }
   const Budget& budget() const { return budget_; }
   struct Counts {
-    std::uint64_t begun = 0, paused = 0, cut = 0, refused = 0;
+    std::uint64_t begun = 0, paused = 0, cut = 0;
   };
   const Counts& counts() const { return counts_; }
 
