A door for operators with figures, and a drain that ends connections and can be ended

Change: src/admin (what a call means and is told, without I/O; the listener), Tally counted where an answer's last byte is written, TableSizes tells what the module avoids, Clients::set_aside.

--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -245,6 +245,7 @@
 // What a test or a monitor may look at: sizes of the tables.
 struct TableSizes {
   std::size_t requests = 0, customers = 0, servers = 0, calls = 0, alarms = 0;
+  std::size_t listed = 0, avoided = 0;  // servers on the list; those of them that nothing is sent to now
 };
 
 // One gateway's decisions. It owns all its state, reads no clock, does no I/O and starts no thread; calls on
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -109,6 +109,13 @@
   return target.substr(0, target.find_first_of("/?"));
 }
 
+// Of the requests that are counted: those for the path of a class.
+std::optional<ClassIndex> class_of(string_view target, const Settings& s) {
+  const auto it = std::ranges::find(s.classes, first_part(target), &RequestClass::name);
+  if (it == s.classes.end()) return std::nullopt;
+  return ClassIndex(static_cast<std::uint32_t>(it - s.classes.begin()));
+}
+
 // Of a request for another protocol's path: who asks, and until when.
 FrontRequest read_front_request(Fields& f, const Settings& s, Time began) {
   FrontRequest r;
@@ -331,7 +338,7 @@
                     : parser_->content_length().value_or(0) > 0 ? docklift::stream::Coding::length
                                                                 : docklift::stream::Coding::none;
   out.body.length = parser_->content_length().value_or(0);
-  out.keep_alive = parser_->keep_alive() && !clients_.draining_;
+  out.keep_alive = parser_->keep_alive() && !clients_.leaving();
   out.old_client = head.version() == 10;
   const auto expects = head[http::field::expect];
   out.expects_continue = boost::beast::iequals(expects, "100-continue");
@@ -381,7 +388,7 @@
   enter(Stage::waiting);
   const string_view target(message.target().data(), message.target().size());
   if (target == "/-/ready") {
-    const bool good = clients_.owner_.ready() && !clients_.draining_;
+    const bool good = clients_.owner_.ready() && !clients_.leaving();
     return write({good ? http::status::ok : http::status::service_unavailable,
                   good ? "ready\n" : "not ready\n",
                   "text/plain",
@@ -395,11 +402,13 @@
     }
     auto request = read_request(message, clients_.settings_, began_);
     request.arrival.time_left = request.deadline - clients_.timers_.now();
+    class_ = request.arrival.request_class;
     const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
     if (number == 0)
       return write({http::status::conflict, "a request of this id is open\n", "text/plain", {}});
     if (stage_ == Stage::waiting) request_ = number;
   } catch (const BadRequest& x) {
+    class_ = class_of(target, clients_.settings_);
     write({x.status, std::string(x.what()) + "\n", "text/plain", {}});
   }
 }
@@ -407,6 +416,10 @@
 // What can't be read ends the session: where the next request would begin is not known.
 void ClientSession::reject(http::status status, const std::string& why, Duration retry_after) {
   keep_alive_ = false;
+  if (parser_ && parser_->is_header_done()) {
+    const auto target = parser_->get().target();
+    class_ = class_of({target.data(), target.size()}, clients_.settings_);
+  }
   parser_.reset();
   buffer_.clear();
   write({status, why + "\n", "text/plain", retry_after});
@@ -419,7 +432,7 @@
 
 void ClientSession::write(const Answer& answer) {
   enter(Stage::writing);
-  if (clients_.draining_) keep_alive_ = false;
+  if (clients_.leaving()) keep_alive_ = false;
   response_.result(answer.status);
   response_.version(11);
   response_.keep_alive(keep_alive_);
@@ -438,9 +451,11 @@
 }
 
 void ClientSession::on_written(const error_code& failed) {
+  const auto status = response_.result_int();
   response_ = {};
   if (closed()) return;
   if (failed) return close();
+  if (const auto cls = std::exchange(class_, std::nullopt)) clients_.tally_.ended(static_cast<std::size_t>(*cls), static_cast<int>(status));
   if (!keep_alive_) {
     // Only the sending side: a reset for bytes still unread here would take the answer with it.
     error_code ignored;
@@ -477,12 +492,13 @@
 // ---- The listener ---------------------------------------------------------------------------------------
 
 Clients::Clients(asio::io_context& io, Timers& timers, const Settings& settings, std::size_t most_sessions,
-                 Owner& owner)
+                 Owner& owner, Tally& tally)
     : io_(io),
       timers_(timers),
       settings_(settings),
       most_sessions_(most_sessions),
-      owner_(owner) {}
+      owner_(owner),
+      tally_(tally) {}
 
 Clients::ListenerPtr Clients::bind(const Tcp::endpoint& at) {
   asio::basic_socket_acceptor<Tcp, Executor> acceptor(io_.get_executor());
@@ -603,7 +619,7 @@
 
 void Clients::give_back(Socket socket, std::string rest, bool keep_alive) {
   const auto session = std::make_shared<ClientSession>(*this, std::move(socket));
-  const auto stage = keep_alive && !draining_ ? Stage::idle : Stage::lingering;
+  const auto stage = keep_alive && !leaving() ? Stage::idle : Stage::lingering;
   session->place_ = at(stage).insert(at(stage).end(), session);
   session->stage_ = stage, session->since_ = timers_.now();
   if (stage == Stage::lingering) {
@@ -640,6 +656,7 @@
     for (auto& all = at(stage); !all.empty() && now - all.front()->since() >= limit_of(stage);)
       std::shared_ptr(all.front())->overdue();
   if (draining_) close_idle(now - take_new_);
+  if (aside_ && now - *aside_ >= facts::kAside) close_idle(now - facts::kAside);
   timers_.after(facts::kSweep, [this] { sweep(); });
 }
 
@@ -662,6 +679,12 @@
     if (s->quiet()) s->close();
 }
 
+void Clients::set_aside(bool aside) {
+  if (aside == aside_.has_value()) return;
+  aside_.reset();
+  if (aside) aside_ = timers_.now();
+}
+
 bool Clients::drained() const {
   const bool all_known = std::ranges::none_of(listeners_, &Listener::serves);
   return draining_ && size_ == 0 && (all_known || timers_.now() - last_accept_ > take_new_);
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -17,6 +17,7 @@
 #include "net.hpp"
 #include "snowknot/gateway.hpp"
 #include "stream/framing.hpp"
+#include "tally.hpp"
 
 namespace snowknot {
 
@@ -162,6 +163,7 @@
   bool reads_ = false;                                         // a read is pending
   bool keep_alive_ = false;                                    // what the request that is out wants
   std::uint64_t request_ = 0;                                  // the node's number of it; 0: none
+  std::optional<ClassIndex> class_;                            // of the request that is being answered
 };
 
 class Clients {
@@ -178,7 +180,7 @@
   };
 
   Clients(asio::io_context& io, Timers& timers, const Settings& settings, std::size_t most_sessions,
-          Owner& owner);
+          Owner& owner, Tally& tally);
 
   // A socket that clients connect to. They wait in its queue until it is served.
   class Listener;
@@ -199,9 +201,14 @@
   // for so long.
   void drain(Duration take_new);
   bool drained() const;
+  // For as long as it is set: answers end their connections and those that idle are closed soon, but all that comes is served.
+  void set_aside(bool aside);
+  bool aside() const { return aside_.has_value(); }
   // Ends what doesn't wait for an answer, at once. Of what something has come is told when to come back.
   void end_unanswered(Duration retry_after);
   std::size_t size() const { return size_; }
+  // Requests that have come whole and whose answer's last byte is not written; without those that are streamed.
+  std::size_t current() const { return at(Stage::waiting).size() + at(Stage::writing).size(); }
   // Not owned; it has to outlive all sessions.
   void set_front(Front* front) { front_ = front; }
   void set_streams(Streams* streams) { streams_ = streams; }
@@ -232,15 +239,18 @@
   const Settings& settings_;
   std::size_t most_sessions_;
   Owner& owner_;
+  Tally& tally_;
   Front* front_ = nullptr;
   Streams* streams_ = nullptr;
   std::vector<ListenerPtr> listeners_;
   std::array<Sessions, kStages> stages_;
   std::size_t size_ = 0;
+  bool leaving() const { return draining_ || aside_; }  // no connection is kept
   bool draining_ = false, sweeps_ = false;
   bool waits_ = false;  // some listener goes on when a session ends
   Time last_accept_{};
   Duration take_new_{};  // while draining
+  std::optional<Time> aside_;  // since when
 };
 
 class Clients::Listener {
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -65,9 +65,14 @@
 inline constexpr int kMostSpans = 4;             // pauses grow to so many times that for all
 inline constexpr Duration kConnectLimit = 1s;    // for a connection to discovery or the counter to come up
 
+// While the node is set aside: a connection that idles waits so long for a request whose answer can say that it ends. All
+// have to be gone 4 s after the call, and the sweep takes its time.
+inline constexpr Duration kAside = 1s;
+
 // ---- Descriptors: shares of the limit ---------------------------------------------------------------
 inline constexpr std::size_t
     kOwnDescriptors = 28;                     // standard streams, epoll, timer, signals, listener, discovery
+inline constexpr std::size_t kAdminDescriptors = 20;  // the operators' door: listener, callers, and a spare
 inline constexpr double kClientShare = 0.55;  // of the rest; the servers get what is left
 
 // ---- Memory -----------------------------------------------------------------------------------------
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -4,6 +4,8 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "admin/node_process.hpp"
+#include "admin/server.hpp"
 #include "facts.hpp"
 #include "node_config.hpp"
 #ifdef DOCKLIFT_WITH_DAEMON
@@ -80,7 +82,8 @@
   try {
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context io(1);
-    Node node(io, read_node_config(platform_file()));
+    const auto config = read_node_config(platform_file());
+    Node node(io, config);
     Reload reload(io, node);
     asio::signal_set signals(io, SIGTERM, SIGINT);
     asio::basic_waitable_timer<Clock::Steady, asio::wait_traits<Clock::Steady>, Executor> last(io.get_executor());
@@ -92,6 +95,13 @@
         if (!stopped) node.answer_remaining(facts::kAfterStop);
       });
     });
+    docklift::admin::NodeProcess process(node);
+    std::optional<docklift::admin::Server> door;
+    try {
+      if (config.admin) door.emplace(io, node.timers(), *config.admin, process);
+    } catch (const boost::system::system_error& x) {
+      throw FieldError(std::string("field 'admin': ") + x.code().message());
+    }
     try {
       node.start();
     } catch (const boost::system::system_error& x) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 std::size_t for_peers(const NodeConfig& c) {
-  const auto own = facts::kOwnDescriptors + facts::kCounterLinks;
+  const auto own = facts::kOwnDescriptors + facts::kCounterLinks + (c.admin ? facts::kAdminDescriptors : 0);
   return c.descriptors > own ? c.descriptors - own : 1;
 }
 std::size_t for_clients(const NodeConfig& c) {
@@ -31,7 +31,8 @@
       discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
                  [this](ListKind kind, const auto& entries) { list_changed(kind, entries); },
                  CallPause(config_.named.settings.fleet_size, config_.seed)),
-      clients_(io, timers_, config_.named.settings, within_memory(config_, for_clients(config_)), *this) {
+      clients_(io, timers_, config_.named.settings, within_memory(config_, for_clients(config_)), *this, tally_) {
+  tally_.classes.resize(config_.named.settings.classes.size());
   const auto& settings = config_.named.settings;
   const auto told = [this](const CountAnswer& a) { happened(a); };
   if (settings.counter && store)
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -26,6 +26,7 @@
   Tcp::endpoint listen, discovery;
   std::string discovery_host;
   std::optional<Tcp::endpoint> counter;
+  std::optional<Tcp::endpoint> admin;  // the operators' door
   std::size_t descriptors = 0, memory = 0;  // memory: bytes
   std::uint64_t seed = 0;
   Duration keep_alive{};
@@ -71,6 +72,13 @@
   // What a new configuration may change under load: the addresses of discovery and the counter.
   void move_to(const NodeConfig& next);
   Tcp::endpoint listens_at() const { return clients_.listeners().front()->at; }
+  // For operators: what became of requests, how many are open, how the servers stand.
+  const Tally& tally() const { return tally_; }
+  std::size_t current() const { return clients_.current(); }
+  TableSizes sizes() const { return gateway_.sizes(); }
+  // While set aside the node is not ready for new clients and keeps no connection, but serves all that comes.
+  void set_aside(bool aside) { clients_.set_aside(aside); }
+  void count_send() { ++tally_.sends; }
   std::size_t open_requests() const { return open_.size(); }
 
  private:
@@ -85,6 +93,7 @@
   void client_gone(std::uint64_t request) override;
   bool still_wanted(RequestId request) const override;
   void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) override;
+  void attempt_written() override { count_send(); }
   void probe_ended(const Errand& errand, Outcome outcome) override;
   void list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries);
 
@@ -116,6 +125,7 @@
   bool knows_servers_ = false;
   std::function<void()> drained_;
   Front* front_ = nullptr;
+  Tally tally_;
   Upstream upstream_;
   std::unique_ptr<CountStore> counter_;
   Discovery discovery_;
--- a/src/node/node_config.cpp
+++ b/src/node/node_config.cpp
@@ -39,6 +39,7 @@
   const auto& limits = object_of(field(config, "limits"), "limits");
   c.descriptors = small(limits, "sockets");
   c.memory = static_cast<std::size_t>(small(limits, "memory_mb")) * facts::kMegabyte;
+  if (config.contains("admin")) c.admin = address(text(config, "admin"), "admin");
   c.seed = hex(config, "seed");
   c.known = object_of(field(config, "known"), "known");
   const auto& settings = object_of(field(config, "settings"), "settings");
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -134,6 +134,7 @@
     if (self->stage_ != Stage::writing) return;
     if (failed) return self->close(Outcome::connect_failed);  // it broke before the last byte was written
     self->stage_ = Stage::waiting;
+    if (self->errand_ && self->errand_->message) self->upstream_.owner_.attempt_written();
     if (self->broken_) self->broke();
   });
 }
