A second process takes the listener and the clients' connections of the first, none lost

Seen while building: a read may have ended though its handler has not run; so a connection is passed on only after its read was cancelled and told of.

--- a/src/admin/node_process.hpp
+++ b/src/admin/node_process.hpp
@@ -1,6 +1,9 @@
 // The edge node as its operators see it.
 #pragma once
 
+#include <functional>
+#include <utility>
+
 #include "admin/door.hpp"
 #include "node.hpp"
 
@@ -8,14 +11,16 @@
 
 class NodeProcess : public Process {
  public:
-  explicit NodeProcess(snowknot::Node& node) : node_(node) {}
+  // `accepts`: clients are let in, or will be by nobody else.
+  explicit NodeProcess(snowknot::Node& node, std::function<bool()> accepts = {}) : node_(node), accepts_(std::move(accepts)) {}
 
-  bool serves() const override { return node_.is_ready(); }
+  bool serves() const override { return node_.is_ready() && (!accepts_ || accepts_()); }
   Figures figures() const override;
   void set_aside(bool aside) override { node_.set_aside(aside); }
 
  private:
   snowknot::Node& node_;
+  std::function<bool()> accepts_;
 };
 
 }  // namespace docklift::admin
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -248,6 +248,12 @@
 void ClientSession::on_read(const error_code& failed, std::size_t bytes) {
   reads_ = false;
   if (closed()) return;
+  if (std::exchange(offered_, false) && reading() && (!failed || failed == asio::error::operation_aborted)) {
+    buffer_.commit(bytes);
+    if (bytes > 0) parse();
+    if (reading()) pass_to_heir();
+    return read();
+  }
   if (failed) return close();
   buffer_.commit(bytes);
   if (reading()) {
@@ -280,6 +286,7 @@
   if (buffer_.size() == 0 || closed()) return;
   if (!parser_) {
     parser_.emplace();
+    partial_.clear();
     parser_->header_limit(facts::kMostHeader);
     parser_->body_limit(facts::kMostBody);
     if (clients_.streams_) parser_->body_limit(boost::none);  // until it is known whether it is streamed
@@ -288,6 +295,7 @@
     if (stage_ == Stage::idle) enter(Stage::coming);  // a fresh one has its limit from its accept on
   }
   error_code failed;
+  const string_view all(static_cast<const char*>(buffer_.data().data()), buffer_.size());
   while (!parser_->is_done() && buffer_.size() > 0) {
     const bool had_header = parser_->is_header_done();
     buffer_.consume(parser_->put(buffer_.data(), failed));
@@ -316,6 +324,7 @@
     if (failed == http::error::need_more) break;
   }
   if (parser_->is_done()) return take_request();
+  if (clients_.keeps_partial_) partial_ += all.substr(0, all.size() - buffer_.size());
   if (buffer_.size() > facts::kMostHeader)
     reject(http::status::bad_request, "the request can't be read");  // a chunk's head without end, say
 }
@@ -467,6 +476,7 @@
   }
   enter(Stage::idle);
   parse();
+  if (clients_.heir_ && reading()) offer();
   read();
 }
 
@@ -484,6 +494,22 @@
   return idle() && socket_.available(failed) == 0;
 }
 
+void ClientSession::offer() {
+  if (!reading() || offered_) return;
+  if (!reads_) return pass_to_heir();
+  offered_ = true;  // bytes may have been read by now that are not told of yet
+  error_code ignored;
+  socket_.cancel(ignored);
+}
+
+// What the heir has is a copy of the descriptor: closing this one is not seen on the connection.
+void ClientSession::pass_to_heir() {
+  if (!clients_.heir_) return;
+  auto bytes = parser_ ? partial_ : std::string();
+  bytes.append(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  if (clients_.heir_(socket_.native_handle(), bytes)) close();
+}
+
 void ClientSession::overdue() {
   if (reading() && parser_) return reject(http::status::request_timeout, "the request did not come");
   close();
@@ -504,6 +530,8 @@
   asio::basic_socket_acceptor<Tcp, Executor> acceptor(io_.get_executor());
   acceptor.open(at.protocol());
   acceptor.set_option(asio::socket_base::reuse_address(true));
+  const int on = 1;
+  if (shares_address_) ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
   acceptor.bind(at);
   acceptor.listen(asio::socket_base::max_listen_connections);
   return std::make_shared<Listener>(std::move(acceptor));
@@ -634,6 +662,37 @@
   session->read();
 }
 
+void Clients::take_over(int descriptor, std::string bytes) {
+  Socket socket(io_.get_executor());
+  error_code failed;
+  socket.assign(Tcp::v4(), descriptor, failed);
+  if (failed) return void(::close(descriptor));
+  ++size_;
+  give_back(std::move(socket), std::move(bytes), true);
+}
+
+void Clients::set_heir(Heir heir) {
+  heir_ = std::move(heir);
+  offer_all();
+}
+
+void Clients::offer_all() {
+  if (!heir_) return;
+  for (const auto stage : {Stage::idle, Stage::fresh, Stage::coming}) {
+    const Sessions all = at(stage);
+    for (const auto& s : all) s->offer();
+  }
+}
+
+void Clients::set_most(std::size_t sessions) {
+  const bool more = sessions > most_sessions_;
+  most_sessions_ = sessions;
+  if (!more || !std::exchange(waits_, false)) return;
+  const auto all = listeners_;
+  for (const auto& l : all)
+    if (l->serves && !l->pending) accept(l);
+}
+
 void Clients::lost() { one_less(); }
 
 void Clients::forget(ClientSession& session, Stage from) {
@@ -655,8 +714,8 @@
   for (const auto stage : {Stage::fresh, Stage::idle, Stage::coming, Stage::writing, Stage::lingering})
     for (auto& all = at(stage); !all.empty() && now - all.front()->since() >= limit_of(stage);)
       std::shared_ptr(all.front())->overdue();
-  if (draining_) close_idle(now - take_new_);
-  if (aside_ && now - *aside_ >= facts::kAside) close_idle(now - facts::kAside);
+  if (draining_ && !heir_) close_idle(now - take_new_);
+  if (aside_ && !heir_ && now - *aside_ >= facts::kAside) close_idle(now - facts::kAside);
   timers_.after(facts::kSweep, [this] { sweep(); });
 }
 
@@ -674,6 +733,7 @@
   draining_ = true;
   take_new_ = take_new;
   last_accept_ = timers_.now();
+  if (heir_) return offer_all();
   const Sessions all = at(Stage::idle);
   for (const auto& s : all)
     if (s->quiet()) s->close();
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -131,6 +131,7 @@
   bool closed() const { return stage_ == Stage::closed; }
   Time since() const { return since_; }
   void overdue();  // the time limit of its stage has passed
+  void offer();    // to the heir: goes over as soon as no read is pending
 
  private:
   friend class Clients;
@@ -141,6 +142,7 @@
   void on_read(const error_code& failed, std::size_t bytes);
   void parse();
   void drop_rest();
+  void pass_to_heir();
   void take_request();
   bool pass_on();
   void slim();
@@ -154,6 +156,7 @@
   Socket socket_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  std::string partial_;  // what the parser has taken of a request that is not whole, where that is kept
   http::response<http::string_body> response_;
   Stage stage_ = Stage::closed;
   std::list<std::shared_ptr<ClientSession>>::iterator place_;  // among those at the same stage
@@ -161,6 +164,7 @@
   Time began_{};                                               // when the first byte of the request came
   std::size_t dropped_ = 0;                                    // bytes read and passed over while lingering
   bool reads_ = false;                                         // a read is pending
+  bool offered_ = false;                                       // to the heir, once that read has ended
   bool keep_alive_ = false;                                    // what the request that is out wants
   std::uint64_t request_ = 0;                                  // the node's number of it; 0: none
   std::optional<ClassIndex> class_;                            // of the request that is being answered
@@ -191,6 +195,8 @@
   ListenerPtr adopt(int descriptor);
   void serve(const ListenerPtr& listener);  // accepts on it
   void pause(const ListenerPtr& listener);  // accepts no more; who connects waits in the queue
+  // From now on listeners are bound so that a second process can bind the same address.
+  void share_address() { shares_address_ = true; }
   // Accepts what is in the queue and closes it.
   void end(const ListenerPtr& listener);
   // Closes this process' descriptor only: who waits in the queue is another process' to accept.
@@ -201,6 +207,16 @@
   // for so long.
   void drain(Duration take_new);
   bool drained() const;
+  // Takes a copy of a client's connection and what was read of a request that is not whole; false: it can't just now.
+  using Heir = std::function<bool(int descriptor, std::string_view bytes)>;
+  // From now on each connection goes to the heir whenever no whole request is on it; none: they are kept again.
+  void set_heir(Heir heir);
+  void offer_all();  // those that could not go before
+  // A connection that another process has passed on, with what it had read. Owns the descriptor.
+  void take_over(int descriptor, std::string bytes);
+  // Where it is kept what was read of a request that is not whole: only then can that pass on.
+  void keep_partial() { keeps_partial_ = true; }
+  void set_most(std::size_t sessions);
   // For as long as it is set: answers end their connections and those that idle are closed soon, but all that comes is served.
   void set_aside(bool aside);
   bool aside() const { return aside_.has_value(); }
@@ -245,12 +261,14 @@
   std::vector<ListenerPtr> listeners_;
   std::array<Sessions, kStages> stages_;
   std::size_t size_ = 0;
-  bool leaving() const { return draining_ || aside_; }  // no connection is kept
+  bool leaving() const { return (draining_ || aside_) && !heir_; }  // no connection is kept
   bool draining_ = false, sweeps_ = false;
   bool waits_ = false;  // some listener goes on when a session ends
   Time last_accept_{};
   Duration take_new_{};  // while draining
   std::optional<Time> aside_;  // since when
+  Heir heir_;
+  bool shares_address_ = false, keeps_partial_ = false;
 };
 
 class Clients::Listener {
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -73,6 +73,7 @@
 inline constexpr std::size_t
     kOwnDescriptors = 28;                     // standard streams, epoll, timer, signals, listener, discovery
 inline constexpr std::size_t kAdminDescriptors = 20;  // the operators' door: listener, callers, and a spare
+inline constexpr std::size_t kSpareDescriptors = 4;   // of a process that gives way: for further attempts of what is open
 inline constexpr double kClientShare = 0.55;  // of the rest; the servers get what is left
 
 // ---- Memory -----------------------------------------------------------------------------------------
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -8,6 +8,7 @@
 #include "admin/server.hpp"
 #include "facts.hpp"
 #include "node_config.hpp"
+#include "succession/replacement.hpp"
 #ifdef DOCKLIFT_WITH_DAEMON
 #include "daemon/command_line.hpp"
 #endif
@@ -85,17 +86,21 @@
     const auto config = read_node_config(platform_file());
     Node node(io, config);
     Reload reload(io, node);
+    std::optional<docklift::succession::Replacement> replacement;
+    if (config.admin)
+      replacement.emplace(io, node, config.listen, config.descriptors, docklift::succession::meeting_place(config.listen));
     asio::signal_set signals(io, SIGTERM, SIGINT);
     asio::basic_waitable_timer<Clock::Steady, asio::wait_traits<Clock::Steady>, Executor> last(io.get_executor());
     signals.async_wait([&](const error_code& failed, int) {
       if (failed) return;
+      if (replacement) replacement->told_to_stop();
       node.drain([&io] { io.stop(); });
       last.expires_after(node.stop_limit());
       last.async_wait([&node](const error_code& stopped) {
         if (!stopped) node.answer_remaining(facts::kAfterStop);
       });
     });
-    docklift::admin::NodeProcess process(node);
+    docklift::admin::NodeProcess process(node, [&] { return !replacement || replacement->serves(); });
     std::optional<docklift::admin::Server> door;
     try {
       if (config.admin) door.emplace(io, node.timers(), *config.admin, process);
@@ -103,7 +108,7 @@
       throw FieldError(std::string("field 'admin': ") + x.code().message());
     }
     try {
-      node.start();
+      replacement ? replacement->start() : node.start();
     } catch (const boost::system::system_error& x) {
       throw FieldError(std::string("field 'listen': ") + x.code().message());
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,8 +7,11 @@
 namespace snowknot {
 namespace {
 
+std::size_t own_descriptors(const NodeConfig& c) {
+  return facts::kOwnDescriptors + facts::kCounterLinks + (c.admin ? facts::kAdminDescriptors : 0);
+}
 std::size_t for_peers(const NodeConfig& c) {
-  const auto own = facts::kOwnDescriptors + facts::kCounterLinks + (c.admin ? facts::kAdminDescriptors : 0);
+  const auto own = own_descriptors(c);
   return c.descriptors > own ? c.descriptors - own : 1;
 }
 std::size_t for_clients(const NodeConfig& c) {
@@ -57,6 +60,22 @@
   wait_until_drained();
 }
 
+void Node::set_descriptors(std::size_t limit) {
+  config_.descriptors = limit;
+  clients_.set_most(within_memory(config_, for_clients(config_)));
+  upstream_.set_most(within_memory(config_, for_peers(config_) - for_clients(config_)));
+}
+
+std::size_t Node::descriptors_held() {
+  upstream_.drop_all_idle();
+  return own_descriptors(config_) + clients_.size() + upstream_.size() + facts::kSpareDescriptors;
+}
+
+void Node::hold_to(std::size_t descriptors) {
+  const auto taken = own_descriptors(config_) + clients_.size();
+  upstream_.set_most(descriptors > taken ? descriptors - taken : 0);
+}
+
 Duration Node::stop_limit() const {
   Duration longest{};
   for (const auto& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -79,6 +79,11 @@
   // While set aside the node is not ready for new clients and keeps no connection, but serves all that comes.
   void set_aside(bool aside) { clients_.set_aside(aside); }
   void count_send() { ++tally_.sends; }
+  // A new limit of descriptors, shared out as at the start.
+  void set_descriptors(std::size_t limit);
+  // What is held, and some for what is open; and to keep to that, for one that accepts no more. Connections to servers that idle go.
+  std::size_t descriptors_held();
+  void hold_to(std::size_t descriptors);
   std::size_t open_requests() const { return open_.size(); }
 
  private:
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -365,6 +365,16 @@
   for (const auto& c : idle) c->close(Outcome::reset);
 }
 
+void Upstream::set_most(std::size_t connections) {
+  most_connections_ = connections;
+  while (connections_ > most_connections_ && make_room()) {
+  }
+}
+
+void Upstream::drop_all_idle() {
+  for (auto& [id, p] : pools_) drop_idle(id);
+}
+
 // Gives up the connection that has idled longest, at whatever server.
 bool Upstream::make_room() {
   Pool* at = nullptr;
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -114,6 +114,8 @@
   void probe(ServerId server);
   void cancel(RequestId request, std::uint32_t attempt);
   std::size_t size() const { return connections_; }
+  void set_most(std::size_t connections);  // of those beyond it the ones that idle go now
+  void drop_all_idle();
   // An attempt that a carrier has begun has ended.
   void carried(const Errand& errand, Outcome outcome);
   bool may_start(const Errand& errand) const;
