--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -93,7 +93,6 @@
     asio::basic_waitable_timer<Clock::Steady, asio::wait_traits<Clock::Steady>, Executor> last(io.get_executor());
     signals.async_wait([&](const error_code& failed, int) {
       if (failed) return;
-      if (replacement) replacement->told_to_stop();
       node.drain([&io] { io.stop(); });
       last.expires_after(node.stop_limit());
       last.async_wait([&node](const error_code& stopped) {
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -95,7 +95,7 @@
   struct Owner {
     virtual bool still_wanted(RequestId request) const = 0;  // its client still waits
     virtual void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) = 0;
-    virtual void attempt_written() = 0;  // whole
+    virtual void attempt_written() {}  // whole
     virtual void probe_ended(const Errand& errand, Outcome outcome) = 0;
 
    protected:
--- a/src/succession/replacement.cpp
+++ b/src/succession/replacement.cpp
@@ -293,6 +293,4 @@
   });
 }
 
-void Replacement::told_to_stop() { old_.told_to_stop(); }
-
 }  // namespace docklift::succession
--- a/src/succession/replacement.hpp
+++ b/src/succession/replacement.hpp
@@ -29,7 +29,6 @@
   // address can't be bound and nobody helps.
   void start();
   bool serves() const { return new_.serves(); }
-  void told_to_stop();
 
  private:
   class Channel;
--- a/src/succession/succession.cpp
+++ b/src/succession/succession.cpp
@@ -59,7 +59,7 @@
   const auto was = state_;
   state_ = State::alone;
   promised_ = limit_;
-  if (was != State::yielded || stopping_) return {};
+  if (was != State::yielded) return {};
   return {Incumbency::accept_again};
 }
 
--- a/src/succession/succession.hpp
+++ b/src/succession/succession.hpp
@@ -3,7 +3,7 @@
 //
 // What holds at any time, whatever is lost or comes twice (tests/succession_test.cpp):
 // - from the first moment on some live process accepts, or has the listening socket and will: the running one stops only after the new
-//   one has said that it serves, and goes on if that one ends before the running one was told to stop;
+//   one has said that it serves, and accepts again if that one ends;
 // - a connection of a client is passed on only to one that serves;
 // - what both may hold of descriptors together never passes the limit: the running one promises, the new one takes what is left.
 #pragma once
@@ -53,7 +53,6 @@
   std::vector<Incumbency> asked(std::size_t version);  // a hello has come
   std::vector<Incumbency> successor_serves();
   std::vector<Incumbency> successor_ended();  // its channel has ended
-  void told_to_stop() { stopping_ = true; }
   // What it holds now, once it accepts nothing any more.
   std::vector<Incumbency> holds(std::size_t descriptors);
 
@@ -63,7 +62,6 @@
  private:
   enum class State { alone, offered, yielded };
   State state_ = State::alone;
-  bool stopping_ = false;
   std::size_t limit_, promised_;
 };
 
