Long answers are relayed piece by piece, long requests streamed, slow ones waited for

Change: ServerConnection relays an answer once it is long (AnswerSource, Asker::begin), one piece ahead of its client; a request of more than 64 KiB goes to the streams whatever its class; a client's time counts from its request's last byte, and a body has a time of its own behind its head. What a request's head says is read in request_reader.cpp. Streams are counted among the figures. Found while building: a read that is pending points into the buffer, so nothing may be consumed from it meanwhile (ServerConnection::deliver); an answer may come before the handler of the request's write, and is parsed after it now, else its whole length was set aside.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -411,7 +411,8 @@
 
   TableSizes sizes() const {
     TableSizes n{requests_.size(), book_.leases.size(), servers_.size(), book_.calls.size(), alarms_.size()};
-    for (const auto& [id, s] : servers_) n.listed += s.listed, n.avoided += s.listed && (!s.ready() || ejected(s));
+    for (const auto& [id, s] : servers_)
+      n.listed += s.listed, n.avoided += s.listed && (!s.ready() || ejected(s));
     return n;
   }
 
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -2,208 +2,19 @@
 
 #include <algorithm>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
 #include <cstdio>
-#include <stdexcept>
 
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "facts.hpp"
+#include "request_reader.hpp"
 
 namespace snowknot {
 namespace {
 
 using std::string_view;
 
-struct BadRequest : std::runtime_error {
-  BadRequest(http::status s, const std::string& why) : std::runtime_error(why), status(s) {}
-  http::status status;
-};
-[[noreturn]] void bad(const std::string& what) { throw BadRequest(http::status::bad_request, what); }
-
-template <class Number>
-Number whole(string_view text, const char* what, int base = 10) {
-  Number n{};
-  const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), n, base);
-  if (failed != std::errc{} || end != text.data() + text.size()) bad(std::string(what) + " is not a number");
-  return n;
-}
-
-// Digits and at most one point: no sign, no exponent, no name of a number.
-double decimal(string_view text, const char* what) {
-  double n = 0;
-  const auto plain = text.find_first_not_of("0123456789.") == string_view::npos;
-  const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), n,
-                                             std::chars_format::fixed);
-  if (!plain || failed != std::errc{} || end != text.data() + text.size())
-    bad(std::string(what) + " is not a number");
-  return n;
-}
-
-bool visible(string_view text) {
-  return std::ranges::all_of(text, [](char c) { return c > ' ' && c <= '~'; });
-}
-
-string_view trimmed(string_view s) {
-  while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) s.remove_prefix(1);
-  while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
-  return s;
-}
-
-// The value under a key in a list of key=value pairs.
-std::optional<string_view> pair_value(string_view list, char separator, string_view key) {
-  while (!list.empty()) {
-    const auto part = trimmed(list.substr(0, list.find(separator)));
-    list.remove_prefix(std::min(list.size(), list.find(separator)));
-    if (!list.empty()) list.remove_prefix(1);
-    if (const auto eq = part.find('='); eq != string_view::npos && part.substr(0, eq) == key)
-      return part.substr(eq + 1);
-  }
-  return std::nullopt;
-}
-
-using Fields = http::request<http::string_body>;
-
-string_view header(const Fields& f, string_view name) {
-  const auto [first, last] = f.equal_range({name.data(), name.size()});
-  if (first == last) bad(std::string(name) + " is missing");
-  if (std::next(first) != last) bad(std::string(name) + " stands there twice");
-  const auto v = first->value();
-  if (v.empty()) bad(std::string(name) + " is empty");
-  return {v.data(), v.size()};
-}
-
-template <class Named>
-std::uint32_t index_of(const std::vector<Named>& all, string_view name, const char* what) {
-  const auto it = std::ranges::find(all, name, &Named::name);
-  if (it == all.end()) bad(std::string(what) + " is unknown");
-  return static_cast<std::uint32_t>(it - all.begin());
-}
-
-CustomerId customer(const Fields& f) {
-  const auto value = pair_value(header(f, "Cookie"), ';', "client");
-  if (!value || value->size() != facts::kCustomerDigits) bad("the cookie names no client");
-  const auto n = whole<std::uint64_t>(*value, "the cookie's client", 16);
-  if (n >= facts::kCustomersBelow) bad("the cookie's client is out of range");
-  return CustomerId(n);
-}
-
-void read_quota(const Fields& f, const Settings& s, Arrival& a) {
-  const auto list = header(f, "X-Quota");
-  const auto part = [&](const char* key) {
-    const auto value = pair_value(list, ',', key);
-    if (!value) bad(std::string("X-Quota has no ") + key);
-    return *value;
-  };
-  a.units = decimal(part("units"), "X-Quota units");
-  if (!(a.units > 0 && a.units <= s.max_units)) bad("X-Quota units is out of range");
-  a.gateways = whole<std::uint32_t>(part("spread"), "X-Quota spread");
-  if (a.gateways == 0 || a.gateways > s.fleet_size) bad("X-Quota spread is out of range");
-  if (whole<std::uint32_t>(part("first"), "X-Quota first") >= s.fleet_size) bad("X-Quota first");
-}
-
-string_view first_part(string_view target) {
-  if (target.empty() || target.front() != '/') return {};
-  target.remove_prefix(1);
-  return target.substr(0, target.find_first_of("/?"));
-}
-
-// Of the requests that are counted: those for the path of a class.
-std::optional<ClassIndex> class_of(string_view target, const Settings& s) {
-  const auto it = std::ranges::find(s.classes, first_part(target), &RequestClass::name);
-  if (it == s.classes.end()) return std::nullopt;
-  return ClassIndex(static_cast<std::uint32_t>(it - s.classes.begin()));
-}
-
-// Of a request for another protocol's path: who asks, and until when.
-FrontRequest read_front_request(Fields& f, const Settings& s, Time began) {
-  FrontRequest r;
-  r.target = f.target();
-  r.plan = PlanIndex(index_of(s.plans, header(f, "X-Plan"), "the plan"));
-  r.customer = customer(f);
-  const auto timeout = whole<std::uint64_t>(header(f, "X-Timeout-Ms"), "X-Timeout-Ms");
-  if (timeout == 0 || timeout > facts::kMostTimeoutMs) bad("X-Timeout-Ms is out of range");
-  r.began = began, r.deadline = began + std::chrono::milliseconds(timeout);
-  if (f.count("X-Quota") > 0) {
-    const auto spread = pair_value(header(f, "X-Quota"), ',', "spread");
-    if (!spread) bad("X-Quota has no spread");
-    r.gateways = whole<std::uint32_t>(*spread, "X-Quota spread");
-    if (r.gateways == 0 || r.gateways > s.fleet_size) bad("X-Quota spread is out of range");
-  }
-  if (f.count("X-Retried") > 0) {
-    if (header(f, "X-Retried") != "1") bad("X-Retried is not 1");
-    r.is_retry = true;
-  }
-  r.id = header(f, "X-Request-ID");
-  if (r.id.size() > facts::kMostId || !visible(r.id)) bad("X-Request-ID is too long or can't be read");
-  if (f.count("Idempotency-Key") > 0) r.key = header(f, "Idempotency-Key");
-  if (r.key.size() > facts::kMostId || !visible(r.key)) bad("Idempotency-Key is too long or can't be read");
-  if (f.count("X-Docklift-Cost") > 0) {
-    if (header(f, "X-Docklift-Cost") != "dry-run") bad("X-Docklift-Cost is not dry-run");
-    r.dry_run = true;
-  }
-  r.method = f.method();
-  r.content_type = f[http::field::content_type];
-  r.accept = f[http::field::accept];
-  r.body = std::move(f.body());
-  return r;
-}
-
-// `longest`: for one that is streamed, in place of its class's deadline.
-ClientRequest read_request(Fields& f, const Settings& s, Time began, std::optional<Duration> longest = std::nullopt) {
-  ClientRequest r;
-  const string_view target(f.target().data(), f.target().size());
-  const auto path_class = first_part(target);
-  if (std::ranges::find(s.classes, path_class, &RequestClass::name) == s.classes.end())
-    throw BadRequest(http::status::not_found, "no such path");
-  auto& a = r.arrival;
-  const auto cls = index_of(s.classes, header(f, "X-Priority-Class"), "the class");
-  if (s.classes[cls].name != path_class) bad("the path and X-Priority-Class differ");
-  a.request_class = ClassIndex(cls);
-  a.plan = PlanIndex(index_of(s.plans, header(f, "X-Plan"), "the plan"));
-  a.customer = customer(f);
-  const auto timeout = whole<std::uint64_t>(header(f, "X-Timeout-Ms"), "X-Timeout-Ms");
-  if (timeout == 0 || timeout > facts::kMostTimeoutMs) bad("X-Timeout-Ms is out of range");
-  const Duration wait = std::chrono::milliseconds(timeout);
-  r.deadline = began + std::min(wait, longest.value_or(s.classes[cls].deadline));  // nobody waits longer than that
-  read_quota(f, s, a);
-  if (f.count("X-Retried") > 0) {
-    if (header(f, "X-Retried") != "1") bad("X-Retried is not 1");
-    a.is_retry = true;
-  }
-  r.id = header(f, "X-Request-ID");
-  if (r.id.size() > facts::kMostId || !visible(r.id)) bad("X-Request-ID is too long or can't be read");
-  const auto effect = s.classes[cls].effect;
-  const bool keyed = f.count("Idempotency-Key") > 0;
-  if (f.method() != (effect == Effect::safe ? http::verb::get : http::verb::post))
-    throw BadRequest(http::status::method_not_allowed, "the method does not go with the class");
-  if (keyed != (effect == Effect::keyed)) bad("Idempotency-Key does not go with the class");
-  if (keyed) r.key = header(f, "Idempotency-Key");
-  if (r.key.size() > facts::kMostId || !visible(r.key)) bad("Idempotency-Key is too long or can't be read");
-  if (effect == Effect::safe && !f.body().empty()) bad("a body does not go with the class");
-  r.method = f.method();
-  r.target = target;
-  if (const auto it = f.find(http::field::content_type); it != f.end()) r.content_type = it->value();
-  r.body = std::move(f.body());
-  return r;
-}
-
-// Where a message ends must not be in doubt: what is passed on could hide another request. Beast refuses most
-// of that itself; these are the forms that it lets through.
-void check_framing(const Fields& f) {
-  const auto codings = f.count(http::field::transfer_encoding),
-             lengths = f.count(http::field::content_length);
-  if (codings > 0 && lengths > 0) bad("Content-Length and Transfer-Encoding");
-  if (codings > 1 || (codings == 1 && !boost::beast::iequals(f[http::field::transfer_encoding], "chunked")))
-    bad("Transfer-Encoding is not chunked");
-  const auto length = f[http::field::content_length];
-  if (lengths > 1 || length.find_first_not_of("0123456789") != string_view::npos ||
-      lengths != !length.empty())
-    bad("Content-Length is not a number");
-  if (f.version() != 11 && (f.version() != 10 || codings > 0)) bad("the version of HTTP");
-}
-
 Duration limit_of(ClientSession::Stage stage) {
   using Stage = ClientSession::Stage;
   switch (stage) {
@@ -287,6 +98,7 @@
   if (!parser_) {
     parser_.emplace();
     partial_.clear();
+    continued_ = false;
     parser_->header_limit(facts::kMostHeader);
     parser_->body_limit(facts::kMostBody);
     if (clients_.streams_) parser_->body_limit(boost::none);  // until it is known whether it is streamed
@@ -312,6 +124,8 @@
       } catch (const BadRequest& x) {
         return reject(x.status, x.what());
       }
+      head_bytes_ = partial_.size() + all.size() - buffer_.size();
+      if (stage_ == Stage::coming || stage_ == Stage::fresh) enter(Stage::coming);  // its body has a time of its own
       if (clients_.streams_ && pass_on()) return;
       if (boost::beast::iequals(head[http::field::expect], "100-continue") && !parser_->is_done()) {
         // Small enough for any socket's buffer; if it is lost the client sends its body after a while.
@@ -319,12 +133,14 @@
         error_code ignored;
         socket_.non_blocking(true, ignored);
         socket_.write_some(asio::buffer(go_on.data(), go_on.size()), ignored);
+        continued_ = true;
       }
     }
     if (failed == http::error::need_more) break;
   }
   if (parser_->is_done()) return take_request();
   if (clients_.keeps_partial_) partial_ += all.substr(0, all.size() - buffer_.size());
+  if (clients_.streams_ && parser_->get().body().size() > facts::kMostBody && pass_on_late()) return;
   if (buffer_.size() > facts::kMostHeader)
     reject(http::status::bad_request, "the request can't be read");  // a chunk's head without end, say
 }
@@ -336,12 +152,31 @@
   auto& head = parser_->get();
   const string_view target(head.target().data(), head.target().size());
   if (!streams.takes(first_part(target))) {
+    const bool is_long = parser_->content_length().value_or(0) > facts::kMostBody;
+    if (is_long && streams.takes_long()) return pass_to_streams(true, rest(), false);
     parser_->eager(true);
-    parser_->body_limit(facts::kMostBody);
-    if (parser_->content_length().value_or(0) <= facts::kMostBody) return false;
+    // One in chunks goes over when it has become long.
+    if (!streams.takes_long() || !clients_.keeps_partial_) parser_->body_limit(facts::kMostBody);
+    if (!is_long) return false;
     reject(http::status::payload_too_large, "the body is too large");
     return true;
   }
+  return pass_to_streams(false, rest(), false);
+}
+
+// With all that has come of its body.
+bool ClientSession::pass_on_late() {
+  return pass_to_streams(true, partial_.substr(head_bytes_) + rest(), continued_);
+}
+
+std::string ClientSession::rest() const {
+  return {static_cast<const char*>(buffer_.data().data()), buffer_.size()};
+}
+
+// True: the connection is theirs, or its request is answered.
+bool ClientSession::pass_to_streams(bool by_platform, std::string rest, bool continued) {
+  auto& streams = *clients_.streams_;
+  auto& head = parser_->get();
   StreamHead out;
   out.body.coding = parser_->chunked() ? docklift::stream::Coding::chunked
                     : parser_->content_length().value_or(0) > 0 ? docklift::stream::Coding::length
@@ -350,11 +185,18 @@
   out.keep_alive = parser_->keep_alive() && !clients_.leaving();
   out.old_client = head.version() == 10;
   const auto expects = head[http::field::expect];
-  out.expects_continue = boost::beast::iequals(expects, "100-continue");
+  out.expects_continue = boost::beast::iequals(expects, "100-continue") && !continued;
   const auto& settings = clients_.settings_;
   try {
-    if (!expects.empty() && !out.expects_continue) throw BadRequest(http::status::expectation_failed, "Expect");
-    out.request = read_request(head, settings, began_, streams.longest());
+    if (!expects.empty() && !boost::beast::iequals(expects, "100-continue")) throw BadRequest(http::status::expectation_failed, "Expect");
+    const Time now = clients_.timers_.now();
+    if (by_platform) {
+      out.request = read_request(head, settings, now);
+      out.patience = out.request.deadline - now;
+      out.request.deadline = now + streams.longest();
+    } else {
+      out.request = read_request(head, settings, began_, streams.longest());
+    }
     const auto effect = settings.classes[static_cast<std::size_t>(out.request.arrival.request_class)].effect;
     if (effect == Effect::safe && out.body.coding != docklift::stream::Coding::none) bad("a body does not go with the class");
     if (out.body.coding == docklift::stream::Coding::chunked && streams.requires_length())
@@ -373,8 +215,7 @@
   std::optional<std::uint64_t> length = out.body.length;
   if (out.body.coding == docklift::stream::Coding::chunked) length.reset();
   a.units = streams.units_of(a.units, length);
-  a.time_left = out.request.deadline - clients_.timers_.now();
-  std::string rest(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  a.time_left = out.patience ? *out.patience + streams.allowance(length) : out.request.deadline - clients_.timers_.now();
   buffer_.clear();
   parser_.reset();
   const auto self = shared_from_this();
@@ -387,6 +228,7 @@
   auto message = parser_->release();
   parser_.reset();
   keep_alive_ = message.keep_alive();
+  old_client_ = message.version() == 10;
   dropped_ = 0;
   if (buffer_.size() > 0) {
     keep_alive_ = true;
@@ -409,7 +251,8 @@
       if (stage_ == Stage::waiting) request_ = number;
       return;
     }
-    auto request = read_request(message, clients_.settings_, began_);
+    // Its client's time counts from the last byte: it may have taken seconds to write.
+    auto request = read_request(message, clients_.settings_, clients_.timers_.now());
     request.arrival.time_left = request.deadline - clients_.timers_.now();
     class_ = request.arrival.request_class;
     const auto number = clients_.owner_.arrived(std::move(request), shared_from_this());
@@ -439,6 +282,61 @@
   if (stage_ == Stage::waiting) write(answer);
 }
 
+// What is told to be long is on its way from the first byte on, and its time is that of that byte.
+bool ClientSession::begin(const LongHead& head, std::shared_ptr<AnswerSource> source) {
+  if (stage_ != Stage::waiting) return false;
+  enter(Stage::writing);
+  if (clients_.leaving()) keep_alive_ = false;
+  chunked_out_ = !head.length && !old_client_;
+  if (!head.length && old_client_) keep_alive_ = false;  // it ends with its connection
+  out_ = "HTTP/1.1 200 OK\r\n";
+  if (!head.content_type.empty()) out_ += "Content-Type: " + head.content_type + "\r\n";
+  if (head.length) out_ += "Content-Length: " + std::to_string(*head.length) + "\r\n";
+  if (chunked_out_) out_ += "Transfer-Encoding: chunked\r\n";
+  if (!keep_alive_) out_ += "Connection: close\r\n";
+  else if (old_client_) out_ += "Connection: keep-alive\r\n";
+  out_ += "\r\n";
+  source_ = std::move(source);
+  source_->want();
+  return true;
+}
+
+void ClientSession::piece(string_view bytes, bool last) {
+  if (closed() || !source_) return;
+  if (chunked_out_ && !bytes.empty()) out_ += docklift::stream::chunk_head(bytes.size());
+  out_ += bytes;
+  if (chunked_out_ && !bytes.empty()) out_ += "\r\n";
+  if (chunked_out_ && last) out_ += docklift::stream::last_chunk();
+  asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this(), last](const error_code& failed, std::size_t) {
+    self->on_piece_written(failed, last);
+  });
+}
+
+void ClientSession::on_piece_written(const error_code& failed, bool last) {
+  out_.clear();
+  if (closed()) return;
+  if (failed) return close();
+  if (!last) {
+    enter(Stage::writing);  // its time counts anew with each piece
+    if (source_) source_->want();
+    return;
+  }
+  source_.reset();
+  out_.shrink_to_fit();
+  finished(static_cast<int>(http::status::ok));
+}
+
+// With a reset, so that the client can tell that it is not whole.
+void ClientSession::cut() {
+  if (closed()) return;
+  request_ = 0;
+  source_.reset();
+  if (class_) clients_.tally_.ended(static_cast<std::size_t>(*class_), static_cast<int>(http::status::bad_gateway));
+  error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  close();
+}
+
 void ClientSession::write(const Answer& answer) {
   enter(Stage::writing);
   if (clients_.leaving()) keep_alive_ = false;
@@ -464,7 +362,12 @@
   response_ = {};
   if (closed()) return;
   if (failed) return close();
-  if (const auto cls = std::exchange(class_, std::nullopt)) clients_.tally_.ended(static_cast<std::size_t>(*cls), static_cast<int>(status));
+  finished(static_cast<int>(status));
+}
+
+// The last byte of an answer of that status is written.
+void ClientSession::finished(int status) {
+  if (const auto cls = std::exchange(class_, std::nullopt)) clients_.tally_.ended(static_cast<std::size_t>(*cls), status);
   if (!keep_alive_) {
     // Only the sending side: a reset for bytes still unread here would take the answer with it.
     error_code ignored;
@@ -487,6 +390,7 @@
   close_now(socket_);
   clients_.forget(*this, std::exchange(stage_, Stage::closed));
   if (request != 0) clients_.owner_.client_gone(request);
+  if (const auto source = std::exchange(source_, nullptr)) source->drop();
 }
 
 bool ClientSession::quiet() const {
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -57,11 +57,28 @@
   std::optional<double> units_charged{};  // X-Units-Charged of an app server, where it is asked for
 };
 
+// Gives the rest of an answer that is passed on as it comes, a piece when it is wanted.
+class AnswerSource {
+ public:
+  virtual ~AnswerSource() = default;
+  virtual void want() = 0;  // one piece more
+  virtual void drop() = 0;  // nobody takes it any more
+};
+struct LongHead {
+  std::string content_type;
+  std::optional<std::uint64_t> length;  // bytes of the body; none: not known before its end
+};
+
 // Whoever waits for the one final answer of a request.
 class Asker {
  public:
   virtual ~Asker() = default;
   virtual void answer(const Answer& answer) = 0;
+  // In place of that: an answer begins, in pieces, each after a want(). False: it is not taken so. After the last piece answer()
+  // is still told, or cut() if the rest can't be had.
+  virtual bool begin(const LongHead&, std::shared_ptr<AnswerSource>) { return false; }
+  virtual void piece(std::string_view, bool /*last*/) {}
+  virtual void cut() {}
 };
 
 class ClientSession;
@@ -95,6 +112,7 @@
   docklift::stream::BodyKind body;
   double units_told = 1;  // by X-Quota
   bool keep_alive = true, expects_continue = false;
+  std::optional<Duration> patience;  // of its client, from the request's last byte to the answer's first; none: until the deadline
   bool old_client = false;  // speaks HTTP/1.0: no chunks, and the connection ends with the answer
 };
 // Takes connections over at such a head, and gives them back with Clients::give_back() or says that they are lost().
@@ -102,12 +120,15 @@
  public:
   virtual ~Streams() = default;
   virtual bool takes(std::string_view class_name) const = 0;
+  virtual bool takes_long() const { return false; }  // what is longer than is held whole, of any class
+  virtual Duration allowance(const std::optional<std::uint64_t>& /*length*/) const { return {}; }  // for such a one to come whole
   virtual Duration longest() const = 0;  // for a request and its answer whole
   virtual std::uint64_t most_request() const = 0;
   virtual bool requires_length() const = 0;
   virtual std::optional<Duration> no_room() const = 0;  // how long to stay away, if there is none
   virtual double units_of(double told, const std::optional<std::uint64_t>& length) const = 0;
   virtual void take(Socket socket, StreamHead head, std::string rest) = 0;
+  virtual std::size_t current() const { return 0; }  // requests that have come whole
   virtual void end_all() = 0;  // what is open is answered for, or cut, now
 };
 
@@ -123,6 +144,9 @@
 
   void start();
   void answer(const Answer& answer) override;  // the final answer of the request that is out
+  bool begin(const LongHead& head, std::shared_ptr<AnswerSource> source) override;
+  void piece(std::string_view bytes, bool last) override;
+  void cut() override;
   void close();
   // Nothing of a request has come and none is out: it can be closed without loss.
   bool idle() const { return stage_ == Stage::idle || (stage_ == Stage::fresh && !parser_); }
@@ -145,11 +169,16 @@
   void pass_to_heir();
   void take_request();
   bool pass_on();
+  bool pass_on_late();
+  std::string rest() const;  // what has come and is not parsed
+  bool pass_to_streams(bool by_platform, std::string rest, bool continued);
   void slim();
   // Answers what can't be parsed, or is no longer taken, and ends the session.
   void reject(http::status status, const std::string& why, Duration retry_after = {});
   void write(const Answer& answer);
   void on_written(const error_code& failed);
+  void on_piece_written(const error_code& failed, bool last);
+  void finished(int status);
   void enter(Stage stage);
 
   Clients& clients_;
@@ -157,6 +186,11 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::string partial_;  // what the parser has taken of a request that is not whole, where that is kept
+  std::size_t head_bytes_ = 0;  // of that, the head
+  bool continued_ = false;      // the client was told to send its body
+  std::shared_ptr<AnswerSource> source_;  // of the answer that is being passed on
+  std::string out_;                       // of it: head, piece and framing
+  bool chunked_out_ = false, old_client_ = false;
   http::response<http::string_body> response_;
   Stage stage_ = Stage::closed;
   std::list<std::shared_ptr<ClientSession>>::iterator place_;  // among those at the same stage
@@ -223,8 +257,8 @@
   // Ends what doesn't wait for an answer, at once. Of what something has come is told when to come back.
   void end_unanswered(Duration retry_after);
   std::size_t size() const { return size_; }
-  // Requests that have come whole and whose answer's last byte is not written; without those that are streamed.
-  std::size_t current() const { return at(Stage::waiting).size() + at(Stage::writing).size(); }
+  // Requests that have come whole and whose answer's last byte is not written.
+  std::size_t current() const { return at(Stage::waiting).size() + at(Stage::writing).size() + (streams_ ? streams_->current() : 0); }
   // Not owned; it has to outlive all sessions.
   void set_front(Front* front) { front_ = front; }
   void set_streams(Streams* streams) { streams_ = streams; }
--- a/src/node/facts.hpp
+++ b/src/node/facts.hpp
@@ -33,7 +33,11 @@
 inline constexpr std::uint64_t kMostTimeoutMs = 1000ULL * 60 * 60;
 inline constexpr Duration
     kSlowRequest = 2500ms;                    // a request must have come whole: an error is owed within 3 s
-inline constexpr Duration kSlowReader = 5s;   // and an answer must have been taken
+inline constexpr Duration kSlowReader = 10s;  // and an answer must have been taken, or a piece of a long one
+// Long answers, where they are passed on
+inline constexpr std::size_t kPiece = 32 * 1024;  // read at once, and held of each
+inline constexpr Duration kHoldAnswer = 250ms;    // one in chunks is held so long at most, in the hope that it is whole
+inline constexpr Duration kServerPause = 10s;     // of the server, before the answer is cut
 inline constexpr Duration kLinger = 1s;       // for a client to take an answer that ends its connection
 inline constexpr Duration kIdleClient = 15s;  // a session with no request for so long is closed
 inline constexpr Duration kMayClose = 2s;     // and so early where room is needed, as the protocol allows
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -8,6 +8,7 @@
 #include "admin/server.hpp"
 #include "facts.hpp"
 #include "node_config.hpp"
+#include "stream/front.hpp"
 #include "succession/replacement.hpp"
 #ifdef DOCKLIFT_WITH_DAEMON
 #include "daemon/command_line.hpp"
@@ -99,6 +100,12 @@
         if (!stopped) node.answer_remaining(facts::kAfterStop);
       });
     });
+    std::optional<docklift::stream::StreamFront> streams;
+    if (config.admin) {
+      node.pass_on_long_answers();
+      streams.emplace(io, node, docklift::stream::platform_options(config.memory));
+      node.serve_streams(&*streams);
+    }
     docklift::admin::NodeProcess process(node, [&] { return !replacement || replacement->serves(); });
     std::optional<docklift::admin::Server> door;
     try {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -88,7 +88,7 @@
   if (front_) front_->stop(retry_after);
   std::vector<RequestId> waiting;
   for (const auto& [id, o] : open_)
-    if (o.session) waiting.push_back(id);
+    if (o.session && !o.relayed) waiting.push_back(id);
   for (const auto id : waiting) {
     const auto it = open_.find(id);
     if (it == open_.end()) continue;
@@ -149,7 +149,7 @@
   const Time now = timers_.now();
   std::vector<RequestId> late;
   for (const auto& [id, o] : open_)
-    if (o.session && now > o.message->deadline + facts::kSweep) late.push_back(id);
+    if (o.session && !o.relayed && now > o.message->deadline + facts::kSweep) late.push_back(id);
   for (const auto id : late) carry_out(Fail{id});
   timers_.after(facts::kSweep, [this] { watch_open(); });
 }
@@ -202,6 +202,31 @@
   happened(e);
 }
 
+// To the module it waits from now on: its server has done its work, and what is taken of the answer is the client's pace.
+bool Node::answer_begins(const Errand& errand, const LongHead& head, std::shared_ptr<AnswerSource> source) {
+  const auto it = open_.find(errand.request);
+  if (it == open_.end() || !it->second.session) return false;
+  const auto session = it->second.session;
+  it->second.relayed = true;
+  happened(StreamStarted{errand.request, errand.attempt});
+  happened(AttemptWaits{errand.request, errand.attempt, true});
+  return session->begin(head, std::move(source));
+}
+
+void Node::answer_piece(const Errand& errand, std::string_view bytes, bool last) {
+  const auto it = open_.find(errand.request);
+  if (it == open_.end() || !it->second.session) return;
+  const auto session = it->second.session;
+  session->piece(bytes, last);
+}
+
+// Its client has had its one answer, and can tell that it is not whole.
+void Node::answer_cut(const Errand& errand) {
+  const auto it = open_.find(errand.request);
+  if (it == open_.end()) return;
+  if (const auto session = std::exchange(it->second.session, nullptr)) session->cut();
+}
+
 void Node::probe_ended(const Errand& errand, Outcome outcome) {
   happened(ProbeEnded{errand.server, outcome, timers_.now() - errand.began, std::nullopt});
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -61,6 +61,8 @@
   void abandon(std::uint64_t request) { client_gone(request); }
   // Requests whose bodies are streamed. Not owned.
   void serve_streams(Streams* streams) { clients_.set_streams(streams); }
+  // Answers longer than what is held whole are passed on as they come.
+  void pass_on_long_answers() { upstream_.pass_on_long_answers(); }
   // Of a carrier: its attempt's answer has begun; its server waits for bytes; it has ended; and whether its first byte may still be written.
   void stream_started(const Errand& errand) { happened(StreamStarted{errand.request, errand.attempt}); }
   void attempt_waits(const Errand& errand, bool waits) { happened(AttemptWaits{errand.request, errand.attempt, waits}); }
@@ -79,6 +81,7 @@
   // While set aside the node is not ready for new clients and keeps no connection, but serves all that comes.
   void set_aside(bool aside) { clients_.set_aside(aside); }
   void count_send() { ++tally_.sends; }
+  void count_ended(std::size_t cls, int status) { tally_.ended(cls, status); }
   // A new limit of descriptors, shared out as at the start.
   void set_descriptors(std::size_t limit);
   // What is held, and some for what is open; and to keep to that, for one that accepts no more. Connections to servers that idle go.
@@ -91,6 +94,7 @@
     std::shared_ptr<Asker> session;  // none: it has its final answer, or its client has gone
     std::shared_ptr<const ClientRequest> message;
     std::uint32_t attempts = 0, out = 0;
+    bool relayed = false;  // its final answer has begun
   };
 
   bool ready() const override;
@@ -99,6 +103,9 @@
   bool still_wanted(RequestId request) const override;
   void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) override;
   void attempt_written() override { count_send(); }
+  bool answer_begins(const Errand& errand, const LongHead& head, std::shared_ptr<AnswerSource> source) override;
+  void answer_piece(const Errand& errand, std::string_view bytes, bool last) override;
+  void answer_cut(const Errand& errand) override;
   void probe_ended(const Errand& errand, Outcome outcome) override;
   void list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries);
 
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -129,13 +129,14 @@
   expect_answer();
   interim_ = 0;
   stage_ = Stage::writing;
-  broken_ = false;
+  broken_ = parked_ = false;
   http::async_write(socket_, request_, [self = shared_from_this()](const error_code& failed, std::size_t) {
     if (self->stage_ != Stage::writing) return;
     if (failed) return self->close(Outcome::connect_failed);  // it broke before the last byte was written
     self->stage_ = Stage::waiting;
     if (self->errand_ && self->errand_->message) self->upstream_.owner_.attempt_written();
-    if (self->broken_) self->broke();
+    if (self->broken_) return self->broke();
+    if (std::exchange(self->parked_, false)) self->parse();
   });
 }
 
@@ -144,6 +145,9 @@
   parser_->header_limit(facts::kMostHeader);
   parser_->body_limit(facts::kMostBody);
   parser_->eager(true);
+  if (!upstream_.relays_ || !errand_ || !errand_->message) return;
+  parser_->eager(false);  // whether it is long shows in its head
+  parser_->body_limit(boost::none);
 }
 
 bool ServerConnection::quiet() {
@@ -155,34 +159,46 @@
 }
 
 void ServerConnection::read() {
-  if (stage_ == Stage::closed) return;
-  socket_.async_read_some(buffer_.prepare(facts::kReadSize),
+  if (stage_ == Stage::closed || std::exchange(reads_, true)) return;
+  const auto most = stage_ == Stage::relaying ? facts::kPiece : facts::kReadSize;
+  socket_.async_read_some(buffer_.prepare(most),
                           [self = shared_from_this()](const error_code& failed, std::size_t bytes) {
                             self->on_read(failed, bytes);
                           });
 }
 
 void ServerConnection::on_read(const error_code& failed, std::size_t bytes) {
+  reads_ = false;
   if (stage_ == Stage::closed) return;
   // On a connection that idles there is nothing to read but its end.
   if (stage_ == Stage::idle) return close(Outcome::reset);
   if (failed) return broke();
   buffer_.commit(bytes);
+  if (stage_ == Stage::relaying) return deliver();
+  // Looked at when the write has ended: it may be long, and be answered by then.
+  if (upstream_.relays_ && stage_ == Stage::writing) return void(parked_ = true);
+  parse();
+}
+
+void ServerConnection::parse() {
   error_code wrong;
   while (!parser_->is_done() && buffer_.size() > 0) {
+    const bool had_head = parser_->is_header_done();
     buffer_.consume(parser_->put(buffer_.data(), wrong));
-    if (wrong == http::error::need_more) {
-      wrong = {};
-      break;
-    }
+    const bool short_of_bytes = wrong == http::error::need_more;
+    if (short_of_bytes) wrong = {};
     // Where an answer would end with its connection, nobody can tell whether it is whole.
     if (wrong || (parser_->is_header_done() && parser_->need_eof())) return broke();
+    if (!had_head && parser_->is_header_done()) parser_->eager(true);
     // An interim answer (1xx) is followed by the final one.
     if (parser_->is_done() &&
         http::to_status_class(parser_->get().result()) == http::status_class::informational) {
       if (++interim_ > facts::kMostInterim) return broke();
       expect_answer();
+    } else if (upstream_.relays_ && parser_->is_header_done() && is_long()) {
+      return relay();
     }
+    if (short_of_bytes) break;
   }
   if (!parser_->is_done()) return read();
   // What was answered before it was asked is not the answer. The request may be written by now all the same.
@@ -190,6 +206,96 @@
   finish();
 }
 
+// Past what is held whole; of a probe, or of an answer that is no good, only the head counts.
+bool ServerConnection::is_long() {
+  if (parser_->is_done() || !errand_ || !errand_->message || stage_ != Stage::waiting) return false;
+  if (!parser_->chunked()) return parser_->content_length().value_or(0) > facts::kMostBody;
+  if (!hold_)
+    hold_ = upstream_.timers_.after(facts::kHoldAnswer, [self = shared_from_this()] {
+      self->hold_.reset();
+      if (self->stage_ == Stage::waiting && self->parser_ && !self->parser_->is_done()) self->relay();
+    });
+  return parser_->get().body().size() > facts::kMostBody;
+}
+
+// From here on the answer is on its way, and can't be another's any more.
+void ServerConnection::relay() {
+  const auto& head = parser_->get();
+  upstream_.timers_.cancel(hold_);
+  if (head.result() != http::status::ok) {  // what it says is all in its head
+    const auto outcome = outcome_of(head);
+    return close(outcome);
+  }
+  stage_ = Stage::relaying;
+  upstream_.timers_.cancel(limit_);
+  left_.reset();
+  if (!parser_->chunked()) left_ = *parser_->content_length();
+  errand_->took = upstream_.timers_.now() - errand_->began;
+  wanted_ = false, delivers_ = true;
+  const auto type = head[http::field::content_type];
+  if (!upstream_.owner_.answer_begins(*errand_, {{type.data(), type.size()}, left_}, shared_from_this())) return close(Outcome::cancelled);
+  delivers_ = false;
+  if (wanted_) deliver();
+}
+
+void ServerConnection::want() {
+  if (stage_ != Stage::relaying || std::exchange(wanted_, true)) return;
+  if (!delivers_) deliver();
+}
+
+void ServerConnection::limit_pause() {
+  upstream_.timers_.cancel(limit_);
+  limit_ = upstream_.timers_.after(facts::kServerPause, [self = shared_from_this()] {
+    self->limit_.reset();
+    self->upstream_.owner_.answer_cut(*self->errand_);
+    self->close(Outcome::timeout);
+  });
+}
+
+// What has been read goes on, if it is wanted; else it waits, and nothing more is read. While a read is pending the buffer stays as it
+// is: then nothing but what the parser holds goes.
+void ServerConnection::deliver() {
+  if (!wanted_) return;
+  upstream_.timers_.cancel(limit_);
+  std::string bytes;
+  bool last = false;
+  if (left_) {
+    const auto n = static_cast<std::size_t>(std::min<std::uint64_t>(*left_, buffer_.size()));
+    bytes.assign(static_cast<const char*>(buffer_.data().data()), n);
+    buffer_.consume(n);
+    *left_ -= n;
+    last = *left_ == 0;
+  } else {
+    error_code wrong;
+    while (!reads_ && !parser_->is_done() && buffer_.size() > 0) {
+      buffer_.consume(parser_->put(buffer_.data(), wrong));
+      if (wrong == http::error::need_more) break;
+      if (wrong) return broke();
+    }
+    bytes = std::exchange(parser_->get().body(), {});
+    last = parser_->is_done();
+  }
+  if (last && !beyond_doubt()) return broke();
+  if (bytes.empty() && !last) {
+    limit_pause();
+    return read();
+  }
+  wanted_ = false;
+  delivers_ = true;
+  upstream_.owner_.answer_piece(*errand_, bytes, last);
+  delivers_ = false;
+  if (last && stage_ == Stage::relaying) {
+    const bool keep = parser_->get().keep_alive() && buffer_.size() == 0;
+    if (!keep) {
+      stage_ = Stage::closed;
+      close_now(socket_);
+    }
+    end(Outcome::ok, {http::status::ok, {}, {}, {}, {}});
+    return read();
+  }
+  if (wanted_) deliver();
+}
+
 // Bytes behind an answer are either more of the server's (a second copy) or the rest of a body whose length was
 // told too short. Only what begins like an answer shows that the body before it was whole.
 bool ServerConnection::beyond_doubt() const {
@@ -207,6 +313,7 @@
     socket_.cancel(ignored);
     return;
   }
+  if (stage_ == Stage::relaying) upstream_.owner_.answer_cut(*errand_);
   close(Outcome::reset);
 }
 
@@ -236,6 +343,7 @@
 void ServerConnection::end(Outcome outcome, Answer answer) {
   const auto self = shared_from_this();
   upstream_.timers_.cancel(limit_);
+  upstream_.timers_.cancel(hold_);
   if (const auto idled = std::exchange(idled_, std::nullopt)) {
     const bool broke = (outcome == Outcome::reset || outcome == Outcome::connect_failed) &&
                        !parser_->got_some();
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -50,7 +50,8 @@
 
 class Upstream;
 
-class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+// An attempt whose answer is long passes it on in pieces, and reads no more than one ahead of whoever takes it.
+class ServerConnection : public AnswerSource, public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(Upstream& upstream, asio::io_context& io, ServerId server);
 
@@ -62,14 +63,21 @@
   Time since() const { return since_; }
   ServerId server() const { return server_; }
   const std::optional<Errand>& errand() const { return errand_; }
+  void want() override;
+  void drop() override { close(Outcome::cancelled); }
 
  private:
-  enum class Stage { connecting, writing, waiting, idle, closed };
+  enum class Stage { connecting, writing, waiting, relaying, idle, closed };
 
   void start();
   void expect_answer();
+  bool is_long();
+  void relay();
+  void deliver();
+  void limit_pause();
   void read();
   void on_read(const error_code& failed, std::size_t bytes);
+  void parse();
   bool beyond_doubt() const;
   void broke();
   void finish();
@@ -87,6 +95,10 @@
   bool broken_ = false;            // the other side has gone or answered while a request was being written
   std::optional<Duration> idled_;  // before the request that is out
   int interim_ = 0;                // interim answers to the request that is out
+  Timers::Handle hold_;            // until an answer in chunks is passed on though it is not whole
+  std::optional<std::uint64_t> left_;  // relaying: bytes that are still to come, where that was told
+  bool wanted_ = false, reads_ = false, delivers_ = false;
+  bool parked_ = false;  // bytes of an answer have come while the request was being written
   Time since_{};
 };
 
@@ -96,6 +108,10 @@
     virtual bool still_wanted(RequestId request) const = 0;  // its client still waits
     virtual void attempt_ended(const Errand& errand, Outcome outcome, Answer answer) = 0;
     virtual void attempt_written() {}  // whole
+    // A long answer begins; false: nobody takes it so. Then its pieces; cut: the rest can't be had. The attempt's end comes as ever.
+    virtual bool answer_begins(const Errand&, const LongHead&, std::shared_ptr<AnswerSource>) { return false; }
+    virtual void answer_piece(const Errand&, std::string_view, bool /*last*/) {}
+    virtual void answer_cut(const Errand&) {}
     virtual void probe_ended(const Errand& errand, Outcome outcome) = 0;
 
    protected:
@@ -114,6 +130,7 @@
   void probe(ServerId server);
   void cancel(RequestId request, std::uint32_t attempt);
   std::size_t size() const { return connections_; }
+  void pass_on_long_answers() { relays_ = true; }
   void set_most(std::size_t connections);  // of those beyond it the ones that idle go now
   void drop_all_idle();
   // An attempt that a carrier has begun has ended.
@@ -145,6 +162,7 @@
   Owner& owner_;
   std::unordered_map<ServerId, Pool> pools_;
   ReuseRecord reuse_;
+  bool relays_ = false;
 };
 
 }  // namespace snowknot
--- a/src/stream/front.cpp
+++ b/src/stream/front.cpp
@@ -89,6 +89,19 @@
 
 }  // namespace
 
+StreamOptions platform_options(std::size_t memory) {
+  constexpr std::size_t kPart = 6;  // of the memory, for bodies; the state of streams takes as much again at most
+  StreamOptions o;
+  o.any_class = true;
+  o.memory = std::max<std::size_t>(memory / kPart, 4 * kSlabBytes);
+  o.most_streams = std::max<std::size_t>(1, std::min<std::size_t>(o.memory / (2 * kSlabBytes), 400));
+  o.limits.window = 64 << 10, o.limits.low = 32 << 10, o.limits.prefix = 32 << 10;
+  o.limits.most_request = o.limits.most_answer = 64 << 20;
+  o.request = {.least_rate = 32 << 10, .window = 6s, .stall = 4s};  // of a client that sends 64 KB a second
+  o.answer = o.take = {.least_rate = 0, .window = 10s, .stall = 10s};
+  return o;
+}
+
 std::size_t memory_bound(const StreamOptions& o) { return o.memory + o.most_streams * kStateBytes + kScratch; }
 
 // ---- One stream -------------------------------------------------------------------------------------------
@@ -115,6 +128,8 @@
   void begin() {
     set_buffers(client_, front_.options_.socket_buffer);
     deadline_ = head_.request.deadline;
+    patience_ = head_.patience;
+    class_ = static_cast<std::size_t>(head_.request.arrival.request_class);
     auto request = std::move(head_.request);
     if (front_.options_.bytes_per_unit > 0 && head_.body.coding == Coding::chunked) {
       const double told = head_.units_told;
@@ -178,6 +193,7 @@
   // The drain limit has passed, or the front ends.
   void end() { tell(Happened::fail); }
   bool over() const { return exchange_.over() && !telling_; }
+  bool whole() const { return whole_; }
   PipeId pipe(bool reply) const { return PipeId{2 * std::uint64_t{place_} + (reply ? 1 : 0)}; }
   auto giver(bool reply) {
     return [this, reply](SlabPtr s) { front_.budget_.give(pipe(reply), std::move(s)); };
@@ -254,12 +270,14 @@
       case Do::cut_client:
         ++front_.counts_.cut;
         reset(client_);
+        if (std::exchange(answers_, false)) front_.node_.count_ended(class_, 502);
         return front_.node_.front().lost();
       case Do::close_client: return give_back(false);
       case Do::return_client: return give_back(!extra_ && !head_.old_client);
       case Do::tell_started: return front_.node_.stream_started(*errand_);
       case Do::tell_waits:
       case Do::tell_works:
+        if (a.what == Do::tell_works) front_.node_.count_send();
         if (errand_) front_.node_.attempt_waits(*errand_, a.what == Do::tell_waits);
         return;
       case Do::tell_ended: {
@@ -274,6 +292,7 @@
   }
 
   void give_back(bool keep) {
+    front_.node_.count_ended(class_, answers_ ? 200 : static_cast<int>(answer_.status));
     error_code ignored;
     client_.cancel(ignored);
     front_.node_.front().give_back(std::move(client_), keep ? std::exchange(early_, {}) : std::string(), keep);
@@ -351,6 +370,8 @@
     const auto self = shared_from_this();
     const bool was = std::exchange(telling_, true);
     events_.push_back({Happened::client_bytes, n});
+    if (status == BodyDecoder::Status::done) whole_ = true;
+    if (status == BodyDecoder::Status::done && patience_) deadline_ = front_.node_.timers().now() + *patience_;
     if (status == BodyDecoder::Status::done) events_.push_back({Happened::client_end, 0});
     if (status == BodyDecoder::Status::bad) events_.push_back({Happened::client_bad, 0});
     telling_ = was;
@@ -439,6 +460,8 @@
     return text;
   }
   void answer_head() {
+    answers_ = true;
+    if (patience_) deadline_ = front_.node_.timers().now() + front_.options_.longest;  // from here on only progress counts
     reply_head_ = status_line(http::status::ok);
     if (!reply_type_.empty()) reply_head_ += "Content-Type: " + reply_type_ + "\r\n";
     if (reply_kind_.coding == Coding::length || reply_kind_.coding == Coding::none)
@@ -639,6 +662,7 @@
   SlabQueue upload_queue_, reply_queue_;
   std::uint64_t number_ = 0, came_ = 0;
   snowknot::Time deadline_{};
+  std::optional<snowknot::Duration> patience_;
   std::string reply_head_, reply_type_, server_head_;
   std::optional<Errand> errand_;
   snowknot::Tcp::endpoint to_;
@@ -652,6 +676,8 @@
   bool client_reads_ = false, client_writes_ = false, server_reads_ = false, server_writes_ = false;
   bool request_waits_ = false, reply_waits_ = false;  // for memory
   bool clears_ = false, extra_ = false, too_late_ = false;
+  bool answers_ = false, whole_ = false;  // a server's answer has begun; the request has come whole
+  std::size_t class_ = 0;
   std::deque<Event> events_;
   bool telling_ = false;
 };
@@ -676,11 +702,20 @@
 
 bool StreamFront::takes(std::string_view name) const { return std::ranges::find(options_.classes, name) != options_.classes.end(); }
 
+std::size_t StreamFront::current() const {
+  return static_cast<std::size_t>(std::ranges::count_if(streams_, [](const auto& s) { return s.second->whole(); }));
+}
+
 std::optional<snowknot::Duration> StreamFront::no_room() const {
   if (streams_.size() < options_.most_streams && budget_.room_for(2)) return std::nullopt;
   return options_.retry_after;
 }
 
+snowknot::Duration StreamFront::allowance(const std::optional<std::uint64_t>& length) const {
+  const auto rate = std::max<std::uint64_t>(1, options_.request.least_rate);
+  return options_.request.stall + std::chrono::seconds(length.value_or(options_.unknown_length) / rate);
+}
+
 double StreamFront::units_of(double told, const std::optional<std::uint64_t>& length) const {
   if (options_.bytes_per_unit == 0) return told;
   const auto bytes = static_cast<double>(length.value_or(options_.unknown_length));
--- a/src/stream/front.hpp
+++ b/src/stream/front.hpp
@@ -30,8 +30,12 @@
   std::uint64_t bytes_per_unit = 0;       // of a request's body; 0: only what X-Quota says
   bool require_length = false;  // a body whose length is not told is answered 411
   std::uint64_t unknown_length = 1 << 20; // counted for a body whose length is not told, until it has come
+  bool any_class = false;  // a body that is longer than the node holds whole, of any class: its client's patience counts from its end
 };
 
+// What the platform asks for long bodies, within its limit of memory (bytes).
+StreamOptions platform_options(std::size_t memory);
+
 // What all streams together hold at worst beside the sockets' buffers in the kernel, in bytes.
 std::size_t memory_bound(const StreamOptions& options);
 
@@ -43,6 +47,8 @@
   StreamFront& operator=(const StreamFront&) = delete;
 
   bool takes(std::string_view class_name) const override;
+  bool takes_long() const override { return options_.any_class; }
+  snowknot::Duration allowance(const std::optional<std::uint64_t>& length) const override;
   snowknot::Duration longest() const override { return options_.longest; }
   // Or how long to stay away.
   std::optional<snowknot::Duration> no_room() const override;
@@ -52,6 +58,7 @@
   void take(snowknot::Socket socket, snowknot::StreamHead head, std::string rest) override;
   void end_all() override;
 
+  std::size_t current() const override;
   std::size_t open() const { return streams_.size(); }
   const Budget& budget() const { return budget_; }
   struct Counts {
