--- a/tests/long_body_test.cpp
+++ b/tests/long_body_test.cpp
@@ -47,6 +47,17 @@
     w->send(ask(id));
     return w;
   }
+  // A client that has got the first part of a long answer; `held` is its server.
+  std::shared_ptr<Wire> client_of_half_an_answer() {
+    respond = [this](Wire& w, const std::string&) {
+      held = w.shared_from_this();
+      w.send("HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n" + text_of(100'000));
+    };
+    start();
+    const auto w = asked();
+    EXPECT_TRUE(loop.until([&] { return w->in.size() > 100'000; }));
+    return w;
+  }
   static std::string post(const std::string& framing, const std::string& id = "u1", const std::string& timeout = "2000") {
     return "POST /write HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: " + id +
            "\r\nX-Priority-Class: write\r\nX-Plan: p\r\nCookie: client=0000000000000007\r\nX-Timeout-Ms: " + timeout +
@@ -147,13 +158,7 @@
 }
 // It can't be finished: the client can tell, and nothing is sent again.
 TEST_F(LongBodyTest, ALongAnswerThatBreaksIsCut) {
-  respond = [&](Wire& w, const std::string&) {
-    held = w.shared_from_this();
-    w.send("HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n" + text_of(100'000));
-  };
-  start();
-  const auto w = asked();
-  ASSERT_TRUE(loop.until([&] { return w->in.size() > 100'000; }));
+  const auto w = client_of_half_an_answer();
   held->reset();
   EXPECT_TRUE(loop.until([&] { return w->ended; }));
   EXPECT_LT(w->in.size(), 200'000u);
@@ -161,13 +166,7 @@
   EXPECT_NE(said.find("\napp.sends=1\n"), std::string::npos);
 }
 TEST_F(LongBodyTest, AClientThatLeavesEndsTheAttempt) {
-  respond = [&](Wire& w, const std::string&) {
-    held = w.shared_from_this();
-    w.send("HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n" + text_of(100'000));
-  };
-  start();
-  const auto w = asked();
-  ASSERT_TRUE(loop.until([&] { return w->in.size() > 100'000; }));
+  const auto w = client_of_half_an_answer();
   w->close();
   EXPECT_TRUE(loop.until([&] { return held->ended; }));
 }
