A client that leaves at the end of a long answer ends nobody else's attempt

Found by reading the change again: - A session kept its source until its last write had ended, and dropped it when its client left (ClientSession::close); by then the connection to the server could be another request's, which ended as cancelled. The source goes with the last piece now, and a connection that relays nothing is not dropped.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -59,10 +59,10 @@
 void ClientSession::on_read(const error_code& failed, std::size_t bytes) {
   reads_ = false;
   if (closed()) return;
-  if (std::exchange(offered_, false) && reading() && (!failed || failed == asio::error::operation_aborted)) {
+  if (std::exchange(offered_, false) && (!failed || failed == asio::error::operation_aborted)) {
     buffer_.commit(bytes);
-    if (bytes > 0) parse();
-    if (reading()) pass_to_heir();
+    if (bytes > 0 && reading()) parse();
+    if (reading()) pass_to_heir();  // else its answer is under way, and it is offered again after that
     return read();
   }
   if (failed) return close();
@@ -309,6 +309,7 @@
   out_ += bytes;
   if (chunked_out_ && !bytes.empty()) out_ += "\r\n";
   if (chunked_out_ && last) out_ += docklift::stream::last_chunk();
+  if (last) source_.reset();
   asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this(), last](const error_code& failed, std::size_t) {
     self->on_piece_written(failed, last);
   });
@@ -323,7 +324,6 @@
     if (source_) source_->want();
     return;
   }
-  source_.reset();
   out_.shrink_to_fit();
   finished(static_cast<int>(http::status::ok));
 }
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -254,7 +254,6 @@
   void set_most(std::size_t sessions);
   // For as long as it is set: answers end their connections and those that idle are closed soon, but all that comes is served.
   void set_aside(bool aside);
-  bool aside() const { return aside_.has_value(); }
   // Ends what doesn't wait for an answer, at once. Of what something has come is told when to come back.
   void end_unanswered(Duration retry_after);
   std::size_t size() const { return size_; }
--- a/src/node/upstream.hpp
+++ b/src/node/upstream.hpp
@@ -64,7 +64,9 @@
   ServerId server() const { return server_; }
   const std::optional<Errand>& errand() const { return errand_; }
   void want() override;
-  void drop() override { close(Outcome::cancelled); }
+  void drop() override {
+    if (stage_ == Stage::relaying) close(Outcome::cancelled);  // else it is another errand's by now
+  }
 
  private:
   enum class Stage { connecting, writing, waiting, relaying, idle, closed };
--- a/src/succession/replacement.cpp
+++ b/src/succession/replacement.cpp
@@ -269,9 +269,9 @@
         note("the process that served in the place of this one has ended");
         node_.timers().cancel(holdings_);
         node_.front().set_heir({});
-        node_.set_descriptors(old_.promised());
         node_.front().serve(listener_);
         break;
+      case Incumbency::take_back: node_.set_descriptors(old_.promised()); break;
       case Incumbency::promise:
         node_.hold_to(old_.promised());
         if (successor_) successor_->send(promise(old_.promised()));
--- a/src/succession/succession.cpp
+++ b/src/succession/succession.cpp
@@ -59,8 +59,9 @@
   const auto was = state_;
   state_ = State::alone;
   promised_ = limit_;
-  if (was != State::yielded) return {};
-  return {Incumbency::accept_again};
+  if (was == State::yielded) return {Incumbency::take_back, Incumbency::accept_again};
+  if (was == State::offered) return {Incumbency::take_back};
+  return {};
 }
 
 std::vector<Incumbency> Incumbent::holds(std::size_t descriptors) {
--- a/src/succession/succession.hpp
+++ b/src/succession/succession.hpp
@@ -42,6 +42,7 @@
   refuse,          // close the channel: another one is being helped
   stop_accepting,  // and pass on every connection of a client as soon as that idles
   accept_again,    // and pass on nothing more
+  take_back,       // the whole limit of descriptors
   promise,         // what it holds has become less
 };
 
--- a/tests/succession_test.cpp
+++ b/tests/succession_test.cpp
@@ -30,7 +30,9 @@
   EXPECT_EQ(i.asked(kVersion + 1), std::vector{Incumbency::refuse});
   EXPECT_EQ(i.asked(kVersion), std::vector{Incumbency::give_listener});
   EXPECT_EQ(i.asked(kVersion), std::vector{Incumbency::refuse});
-  EXPECT_TRUE(i.successor_ended().empty());  // it never served: nothing was stopped
+  EXPECT_LT(i.promised(), kLimit);
+  EXPECT_EQ(i.successor_ended(), std::vector{Incumbency::take_back});  // it never served: nothing else was stopped
+  EXPECT_EQ(i.promised(), kLimit);
   EXPECT_EQ(i.asked(kVersion), std::vector{Incumbency::give_listener});
 }
 TEST(Successor, ServesAtOnceWhereNobodyRuns) {
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -18,6 +18,15 @@
   void attempt_ended(const Errand& e, Outcome o, Answer a) override {
     ends.push_back({e, o, std::move(a), upstream.size()});
   }
+  bool answer_begins(const Errand&, const LongHead&, std::shared_ptr<AnswerSource> s) override {
+    source = std::move(s);
+    source->want();
+    return true;
+  }
+  void answer_piece(const Errand&, std::string_view bytes, bool last) override {
+    relayed += bytes.size();
+    if (!last) source->want();
+  }
   void probe_ended(const Errand& e, Outcome o) override { ends.push_back({e, o, {}, upstream.size()}); }
 
   void send(Duration timeout = 10s, std::string body = "", ServerId server = ServerId(1)) {
@@ -48,11 +57,37 @@
   Clock clock;
   Timers timers{loop.io, clock};
   std::vector<End> ends;
+  std::shared_ptr<AnswerSource> source;  // of the last long answer
+  std::size_t relayed = 0;               // bytes of it
   bool wanted = true;
   std::uint64_t sent = 0;
   Upstream upstream{loop.io, timers, 250ms, 30s, 4, *this};
 };
 
+// Whose answer was passed on has nothing to do any more with the connection, which is another's by now.
+TEST_F(UpstreamTest, ATakerThatGoesAfterTheLastPieceIsNobodyElsesMatter) {
+  upstream.pass_on_long_answers();
+  bool answering = true;
+  std::shared_ptr<Wire> at;
+  Peer server(loop.io, [&](Wire& w) {
+    if (w.message().empty()) return;
+    at = w.shared_from_this();
+    if (answering) w.send(http_answer("200 OK", std::string(100'000, 'x')));
+  });
+  upstream.update(ServerId(1), server.at(), true);
+  send();
+  ASSERT_TRUE(loop.until([&] { return ends.size() == 1; }));
+  EXPECT_EQ(relayed, 100'000u);
+  answering = false, at.reset();
+  send();
+  ASSERT_TRUE(loop.until([&] { return at != nullptr; }));
+  EXPECT_EQ(server.wires.size(), 1u);  // on the same connection
+  source->drop();
+  at->send(http_answer("200 OK", "second"));
+  ASSERT_TRUE(loop.until([&] { return ends.size() == 2; }));
+  EXPECT_EQ(ends[1].outcome, Outcome::ok);
+}
+
 TEST_F(UpstreamTest, OkCarriesTheBodyUnchanged) {
   const std::string body("\0\r\n\xff longish", 12);
   const auto e = outcome(answers(http_answer("200 OK", body)));
