Nodes talk with each other where the operator's file says so; processes under faults

Change: src/peers/station (UDP in the node's one loop, a store of counts that stands between the module and its store, the list of servers looked at before the module), [peers] and [admin] in the operator's file, GET /_fleet at the door. rigs/faults: relays for UDP and TCP, a fleet of processes with a fault on any link. Without [peers] there is no station, socket or timer; Node asks one null pointer at each list.

--- a/rigs/faults/world.cpp
+++ b/rigs/faults/world.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <sstream>
 
+#include "links.hpp"
 #include "members/random.hpp"
 
 namespace docklift::faults {
@@ -70,6 +71,7 @@
     double total = 0;       // that the store should have had after it
     double stored = 0;      // and had
     double amount = 0;
+    double in_records = 0;  // what had been handed back in records alone
     Instant executed{};
     bool done = false;
   };
@@ -101,6 +103,7 @@
     double ever = 0;        // what all its lives together carried out
     double after_loss = 0;  // of that since the last loss
     double maybe = 0;       // carried out or not, nobody was told
+    double in_records = 0;  // handed back in records alone
     double handed = 0;      // taken off again, lately told or not
     Instant told_at{-10'000'000'000};  // again
   };
@@ -227,22 +230,11 @@
     ++verdict_.datagrams, verdict_.bytes += bytes.size();
     fingerprint_ = mixed(fingerprint_ ^ from, bytes.data(), std::min<std::size_t>(bytes.size(), 16));
     if (to >= nodes_.size()) return;
-    double loss = options_.noise ? 0.005 : 0, twice = options_.noise ? options_.repeats : 0;
-    auto takes = of(0.0002 + random_.part() * 0.0018);
-    for (const auto& f : schedule_.faults) {
-      if (!active(f)) continue;
-      const bool a = names(f, from), b = names(f, to);
-      if (f.kind == Kind::cut && a != b) return;
-      if (f.kind == Kind::deaf && !a && b) return;
-      if (!a && !b) continue;
-      if (f.kind == Kind::loss) loss = std::max(loss, f.amount);
-      if (f.kind == Kind::repeat) twice = std::max(twice, f.amount);
-      if (f.kind == Kind::delay) takes += of(random_.part() * f.amount / 1000);
-    }
-    if (random_.chance(loss)) return;
+    const auto takes = of(0.0002 + random_.part() * 0.0018);
+    const Noise noise{options_.noise ? 0.005 : 0, options_.noise ? options_.repeats : 0};
     const auto shared = std::make_shared<std::string>(std::move(bytes));
-    at(now_ + takes, [this, to, shared] { deliver(to, *shared); });
-    if (random_.chance(twice)) at(now_ + takes + of(random_.part() * 3), [this, to, shared] { deliver(to, *shared); });
+    for (const auto more : ways(schedule_.faults, to_s(now_), from, to, noise, random_))
+      at(now_ + takes + of(more), [this, to, shared] { deliver(to, *shared); });
   }
   void deliver(std::size_t to, const std::string& bytes) {
     auto& n = nodes_[to];
@@ -289,7 +281,8 @@
     const auto takes = of(0.0005 + random_.part() * 0.001 + slow * (0.5 + random_.part()));
     n.store_busy = std::max(n.store_busy, now_ + takes);  // one connection: in order
     // Units of before a loss are handed back in the records alone.
-    if (!tells && asked_ < add.amount) counts_[add.name].ever += asked_ - add.amount, counts_[add.name].handed += add.amount - asked_;
+    if (!tells && asked_ < add.amount) counts_[add.name].ever += asked_ - add.amount, counts_[add.name].handed += add.amount - asked_,
+          counts_[add.name].in_records += add.amount - asked_;
     const bool lost = random_.chance(0.01);
     const auto sent = now_;
     auto call = std::make_shared<Truth>();
@@ -304,7 +297,7 @@
         c.ever += add.amount, c.after_loss += add.amount;
         if (add.amount < 0) c.handed -= add.amount;
       }
-      call->total = c.ever, call->stored = c.in_store, call->executed = now_, call->done = true;
+      call->total = c.ever, call->in_records = c.in_records, call->stored = c.in_store, call->executed = now_, call->done = true;
     });
     const auto back = n.store_busy + of(0.0005 + random_.part() * 0.001);
     n.store_busy = back;
@@ -339,7 +332,7 @@
     if (began <= n.lost_at) return;
     // Not less than all have really added, or this window's bound is gone.
     const auto& c = counts_[a.name];
-    const double lacks = t.total - a.total;
+    const double lacks = t.total - (c.in_records - t.in_records) - a.total;
     if (lacks > kSlop) {
       const bool heard = n.heard >= last_loss_ || last_loss_ < Instant(0);
       if (heard && t.executed > last_loss_)
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -3,7 +3,7 @@
 # Boost under the plain name.
 set -eu
 missing=""
-for package in cmake g++ make nlohmann-json3-dev libtomlplusplus-dev libcli11-dev libssl-dev "$@"; do
+for package in cmake g++ make nlohmann-json3-dev libtomlplusplus-dev libcli11-dev libssl-dev libsodium-dev libxxhash-dev "$@"; do
   dpkg -s "$package" >/dev/null 2>&1 || missing="$missing $package"
 done
 update=""
--- a/src/admin/door.cpp
+++ b/src/admin/door.cpp
@@ -9,8 +9,9 @@
   std::string_view path, method;
   Call call;
 };
-constexpr std::array<Path, 4> kPaths{{{"/_ready", "GET", Call::ready},
+constexpr std::array<Path, 5> kPaths{{{"/_ready", "GET", Call::ready},
                                       {"/_vars", "GET", Call::figures},
+                                      {"/_fleet", "GET", Call::fleet},
                                       {"/_lameduck/on", "POST", Call::drain},
                                       {"/_lameduck/off", "POST", Call::resume}}};
 
@@ -49,6 +50,10 @@
   switch (call) {
     case Call::ready: return process.serves() ? Reply{200, "ready\n"} : Reply{503, "not ready\n"};
     case Call::figures: return {200, shown(process.figures())};
+    case Call::fleet: {
+      auto all = process.fleet();
+      return all.empty() ? Reply{404, "this node has no peers\n"} : Reply{200, std::move(all), "application/json"};
+    }
     case Call::drain: process.set_aside(true); return {200, "draining\n"};
     case Call::resume: process.set_aside(false); return {200, "serving\n"};
   }
--- a/src/admin/door.hpp
+++ b/src/admin/door.hpp
@@ -10,11 +10,12 @@
 
 namespace docklift::admin {
 
-enum class Call { ready, figures, drain, resume };
+enum class Call { ready, figures, drain, resume, fleet };
 
 struct Reply {
   int status = 200;
-  std::string body;  // text/plain
+  std::string body;  // text/plain, or of `type`
+  std::string type = "text/plain";
 };
 
 // A call by its method and path, or why it is none: 404 for a path that is not known, 405 for the wrong method.
@@ -44,6 +45,7 @@
   virtual bool serves() const = 0;
   virtual Figures figures() const = 0;
   virtual void set_aside(bool aside) = 0;  // idempotent
+  virtual std::string fleet() const { return {}; }  // JSON; empty: this node has no peers
 };
 Reply carry_out(Call call, Process& process);
 
--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -89,7 +89,7 @@
     });
     const auto why = http::obsolete_reason(static_cast<http::status>(reply.status));
     out_ = "HTTP/1.1 " + std::to_string(reply.status) + " " + std::string(why.data(), why.size()) +
-           "\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: " + std::to_string(reply.body.size()) +
+           "\r\nContent-Type: " + reply.type + "\r\nConnection: close\r\nContent-Length: " + std::to_string(reply.body.size()) +
            "\r\n\r\n" + reply.body;
     asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](const error_code& failed, std::size_t) {
       if (self->ended_) return;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -17,11 +17,17 @@
 #include <sstream>
 #include <system_error>
 
+#include "admin/node_process.hpp"
+#include "admin/server.hpp"
 #include "daemon/parts.hpp"
 #include "daemon/sections.hpp"
 #include "daemon/system.hpp"
 #include "node_config.hpp"
 #include "graphql/sections.hpp"
+#ifdef DOCKLIFT_WITH_PEERS
+#include "peers/sections.hpp"
+#include "peers/station.hpp"
+#endif
 #include "stream/sections.hpp"
 #include "redis/sections.hpp"
 
@@ -35,7 +41,7 @@
 using snowknot::shown;
 using snowknot::Tcp;
 
-constexpr std::chrono::milliseconds kReadyPoll{20}, kEndAfterChannel{200};
+constexpr std::chrono::milliseconds kReadyPoll{20}, kEndAfterChannel{200}, kDoorAgain{200};
 
 // Words between a process and its successor: one a message, over a Unix socket that keeps messages apart.
 class Channel {
@@ -94,7 +100,12 @@
         inherited_(std::move(inherited)),
         timers_(io, clock_),
         notifier_(std::getenv("NOTIFY_SOCKET")),
+#ifdef DOCKLIFT_WITH_PEERS
+        station_(station_of(io)),
+        node_(io, platform_, guarded(store)),
+#else
         node_(io, platform_, store),
+#endif
         graphql_(graphql::front_of(config_, node_)),
         streams_(stream::front_of(config_, io_, node_)),
         life_(life_limits(config_), channel.has_value()),
@@ -104,6 +115,14 @@
         parts_{&listen_part_, &platform_part_} {
     if (graphql_) node_.serve_front(graphql_.get());
     if (streams_) node_.serve_streams(streams_.get());
+#ifdef DOCKLIFT_WITH_PEERS
+    if (station_) {
+      station_->serve(node_);
+      node_.set_list_view(&*station_);
+      node_.ready_with([this] { return station_->warm(); });
+    }
+#endif
+    if (const auto at = snowknot::endpoint_of(config_.text("admin.listen")); at && !channel) open_door(*at);
     signals_.add(SIGUSR2);
     signals_.add(SIGCHLD);
     await_signal();
@@ -118,6 +137,9 @@
   }
 
   void start() {
+#ifdef DOCKLIFT_WITH_PEERS
+    if (station_) station_->start();
+#endif
     tell(life::Begin{});
     watch_ready();
     watch_dog();
@@ -166,7 +188,12 @@
   }
 
   void watch_ready() {
-    if (node_.is_ready()) return tell(life::NodeReady{});
+    if (node_.is_ready()) {
+#ifdef DOCKLIFT_WITH_PEERS
+      if (station_) station_->state(peers::NodeState::serving);
+#endif
+      return tell(life::NodeReady{});
+    }
     timers_.after(kReadyPoll, [this] { watch_ready(); });
   }
 
@@ -267,6 +294,7 @@
   }
 
   void carry_out(const life::Accept&) {
+    if (const auto at = snowknot::endpoint_of(config_.text("admin.listen")); at && !door_) open_door(*at);
     if (!opened_.empty()) {
       for (const auto& l : std::exchange(opened_, {})) node_.front().serve(l);
       // Who waits on a listener that the file doesn't name any more is still answered.
@@ -283,6 +311,10 @@
     const auto all = node_.front().listeners();
     for (const auto& l : all) node_.front().leave(l);
     handed_over_ = true;
+    door_.reset();
+#ifdef DOCKLIFT_WITH_PEERS
+    if (station_) station_->leave();  // the successor has the name now
+#endif
   }
 
   void carry_out(const life::ReadFile& a) {
@@ -320,6 +352,9 @@
   void carry_out(const life::Apply&) {
     for (auto* part : parts_) part->commit();
     config_ = std::move(*next_);
+#ifdef DOCKLIFT_WITH_PEERS
+    if (station_) station_->set_seeds(config_.list("peers.seeds"));
+#endif
     next_.reset();
     life_.set_limits(life_limits(config_));
   }
@@ -366,6 +401,9 @@
   }
 
   void carry_out(const life::StartDrain& a) {
+#ifdef DOCKLIFT_WITH_PEERS
+    if (station_) station_->state(peers::NodeState::draining);
+#endif
     const auto take_new = a.take_new ? config_.duration("daemon.accept_after_stop") : snowknot::facts::kNewAfterTerm;
     node_.drain([this] { tell(life::Drained{}); }, take_new);
   }
@@ -381,11 +419,45 @@
   }
   void carry_out(const life::Log& a) { note(a.text); }
   void carry_out(const life::Exit& a) {
+#ifdef DOCKLIFT_WITH_PEERS
+    if (station_) station_->leave();
+#endif
     exit_code_ = a.code;
     ended_ = true;
     if (pid_file_ && !handed_over_ && opened_.empty()) pid_file_->remove();  // else it is another's
     io_.stop();
   }
+  // Another process may still have it: then it is tried again with the next thing that happens to the listeners.
+  void open_door(const Tcp::endpoint& at) {
+    try {
+      door_.emplace(io_, timers_, at, door_process_);
+    } catch (const boost::system::system_error& x) {
+      note("docklift: admin.listen " + shown(at) + ": " + x.code().message());
+      timers_.after(kDoorAgain, [this, at] {
+        if (!door_ && !ended_ && !handed_over_) open_door(at);
+      });
+    }
+  }
+#ifdef DOCKLIFT_WITH_PEERS
+  std::unique_ptr<peers::Station> station_of(asio::io_context& io) {
+    auto o = peers::station_options(config_, platform_);
+    return o ? std::make_unique<peers::Station>(io, timers_, std::move(*o), platform_.seed) : nullptr;
+  }
+  // Peers look at the calls to the platform's counter too, which the node makes by itself where there are none.
+  snowknot::StoreFactory guarded(const snowknot::StoreFactory& store) {
+    if (!station_ || (!store && !platform_.counter)) return store;
+    if (store) return station_->wrapped(store);
+    return station_->wrapped([at = *platform_.counter](asio::io_context& io, snowknot::Timers& timers, snowknot::Duration limit,
+                                                       snowknot::CountStore::Told told, const snowknot::CountStore::Lost&)
+                                 -> std::unique_ptr<snowknot::CountStore> {
+      return std::make_unique<snowknot::Counter>(io, timers, at, limit, std::move(told));
+    });
+  }
+  std::string fleet() const { return station_ ? station_->fleet() : std::string(); }
+#else
+  std::string fleet() const { return {}; }
+#endif
+
   asio::io_context& io_;
   DaemonOptions options_;
   Config config_;
@@ -395,7 +467,12 @@
   snowknot::Clock clock_;
   snowknot::Timers timers_;
   Notifier notifier_;
+#ifdef DOCKLIFT_WITH_PEERS
+  std::unique_ptr<peers::Station> station_;
+#endif
   snowknot::Node node_;
+  admin::NodeProcess door_process_{node_, {}, [this] { return fleet(); }};
+  std::optional<admin::Server> door_;
   std::unique_ptr<graphql::GraphqlFront> graphql_;
   std::unique_ptr<stream::StreamFront> streams_;
   Lifecycle life_;
--- a/src/daemon/sections.cpp
+++ b/src/daemon/sections.cpp
@@ -3,6 +3,9 @@
 #include "config/known_sections.hpp"
 #include "config/options.hpp"
 #include "graphql/sections.hpp"
+#ifdef DOCKLIFT_WITH_PEERS
+#include "peers/sections.hpp"
+#endif
 #include "redis/sections.hpp"
 #include "stream/sections.hpp"
 
@@ -58,6 +61,12 @@
   return s;
 }
 
+Section admin_section() {
+  return {.name = "admin",
+          .doc = "The operators' door.",
+          .options = {options::text("listen", Type::address, "", "Where it listens; empty: there is none.")}};
+}
+
 Section upgrade_section() {
   return {.name = "upgrade",
           .doc = "What SIGUSR2 does: start a successor that takes over the listeners.",
@@ -86,6 +95,10 @@
     Schema s;
     s.add(daemon_section()).add(listen_section()).add(upgrade_section());
     s.add(redis::store_section()).add(redis::redis_section()).add(graphql::graphql_section()).add(stream::stream_section());
+    s.add(admin_section());
+#ifdef DOCKLIFT_WITH_PEERS
+    s.add(peers::peers_section());
+#endif
     return s;
   }();
   return schema;
--- a/src/daemon/sections.hpp
+++ b/src/daemon/sections.hpp
@@ -9,6 +9,7 @@
 Section daemon_section();
 Section listen_section();
 Section upgrade_section();
+Section admin_section();
 
 LifeLimits life_limits(const Config& config);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -113,7 +113,9 @@
   timers_.after(facts::kAcceptPause, [this] { wait_until_drained(); });
 }
 
-bool Node::ready() const { return knows_servers_ && (!counter_ || counter_->tried()); }
+bool Node::ready() const {
+  return knows_servers_ && (!counter_ || counter_->tried()) && (!also_ready_ || also_ready_());
+}
 
 // ---- What happens -----------------------------------------------------------------------------------------
 
@@ -232,6 +234,13 @@
 }
 
 void Node::list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries) {
+  if (!view_) return take_list(kind, entries);
+  auto seen = entries;
+  view_->listed(kind, discovery_.revision(), seen);
+  take_list(kind, seen);
+}
+
+void Node::take_list(ListKind kind, const std::vector<Discovery::Entry>& entries) {
   ListUpdate update{kind, {}};
   for (const auto& e : entries) update.entries.push_back(e.info);
   if (kind != ListKind::changes) upstream_.retain(update.entries);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -34,6 +34,13 @@
   reading::NamedSettings named;
 };
 
+// Looks at each list before the module does, and may change what it says of servers.
+class ListView {
+ public:
+  virtual ~ListView() = default;
+  virtual void listed(ListKind kind, std::uint64_t revision, std::vector<Discovery::Entry>& entries) = 0;
+};
+
 class Node : private Clients::Owner, private Upstream::Owner {
  public:
   // Without a factory the counts are kept at the platform's counter.
@@ -53,6 +60,12 @@
   void answer_remaining(Duration retry_after);
   // It knows servers, and the counter has been tried.
   bool is_ready() const { return ready(); }
+  // Not ready before this says so, too.
+  void ready_with(std::function<bool()> also) { also_ready_ = std::move(also); }
+  // Not owned.
+  void set_list_view(ListView* view) { view_ = view; }
+  // Servers of the list otherwise than it has them, or as it has them again.
+  void retell(const std::vector<Discovery::Entry>& entries) { take_list(ListKind::changes, entries); }
   Clients& front() { return clients_; }
   // Another protocol on a path of its own, whose requests pass the module by way of ask(). Not owned.
   void serve_front(Front* front);
@@ -108,6 +121,7 @@
   void answer_cut(const Errand& errand) override;
   void probe_ended(const Errand& errand, Outcome outcome) override;
   void list_changed(ListKind kind, const std::vector<Discovery::Entry>& entries);
+  void take_list(ListKind kind, const std::vector<Discovery::Entry>& entries);
 
   void happened(Event event);
   void perform(const Action& action);
@@ -137,6 +151,8 @@
   bool knows_servers_ = false;
   std::function<void()> drained_;
   Front* front_ = nullptr;
+  ListView* view_ = nullptr;
+  std::function<bool()> also_ready_;
   Tally tally_;
   Upstream upstream_;
   std::unique_ptr<CountStore> counter_;
--- /dev/null
+++ b/src/peers/sections.hpp
@@ -0,0 +1,17 @@
+// The operator's section [peers].
+#pragma once
+
+#include <memory>
+
+#include "config/schema.hpp"
+#include "node.hpp"
+#include "peers/station.hpp"
+
+namespace docklift::peers {
+
+Section peers_section();
+
+// None where no address is named. Throws std::runtime_error for a key file that can't be read.
+std::optional<StationOptions> station_options(const Config& c, const snowknot::NodeConfig& platform);
+
+}  // namespace docklift::peers
--- /dev/null
+++ b/src/peers/station.cpp
@@ -0,0 +1,208 @@
+#include "peers/station.hpp"
+
+#include <algorithm>
+
+namespace docklift::peers {
+
+namespace asio = snowknot::asio;
+using snowknot::Discovery;
+using snowknot::error_code;
+using snowknot::ListKind;
+using snowknot::note;
+using snowknot::ServerId;
+
+namespace {
+
+constexpr std::chrono::milliseconds kBindAgain{50};
+constexpr std::size_t kMostAddresses = 8192;
+
+replica::Words::Entry word_of(const snowknot::ServerInfo& info) {
+  replica::Words::Entry e;
+  e.id = static_cast<std::uint32_t>(info.id);
+  if (info.started)
+    e.start = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(info.started->time_since_epoch()).count());
+  e.phase = info.phase == snowknot::Phase::ready      ? replica::ServerPhase::ready
+            : info.phase == snowknot::Phase::draining ? replica::ServerPhase::draining
+                                                      : replica::ServerPhase::gone;
+  return e;
+}
+
+// A line of log as a JSON object, so that many nodes' lines can be laid side by side.
+void print(Instant now, const std::string& node, const Out::Line& l) {
+  note(nlohmann::json{{"ms", now.count() / 1'000'000}, {"node", node}, {"room", l.room}, {"text", l.text}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+}  // namespace
+
+// Stands between the module and the store.
+class Station::Store : public snowknot::CountStore {
+ public:
+  Store(Station& station, Told to_module, Lost loss_to_module)
+      : told(std::move(to_module)), lost(std::move(loss_to_module)), station_(station) {
+    station_.store_ = this;
+  }
+  ~Store() override { station_.store_ = nullptr; }
+  void add(snowknot::CountName name, double amount, snowknot::Duration lifetime) override {
+    station_.carry_out(station_.peer_.add(station_.now(), name, amount, lifetime));
+  }
+  bool tried() const override { return inner->tried(); }
+  void move_to(const snowknot::Tcp::endpoint& at) override { inner->move_to(at); }
+
+  const Told told;
+  const Lost lost;
+  std::unique_ptr<snowknot::CountStore> inner;
+
+ private:
+  Station& station_;
+};
+
+Station::Station(asio::io_context& io, snowknot::Timers& timers, StationOptions options, std::uint64_t seed)
+    : io_(io), timers_(timers), options_(std::move(options)), peer_(options_.peer, seed), socket_(io.get_executor()) {}
+
+Station::~Station() {
+  timers_.cancel(tick_);
+  timers_.cancel(again_);
+}
+
+snowknot::StoreFactory Station::wrapped(snowknot::StoreFactory inner) {
+  return [this, inner = std::move(inner)](asio::io_context& io, snowknot::Timers& timers, snowknot::Duration limit,
+                                          snowknot::CountStore::Told told, snowknot::CountStore::Lost lost) {
+    auto store = std::make_unique<Store>(*this, std::move(told), std::move(lost));
+    store->inner = inner(
+        io, timers, limit, [this](const snowknot::CountAnswer& a) { carry_out(peer_.store_answered(now(), a)); },
+        [this](const snowknot::CountsLost& e) { carry_out(peer_.store_lost(now(), e)); });
+    return store;
+  };
+}
+
+// ---- The socket ---------------------------------------------------------------------------------------------
+
+void Station::start() { bind(); }
+
+void Station::bind() {
+  error_code failed;
+  const Udp::endpoint at(options_.listen.address(), options_.listen.port());
+  socket_.open(at.protocol(), failed);
+  if (!failed) socket_.bind(at, failed);
+  if (failed) {
+    if (!std::exchange(said_busy_, true)) note("peers: " + snowknot::shown(options_.listen) + ": " + failed.message() + "; tried again");
+    error_code ignored;
+    socket_.close(ignored);
+    again_ = timers_.after(kBindAgain, [this] {
+      again_.reset();
+      bind();
+    });
+    return;
+  }
+  socket_.non_blocking(true, failed);
+  open_ = true;
+  receive();
+  carry_out(peer_.begin(now()));
+}
+
+void Station::receive() {
+  socket_.async_receive_from(asio::buffer(space_), from_, [this](const error_code& failed, std::size_t bytes) {
+    if (failed == asio::error::operation_aborted || !open_) return;
+    if (!failed) carry_out(peer_.datagram(now(), {space_.data(), bytes}));
+    if (open_) receive();
+  });
+}
+
+std::optional<Station::Udp::endpoint> Station::endpoint_of(const std::string& address) {
+  const auto known = addresses_.find(address);
+  if (known != addresses_.end()) return known->second;
+  const auto at = snowknot::endpoint_of(address);
+  if (!at) return std::nullopt;
+  if (addresses_.size() >= kMostAddresses) addresses_.clear();
+  return addresses_.emplace(address, Udp::endpoint(at->address(), at->port())).first->second;
+}
+
+void Station::leave() {
+  if (std::exchange(left_, true)) return;
+  timers_.cancel(again_);
+  if (!open_) return;
+  carry_out(peer_.leave(now()));
+  open_ = false;
+  timers_.cancel(tick_);
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+// ---- What Peer decides --------------------------------------------------------------------------------------
+
+// In order: what an action brings about at once waits until the actions before it are done.
+void Station::carry_out(Out out) {
+  outs_.push_back(std::move(out));
+  if (std::exchange(performing_, true)) return;
+  while (!outs_.empty()) {
+    auto next = std::move(outs_.front());
+    outs_.pop_front();
+    perform(next);
+  }
+  performing_ = false;
+  arm();
+}
+
+void Station::perform(Out& out) {
+  for (const auto& l : out.log) print(now(), options_.peer.self.name, l);
+  for (const auto& d : out.datagrams) {
+    const auto to = endpoint_of(d.to);
+    error_code ignored;  // a full buffer loses it, as the network may
+    if (open_ && to) socket_.send_to(asio::buffer(d.bytes), *to, 0, ignored);
+  }
+  if (out.lost && store_) store_->lost(*out.lost);
+  for (const auto& a : out.answers)
+    if (store_) store_->told(a);
+  for (const auto& a : out.adds)
+    if (store_) store_->inner->add(a.name, a.amount, a.lifetime);
+  if (out.servers.empty() || !node_) return;
+  std::vector<Discovery::Entry> entries;
+  for (const auto& t : out.servers) tell(t, entries);
+  if (!entries.empty()) node_->retell(entries);
+}
+
+void Station::arm() {
+  if (!open_ && !tick_) return;
+  const auto due = open_ ? std::optional(peer_.due()) : std::nullopt;
+  if (due && armed_ == due && tick_) return;
+  timers_.cancel(tick_);
+  armed_ = due;
+  if (!due) return;
+  tick_ = timers_.at(snowknot::Time(std::max(*due, Instant{})), [this] {
+    tick_.reset(), armed_.reset();
+    if (open_) carry_out(peer_.tick(now()));
+  });
+}
+
+// ---- The list of servers ------------------------------------------------------------------------------------
+
+// As one's own list has it, or drained: in the entries if it is among them, else behind them.
+void Station::tell(const replica::Words::Told& told, std::vector<Discovery::Entry>& entries) {
+  const ServerId id{told.id};
+  const auto it = std::ranges::find_if(entries, [&](const auto& e) { return e.info.id == id; });
+  if (it != entries.end()) {
+    if (told.draining) it->info.phase = snowknot::Phase::draining;
+    return;
+  }
+  const auto known = servers_.find(id);
+  if (known == servers_.end()) return;
+  entries.push_back(known->second);
+  if (told.draining) entries.back().info.phase = snowknot::Phase::draining;
+}
+
+void Station::listed(ListKind kind, std::uint64_t revision, std::vector<Discovery::Entry>& entries) {
+  const bool whole = kind != ListKind::changes;
+  if (whole) servers_.clear();
+  std::vector<replica::Words::Entry> words;
+  for (const auto& e : entries) {
+    words.push_back(word_of(e.info));
+    if (e.info.phase == snowknot::Phase::gone) servers_.erase(e.info.id);
+    else servers_[e.info.id] = e;
+  }
+  auto out = peer_.listed(now(), whole, revision, words);
+  for (const auto& t : std::exchange(out.servers, {})) tell(t, entries);
+  carry_out(std::move(out));
+}
+
+}  // namespace docklift::peers
--- /dev/null
+++ b/tests/fleet_process_test.cpp
@@ -0,0 +1,177 @@
+// Processes of the program among each other, with faults on the links between them: real sockets, relays of ours, waits for what is to happen.
+#include <gtest/gtest.h>
+
+#include "load.hpp"
+#include "peers.hpp"
+#include "process_fleet.hpp"
+
+namespace docklift::faults {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct FleetProcesses : ::testing::Test {
+  void begin(std::size_t nodes, const std::string& more = {}) {
+    fleet = std::make_unique<ProcessFleet>(loop.io, FleetOptions{.nodes = nodes, .more = more});
+    for (std::size_t i = 0; i < nodes; ++i) fleet->start(i);
+    ASSERT_TRUE(until([&] { return fleet->converged(); })) << states();
+  }
+  bool until(const std::function<bool()>& so) {
+    const auto end = std::chrono::steady_clock::now() + 30s;
+    while (!so()) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      loop.io.restart();
+      loop.io.run_for(10ms);
+    }
+    return true;
+  }
+  std::string states() {
+    std::string s;
+    for (std::size_t i = 0; i < fleet->size(); ++i) s += fleet->door(i, "/_fleet") + fleet->process(i).log() + "\n";
+    return s;
+  }
+  std::uint64_t start_of(std::size_t who, std::size_t whom) {
+    const auto j = fleet->fleet(who);
+    for (const auto& m : j["members"])
+      if (m["name"] == "n" + std::to_string(whom)) return m["start"];
+    return 0;
+  }
+
+  snowknot::test::Loop loop;
+  std::unique_ptr<ProcessFleet> fleet;
+};
+
+TEST_F(FleetProcesses, MeetHoldTheSameCopiesAndAreReady) {
+  begin(4);
+  EXPECT_TRUE(until([&] { return fleet->ready(0) && fleet->ready(1) && fleet->ready(2) && fleet->ready(3); })) << states();
+  const auto j = fleet->fleet(0);
+  EXPECT_EQ(j["members"].size(), 3U);
+  EXPECT_TRUE(j["caught_up"]);
+  EXPECT_TRUE(j["conflicts"].empty());
+  EXPECT_EQ(j["datagrams"]["forged"], 0U);
+}
+
+TEST_F(FleetProcesses, OneThatDiesIsFoundAndItsNextLifeIsBelieved) {
+  begin(4);
+  const auto before = start_of(0, 3);
+  fleet->kill(3);
+  EXPECT_TRUE(until([&] { return fleet->sees(0, 3, "dead") && fleet->sees(1, 3, "dead") && fleet->sees(2, 3, "dead"); })) << states();
+  fleet->start(3);
+  EXPECT_TRUE(until([&] { return fleet->converged(); })) << states();
+  EXPECT_GT(start_of(0, 3), before);
+}
+
+TEST_F(FleetProcesses, OneThatIsBackAtOnceTakesThePlaceOfItsFormerLife) {
+  begin(3);
+  const auto before = start_of(0, 2);
+  fleet->kill(2);
+  fleet->start(2);
+  EXPECT_TRUE(until([&] { return fleet->converged() && start_of(0, 2) > before && start_of(1, 2) > before; })) << states();
+}
+
+TEST_F(FleetProcesses, OneThatStopsAsPlannedSaysSo) {
+  begin(3);
+  fleet->stop(2);
+  EXPECT_TRUE(until([&] { return fleet->sees(0, 2, "left") && fleet->sees(1, 2, "left"); })) << states();
+}
+
+TEST_F(FleetProcesses, OneThatStoodStillRefutesItsDeath) {
+  begin(4);
+  fleet->pause(1, true);
+  EXPECT_TRUE(until([&] { return fleet->sees(0, 1, "dead") && fleet->sees(2, 1, "dead") && fleet->sees(3, 1, "dead"); })) << states();
+  fleet->pause(1, false);
+  EXPECT_TRUE(until([&] { return fleet->converged(); })) << states();
+  EXPECT_GT(fleet->fleet(1)["self"]["refutes"], 0U);
+}
+
+TEST_F(FleetProcesses, HalvesOfACutFindTogetherByThemselves) {
+  begin(4);
+  fleet->fault({.kind = Kind::cut, .whom = {0, 1}, .at = 0, .length = 1e9});
+  EXPECT_TRUE(until([&] {
+    for (const std::size_t a : {0, 1})
+      for (const std::size_t b : {2, 3})
+        if (!fleet->sees(a, b, "dead") || !fleet->sees(b, a, "dead")) return false;
+    return true;
+  })) << states();
+  EXPECT_TRUE(fleet->sees(0, 1, "alive") && fleet->sees(2, 3, "alive"));
+  fleet->heal();
+  EXPECT_TRUE(until([&] { return fleet->converged(); })) << states();
+}
+
+TEST_F(FleetProcesses, ADrainThatOneHearsReachesThoseWhoseListIsSilent) {
+  begin(4);
+  ASSERT_TRUE(until([&] { return fleet->ready(0) && fleet->ready(1) && fleet->ready(2) && fleet->ready(3); }));
+  for (const std::size_t i : {1, 2, 3}) fleet->discovery(i).silence(true);
+  fleet->platform().drain(2);
+  for (const std::size_t i : {1, 2, 3})
+    EXPECT_TRUE(until([&] { return fleet->fleet(i)["drains"]["held"] == 1; })) << states();
+  // Its own list has a newer word in the end: nothing is held any more, and the server stays drained by that.
+  for (const std::size_t i : {1, 2, 3}) fleet->discovery(i).silence(false);
+  for (const std::size_t i : {1, 2, 3})
+    EXPECT_TRUE(until([&] { return fleet->fleet(i)["drains"]["held"] == 0; })) << states();
+}
+
+// A member under a ceiling comes through all nodes while the counter loses what it had.
+TEST_F(FleetProcesses, ALostCountIsMendedByWhatAllNodesKnow) {
+  begin(3);
+  ASSERT_TRUE(until([&] { return fleet->ready(0) && fleet->ready(1) && fleet->ready(2); }));
+  rigs::Figures figures;
+  std::vector<std::unique_ptr<rigs::Load>> loads;
+  for (std::size_t i = 0; i < 3; ++i) {
+    loads.push_back(std::make_unique<rigs::Load>(loop.io, fleet->platform(), fleet->listen(i), figures, 10 + i,
+                                                 rigs::Mix{.safe = 1, .keyed = 0, .customers = 2, .plan = "premium", .spread = 3}));
+    loads.back()->set_rate(60);
+    loads.back()->run();
+  }
+  ASSERT_TRUE(until([&] { return figures.served > 150; }));
+  fleet->platform().restart_counter();
+  for (std::size_t i = 0; i < 3; ++i)
+    EXPECT_TRUE(until([&] {
+      const auto j = fleet->fleet(i);
+      return j.contains("counts") && j["counts"]["epoch"] >= 1 && j["counts"]["settled"] >= 1;
+    })) << states();
+  const auto served = figures.served;
+  EXPECT_TRUE(until([&] { return figures.served > served + 150; }));
+  for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(fleet->fleet(i)["counts"]["fallen_back"], 0) << states();
+  for (const auto& l : loads) l->stop();
+  EXPECT_TRUE(until([&] { return loads[0]->open() + loads[1]->open() + loads[2]->open() == 0; }));
+  EXPECT_EQ(figures.unanswered, 0U);
+}
+
+// The same with one node that nobody can ask: its books are not closed, so windows stay shut as without peers.
+TEST_F(FleetProcesses, ALostCountIsNotMendedWhereOneNodeCannotBeAsked) {
+  begin(3);
+  ASSERT_TRUE(until([&] { return fleet->ready(0) && fleet->ready(1) && fleet->ready(2); }));
+  fleet->fault({.kind = Kind::cut, .whom = {2}, .at = 0, .length = 1e9});
+  ASSERT_TRUE(until([&] { return fleet->sees(0, 2, "dead") && fleet->sees(1, 2, "dead"); }));
+  rigs::Figures figures;
+  rigs::Load load(loop.io, fleet->platform(), fleet->listen(0), figures, 10,
+                  rigs::Mix{.safe = 1, .keyed = 0, .customers = 2, .plan = "premium", .spread = 3});
+  load.set_rate(60);
+  load.run();
+  ASSERT_TRUE(until([&] { return figures.served > 50; }));
+  fleet->platform().restart_counter();
+  EXPECT_TRUE(until([&] { return fleet->fleet(0)["counts"]["fallen_back"] >= 1; })) << states();
+  EXPECT_EQ(fleet->fleet(0)["counts"]["settled"], 0);
+  load.stop();
+  EXPECT_TRUE(until([&] { return load.open() == 0; }));
+  EXPECT_EQ(figures.unanswered, 0U);
+}
+
+TEST_F(FleetProcesses, DatagramsWithoutTheKeyChangeNothing) {
+  begin(2);
+  const auto peers = fleet->fleet(0)["self"]["address"].get<std::string>();
+  const auto to = *snowknot::endpoint_of(peers);
+  boost::asio::basic_datagram_socket<UdpRelay::Udp, snowknot::Executor> socket(loop.io.get_executor(), UdpRelay::Udp::v4());
+  for (int i = 0; i < 100; ++i) {
+    const std::string junk(static_cast<std::size_t>(i * 600 + 1), static_cast<char>(i));  // up to 60 KB
+    socket.send_to(boost::asio::buffer(junk), {to.address(), to.port()});
+    loop.io.restart();
+    loop.io.run_for(1ms);
+  }
+  EXPECT_TRUE(until([&] { return fleet->fleet(0)["datagrams"]["forged"] > 50; })) << states();
+  EXPECT_TRUE(fleet->converged());
+}
+
+}  // namespace
+}  // namespace docklift::faults
