--- a/src/peers/wire.cpp
+++ b/src/peers/wire.cpp
@@ -100,6 +100,7 @@
 }
 
 std::optional<Datagram> decode(std::string_view bytes) {
+  if (bytes.size() > 2 * kMostDatagram) return std::nullopt;  // the library reads what is nested by recursion
   try {
     const auto j = json::from_msgpack(bytes, true, true);
     if (j.at(0).get<std::uint64_t>() != kVersion) return std::nullopt;
