A node that starts is told which servers serve the others badly; a lying peer, clocks, one name

Need: a start knows a list, not who fails: its first requests go there to learn it. The other nodes know. Process tests: a start among complaints, a peer of the test's own that has the key and lies, two processes under one name, clocks 100 ms to either side (a preloaded library shifts a process's wall clock). Failed try: a word from four sightings on. No node ever spoke (30 s at 60 requests a second): who fails once is avoided by the module at small load and not met again. One failure is a word now, with one good end taken for granted.

--- a/include/snowknot/gateway.hpp
+++ b/include/snowknot/gateway.hpp
@@ -194,12 +194,19 @@
   Time at{};
 };
 
+// What other gateways of the fleet see of a server, where the host can tell: the part of their attempts that went well. It counts where this
+// gateway has seen no failure there itself.
+struct ServerSeen {
+  ServerId server{};
+  double success = 1;
+};
+
 struct PeerMessage {  // accepted and passed over: gateways learn of each other by the counter alone
   std::uint32_t from = 0;
 };
 
 using Event = std::variant<ListUpdate, Arrival, AttemptEnded, StreamStarted, AttemptWaits, ProbeEnded, TimerDue, ClientGone,
-                           CountAnswer, CountsLost, PeerMessage>;
+                           CountAnswer, CountsLost, ServerSeen, PeerMessage>;
 
 // ---- Actions: what the host must do, in the given order -----------------------------------------
 
--- a/rigs/common/process.cpp
+++ b/rigs/common/process.cpp
@@ -50,6 +50,11 @@
   std::vector<std::string> words{binary}, variables;
   words.insert(words.end(), more.begin(), more.end());
   for (char** e = environ; *e != nullptr; ++e) variables.emplace_back(*e);
+  if (clock_ms_ != 0) {
+    variables.emplace_back("LD_PRELOAD=" SHIFTED_CLOCK);
+    variables.push_back("SHIFTED_CLOCK_MS=" + std::to_string(clock_ms_));
+    variables.emplace_back("ASAN_OPTIONS=verify_asan_link_order=0");  // the clock needs no runtime of theirs
+  }
   if (more.empty()) variables.push_back("GW_CONFIG=" + (home_ / "platform.json").string());
   const auto log = (home_ / "log").string();
   posix_spawn_file_actions_t actions;
--- a/rigs/common/process.hpp
+++ b/rigs/common/process.hpp
@@ -19,6 +19,8 @@
   void start();
   // Without an operator's file, as the platform does; `binary` may be another build.
   void start_plain(const std::string& binary);
+  // From the next start on its wall clock is off by so much.
+  void shift_clock(int ms) { clock_ms_ = ms; }
   void signal(int number) const;
   // The process that holds the pid file; 0: none.
   pid_t pid_in_file() const;
@@ -37,6 +39,7 @@
   std::filesystem::path home_;
   std::string listen_;
   pid_t pid_ = 0;
+  int clock_ms_ = 0;
 };
 
 // What a process holds, from /proc; none if it has ended.
--- a/rigs/faults/process_fleet.cpp
+++ b/rigs/faults/process_fleet.cpp
@@ -66,16 +66,19 @@
     : io_(io), options_(std::move(options)), platform_(io, options_.platform), random_(options_.seed) {
   auto name = (std::filesystem::temp_directory_path() / "docklift-fleet-XXXXXX").string();
   home_ = ::mkdtemp(name.data());
-  std::ofstream(home_ / "key") << "a secret of this fleet alone, made for seed " << options_.seed;
+  secret_ = "a secret of this fleet alone, made for seed " + std::to_string(options_.seed);
+  std::ofstream(home_ / "key") << secret_;
   std::vector<std::string> seeds;
   for (std::size_t i = 0; i < options_.nodes; ++i) {
     const auto at = rigs::own_address(i);
     auto config = platform_.node_config(i, options_.nodes, at);
+    if (i < options_.names.size()) config["name"] = options_.names[i];
     if (options_.ceiling > 0) config["settings"]["packages"][1]["ceiling-rate"] = options_.ceiling;
     auto discovery = std::make_unique<TcpRelay>(io_, *snowknot::endpoint_of(platform_.discovery_address()));
     auto counter = std::make_unique<TcpRelay>(io_, *snowknot::endpoint_of(platform_.counter_address()));
     config["discovery"] = discovery->address(), config["counter"] = counter->address();
     nodes_.push_back(std::make_unique<Node>(rigs::NodeProcess(home_ / ("n" + std::to_string(i)), at, config)));
+    if (i < options_.clocks_ms.size()) nodes_.back()->process.shift_clock(options_.clocks_ms[i]);
     auto& n = *nodes_.back();
     n.discovery = std::move(discovery), n.counter = std::move(counter);
     // Ports of this address that nobody else takes: one beside the listener's, for TCP and for UDP.
@@ -92,11 +95,12 @@
   }
   std::string all;
   for (const auto& s : seeds) all += (all.empty() ? "\"" : ", \"") + s + "\"";
-  for (const auto& n : nodes_) {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const auto& n = nodes_[i];
     std::string text = options_.more + "\n[admin]\nlisten = \"" + n->door + "\"\n";
     if (options_.peers)
       text += "[peers]\nlisten = \"" + n->peers + "\"\nadvertise = \"" + n->relay->address() + "\"\nseeds = [" + all + "]\nkey_file = \"" +
-              (home_ / "key").string() + "\"\ninterval = \"" + options_.interval + "\"\nround = \"50ms\"\n";
+              (home_ / "key").string() + "\"\ninterval = \"" + options_.interval + "\"\nround = \"50ms\"\n" + (i < options_.more_of.size() ? options_.more_of[i] : "");
     n->process.write_good(text);
   }
 }
--- a/rigs/faults/process_fleet.hpp
+++ b/rigs/faults/process_fleet.hpp
@@ -25,6 +25,9 @@
   std::string interval = "100ms";  // between probes
   standins::PlatformOptions platform{};
   std::string more{};              // lines for the operator's file
+  std::vector<std::string> names{};       // of the first nodes, where they are not n0, n1 and so on
+  std::vector<int> clocks_ms{};           // by which the clocks of the first nodes are off
+  std::vector<std::string> more_of{};     // lines for the operator's file of one node, by section "[peers]"
 };
 
 class ProcessFleet {
@@ -36,6 +39,9 @@
 
   standins::Platform& platform() { return platform_; }
   std::size_t size() const { return nodes_.size(); }
+  // What a peer of the caller's own needs: the fleet's secret, and where a node hears the others.
+  const std::string& secret() const { return secret_; }
+  std::string heard_at(std::size_t i) const { return nodes_.at(i)->relay->address(); }
   const std::string& listen(std::size_t i) const { return nodes_.at(i)->process.listen(); }
   bool up(std::size_t i) const { return nodes_.at(i)->up; }
   rigs::NodeProcess& process(std::size_t i) { return nodes_.at(i)->process; }
@@ -73,6 +79,7 @@
   FleetOptions options_;
   standins::Platform platform_;
   std::filesystem::path home_;
+  std::string secret_;
   Random random_;
   std::vector<Fault> faults_;
   std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -118,7 +118,7 @@
 #ifdef DOCKLIFT_WITH_PEERS
     if (station_) {
       station_->serve(node_);
-      if (config_.boolean("peers.drains")) node_.set_list_view(&*station_);
+      if (config_.boolean("peers.drains") || config_.boolean("peers.beliefs")) node_.set_list_view(&*station_);
       node_.ready_with([this] { return station_->warm(); });
     }
 #endif
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -954,6 +954,14 @@
     if (std::exchange(s.misses, 0) > 1) start_cold(s, now_);
   }
 
+  // Hearsay for a start: it ends with the first ejection, or with own answers.
+  void on(const ServerSeen& e) {
+    auto* s = find(servers_, e.server);
+    if (!s || s->success < 1 || ejected(*s)) return;
+    s->success = std::clamp(e.success, 0.0, 1.0);
+    if (s->success < kSickBelow) eject(*s, "others say so");
+  }
+
   // ---- 4 Choice -------------------------------------------------------------------------------------
 
   enum class Pick { server, wait, none };
@@ -993,9 +1001,7 @@
       std::size_t sound = 0;
       for (auto* s : order) {
         if (sound == part) break;
-        if (!s->ready() || ejected(*s)) continue;
-        ++sound;
-        some.push_back(s);
+        if (s->ready() && !ejected(*s)) ++sound, some.push_back(s);
       }
     }
     if (const auto pick = choose(r, chosen, some); pick != Pick::none) return pick;
--- a/src/members/planted.hpp
+++ b/src/members/planted.hpp
@@ -21,6 +21,8 @@
   told_taken_off_early,   // telling counts as told
   told_by_everyone,       // each node tells again
   any_mark_accepted,      // the seal is not looked at
+  one_voice_believed,     // of servers: one word is enough, and the worst one counts
+  dead_believed,          // of servers: also of those that are dead
 };
 
 #ifdef DOCKLIFT_PLANTS
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -201,6 +201,7 @@
   e.finished = it == open_.end() || !it->second.session;
   if (it != open_.end()) --it->second.out;
   forget_if_done(errand.request);
+  if (view_) view_->ended(e.server, outcome);
   happened(e);
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -34,11 +34,12 @@
   reading::NamedSettings named;
 };
 
-// Looks at each list before the module does, and may change what it says of servers.
+// Looks at each list before the module does, and may change what it says of servers; and at how attempts end.
 class ListView {
  public:
   virtual ~ListView() = default;
   virtual void listed(ListKind kind, std::uint64_t revision, std::vector<Discovery::Entry>& entries) = 0;
+  virtual void ended(ServerId server, Outcome outcome) = 0;
 };
 
 class Node : private Clients::Owner, private Upstream::Owner {
@@ -66,6 +67,8 @@
   void set_list_view(ListView* view) { view_ = view; }
   // Servers of the list otherwise than it has them, or as it has them again.
   void retell(const std::vector<Discovery::Entry>& entries) { take_list(ListKind::changes, entries); }
+  // What others see of a server.
+  void told_of(const ServerSeen& seen) { happened(seen); }
   Clients& front() { return clients_; }
   // Another protocol on a path of its own, whose requests pass the module by way of ask(). Not owned.
   void serve_front(Front* front);
--- a/src/peers/peer.cpp
+++ b/src/peers/peer.cpp
@@ -38,7 +38,8 @@
       members_(options_.self, options_.members, mixed(seed)),
       records_(Origin{options_.self.name, options_.self.number}, options_.records, mixed(seed + 1)),
       counts_(records_, *this, options_.count_limits),
-      words_(records_) {}
+      words_(records_),
+      beliefs_(records_, options_.belief_limits) {}
 
 Out Peer::begin(Instant now) {
   Out out;
@@ -55,6 +56,8 @@
   if (!begun_) return Instant::max();
   auto t = std::min({members_.due(), records_.due(), next_sweep_, next_write_});
   if (!caught_up_) t = std::min(t, next_ask_);
+  if (options_.beliefs && !beliefs_told_ && !starts_.empty()) t = std::min(t, begun_at_ + options_.warm_limit);
+  if (beliefs_due(now_)) t = now_;
   // While all wait for the end of an epoch: a few times in a round.
   return std::min(t, std::max(counts_.due(), now_ + options_.records.round / 8));
 }
@@ -68,7 +71,9 @@
   if (now_ >= next_write_) {
     next_write_ = now_ + options_.records.round;
     counts_.write(now_);
+    if (options_.beliefs) beliefs_.write(now_);
   }
+  tell_beliefs(out);
   take(records_.tick(now_, reachable()), out);
   if (!caught_up_ && now_ >= next_ask_) ask_some(out);
   if (now_ >= next_sweep_) {
@@ -112,6 +117,7 @@
   take(records_.received(now_, d->name, m), out);
   if (m.kind == replica::Message::Kind::vector) learn_vector(d->name, m);
   look_whether_caught_up(out);
+  tell_beliefs(out);
   return out;
 }
 
@@ -221,7 +227,28 @@
                                     std::to_string((now_ - begun_at_).count() / 1'000'000) + " ms"});
 }
 
-bool Peer::warm(Instant now) const { return caught_up_ || now - begun_at_ >= options_.warm_limit; }
+bool Peer::warm(Instant now) const {
+  return (caught_up_ || now - begun_at_ >= options_.warm_limit) && !beliefs_due(now);
+}
+// Once, with a list and with copies, or with what there is of them when their time is over.
+bool Peer::beliefs_due(Instant now) const {
+  return options_.beliefs && !beliefs_told_ && !starts_.empty() && (caught_up_ || now - begun_at_ >= options_.warm_limit);
+}
+void Peer::tell_beliefs(Out& out) {
+  if (!beliefs_due(now_)) return;
+  beliefs_told_ = true;
+  std::vector<replica::Beliefs::Server> servers;
+  for (const auto& [id, start] : starts_) servers.push_back({id, start});
+  std::vector<Origin> living;
+  for (const auto& [name, m] : members_.all())
+    if (m.state == members::State::alive) living.push_back({name, m.life.number});
+  for (auto& t : beliefs_.believed(servers, living)) {
+    ++believed_;
+    out.log.push_back({"beliefs", "server " + std::to_string(t.id) + " serves others badly: " +
+                                      std::to_string(static_cast<int>(t.success * 10)) + " of 10 attempts go well"});
+    out.beliefs.push_back(t);
+  }
+}
 bool Peer::warm_time_over() const { return now_ - begun_at_ >= options_.warm_limit; }
 
 // Another life has this one's name now, and this one left no last word.
@@ -302,12 +329,24 @@
 Out Peer::listed(Instant now, bool whole, std::uint64_t revision, const std::vector<replica::Words::Entry>& entries) {
   Out out;
   now_ = std::max(now_, now);
+  if (whole) starts_.clear();
+  for (const auto& e : entries) {
+    if (e.phase == replica::ServerPhase::gone) starts_.erase(e.id);
+    else starts_[e.id] = e.start;
+  }
+  if (!options_.drains) return out;
   bool fresh = false;
   take(words_.listed(now_, whole, revision, entries, fresh), out);
   if (fresh) records_.hurry();
   return out;
 }
 
+void Peer::seen(Instant now, std::uint32_t server, bool good) {
+  now_ = std::max(now_, now);
+  if (!options_.beliefs) return;
+  if (const auto it = starts_.find(server); it != starts_.end()) beliefs_.seen(now_, {server, it->second}, good);
+}
+
 Out Peer::add(Instant now, snowknot::CountName name, double amount, snowknot::Duration lifetime) {
   Out out;
   now_ = std::max(now_, now);
@@ -355,6 +394,7 @@
   const auto r = records_.figures();
   const auto c = counts_.figures();
   const auto w = words_.figures();
+  const auto b = beliefs_.figures();
   return {{"self", entry(members_.self(), members_.refutes(), "alive", begun_at_)},
           {"cluster", options_.cluster},
           {"fleet_size", options_.fleet_size},
@@ -368,6 +408,9 @@
            {{"epoch", c.epoch}, {"losses", c.losses}, {"settled", c.settled}, {"fallen_back", c.fallen_back}, {"settling", c.settling},
             {"last_settle_ms", c.last_settle_ms}, {"refused", c.refused}, {"told", c.told}, {"mended", c.mended}, {"counts", c.counts}}},
           {"drains", {{"published", w.published}, {"learnt", w.learnt}, {"undone", w.undone}, {"held", w.held}}},
+          {"beliefs",
+           {{"said", b.said}, {"contradicted", b.contradicted}, {"taken_back", b.taken_back}, {"complaints", b.complaints},
+            {"met", b.met}, {"believed", believed_}}},
           {"records",
            {{"origins", r.origins}, {"records", r.records}, {"pages", r.pages_taken}, {"late", r.pages_late}, {"gaps", r.gaps},
             {"dropped", r.dropped}, {"held_back", r.held_back}}},
--- a/src/peers/peer.hpp
+++ b/src/peers/peer.hpp
@@ -11,6 +11,7 @@
 
 #include "members/members.hpp"
 #include "peers/wire.hpp"
+#include "replica/beliefs.hpp"
 #include "replica/counts.hpp"
 #include "replica/replica.hpp"
 #include "replica/words.hpp"
@@ -30,11 +31,12 @@
   std::vector<std::string> seeds{};
   std::uint32_t fleet_size = 1;  // nodes in all, as the platform tells it
   std::string file_version{};      // of the operator's file
-  bool drains = true, counts = true;
+  bool drains = true, counts = true, beliefs = true;
   Instant warm_limit{std::chrono::seconds(1)};  // a start waits so long for copies, then begins without
   members::Limits members{};
   replica::Limits records{};
   replica::CountLimits count_limits{};
+  replica::BeliefLimits belief_limits{};
 };
 
 struct Out {
@@ -43,6 +45,7 @@
   };
   std::vector<Datagram> datagrams{};
   std::vector<replica::Words::Told> servers{};
+  std::vector<replica::Beliefs::Told> beliefs{};
   std::vector<replica::Counts::Add> adds{};
   std::vector<snowknot::CountAnswer> answers{};
   std::optional<snowknot::CountsLost> lost{};
@@ -71,6 +74,8 @@
   void set_seeds(std::vector<std::string> seeds);
 
   Out listed(Instant now, bool whole, std::uint64_t revision, const std::vector<replica::Words::Entry>& entries);
+  // An attempt at a server of the list has ended.
+  void seen(Instant now, std::uint32_t server, bool good);
   bool drained(std::uint32_t server) const { return words_.held(server); }
   Out add(Instant now, snowknot::CountName name, double amount, snowknot::Duration lifetime);
   Out store_answered(Instant now, const snowknot::CountAnswer& answer);
@@ -86,6 +91,7 @@
   const replica::Replica& records() const { return records_; }
   const replica::Counts& counts() const { return counts_; }
   const replica::Words& words() const { return words_; }
+  const replica::Beliefs& beliefs() const { return beliefs_; }
   const Figures& figures() const { return figures_; }
   // Frames with a right mark that this node would send: for tests that forge, repeat and delay.
   std::string frame(Body body);
@@ -115,16 +121,21 @@
   void look_for_ended_lives();
   std::vector<std::string> reachable() const;
   bool warm_time_over() const;
+  bool beliefs_due(Instant now) const;
+  void tell_beliefs(Out& out);
 
   PeerOptions options_;
   members::Members members_;
   replica::Replica records_;
   replica::Counts counts_;
   replica::Words words_;
+  replica::Beliefs beliefs_;
+  std::map<std::uint32_t, std::uint64_t> starts_{};  // of the servers of the list
   Seen seen_;
   std::uint64_t counter_ = 0;
   Instant now_{}, begun_at_{}, next_sweep_{}, next_write_{}, next_ask_{};
-  bool begun_ = false, caught_up_ = false, warm_said_ = false;
+  bool begun_ = false, caught_up_ = false, beliefs_told_ = false;
+  std::size_t believed_ = 0;
   std::map<std::string, Asked> asked_{};
   std::map<replica::Origin, Instant> ended_lives_;  // that others have taken the place of, without a last word: since when
   NodeState state_ = NodeState::starting;
--- a/src/peers/sections.cpp
+++ b/src/peers/sections.cpp
@@ -30,6 +30,7 @@
       span("interval", 500 * kMs, 20 * kMs, kMinute, "Between two probes of other nodes."),
       span("round", 200 * kMs, 10 * kMs, 10 * kS, "Between two rounds in which what is new goes out."),
       flag("drains", true, "A server that another node's list calls draining is drained here too."),
+      flag("beliefs", true, "A start is told which servers serve the others badly."),
       flag("counts", true, "A store that has lost its counts is mended by what the nodes know."),
       span("warm_limit", kS, 0, kMinute, "For copies from two others at a start; then it is ready without."),
       span("settle_limit", 2 * kS, 100 * kMs, kMinute, "For all nodes to close the books on a store that has lost its counts."),
@@ -75,6 +76,7 @@
   p.file_version = version.data();
   p.drains = c.boolean("peers.drains");
   p.counts = c.boolean("peers.counts");
+  p.beliefs = c.boolean("peers.beliefs");
   p.warm_limit = c.duration("peers.warm_limit");
   p.members.interval = c.duration("peers.interval");
   p.members.timeout = p.members.interval * 3 / 10;
--- a/src/peers/station.cpp
+++ b/src/peers/station.cpp
@@ -156,6 +156,8 @@
     if (store_) store_->told(a);
   for (const auto& a : out.adds)
     if (store_) store_->inner->add(a.name, a.amount, a.lifetime);
+  if (node_)
+    for (const auto& b : out.beliefs) node_->told_of({ServerId{b.id}, b.success});
   if (out.servers.empty() || !node_) return;
   std::vector<Discovery::Entry> entries;
   for (const auto& t : out.servers) tell(t, entries);
@@ -191,6 +193,11 @@
   if (told.draining) entries.back().info.phase = snowknot::Phase::draining;
 }
 
+void Station::ended(ServerId server, snowknot::Outcome outcome) {
+  using enum snowknot::Outcome;
+  if (outcome != cancelled && outcome != never_sent) peer_.seen(now(), static_cast<std::uint32_t>(server), outcome == ok);
+}
+
 void Station::listed(ListKind kind, std::uint64_t revision, std::vector<Discovery::Entry>& entries) {
   const bool whole = kind != ListKind::changes;
   if (whole) servers_.clear();
--- a/src/peers/station.hpp
+++ b/src/peers/station.hpp
@@ -42,6 +42,7 @@
   std::string fleet() const { return peer_.fleet(now()).dump(2) + "\n"; }
 
   void listed(snowknot::ListKind kind, std::uint64_t revision, std::vector<snowknot::Discovery::Entry>& entries) override;
+  void ended(snowknot::ServerId server, snowknot::Outcome outcome) override;
 
  private:
   class Store;
--- a/src/replica/values.hpp
+++ b/src/replica/values.hpp
@@ -79,6 +79,27 @@
   return all;
 }
 
+// ---- What was seen of a server ------------------------------------------------------------------------------
+
+// Of one start of a server: tenths of the attempts that went well, or that nothing is said of it any more.
+struct Sight {
+  std::uint64_t start = 0;  // Unix ms; 0: long ago
+  std::uint8_t tenths = 10;
+  static constexpr std::uint8_t kNothing = 255;
+  auto operator<=>(const Sight&) const = default;
+};
+inline std::string to_text(const Sight& s) {
+  auto text = number_key(s.start);
+  text.push_back(static_cast<char>(s.tenths));
+  return text;
+}
+inline std::optional<Sight> sight_of(std::string_view s) {
+  if (s.size() != 9) return std::nullopt;
+  const Sight sight{get_number(s, 0), static_cast<std::uint8_t>(s[8])};
+  if (sight.tenths > 10 && sight.tenths != Sight::kNothing) return std::nullopt;
+  return sight;
+}
+
 // An epoch and an amount, or an epoch alone.
 inline std::string to_text(std::uint64_t epoch, std::uint64_t amount) { return number_key(epoch) + number_key(amount); }
 
--- /dev/null
+++ b/tests/beliefs_test.cpp
@@ -0,0 +1,201 @@
+// What nodes see of servers: when one speaks, when it takes its word back, and what a start believes of many words.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include "host.hpp"
+#include "replica/beliefs.hpp"
+
+namespace docklift::replica {
+namespace {
+
+using namespace std::chrono_literals;
+using Server = Beliefs::Server;
+
+constexpr Instant kNow = 1000s;
+const Origin kSelf{"self", 1};
+
+Origin origin(std::size_t i) { return {"n" + std::to_string(i), i + 10}; }
+
+// A word of another node, as its page brings it.
+void say(Replica& records, const Origin& o, std::uint32_t id, std::uint8_t tenths, std::uint64_t start = 0) {
+  Message m;
+  m.kind = Message::Kind::pages;
+  const auto known = records.vector();
+  const auto it = known.find(o);
+  const auto number = it == known.end() ? 0 : it->second;
+  m.pages = {{o, number, number + 1, false, {{number + 1, Kind::seen, number_key(id), to_text(Sight{start, tenths}), {}}}}};
+  records.received(kNow, o.name, m);
+}
+
+struct Node {
+  Replica records{kSelf, {}, 1};
+  Beliefs beliefs{records, {}};
+  void meet(std::uint32_t id, int good, int bad, Instant at = kNow, std::uint64_t start = 0) {
+    for (int i = 0; i < good; ++i) beliefs.seen(at, {id, start}, true);
+    for (int i = 0; i < bad; ++i) beliefs.seen(at, {id, start}, false);
+  }
+  std::optional<Sight> word(std::uint32_t id) const {
+    const auto* r = records.find(kSelf, Kind::seen, number_key(id));
+    return r ? sight_of(r->value) : std::nullopt;
+  }
+};
+
+TEST(Beliefs, OnlyWhatIsWorseThanTheOthersIsSaid) {
+  Node n;
+  n.meet(1, 20, 0), n.meet(2, 19, 1), n.meet(3, 5, 15), n.meet(4, 10, 1);  // the last: as it happens
+  EXPECT_TRUE(n.beliefs.write(kNow));
+  EXPECT_FALSE(n.word(1));
+  EXPECT_FALSE(n.word(2));
+  ASSERT_TRUE(n.word(3));
+  EXPECT_EQ(n.word(3)->tenths, 3);
+  EXPECT_FALSE(n.word(4));
+  EXPECT_FALSE(n.beliefs.write(kNow));  // nothing new
+}
+
+TEST(Beliefs, WhereAllAreBadAlikeItIsNotTheServers) {
+  Node n;
+  for (std::uint32_t id = 1; id <= 4; ++id) n.meet(id, 5, 15);
+  EXPECT_FALSE(n.beliefs.write(kNow));
+}
+
+TEST(Beliefs, AWordIsTakenBackWhenTheServerIsWellOrNotMetAnyMore) {
+  Node n;
+  n.meet(1, 20, 0), n.meet(2, 0, 20), n.meet(3, 20, 0);
+  n.beliefs.write(kNow);
+  ASSERT_EQ(n.word(2)->tenths, 0);
+  n.meet(2, 20, 0, kNow + 20s), n.meet(1, 20, 0, kNow + 20s);
+  EXPECT_TRUE(n.beliefs.write(kNow + 20s));
+  EXPECT_EQ(n.word(2)->tenths, Sight::kNothing);
+  n.meet(2, 0, 20, kNow + 40s), n.meet(1, 20, 0, kNow + 40s);
+  n.beliefs.write(kNow + 40s);
+  ASSERT_LE(n.word(2)->tenths, 1);
+  n.beliefs.write(kNow + 50s);  // it is avoided, and the word stands
+  EXPECT_LT(n.word(2)->tenths, 8);
+  EXPECT_TRUE(n.beliefs.write(kNow + 60s));
+  EXPECT_EQ(n.word(2)->tenths, Sight::kNothing);
+}
+
+TEST(Beliefs, AComplaintIsContradictedByWhoIsServedWell) {
+  Node n;
+  n.meet(1, 20, 0), n.meet(2, 20, 0);
+  EXPECT_FALSE(n.beliefs.write(kNow));
+  say(n.records, origin(0), 2, 1);
+  EXPECT_TRUE(n.beliefs.write(kNow));
+  ASSERT_TRUE(n.word(2));
+  EXPECT_EQ(n.word(2)->tenths, 10);
+  EXPECT_FALSE(n.word(1));
+}
+
+TEST(Beliefs, AnotherProcessOfAServerIsJudgedAnew) {
+  Node n;
+  n.meet(1, 20, 0), n.meet(2, 0, 20), n.meet(3, 20, 0);
+  n.beliefs.write(kNow);
+  n.meet(2, 1, 0, kNow, 77);
+  EXPECT_EQ(n.word(2)->tenths, Sight::kNothing);
+  say(n.records, origin(0), 2, 0), say(n.records, origin(1), 2, 0);
+  const std::vector<Origin> alive{origin(0), origin(1)};
+  EXPECT_EQ(n.beliefs.believed({{2, 0}, {3, 0}}, alive).size(), 1U);
+  EXPECT_TRUE(n.beliefs.believed({{2, 77}, {3, 0}}, alive).empty());
+}
+
+TEST(Beliefs, OneVoiceAloneIsNotBelievedNorIsTheDeads) {
+  Node n;
+  const std::vector<Server> servers{{1, 0}, {2, 0}};
+  say(n.records, origin(0), 1, 0);
+  EXPECT_TRUE(n.beliefs.believed(servers, {origin(0), origin(1)}).empty());
+  say(n.records, origin(1), 1, 2);
+  const auto told = n.beliefs.believed(servers, {origin(0), origin(1)});
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_DOUBLE_EQ(told[0].success, 0.2);  // of two the better
+  EXPECT_TRUE(n.beliefs.believed(servers, {origin(0)}).empty());
+}
+
+TEST(Beliefs, HalfOfTheServersAtMostTheWorstFirst) {
+  Node n;
+  std::vector<Server> servers;
+  for (std::uint32_t id = 0; id < 7; ++id) {
+    servers.push_back({id, 0});
+    for (std::size_t o = 0; o < 3; ++o) say(n.records, origin(o), id, static_cast<std::uint8_t>(7 - id));
+  }
+  const auto told = n.beliefs.believed(servers, {origin(0), origin(1), origin(2)});
+  ASSERT_EQ(told.size(), 3U);
+  for (const auto& t : told) EXPECT_GE(t.id, 4U);
+}
+
+// Whatever one liar says, where two honest nodes or more have a word: the belief lies between honest words, or it is that all is well.
+RC_GTEST_PROP(Beliefs, OneLiarMovesNothingBeyondWhatHonestNodesSay, ()) {
+  const auto honest = *rc::gen::container<std::vector<std::uint8_t>>(rc::gen::inRange<std::uint8_t>(0, 11));
+  RC_PRE(honest.size() >= 2U && honest.size() < 20U);
+  const auto lie = *rc::gen::inRange<std::uint8_t>(0, 11);
+  Node n;
+  std::vector<Origin> alive;
+  for (std::size_t i = 0; i < honest.size(); ++i) {
+    alive.push_back(origin(i));
+    say(n.records, origin(i), 1, honest[i]);
+  }
+  alive.push_back(origin(99));
+  say(n.records, origin(99), 1, lie);
+  const auto told = n.beliefs.believed({{1, 0}, {2, 0}}, alive);
+  const auto [least, most] = std::ranges::minmax(honest);
+  const auto tenths = told.empty() ? 10 : static_cast<int>(std::lround(told[0].success * 10));
+  RC_ASSERT(tenths >= int{least});
+  RC_ASSERT(tenths <= int{most});
+}
+
+// A start with peers that knows nothing of a server is not slower than one with no words at all: a whole list of complaints leaves half.
+RC_GTEST_PROP(Beliefs, AStartKeepsHalfOfItsServersWhateverIsSaid, ()) {
+  const auto servers_n = *rc::gen::inRange<std::uint32_t>(1, 12);
+  const auto origins_n = *rc::gen::inRange<std::size_t>(0, 6);
+  Node n;
+  std::vector<Server> servers;
+  std::vector<Origin> alive;
+  for (std::size_t o = 0; o < origins_n; ++o) alive.push_back(origin(o));
+  for (std::uint32_t id = 0; id < servers_n; ++id) {
+    servers.push_back({id, 0});
+    for (const auto& o : alive) say(n.records, o, id, *rc::gen::inRange<std::uint8_t>(0, 11));
+  }
+  RC_ASSERT(n.beliefs.believed(servers, alive).size() <= servers_n / 2);
+}
+
+TEST(Sights, AreReadAsTheyAreWrittenAndNothingElseIs) {
+  for (const std::uint8_t t : {0, 7, 10, 255}) EXPECT_EQ(sight_of(to_text(Sight{123, t})), (Sight{123, t}));
+  EXPECT_FALSE(sight_of(to_text(Sight{1, 11})));
+  EXPECT_FALSE(sight_of("short"));
+  EXPECT_FALSE(sight_of(to_text(Sight{1, 1}) + "x"));
+}
+
+// ---- The module -----------------------------------------------------------------------------------------------
+
+using snowknot::test::Host;
+
+std::map<snowknot::ServerId, int> sends_of(Host& h, int n) {
+  std::map<snowknot::ServerId, int> to;
+  for (int i = 0; i < n; ++i) {
+    const auto sent = h.ask_granted(static_cast<std::uint64_t>(i) + 1, 1);
+    if (!sent) continue;
+    ++to[sent->server];
+    h.outcome(*sent, snowknot::Outcome::ok, true, 5ms);
+  }
+  return to;
+}
+
+TEST(Hearsay, AServerThatServesOthersBadlyGetsNothingForOneEjection) {
+  Host h;
+  h.servers(2);
+  h.give(snowknot::ServerSeen{snowknot::ServerId{1}, 0.1});
+  EXPECT_EQ(sends_of(h, 20)[snowknot::ServerId{1}], 0);
+}
+
+TEST(Hearsay, SaysNothingOfServersThatAreNotListed) {
+  Host h;
+  h.servers(1);
+  h.give(snowknot::ServerSeen{snowknot::ServerId{77}, 0});
+  EXPECT_EQ(sends_of(h, 5).size(), 1U);
+}
+
+}  // namespace
+}  // namespace docklift::replica
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -4,18 +4,37 @@
 #include "load.hpp"
 #include "peers.hpp"
 #include "process_fleet.hpp"
+#include "scripted_peer.hpp"
 
 namespace docklift::faults {
 namespace {
 
 using namespace std::chrono_literals;
 
+const rigs::Mix kPremium{.safe = 1, .keyed = 0, .customers = 2, .plan = "premium", .spread = 3};
+
 struct FleetProcesses : ::testing::Test {
-  void begin(std::size_t nodes, const std::string& more = {}) {
-    fleet = std::make_unique<ProcessFleet>(loop.io, FleetOptions{.nodes = nodes, .more = more});
-    for (std::size_t i = 0; i < nodes; ++i) fleet->start(i);
+  void begin(std::size_t nodes, const std::string& more = {}) { begin(FleetOptions{.nodes = nodes, .more = more}, nodes); }
+  void begin(const FleetOptions& options, std::size_t started) {
+    fleet = std::make_unique<ProcessFleet>(loop.io, options);
+    for (std::size_t i = 0; i < started; ++i) fleet->start(i);
     ASSERT_TRUE(until([&] { return fleet->converged(); })) << states();
   }
+  // Requests of all kinds to a node.
+  rigs::Load& load(std::size_t i, double per_second, rigs::Mix mix = {.safe = 0.5, .keyed = 0, .customers = 50, .plan = {}, .spread = 4}) {
+    loads.push_back(std::make_unique<rigs::Load>(loop.io, fleet->platform(), fleet->listen(i), figures, 10 + i, std::move(mix)));
+    loads.back()->set_rate(per_second);
+    loads.back()->run();
+    return *loads.back();
+  }
+  bool end_loads() {
+    for (const auto& l : loads) l->stop();
+    return until([&] { return std::ranges::all_of(loads, [](const auto& l) { return l->open() == 0; }); });
+  }
+  nlohmann::json part(std::size_t i, const char* name) {
+    const auto j = fleet->fleet(i);
+    return j.contains(name) ? j[name] : nlohmann::json();
+  }
   bool until(const std::function<bool()>& so) {
     const auto end = std::chrono::steady_clock::now() + 30s;
     while (!so()) {
@@ -39,6 +58,8 @@
 
   snowknot::test::Loop loop;
   std::unique_ptr<ProcessFleet> fleet;
+  rigs::Figures figures;
+  std::vector<std::unique_ptr<rigs::Load>> loads;
 };
 
 TEST_F(FleetProcesses, MeetHoldTheSameCopiesAndAreReady) {
@@ -115,14 +136,7 @@
 TEST_F(FleetProcesses, ALostCountIsMendedByWhatAllNodesKnow) {
   begin(3);
   ASSERT_TRUE(until([&] { return fleet->ready(0) && fleet->ready(1) && fleet->ready(2); }));
-  rigs::Figures figures;
-  std::vector<std::unique_ptr<rigs::Load>> loads;
-  for (std::size_t i = 0; i < 3; ++i) {
-    loads.push_back(std::make_unique<rigs::Load>(loop.io, fleet->platform(), fleet->listen(i), figures, 10 + i,
-                                                 rigs::Mix{.safe = 1, .keyed = 0, .customers = 2, .plan = "premium", .spread = 3}));
-    loads.back()->set_rate(60);
-    loads.back()->run();
-  }
+  for (std::size_t i = 0; i < 3; ++i) load(i, 60, kPremium);
   ASSERT_TRUE(until([&] { return figures.served > 150; }));
   fleet->platform().restart_counter();
   for (std::size_t i = 0; i < 3; ++i)
@@ -133,8 +147,7 @@
   const auto served = figures.served;
   EXPECT_TRUE(until([&] { return figures.served > served + 150; }));
   for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(fleet->fleet(i)["counts"]["fallen_back"], 0) << states();
-  for (const auto& l : loads) l->stop();
-  EXPECT_TRUE(until([&] { return loads[0]->open() + loads[1]->open() + loads[2]->open() == 0; }));
+  EXPECT_TRUE(end_loads());
   EXPECT_EQ(figures.unanswered, 0U);
 }
 
@@ -144,17 +157,94 @@
   ASSERT_TRUE(until([&] { return fleet->ready(0) && fleet->ready(1) && fleet->ready(2); }));
   fleet->fault({.kind = Kind::cut, .whom = {2}, .at = 0, .length = 1e9});
   ASSERT_TRUE(until([&] { return fleet->sees(0, 2, "dead") && fleet->sees(1, 2, "dead"); }));
-  rigs::Figures figures;
-  rigs::Load load(loop.io, fleet->platform(), fleet->listen(0), figures, 10,
-                  rigs::Mix{.safe = 1, .keyed = 0, .customers = 2, .plan = "premium", .spread = 3});
-  load.set_rate(60);
-  load.run();
+  load(0, 60, kPremium);
   ASSERT_TRUE(until([&] { return figures.served > 50; }));
   fleet->platform().restart_counter();
   EXPECT_TRUE(until([&] { return fleet->fleet(0)["counts"]["fallen_back"] >= 1; })) << states();
   EXPECT_EQ(fleet->fleet(0)["counts"]["settled"], 0);
-  load.stop();
-  EXPECT_TRUE(until([&] { return load.open() == 0; }));
+  EXPECT_TRUE(end_loads());
+  EXPECT_EQ(figures.unanswered, 0U);
+}
+
+// Three nodes have met a server that fails; the fourth, which starts then, is told.
+TEST_F(FleetProcesses, AStartIsToldOfAServerThatServesTheOthersBadly) {
+  begin({.nodes = 4}, 3);
+  fleet->platform().faults(0).error = 1;
+  for (std::size_t i = 0; i < 3; ++i) load(i, 60);
+  ASSERT_TRUE(until([&] {
+    return part(0, "beliefs").value("complaints", 0) + part(1, "beliefs").value("complaints", 0) + part(2, "beliefs").value("complaints", 0) >= 2;
+  })) << states();
+  ASSERT_TRUE(until([&] { return fleet->converged(); })) << states();
+  fleet->start(3);
+  EXPECT_TRUE(until([&] { return fleet->ready(3); })) << states();
+  EXPECT_EQ(part(3, "beliefs").value("believed", 0), 1) << states();
+  EXPECT_TRUE(end_loads());
+  EXPECT_EQ(figures.unanswered, 0U);
+}
+
+// With the fleet's key, and all it says of the servers is untrue: those that are served well say so, and a start believes nothing of it.
+TEST_F(FleetProcesses, APeerThatLiesAboutServersIsContradicted) {
+  begin({.nodes = 4}, 3);
+  for (std::size_t i = 0; i < 3; ++i) load(i, 60);
+  ASSERT_TRUE(until([&] { return part(0, "beliefs").value("met", 0) == 4 && part(1, "beliefs").value("met", 0) == 4; })) << states();
+  test::ScriptedPeer liar(loop.io, "liar", fleet->secret(), {fleet->heard_at(0)});
+  ASSERT_TRUE(until([&] { return liar.peer().members().alive() == 3; })) << states();
+  const std::vector<std::uint32_t> ids{1, 2, 3, 4};  // of the stand-in: s-00000001 and on
+  std::vector<replica::Words::Entry> list;
+  for (const auto id : ids) list.push_back({.id = id});
+  liar.knows(list);
+  ASSERT_TRUE(until([&] {
+    for (int n = 0; n < 5; ++n) {
+      liar.seen(ids[0], false);
+      for (std::size_t s = 1; s < ids.size(); ++s) liar.seen(ids[s], true);
+    }
+    return part(0, "beliefs").value("contradicted", 0) + part(1, "beliefs").value("contradicted", 0) +
+               part(2, "beliefs").value("contradicted", 0) >= 2;
+  })) << states();
+  ASSERT_TRUE(until([&] { return part(0, "digest") == part(1, "digest") && part(1, "digest") == part(2, "digest"); })) << states();
+  fleet->start(3);
+  EXPECT_TRUE(until([&] { return fleet->ready(3); })) << states();
+  EXPECT_EQ(part(3, "beliefs").value("believed", 1), 0) << states();
+  EXPECT_TRUE(end_loads());
+}
+
+TEST_F(FleetProcesses, TwoUnderOneNameAreNamedAndNeithersWordsAreLost) {
+  fleet = std::make_unique<ProcessFleet>(loop.io, FleetOptions{.nodes = 4, .names = {"n0", "n1", "n2", "n2"}});
+  for (std::size_t i = 0; i < 4; ++i) fleet->start(i);
+  const auto named = [&](std::size_t i) {
+    const auto conflicts = part(i, "conflicts");
+    return std::ranges::any_of(conflicts, [](const auto& c) { return c["what"] == "another process lives under this name"; });
+  };
+  EXPECT_TRUE(until([&] { return named(2) && named(3); })) << states();
+  EXPECT_TRUE(until([&] {
+    const auto members = part(0, "members");
+    return std::ranges::any_of(members, [](const auto& m) { return m["name"] == "n2" && m.contains("second_life"); });
+  })) << states();
+  // Both lives' records are held by the others.
+  EXPECT_TRUE(until([&] {
+    const auto vector = part(0, "vector");
+    std::size_t lives = 0;
+    for (const auto& [origin, number] : vector.items()) lives += origin.starts_with("n2/") ? 1 : 0;
+    return lives >= 2;
+  })) << states();
+  EXPECT_TRUE(until([&] { return fleet->ready(2) && fleet->ready(3); })) << states();  // and both serve
+}
+
+// Clocks 100 ms to either side: no life is held for older than it is, and a lost count is mended all the same.
+TEST_F(FleetProcesses, ClocksThatAreOffByATenthOfASecondChangeNothing) {
+  begin({.nodes = 3, .clocks_ms = {-100, 0, 100}}, 3);
+  EXPECT_GT(start_of(0, 2), 0U);
+  for (std::size_t i = 0; i < 3; ++i) load(i, 60, kPremium);
+  ASSERT_TRUE(until([&] { return figures.served > 150; }));
+  fleet->platform().restart_counter();
+  for (std::size_t i = 0; i < 3; ++i)
+    EXPECT_TRUE(until([&] { return part(i, "counts").value("settled", 0) >= 1; })) << states();
+  const auto before = start_of(0, 2);
+  fleet->kill(2);  // the one whose clock is ahead; back with the time of the others
+  fleet->process(2).shift_clock(-100);
+  fleet->start(2);
+  EXPECT_TRUE(until([&] { return fleet->converged() && start_of(0, 2) > before; })) << states();
+  EXPECT_TRUE(end_loads());
   EXPECT_EQ(figures.unanswered, 0U);
 }
 
--- a/tests/planted_test.cpp
+++ b/tests/planted_test.cpp
@@ -2,7 +2,10 @@
 // schedules, by the property that is meant for it.
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "members/planted.hpp"
+#include "replica/beliefs.hpp"
 #include "schedule.hpp"
 #include "world.hpp"
 
@@ -59,6 +62,49 @@
   std::cout << c.name << ": schedule " << found << ": " << words << '\n';
 }
 
+// What a start believes of servers, held against what honest nodes say: a liar among them, and one that is dead.
+std::vector<std::string> wrong_beliefs(std::uint64_t seed) {
+  using namespace replica;
+  Random random(seed);
+  Replica records({"self", 1}, {}, seed);
+  const Beliefs beliefs(records, {});
+  const auto say = [&](const Origin& o, std::uint8_t tenths) {
+    Message m;
+    m.kind = Message::Kind::pages;
+    m.pages = {{o, 0, 1, false, {{1, replica::Kind::seen, number_key(1), to_text(Sight{0, tenths}), {}}}}};
+    records.received(Instant(1), o.name, m);
+  };
+  std::vector<Origin> alive;
+  std::uint8_t least = 10, most = 0;
+  const auto honest = 1 + random.below(5);
+  for (std::size_t i = 0; i <= honest; ++i) {
+    alive.push_back({"n" + std::to_string(i), 2});
+    const auto tenths = static_cast<std::uint8_t>(random.below(11));
+    say(alive.back(), tenths);
+    if (i > 0) least = std::min(least, tenths), most = std::max(most, tenths);  // the first one lies
+  }
+  say({"gone", 3}, 0), say({"gone, too", 3}, 0), say({"gone as well", 3}, 0);
+  const auto told = beliefs.believed({{1, 0}, {2, 0}}, alive);
+  const auto tenths = told.empty() ? 10 : std::lround(told[0].success * 10);
+  if (tenths < least) return {"worse than any honest node says"};
+  if (honest > 1 && tenths > most) return {"better than any honest node says"};
+  return {};
+}
+
+TEST(PlantedBeliefs, AreFound) {
+  for (const auto p : {Plant::one_voice_believed, Plant::dead_believed}) {
+    std::uint64_t found = 0;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+      plant() = p;
+      const bool broken = !wrong_beliefs(seed).empty();
+      plant() = Plant::none;
+      EXPECT_TRUE(wrong_beliefs(seed).empty()) << seed;
+      if (broken && found == 0) found = seed;
+    }
+    EXPECT_NE(found, 0U) << static_cast<int>(p);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Faults, Planted, ::testing::ValuesIn(kCases), [](const auto& i) { return std::string(i.param.name); });
 
 }  // namespace
