A pushed list whose watch fell silent is asked for at once, not spread over the fleet

Cause: CallPause::after_end and after_failure spread a call over 50 ms a node, 15 s for 300 nodes; all 330 watches fall silent at 1.0 s, that is seen at 4.54 s, and what they miss counts as told at 7.0 s: one in six was open again. Change: where the settings push lists, a silent watch is opened anew after 50 ms (the agent is on the node's machine and turns nobody away); who is turned away, and who must ask, waits as before.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -178,7 +178,9 @@
     silence_ = timers_.after(2 * facts::kWatchLine + facts::kWatchLine / 4, [this] {
       silence_.reset();
       note("discovery: silent");
-      again();
+      const bool ended = up_;
+      stop();
+      if (!last_) connect_after(owner_.pause_.after_silence(ended));
     });
   }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -33,7 +33,8 @@
                 within_memory(config_, for_peers(config_) - for_clients(config_)), *this),
       discovery_(io, timers_, config_.discovery, config_.discovery_host, config_.named.names.zones,
                  [this](ListKind kind, const auto& entries) { list_changed(kind, entries); },
-                 CallPause(config_.named.settings.fleet_size, config_.seed)),
+                 CallPause(config_.named.settings.fleet_size, config_.seed,
+                           !config_.named.settings.discovery_must_ask)),
       clients_(io, timers_, config_.named.settings, within_memory(config_, for_clients(config_)), *this, tally_) {
   tally_.classes.resize(config_.named.settings.classes.size());
   const auto& settings = config_.named.settings;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -232,6 +232,17 @@
   EXPECT_LE(served_in(100, 12.5, 40s, [](auto n) { return CallPause(1, n); }), 0.5);
 }
 
+// A list that is pushed counts as told 6 s after its watch fell silent, which is seen 4.5 s after its last line: no time to be spread over a fleet.
+TEST(CallPause, AfterSilenceAPushedListIsAskedForAtOnceWhateverTheFleet) {
+  for (std::uint64_t seed = 1; seed < 100; ++seed) {
+    CallPause pushed(300, seed, true), asked(300, seed, false);
+    EXPECT_LE(pushed.after_silence(true), 100ms);
+    EXPECT_LE(pushed.after_silence(false), 100ms);  // also where the new watch stays silent
+    EXPECT_GE(pushed.after_failure(), 1s);          // who is turned away waits as before
+    EXPECT_GE(asked.after_silence(false), 1s);
+  }
+}
+
 TEST(CallPause, AloneANodeAsksSoonAgain) {
   CallPause p(3, 1);
   EXPECT_EQ(p.after_end(), facts::kFirstBackoff);
