A successor goes by no total of a count that was open at a loss; links of servers and clients fail too

Change: where counts of before the loss are open, the successor settles the epoch for itself as any start does, and refuses calls until then.

--- a/rigs/faults/process_fleet.cpp
+++ b/rigs/faults/process_fleet.cpp
@@ -71,6 +71,10 @@
   secret_ = "a secret of this fleet alone, made for seed " + std::to_string(options_.seed);
   std::ofstream(home_ / "key") << secret_;
   std::vector<std::string> seeds;
+  for (std::size_t s = 0; options_.relays && s < platform_.servers(); ++s) {
+    servers_.push_back(std::make_unique<TcpRelay>(io_, *snowknot::endpoint_of(platform_.server_address(s))));
+    platform_.show_server_at(s, servers_.back()->address());
+  }
   for (std::size_t i = 0; i < options_.nodes; ++i) {
     const auto at = rigs::own_address(i);
     auto config = platform_.node_config(i, options_.nodes, at);
@@ -83,6 +87,7 @@
     if (i < options_.clocks_ms.size()) nodes_.back()->process.shift_clock(options_.clocks_ms[i]);
     auto& n = *nodes_.back();
     n.discovery = std::move(discovery), n.counter = std::move(counter);
+    if (options_.relays) n.clients = std::make_unique<TcpRelay>(io_, *snowknot::endpoint_of(at));
     // Ports of this address that nobody else takes: one beside the listener's, for TCP and for UDP.
     const auto host = at.substr(0, at.rfind(':'));
     const auto port = std::stoul(at.substr(at.rfind(':') + 1));
--- a/rigs/faults/process_fleet.hpp
+++ b/rigs/faults/process_fleet.hpp
@@ -27,6 +27,7 @@
   std::string more{};              // lines for the operator's file
   std::vector<std::string> names{};       // of the first nodes, where they are not n0, n1 and so on
   std::vector<int> clocks_ms{};           // by which the clocks of the first nodes are off
+  bool relays = false;                    // also before the app servers, and before the nodes for their clients
   std::vector<std::string> more_of{};     // lines for the operator's file of one node, by section "[peers]"
 };
 
@@ -61,6 +62,10 @@
   void fault(Fault f) { faults_.push_back(std::move(f)); }
   void heal() { faults_.clear(); }
   TcpRelay& discovery(std::size_t i) { return *nodes_.at(i)->discovery; }
+  TcpRelay& server(std::size_t i) { return *servers_.at(i); }  // with `relays`
+  TcpRelay& clients(std::size_t i) { return *nodes_.at(i)->clients; }
+  // Where clients come.
+  std::string entrance(std::size_t i) const { return nodes_.at(i)->clients ? nodes_.at(i)->clients->address() : listen(i); }
   TcpRelay& counter(std::size_t i) { return *nodes_.at(i)->counter; }
 
   // All nodes that are up hold each other for alive, the others for dead or gone, and their copies are equal.
@@ -72,7 +77,7 @@
     explicit Node(rigs::NodeProcess p) : process(std::move(p)) {}
     rigs::NodeProcess process;
     std::string door, peers;
-    std::unique_ptr<TcpRelay> discovery, counter;
+    std::unique_ptr<TcpRelay> discovery, counter, clients;
     std::unique_ptr<UdpRelay> relay;
     bool up = false, paused = false;
   };
@@ -86,6 +91,7 @@
   std::vector<Fault> faults_;
   std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
   std::map<UdpRelay::Udp::endpoint, std::size_t> by_address_;
+  std::vector<std::unique_ptr<TcpRelay>> servers_;
   std::vector<std::unique_ptr<Node>> nodes_;
 };
 
--- a/rigs/replica/main.cpp
+++ b/rigs/replica/main.cpp
@@ -1,4 +1,4 @@
-// build/rigs/replica [--short] [--seed N] [--nodes N] [--schedule FILE] [--virtual]
+// build/rigs/replica [--short] [--seed N] [--nodes N] [--schedule FILE] [--virtual [--plays N] [--table FILE]]
 //
 // Nodes of docklift under load among our stand-ins, every link between them through a relay that fails by schedule: cuts, one-way cuts, loss, delays,
 // repeats, kills, pauses, planned stops, a counter that loses its counts, drains that some hear late. Each schedule is played with [peers] and
@@ -40,7 +40,8 @@
   std::uint64_t seed = 1;
   std::size_t schedules = 10;
   bool short_run = false, in_virtual_time = false;
-  std::string schedule;
+  std::string schedule, table;
+  std::size_t plays = 0;
 };
 
 double percentile(std::vector<double> all, double p) {
@@ -77,6 +78,7 @@
 struct Side {
   std::uint64_t requests = 0, served = 0, unanswered = 0, sends_after_drain = 0, faults = 0, told = 0,
                 settled = 0, fallen_back = 0, conflicts = 0;
+  double cpu_us = -1;  // of a node for each request, in the play of losses alone
   std::uint64_t start_errors = 0, starts = 0;  // failed among the first answers of a start while servers fail
   std::vector<double> converge_ms, drain_ms, shut_ms, catch_up_ms;
   double over_by = -1e9, load_s = 0;
@@ -148,6 +150,14 @@
     for (const auto& l : loads) l->stop();
     if (!until([&] { return std::ranges::all_of(loads, [](const auto& l) { return l->open() == 0; }); }, 10s))
       side.broken.push_back("requests stayed open");
+    if (losses_alone()) {
+      double cpu_s = 0, requests = 0;
+      for (std::size_t i = 0; i < fleet_->size(); ++i) {
+        if (const auto held = docklift::rigs::held_by(fleet_->process(i).pid())) cpu_s += held->cpu_seconds;
+        requests += static_cast<double>(figures[i].accepted);
+      }
+      if (requests > 0) side.cpu_us = cpu_s * 1e6 / requests;
+    }
     for (const auto& f : figures) {
       side.requests += f.accepted, side.served += f.served, side.unanswered += f.unanswered;
       for (const auto& x : f.faults) side.broken.push_back(x);
@@ -348,7 +358,7 @@
                      {"catch_up_ms_p99", percentile(with.catch_up_ms, 0.99)}, {"drain_spread_ms_p99", percentile(with.drain_ms, 0.99)},
                      {"shut_ms_after_loss", mean(with.shut_ms)}, {"shut_ms_before", mean(without.shut_ms)},
                      {"ceiling_over_by", with.over_by}, {"ceiling_over_by_before", without.over_by}, {"stated_bound", bound},
-                     {"warm_errors", with.start_errors}, {"cold_errors", without.start_errors}, {"settled", with.settled}, {"fallen_back", with.fallen_back}, {"told", with.told},
+                     {"cpu_us_per_request", with.cpu_us}, {"cpu_us_per_request_before", without.cpu_us}, {"warm_errors", with.start_errors}, {"cold_errors", without.start_errors}, {"settled", with.settled}, {"fallen_back", with.fallen_back}, {"told", with.told},
                      {"conflicts_named", with.conflicts}, {"broken", with.broken.size() + without.broken.size()}};
   std::cout << figures.dump() << '\n';
   const bool better = (with.starts == 0 || with.start_errors < without.start_errors) && with.sends_after_drain <= without.sends_after_drain &&
@@ -356,13 +366,23 @@
   return with.broken.empty() && with.unanswered == 0 && with.over_by <= 0 && with.converge_ms.size() == played && better ? 0 : 1;
 }
 
+// A row of a table (comma-separated), behind what is there; its first line names the columns.
+void add_row(const std::string& path, const json& row) {
+  const bool fresh = !std::ifstream(path).good();
+  std::ofstream out(path, std::ios::app);
+  std::string names, values;
+  for (const auto& [name, value] : row.items()) names += (names.empty() ? "" : ",") + name, values += (values.empty() ? "" : ",") + value.dump();
+  if (fresh) out << names << '\n';
+  out << values << '\n';
+}
+
 // Messages, bytes and times against the fleet's size; nothing is broken at any.
 int virtual_time(const Options& o) {
   json sizes = json::array();
   std::size_t broken = 0, played = 0;
   for (const std::size_t nodes : {4, 20, 100, 300, 1000}) {
     if (nodes > o.nodes) break;
-    const std::size_t seeds = nodes <= 20 ? (o.short_run ? 20 : 400) : nodes <= 100 ? (o.short_run ? 1 : 20) : 1;
+    const std::size_t seeds = nodes <= 20 ? (o.plays > 0 ? o.plays : o.short_run ? 20 : 400) : nodes <= 100 ? (o.short_run ? 1 : 20) : 1;
     Verdict sum;
     double node_s = 0;
     std::vector<double> converge;
@@ -388,8 +408,9 @@
                      {"bytes_per_node_s", static_cast<double>(sum.bytes) / node_s}, {"detect_s_p50", percentile(sum.detect_s, 0.5)},
                      {"detect_s_p99", percentile(sum.detect_s, 0.99)}, {"false_deaths", sum.false_deaths},
                      {"drain_spread_s_p99", percentile(sum.drain_spread_s, 0.99)}, {"settle_s_p99", percentile(sum.settle_s, 0.99)},
-                     {"converged_s_worst", percentile(converge, 1)}, {"real_s", std::chrono::duration<double>(Steady::now() - from).count()}});
-    std::cout << sizes.back().dump() << '\n';
+                     {"converged_s_worst", percentile(converge, 1)}, {"cpu_ms_per_node_s_at_most", std::chrono::duration<double, std::milli>(Steady::now() - from).count() / node_s}, {"real_s", std::chrono::duration<double>(Steady::now() - from).count()}});
+    std::cout << sizes.back().dump() << std::endl;
+    if (!o.table.empty()) add_row(o.table, sizes.back());
   }
   std::cout << json{{"schedules", played}, {"broken", broken}, {"sizes", sizes}}.dump() << '\n';
   return broken == 0 ? 0 : 1;
@@ -405,6 +426,8 @@
   app.add_option("--seed", o.seed, "of the schedules")->capture_default_str();
   app.add_option("--nodes", o.nodes, "processes")->capture_default_str();
   app.add_option("--schedules", o.schedules, "played")->capture_default_str();
+  app.add_option("--plays", o.plays, "schedules in virtual time for each size up to 20");
+  app.add_option("--table", o.table, "rows are added to this file");
   app.add_option("--schedule", o.schedule, "a schedule (TOML) instead");
   CLI11_PARSE(app, argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/peers/peer.cpp
+++ b/src/peers/peer.cpp
@@ -51,21 +51,34 @@
   return all;
 }
 
-void Peer::inherit(Instant now, std::string_view copies) {
+Out Peer::inherit(Instant now, std::string_view copies) {
+  Out out;
   heir_ = true;
-  if (copies.empty()) return;
+  now_ = std::max(now_, now);
+  if (copies.empty()) return out;
   const bool whole = copies.front() == '1';
+  std::uint64_t epoch = 0;
   copies.remove_prefix(1);
   while (copies.size() >= 8) {
     const auto size = replica::get_number(copies, 0);
-    if (size > copies.size() - 8) return;
+    if (size > copies.size() - 8) return out;
     const auto d = decode(copies.substr(8, size));
     copies.remove_prefix(8 + size);
-    if (!d || !std::holds_alternative<replica::Message>(d->body)) return;
-    for (const auto& [origin, r] : records_.received(now, d->name, std::get<replica::Message>(d->body)).changed)
-      if (r.kind == Kind::epoch && options_.counts) counts_.epoch_known(replica::number_of_key(r.value));
+    if (!d || !std::holds_alternative<replica::Message>(d->body)) return out;
+    for (const auto& [origin, r] : records_.received(now_, d->name, std::get<replica::Message>(d->body)).changed)
+      if (r.kind == Kind::epoch) epoch = std::max(epoch, replica::number_of_key(r.value));
   }
   caught_up_ = whole;
+  if (epoch == 0 || !options_.counts) return out;
+  // Where counts of before the last loss are still open, this life has to settle it for itself, as any that starts; else there is nothing to mend.
+  bool open = false;
+  for (const auto& key : records_.keys(Kind::use))
+    records_.each(Kind::use, key, [&](const Origin&, const replica::Record& r) {
+      for (const auto& u : replica::uses_of(r.value)) open = open || (u.epoch < epoch && u.most() > 0);
+    });
+  if (open) take(counts_.epoch_heard(now_, epoch), out);
+  else counts_.epoch_known(epoch);
+  return out;
 }
 
 Out Peer::begin(Instant now) {
--- a/src/peers/peer.hpp
+++ b/src/peers/peer.hpp
@@ -67,7 +67,7 @@
   // Copies for a process that takes this one's place, and what that one does with them before it begins: it knows then what was known here,
   // drains above all, and is ready without having asked anybody. What can't be read is passed over.
   std::string copies() const;
-  void inherit(Instant now, std::string_view copies);
+  Out inherit(Instant now, std::string_view copies);
   Out begin(Instant now);
   Instant due() const;
   Out tick(Instant now);
--- a/src/peers/station.hpp
+++ b/src/peers/station.hpp
@@ -41,7 +41,7 @@
   bool warm() const { return (open_ || heir_) && peer_.warm(now()); }
   // For a successor, and at one before start(): the predecessor holds the address until this process is ready.
   std::string copies() const { return peer_.copies(); }
-  void inherit(std::string_view copies) { heir_ = true, peer_.inherit(now(), copies); }
+  void inherit(std::string_view copies) { heir_ = true, carry_out(peer_.inherit(now(), copies)); }
   std::string fleet() const { return peer_.fleet(now()).dump(2) + "\n"; }
 
   void listed(snowknot::ListKind kind, std::uint64_t revision, std::vector<snowknot::Discovery::Entry>& entries) override;
--- a/standins/platform/platform.cpp
+++ b/standins/platform/platform.cpp
@@ -188,7 +188,7 @@
 // ---- Discovery ------------------------------------------------------------------------------------------
 
 json Platform::member(const Server& s) const {
-  return {{"id", s.id},       {"host_port", shown(s.at)}, {"locality", "a"},  {"flavor", "m2"},
+  return {{"id", s.id},       {"host_port", s.shown_at.empty() ? shown(s.at) : s.shown_at}, {"locality", "a"},  {"flavor", "m2"},
           {"cell", 1},        {"phase", s.phase},         {"size", 1.0},      {"up_since_ms", s.up_since_ms}};
 }
 
--- a/standins/platform/platform.hpp
+++ b/standins/platform/platform.hpp
@@ -55,6 +55,8 @@
   std::string counter_address() const;
   std::string server_address(std::size_t i) const;
   std::size_t servers() const { return servers_.size(); }
+  // The lists name another address for it, a relay's, say. Before the first list is given.
+  void show_server_at(std::size_t i, const std::string& address) { servers_.at(i)->shown_at = address; }
 
   // The configuration (DEPLOY's GW_CONFIG) of one of `nodes` edge nodes: classes route (safe), notice-keyed (keyed)
   // and gate-notice (unsafe), plans basic and premium.
@@ -98,7 +100,7 @@
     explicit Server(Acceptor a) : acceptor(std::move(a)), at(acceptor.local_endpoint()) {}
     Acceptor acceptor;
     snowknot::Tcp::endpoint at;
-    std::string id, phase = "SERVING";
+    std::string id, phase = "SERVING", shown_at{};
     std::int64_t up_since_ms = 0;
     std::size_t busy = 0, life = 0;
     std::uint64_t came = 0;
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -22,7 +22,7 @@
   }
   // Requests of all kinds to a node.
   rigs::Load& load(std::size_t i, double per_second, rigs::Mix mix = {.safe = 0.5, .keyed = 0, .customers = 50, .plan = {}, .spread = 3}) {
-    loads.push_back(std::make_unique<rigs::Load>(loop.io, fleet->platform(), fleet->listen(i), figures, 10 + i, std::move(mix)));
+    loads.push_back(std::make_unique<rigs::Load>(loop.io, fleet->platform(), fleet->entrance(i), figures, 10 + i, std::move(mix)));
     loads.back()->set_rate(per_second);
     loads.back()->run();
     return *loads.back();
@@ -293,6 +293,45 @@
   EXPECT_EQ(figures.unanswered, 0U);
 }
 
+// Each link of a request fails once: one server's goes silent, another's breaks, a third's answers come late. Every request has its one answer, none
+// that must not run twice is sent twice, and the servers are used again when their links are whole.
+TEST_F(FleetProcesses, LinksToServersThatFailLoseNoRequest) {
+  begin({.nodes = 3, .relays = true}, 3);
+  for (std::size_t i = 0; i < 3; ++i) load(i, 60, {.safe = 0.5, .keyed = 0.2, .customers = 50, .plan = {}, .spread = 3});
+  ASSERT_TRUE(until([&] { return figures.served > 100; })) << states();
+  fleet->server(0).silence(true);
+  fleet->server(1).reset_all();
+  fleet->server(2).delay_back(50ms);
+  const auto accepted = figures.accepted;
+  ASSERT_TRUE(until([&] { return figures.accepted > accepted + 400; }));
+  fleet->server(0).silence(false);
+  fleet->server(2).delay_back({});
+  const auto came = fleet->platform().came_to(0);
+  EXPECT_TRUE(until([&] { return fleet->platform().came_to(0) > came + 20; })) << states();
+  EXPECT_TRUE(end_loads());
+  EXPECT_EQ(figures.unanswered, 0U) << (figures.faults.empty() ? "" : figures.faults[0]);
+  EXPECT_EQ(figures.other, 0U);
+  EXPECT_EQ(fleet->platform().unsafe_twice(), 0U);
+}
+
+// Clients vanish in the middle of their requests, at one node: that is no other node's matter, and nothing runs twice.
+TEST_F(FleetProcesses, ClientsThatAreCutOffHurtNobodyElse) {
+  begin({.nodes = 3, .relays = true}, 3);
+  for (std::size_t i = 0; i < 3; ++i) load(i, 80);
+  ASSERT_TRUE(until([&] { return figures.served > 100; })) << states();
+  for (int n = 0; n < 5; ++n) {
+    loads[0]->killed();  // their answers are not owed any more
+    fleet->clients(0).reset_all();
+    const auto served = figures.served;
+    ASSERT_TRUE(until([&] { return figures.served > served + 60; }));
+  }
+  EXPECT_TRUE(fleet->ready(0)) << states();
+  EXPECT_TRUE(end_loads());
+  EXPECT_EQ(figures.unanswered, 0U) << (figures.faults.empty() ? "" : figures.faults[0]);
+  EXPECT_EQ(fleet->platform().unsafe_twice(), 0U);
+  EXPECT_TRUE(until([&] { return fleet->converged(); })) << states();
+}
+
 TEST_F(FleetProcesses, DatagramsWithoutTheKeyChangeNothing) {
   begin(2);
   const auto peers = fleet->fleet(0)["self"]["address"].get<std::string>();
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -330,6 +330,60 @@
   EXPECT_EQ(a.find("b")->state, members::State::left);
 }
 
+// ---- A successor ---------------------------------------------------------------------------------------------
+
+peers::PeerOptions options_of_life(std::uint64_t life) {
+  peers::PeerOptions o;
+  o.self = {"n0", 100 + life, life, "A", ""};
+  o.fleet_size = 2;
+  o.seeds = {"A", "B"};
+  return o;
+}
+
+struct Successor : ::testing::Test {
+  void SetUp() override {
+    former.begin(kNow);
+    former.add(kNow, name, 7, 10s);
+    former.store_answered(kNow, {name, snowknot::CountOutcome::ok, 7, {}});
+    former.tick(kNow + 1s);
+  }
+  // The answer to a call that the successor makes, if there is one at once.
+  std::size_t refused_at_once() {
+    next.inherit(kNow + 1s, former.copies());
+    const auto out = next.add(kNow + 1s, name, 1, 9s);
+    EXPECT_EQ(out.adds.size() + out.answers.size(), 1U);
+    return out.answers.size();
+  }
+  const snowknot::CountName name{5};
+  peers::Peer former{options_of_life(1), 1}, next{options_of_life(2), 2};
+};
+
+TEST_F(Successor, HoldsWhatWasHeldAndIsReadyAtOnce) {
+  EXPECT_EQ(refused_at_once(), 0U);
+  EXPECT_TRUE(next.warm(kNow + 1s));
+  EXPECT_NE(next.records().find({"n0", 1}, Kind::use, replica::number_key(5)), nullptr);
+}
+
+// What was added before is not in the store any more: its total is not to be believed before all have closed their books on the lost one.
+TEST_F(Successor, GoesByNoTotalOfACountThatWasOpenAtALoss) {
+  former.store_lost(kNow + 1s, {});
+  EXPECT_EQ(refused_at_once(), 1U);
+}
+
+TEST_F(Successor, PassesOverCopiesThatCannotBeRead) {
+  auto copies = former.copies();
+  for (std::size_t n = 0; n < copies.size(); ++n) {
+    peers::Peer p(options_of_life(3), 3);
+    auto bad = copies.substr(0, n);
+    p.inherit(kNow, bad);
+    EXPECT_TRUE(p.warm(kNow));
+    bad = copies;
+    bad[n] = static_cast<char>(bad[n] ^ 0x55);
+    peers::Peer q(options_of_life(3), 3);
+    q.inherit(kNow, bad);
+  }
+}
+
 // ---- Datagrams ----------------------------------------------------------------------------------------------
 
 peers::Datagram example() {
