--- a/rigs/faults/process_fleet.hpp
+++ b/rigs/faults/process_fleet.hpp
@@ -28,7 +28,7 @@
   std::vector<std::string> names{};       // of the first nodes, where they are not n0, n1 and so on
   std::vector<int> clocks_ms{};           // by which the clocks of the first nodes are off
   bool relays = false;                    // also before the app servers, and before the nodes for their clients
-  std::vector<std::string> more_of{};     // lines for the operator's file of one node, by section "[peers]"
+  std::vector<std::string> more_of{};     // lines for [peers] in the operator's file of one of the first nodes
 };
 
 class ProcessFleet {
--- a/tests/beliefs_test.cpp
+++ b/tests/beliefs_test.cpp
@@ -146,7 +146,7 @@
   RC_ASSERT(tenths <= int{most});
 }
 
-// A start with peers that knows nothing of a server is not slower than one with no words at all: a whole list of complaints leaves half.
+// A whole list of complaints leaves a start half of its servers.
 RC_GTEST_PROP(Beliefs, AStartKeepsHalfOfItsServersWhateverIsSaid, ()) {
   const auto servers_n = *rc::gen::inRange<std::uint32_t>(1, 12);
   const auto origins_n = *rc::gen::inRange<std::size_t>(0, 6);
