Fleets of two tests side by side have no address and no secret in common

Both fleets had the same secret, so the other test's nodes then spoke with a stranger's node of the same name ('another process lives under the name n2') and a lost count could not be mended. Ruled out: the program; both plays are clean alone.

Now the hosts of a process follow from its id, relays listen on 127.0.0.1, and a fleet's secret has its own folder in it.

--- a/rigs/common/process.cpp
+++ b/rigs/common/process.cpp
@@ -100,7 +100,9 @@
 }
 
 std::string own_address(std::size_t index) {
-  const auto host = "127.1." + std::to_string(index / 250) + "." + std::to_string(index % 250 + 1);
+  const auto pid = static_cast<unsigned>(::getpid());
+  if (index >= 250) throw std::invalid_argument("a process has addresses for 250 nodes");
+  const auto host = "127." + std::to_string(pid / 250 % 250 + 2) + "." + std::to_string(pid % 250) + "." + std::to_string(index + 1);
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in at{};
   at.sin_family = AF_INET;
--- a/rigs/common/process.hpp
+++ b/rigs/common/process.hpp
@@ -50,8 +50,8 @@
 };
 std::optional<Held> held_by(pid_t pid);
 
-// An address of 127.1.0.0/16 of the rig's own, with a port that is free there: no connection of anybody else starts
-// from it, so the port stays free while the node is down.
+// An address of this process's own (127.x.y.1 to 250, x and y by its id), with a port that is free there: neither a connection of anybody
+// else starts from it nor does another rig or test beside this one listen there, so the port, and those next to it, stay free while the node is down.
 std::string own_address(std::size_t index);
 
 }  // namespace docklift::rigs
--- a/rigs/faults/process_fleet.cpp
+++ b/rigs/faults/process_fleet.cpp
@@ -68,7 +68,7 @@
   ::prctl(PR_SET_CHILD_SUBREAPER, 1);  // successors are ours to wait for when their parents have ended
   auto name = (std::filesystem::temp_directory_path() / "docklift-fleet-XXXXXX").string();
   home_ = ::mkdtemp(name.data());
-  secret_ = "a secret of this fleet alone, made for seed " + std::to_string(options_.seed);
+  secret_ = "a secret of this fleet alone: " + home_.string();
   std::ofstream(home_ / "key") << secret_;
   std::vector<std::string> seeds;
   for (std::size_t s = 0; options_.relays && s < platform_.servers(); ++s) {
--- a/rigs/faults/relay.cpp
+++ b/rigs/faults/relay.cpp
@@ -11,7 +11,7 @@
 using Timer = asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Executor>;
 
 UdpRelay::UdpRelay(asio::io_context& io, const Udp::endpoint& to, Ways ways)
-    : io_(io), to_(to), ways_(std::move(ways)), socket_(io.get_executor(), Udp::endpoint(to.address(), 0)) {
+    : io_(io), to_(to), ways_(std::move(ways)), socket_(io.get_executor(), Udp::endpoint(asio::ip::address_v4::loopback(), 0)) {
   receive();
 }
 
--- a/rigs/faults/relay.hpp
+++ b/rigs/faults/relay.hpp
@@ -23,7 +23,7 @@
   // Seconds after which a datagram from a sender goes on, each time that it does.
   using Ways = std::function<std::vector<double>(const Udp::endpoint& from)>;
 
-  // Listens at a port of the system's choice on `to`'s address.
+  // Listens at a port of the system's choice on 127.0.0.1: ports of `to`'s address are its owner's.
   UdpRelay(boost::asio::io_context& io, const Udp::endpoint& to, Ways ways);
   std::string address() const;
   std::uint64_t passed() const { return passed_; }
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -1,5 +1,7 @@
 // Processes of the program among each other, with faults on the links between them: real sockets, relays of ours, waits for what is to happen.
 #include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "load.hpp"
 #include "peers.hpp"
@@ -62,6 +64,28 @@
   std::vector<std::unique_ptr<rigs::Load>> loads;
 };
 
+// Tests run side by side: a node of one that finds its port taken by another's relay never comes up, and fleets with one secret mix.
+TEST(Fleets, OfTwoProcessesHaveNeitherAddressesNorSecretsInCommon) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(::pipe(ends.data()), 0);
+  const auto child = ::fork();
+  if (child == 0) {
+    const auto theirs = rigs::own_address(0);
+    ::_exit(::write(ends[1], theirs.data(), theirs.size()) == static_cast<ssize_t>(theirs.size()) ? 0 : 1);
+  }
+  ::close(ends[1]);
+  std::array<char, 64> space{};
+  const auto n = ::read(ends[0], space.data(), space.size());
+  ::close(ends[0]);
+  ::waitpid(child, nullptr, 0);
+  ASSERT_GT(n, 0);
+  const std::string theirs(space.data(), static_cast<std::size_t>(n)), mine = rigs::own_address(0);
+  EXPECT_NE(theirs.substr(0, theirs.rfind(':')), mine.substr(0, mine.rfind(':')));
+  snowknot::test::Loop loop;
+  const ProcessFleet one(loop.io, {.nodes = 1}), other(loop.io, {.nodes = 1});
+  EXPECT_NE(one.secret(), other.secret());
+}
+
 TEST_F(FleetProcesses, MeetHoldTheSameCopiesAndAreReady) {
   begin(4);
   EXPECT_TRUE(until([&] { return fleet->ready(0) && fleet->ready(1) && fleet->ready(2) && fleet->ready(3); })) << states();
