Two plays at 20 and 100 nodes: the play itself, not the copies; schedules side by side

A copy has now the time that its spread takes by rounds, fan-out and repair (1.8 s at 20 nodes), counted from when its number was written; calls end with the traffic.

--- a/rigs/faults/world.cpp
+++ b/rigs/faults/world.cpp
@@ -42,6 +42,10 @@
     nodes_.resize(schedule.nodes);
     end_ = of(schedule.quiet_from + options.quiet + 4);
     traffic_until_ = of(schedule.quiet_from + options.quiet);
+    // What is new goes to `fanout` others a round, who pass it on in their next; whom that misses (e^-fanout of all) asks within a repair.
+    const auto& r = options.peer.records;
+    const double rounds = 1 + std::ceil(std::log(static_cast<double>(schedule.nodes)) / std::log(static_cast<double>(r.fanout)));
+    spread_ = r.round * static_cast<std::int64_t>(rounds) + r.repair;
   }
 
   Verdict run() {
@@ -91,6 +95,7 @@
     std::set<std::pair<std::uint32_t, std::uint64_t>> knew;      // which drains it has known of
     std::set<std::uint32_t> drained;                   // by others' word
     std::map<std::string, Instant> dead_since;
+    std::map<std::uint64_t, Instant> written;          // its own records, by number
   };
   struct Event {
     Instant at{};
@@ -135,6 +140,7 @@
     n.began = now_;
     n.heard = Instant(-1), n.lost_at = Instant(-1), n.settled_at = Instant(-1), n.losses_seen = 0;
     n.inbox.clear(), n.out.clear(), n.net.clear(), n.starts_seen.clear(), n.drained.clear(), n.effective.clear(), n.knew.clear(), n.dead_since.clear();
+    n.written.clear();
     auto o = options_.peer;
     const auto ms = static_cast<std::uint64_t>(clock(n).count() / 1'000'000);
     o.self = {name(i), ms - std::min(ms, std::exchange(n.clock_back_ms, 0)), n.life, address(i), ""};
@@ -142,7 +148,7 @@
     for (std::size_t s = 0; s < std::min<std::size_t>(3, nodes_.size()); ++s) o.seeds.push_back(address(s));
     n.peer = std::make_unique<Peer>(o, random_.bits());
     ++verdict_.starts;
-    carry_out(i, n.peer->begin(clock(n)));
+    carry_out(i, timed([&] { return n.peer->begin(clock(n)); }));
     hear_list(i, true);
     wake(i);
     at(now_ + of(random_.part() / options_.calls_per_s), [this, i, g = n.generation] { call(i, g); });
@@ -164,18 +170,28 @@
       if (k.generation != g || !k.up || k.paused || k.wakes != t) return;
       k.wakes = Instant(-1);
       // A clock in steps of a nanosecond: due now means a step on.
-      carry_out(i, k.peer->tick(clock(k)));
+      carry_out(i, timed([&] { return k.peer->tick(clock(k)); }));
       if (k.peer->due() <= clock(k)) at(now_ + 1ms, [this, i, g] { if (nodes_[i].generation == g) wake(i); });
       else wake(i);
     });
   }
 
+  // How long the event loop of a node would have been held up.
+  template <class F>
+  peers::Out timed(F call) {
+    if (!options_.timed) return call();
+    const auto from = std::chrono::steady_clock::now();
+    auto out = call();
+    verdict_.call_us.push_back(std::chrono::duration<float, std::micro>(std::chrono::steady_clock::now() - from).count());
+    return out;
+  }
   void carry_out(std::size_t i, peers::Out out) {
     auto& n = nodes_[i];
     for (auto& d : out.datagrams) transmit(i, d.to, std::move(d.bytes));
     for (const auto& t : out.servers) told_of_server(n, t);
     for (const auto& l : out.log) print(name(i) + ": " + l.text);
     if (out.lost) n.lost_at = clock(n), ++verdict_.fallen_back;
+    for (auto number = n.written.empty() ? 1 : n.written.rbegin()->first + 1; number <= n.peer->records().number(); ++number) n.written[number] = now_;
     const auto f = n.peer->counts().figures();
     if (f.losses > n.losses_seen) n.losses_seen = f.losses, n.heard = now_, n.settled_at = Instant(-1);
     if (f.settled > 0 && !f.settling && n.settled_at < Instant(0) && f.fallen_back == 0 && f.losses > 0) {
@@ -194,7 +210,7 @@
       n.warm = true;
       if (n.peer->fleet_is_known()) ++verdict_.warm_starts;
       verdict_.catch_up_s.push_back(to_s(now_ - n.began));
-      carry_out(n.index, n.peer->state(clock(n), peers::NodeState::serving));
+      carry_out(n.index, timed([&] { return n.peer->state(clock(n), peers::NodeState::serving); }));
     }
     for (const auto& [who, m] : n.peer->members().all()) {
       auto& seen = n.starts_seen[who];
@@ -241,7 +257,7 @@
       if (n.inbox.size() < 200) n.inbox.push_back(bytes);
       return;
     }
-    carry_out(to, n.peer->datagram(clock(n), bytes));
+    carry_out(to, timed([&] { return n.peer->datagram(clock(n), bytes); }));
   }
 
   // ---- The store of counts --------------------------------------------------------------------------------
@@ -256,7 +272,8 @@
   void call(std::size_t i, std::uint64_t generation) {
     auto& n = nodes_[i];
     if (n.generation != generation || !n.up) return;
-    if (now_ < traffic_until_) at(now_ + of((0.5 + random_.part()) / options_.calls_per_s), [this, i, generation] { call(i, generation); });
+    if (now_ >= traffic_until_) return;  // calls that are seconds apart would come behind it
+    at(now_ + of((0.5 + random_.part()) / options_.calls_per_s), [this, i, generation] { call(i, generation); });
     if (n.paused || !n.warm || n.left) return;
     Instant began{};
     const auto name = count_of(random_.below(options_.members), n, began);
@@ -268,7 +285,7 @@
     ++verdict_.calls;
     starts_of_[name] = began;
     asked_ = amount;
-    carry_out(i, n.peer->add(clock(n), name, amount, of(options_.window * 2)));
+    carry_out(i, timed([&] { return n.peer->add(clock(n), name, amount, of(options_.window * 2)); }));
   }
   void to_store(std::size_t i, const replica::Counts::Add& add) {
     auto& n = nodes_[i];
@@ -311,7 +328,7 @@
       if (!tells) k.out[add.name].push_back(*call);
       else ++verdict_.told;
       if (a.outcome == CountOutcome::ok) a.total = call->stored;
-      carry_out(i, k.peer->store_answered(clock(k), a));
+      carry_out(i, timed([&] { return k.peer->store_answered(clock(k), a); }));
     });
   }
   void answered(Node& n, const CountAnswer& a) {
@@ -373,7 +390,7 @@
     }
     n.revision = told.first;
     for (const auto& e : told.second) n.effective[e.id] = e.phase != replica::ServerPhase::ready;
-    carry_out(i, n.peer->listed(clock(n), true, told.first, told.second));
+    carry_out(i, timed([&] { return n.peer->listed(clock(n), true, told.first, told.second); }));
     for (std::uint32_t s = 0; s < servers_.size(); ++s) {
       const bool drained = n.effective[s];
       if (drained) n.knew.insert({s, servers_[s].drained_at_revision});
@@ -433,8 +450,8 @@
             if (k.generation != g || !k.up) return;
             k.paused = false;
             k.wakes = Instant(-1);
-            carry_out(i, k.peer->tick(clock(k)));
-            for (const auto& bytes : std::exchange(k.inbox, {})) carry_out(i, k.peer->datagram(clock(k), bytes));
+            carry_out(i, timed([&] { return k.peer->tick(clock(k)); }));
+            for (const auto& bytes : std::exchange(k.inbox, {})) carry_out(i, timed([&] { return k.peer->datagram(clock(k), bytes); }));
             hear_list(i, false);
             wake(i);
           });
@@ -517,7 +534,7 @@
     }
     verdict_.converged_s = to_s(now_) - schedule_.quiet_from;
   }
-  // Each copy of a record that is older than a second is what its origin has.
+  // Each copy of a record that has had the time to spread is what its origin has.
   void compare_copies() {
     std::set<CountName> names;
     for (const auto& [name, c] : counts_) names.insert(name);
@@ -532,7 +549,7 @@
             if (!theirs || (theirs->ends != Instant{} && theirs->ends < clock(n) + 1s)) continue;
             const auto* mine = n.peer->records().find(o, kind, key);
             const bool fresh = kind == replica::Kind::use && (!mine || mine->number < theirs->number);
-            if (fresh && other.peer->records().number() - theirs->number < 12) continue;  // still on its way
+            if (fresh && now_ - other.written.at(theirs->number) < spread_) continue;  // still on its way
             if (!mine || mine->value != theirs->value)
               broken(name(n.index) + " has another copy of " + o.name + "'s record of kind " + std::to_string(static_cast<int>(kind)) +
                      (mine ? ": number " + std::to_string(mine->number) + " for " + std::to_string(theirs->number) : ": none"));
@@ -568,7 +585,7 @@
   std::vector<Node> nodes_;
   std::priority_queue<Event> queue_;
   std::uint64_t order_ = 0, revision_ = 1, fingerprint_ = 1;
-  Instant now_{}, end_{}, traffic_until_{}, last_loss_{-1};
+  Instant now_{}, end_{}, traffic_until_{}, last_loss_{-1}, spread_{};
   double asked_ = 0;  // by the module, of the call that is under way
   std::map<CountName, Count> counts_;
   std::map<CountName, Instant> starts_of_;
--- a/rigs/faults/world.hpp
+++ b/rigs/faults/world.hpp
@@ -23,6 +23,7 @@
   std::size_t servers = 4;
   bool noise = true;             // a little loss, and late repeats, at all times
   double repeats = 0.01;         // part of the datagrams that come twice then
+  bool timed = false;            // how long each call into a Peer takes, by the real clock
   std::function<void(double seconds, const std::string& line)> log{};  // what nodes say
   peers::PeerOptions peer{};       // name, start, seeds and fleet size are set by the world
 };
@@ -35,6 +36,7 @@
   double worst_gap_units = 0, worst_over_units = 0;
   std::vector<double> detect_s{}, drain_spread_s{}, settle_s{}, catch_up_s{};
   double converged_s = -1;       // after the last fault
+  std::vector<float> call_us{};  // with `timed`
   double virtual_s = 0;
   std::uint64_t fingerprint = 0; // of all that was sent and said
   bool good() const { return broken.empty(); }
--- a/rigs/replica/main.cpp
+++ b/rigs/replica/main.cpp
@@ -10,9 +10,11 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <mutex>
 #include <numeric>
 #include <sstream>
 #include <thread>
@@ -33,6 +35,7 @@
 constexpr std::uint64_t kMembers = 5;  // where losses are measured: each asks for kRate / kMembers
 constexpr std::uint64_t kFirstAnswers = 60;  // of a start: who fails is learnt within them
 constexpr std::size_t kIll = 2;               // servers that fail, of six
+constexpr std::size_t kMostCalls = 20'000'000;  // whose times are kept
 constexpr double kWindow = 1;          // seconds: a window of the premium plan
 
 struct Options {
@@ -41,7 +44,7 @@
   std::size_t schedules = 10;
   bool short_run = false, in_virtual_time = false;
   std::string schedule, table;
-  std::size_t plays = 0;
+  std::size_t plays = 0, jobs = 1, least = 0;
 };
 
 double percentile(std::vector<double> all, double p) {
@@ -384,34 +387,52 @@
   std::size_t broken = 0, played = 0;
   for (const std::size_t nodes : {4, 20, 100, 300, 1000}) {
     if (nodes > o.nodes) break;
-    const std::size_t seeds = nodes <= 20 ? (o.plays > 0 ? o.plays : o.short_run ? 20 : 400) : nodes <= 100 ? (o.short_run ? 1 : 20) : 1;
+    if (nodes < o.least) continue;
+    const std::size_t seeds = nodes <= 20 ? (o.plays > 0 ? std::max<std::size_t>(1, nodes < 20 ? o.plays : o.plays / 20) : o.short_run ? 20 : 400) : nodes <= 100 ? (o.short_run ? 1 : 20) : 1;
     Verdict sum;
     double node_s = 0;
     std::vector<double> converge;
     const auto from = Steady::now();
-    for (std::uint64_t seed = o.seed; seed < o.seed + seeds; ++seed) {
-      auto s = random_schedule(seed, nodes, {.least = 1, .most = 5, .span = 8, .kinds = {}});
-      WorldOptions w;
-      // Traffic to the store grows with members, not with nodes: the records of use are the fleet's cost, and are told apart.
-      w.calls_per_s = nodes <= 20 ? 20 : 0.2;
-      w.quiet = nodes <= 20 ? 14 : 40;
-      const auto v = play(s, w);
-      ++played;
-      for (const auto& b : v.broken) std::cerr << nodes << " nodes, seed " << seed << ": " << b << '\n';
-      broken += v.broken.size();
-      sum.datagrams += v.datagrams, sum.bytes += v.bytes, sum.false_deaths += v.false_deaths, sum.deaths += v.deaths;
-      sum.detect_s.insert(sum.detect_s.end(), v.detect_s.begin(), v.detect_s.end());
-      sum.drain_spread_s.insert(sum.drain_spread_s.end(), v.drain_spread_s.begin(), v.drain_spread_s.end());
-      sum.settle_s.insert(sum.settle_s.end(), v.settle_s.begin(), v.settle_s.end());
-      converge.push_back(v.converged_s);
-      node_s += v.virtual_s * static_cast<double>(nodes);
-    }
+    std::vector<float> calls;  // us of each call into a node's Peer
+    double calls_us = 0;
+    std::mutex one;
+    std::atomic<std::uint64_t> next{o.seed};
+    const auto some = [&] {
+      for (std::uint64_t seed = next++; seed < o.seed + seeds; seed = next++) {
+        const auto s = random_schedule(seed, nodes, {.least = 1, .most = 5, .span = 8, .kinds = {}});
+        WorldOptions w;
+        // Traffic to the store grows with members, not with nodes: the records of use are the fleet's cost, and are told apart.
+        w.calls_per_s = nodes <= 20 ? 20 : 0.2;
+        w.quiet = nodes <= 20 ? 14 : 40;
+        w.timed = true;
+        const auto v = play(s, w);
+        const std::lock_guard<std::mutex> held(one);
+        ++played;
+        for (const auto& b : v.broken) std::cerr << nodes << " nodes, seed " << seed << ": " << b << '\n';
+        broken += v.broken.size();
+        sum.datagrams += v.datagrams, sum.bytes += v.bytes, sum.false_deaths += v.false_deaths, sum.deaths += v.deaths;
+        sum.detect_s.insert(sum.detect_s.end(), v.detect_s.begin(), v.detect_s.end());
+        sum.drain_spread_s.insert(sum.drain_spread_s.end(), v.drain_spread_s.begin(), v.drain_spread_s.end());
+        sum.settle_s.insert(sum.settle_s.end(), v.settle_s.begin(), v.settle_s.end());
+        converge.push_back(v.converged_s);
+        node_s += v.virtual_s * static_cast<double>(nodes);
+        for (const auto us : v.call_us) calls_us += us;
+        if (calls.size() < kMostCalls) calls.insert(calls.end(), v.call_us.begin(), v.call_us.end());
+      }
+    };
+    std::vector<std::thread> workers;
+    for (std::size_t n = 1; n < std::min<std::size_t>(o.jobs, seeds); ++n) workers.emplace_back(some);
+    some();
+    for (auto& w : workers) w.join();
+    std::sort(calls.begin(), calls.end());
+    const auto call_at = [&](double p) { return calls.empty() ? 0.0 : static_cast<double>(calls[std::min(calls.size() - 1, static_cast<std::size_t>(p * static_cast<double>(calls.size())))]); };
     const auto real_s = std::chrono::duration<double>(Steady::now() - from).count();
     sizes.push_back({{"nodes", nodes}, {"schedules", seeds}, {"datagrams_per_node_s", static_cast<double>(sum.datagrams) / node_s},
                      {"bytes_per_node_s", static_cast<double>(sum.bytes) / node_s}, {"detect_s_p50", percentile(sum.detect_s, 0.5)},
                      {"detect_s_p99", percentile(sum.detect_s, 0.99)}, {"false_deaths", sum.false_deaths},
                      {"drain_spread_s_p99", percentile(sum.drain_spread_s, 0.99)}, {"settle_s_p99", percentile(sum.settle_s, 0.99)},
-                     {"converged_s_worst", percentile(converge, 1)}, {"cpu_ms_per_node_s_at_most", real_s * 1000 / node_s}, {"real_s", real_s}});
+                     {"converged_s_worst", percentile(converge, 1)}, {"loop_us_p50", call_at(0.5)}, {"loop_us_p99", call_at(0.99)},
+                     {"loop_us_worst", call_at(1)}, {"loop_ms_per_node_s", calls_us / 1000 / node_s}, {"real_s", real_s}});
     std::cout << sizes.back().dump() << std::endl;
     if (!o.table.empty()) add_row(o.table, sizes.back());
   }
@@ -429,7 +450,9 @@
   app.add_option("--seed", o.seed, "of the schedules")->capture_default_str();
   app.add_option("--nodes", o.nodes, "processes")->capture_default_str();
   app.add_option("--schedules", o.schedules, "played")->capture_default_str();
-  app.add_option("--plays", o.plays, "schedules in virtual time for each size up to 20");
+  app.add_option("--plays", o.plays, "schedules in virtual time at 4 nodes; at 20 a twentieth");
+  app.add_option("--least", o.least, "in virtual time: sizes from this on");
+  app.add_option("--jobs", o.jobs, "schedules played side by side, each in a thread of its own")->capture_default_str();
   app.add_option("--table", o.table, "rows are added to this file");
   app.add_option("--schedule", o.schedule, "a schedule (TOML) instead");
   CLI11_PARSE(app, argc, argv);
