A fleet that lost its power: disks that remember, lives that are closed, stages of service

Need: after a loss of power of all nodes no life is left that has added anything, so an emptied store could not be told from a full one (Counts looked at its own adds alone), drains that a late list does not repeat were gone, and the number of a start hung on the clock.

Counts writes down ahead of each call, and refuses at once what would pass undurable_units that the disk does not know yet; a life that ended without a last word is closed by the next of its name.

--- a/rigs/common/process.cpp
+++ b/rigs/common/process.cpp
@@ -9,6 +9,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 
@@ -50,10 +51,10 @@
   std::vector<std::string> words{binary}, variables;
   words.insert(words.end(), more.begin(), more.end());
   for (char** e = environ; *e != nullptr; ++e) variables.emplace_back(*e);
-  if (clock_ms_ != 0) {
-    variables.emplace_back("LD_PRELOAD=" SHIFTED_CLOCK);
+  if (clock_ms_ != 0 || disk_) {
+    variables.push_back(std::string("LD_PRELOAD=") + (clock_ms_ != 0 ? SHIFTED_CLOCK : "") + (clock_ms_ != 0 && disk_ ? ":" : "") + (disk_ ? SYNCED_SIZE : ""));
     variables.push_back("SHIFTED_CLOCK_MS=" + std::to_string(clock_ms_));
-    variables.emplace_back("ASAN_OPTIONS=verify_asan_link_order=0");  // the clock needs no runtime of theirs
+    variables.emplace_back("ASAN_OPTIONS=verify_asan_link_order=0");  // they need no runtime of theirs
   }
   if (more.empty()) variables.push_back("GW_CONFIG=" + (home_ / "platform.json").string());
   const auto log = (home_ / "log").string();
@@ -67,6 +68,19 @@
   if (failed != 0) throw std::runtime_error(binary + " can't be started");
 }
 
+void NodeProcess::lose_unsynced(std::uint64_t seed) const {
+  std::mt19937_64 random(seed);
+  std::error_code failed;
+  for (std::filesystem::directory_iterator it(state_folder(), failed), end; !failed && it != end; it.increment(failed)) {
+    const auto path = it->path();
+    if (path.extension() == ".synced" || path.filename() == "lock") continue;
+    std::uintmax_t synced = 0;
+    std::ifstream(path.string() + ".synced") >> synced;
+    const auto size = std::filesystem::file_size(path);
+    if (size > synced) std::filesystem::resize_file(path, synced + random() % (size - synced + 1));
+  }
+}
+
 void NodeProcess::signal(int number) const {
   if (pid_ > 0) ::kill(pid_, number);
 }
--- a/rigs/common/process.hpp
+++ b/rigs/common/process.hpp
@@ -19,6 +19,10 @@
   void start();
   // Without an operator's file, as the platform does; `binary` may be another build.
   void start_plain(const std::string& binary);
+  // From the next start on it is known what of its state is on the disk; and after its end, what a loss of power would leave is left.
+  void know_the_disk() { disk_ = true; }
+  void lose_unsynced(std::uint64_t seed) const;
+  std::filesystem::path state_folder() const { return home_ / "state"; }
   // From the next start on its wall clock is off by so much.
   void shift_clock(int ms) { clock_ms_ = ms; }
   void signal(int number) const;
@@ -40,6 +44,7 @@
   std::string listen_;
   pid_t pid_ = 0;
   int clock_ms_ = 0;
+  bool disk_ = false;
 };
 
 // What a process holds, from /proc; none if it has ended.
--- a/rigs/faults/process_fleet.cpp
+++ b/rigs/faults/process_fleet.cpp
@@ -108,6 +108,10 @@
     if (options_.peers)
       text += "[peers]\nlisten = \"" + n->peers + "\"\nadvertise = \"" + n->relay->address() + "\"\nseeds = [" + all + "]\nkey_file = \"" +
               (home_ / "key").string() + "\"\ninterval = \"" + options_.interval + "\"\nround = \"50ms\"\n" + (i < options_.more_of.size() ? options_.more_of[i] : "");
+    if (options_.disks) {
+      text += "[state]\ndir = \"" + n->process.state_folder().string() + "\"\n" + options_.state;
+      n->process.know_the_disk();
+    }
     n->process.write_good(text);
   }
 }
@@ -132,6 +136,17 @@
   n.up = false, n.paused = false;
 }
 
+void ProcessFleet::power_cut(bool store_too) {
+  for (const auto& n : nodes_)
+    if (n->up) n->process.signal(SIGKILL);
+  if (store_too) platform_.restart_counter();
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!nodes_[i]->up) continue;
+    kill(i);
+    nodes_[i]->process.lose_unsynced(random_.bits());
+  }
+}
+
 void ProcessFleet::pause(std::size_t i, bool on) {
   auto& n = *nodes_.at(i);
   if (!n.up) return;
--- a/rigs/faults/process_fleet.hpp
+++ b/rigs/faults/process_fleet.hpp
@@ -28,6 +28,8 @@
   std::vector<std::string> names{};       // of the first nodes, where they are not n0, n1 and so on
   std::vector<int> clocks_ms{};           // by which the clocks of the first nodes are off
   bool relays = false;                    // also before the app servers, and before the nodes for their clients
+  bool disks = false;                     // [state] in the operator's files
+  std::string state{};                    // lines of it
   std::vector<std::string> more_of{};     // lines for [peers] in the operator's file of one of the first nodes
 };
 
@@ -48,6 +50,8 @@
   rigs::NodeProcess& process(std::size_t i) { return nodes_.at(i)->process; }
   void start(std::size_t i);
   void kill(std::size_t i);   // SIGKILL, and waited for
+  // All that are up at once, with what their disks had not synced; the store too, if it is to lose its counts.
+  void power_cut(bool store_too);
   void pause(std::size_t i, bool on);
   void stop(std::size_t i);   // SIGTERM, and waited for
   // SIGUSR2, and waited for the successor to hold the pid file and the former process to end. False if it does not within `limit`.
--- a/src/daemon/sections.cpp
+++ b/src/daemon/sections.cpp
@@ -97,7 +97,7 @@
     s.add(redis::store_section()).add(redis::redis_section()).add(graphql::graphql_section()).add(stream::stream_section());
     s.add(admin_section());
 #ifdef DOCKLIFT_WITH_PEERS
-    s.add(peers::peers_section());
+    s.add(peers::peers_section()).add(peers::state_section());
 #endif
     return s;
   }();
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -103,6 +103,12 @@
   return next(now);
 }
 
+std::optional<Commit> Journal::last() {
+  if (!begun_ || (!roll_ && waiting_.empty())) return std::nullopt;
+  if (roll_) return new_generation();
+  return Commit{.id = ++ids_, .file = file_name(generation_), .create = false, .bytes = std::exchange(waiting_, {}), .remove = {}};
+}
+
 std::optional<Instant> Journal::due() const {
   if (!begun_ || under_way_) return std::nullopt;
   if (roll_) return not_before_.value_or(Instant{});
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -52,6 +52,8 @@
   std::optional<Commit> erase(Instant now, const std::string& key);
   std::optional<Commit> done(Instant now, std::uint64_t id, bool ok);
   std::optional<Commit> tick(Instant now) { return next(now); }
+  // At a planned end, once what is under way has been carried out: what is left, whatever came of that.
+  std::optional<Commit> last();
   // When tick() is wanted.
   std::optional<Instant> due() const;
 
--- a/src/members/members.hpp
+++ b/src/members/members.hpp
@@ -97,6 +97,8 @@
   // `self.start`: by the clock, in ms; it is raised where a peer knows of one as high.
   Members(Life self, Limits limits, std::uint64_t seed);
 
+  // Before begin(): a start that this name has used.
+  void above(std::uint64_t start) { self_.start = start >= self_.start ? start + 1 : self_.start; }
   Out begin(Instant now, std::vector<std::string> seeds);
   // When tick() is wanted next; it may be called at any time.
   Instant due() const;
--- a/src/peers/peer.cpp
+++ b/src/peers/peer.cpp
@@ -11,8 +11,11 @@
 
 constexpr std::size_t kAsked = 2;              // peers whose copies make a start warm
 constexpr Instant kSweep = std::chrono::seconds(1), kAskAgain = std::chrono::milliseconds(200);
+constexpr Instant kLongestUnknown = std::chrono::minutes(1);  // of a count, where the disk does not tell
 constexpr Instant kLongAgo = std::chrono::minutes(5);  // no window of a count is as long
 
+const std::string kNoDisk = "disk";  // key of a node's word that its disk refuses
+
 std::string hex(std::uint64_t n) {
   std::array<char, 17> text{};
   std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(n));
@@ -39,7 +42,12 @@
       records_(Origin{options_.self.name, options_.self.number}, options_.records, mixed(seed + 1)),
       counts_(records_, *this, options_.count_limits),
       words_(records_),
-      beliefs_(records_, options_.belief_limits) {}
+      beliefs_(records_, options_.belief_limits),
+      stages_(options_.stages, options_.disk) {
+  if (!options_.disk) return;
+  records_.note_changes();
+  counts_.hold();
+}
 
 std::string Peer::copies() const {
   std::string all(1, caught_up_ ? '1' : '0');
@@ -81,10 +89,147 @@
   return out;
 }
 
+// ---- A disk -------------------------------------------------------------------------------------------------
+
+Out Peer::remember(Instant now, const recovery::Remembered& found) {
+  Out out;
+  now_ = std::max(now_, now);
+  remembers_ = true;
+  members_.above(found.start);
+  disk_.push_back(recovery::start_of(members_.self().start));
+  counts_.longest_was(found.longest);
+  counts_.largest_is(found.largest);
+  counts_.epoch_known(found.epoch);
+  for (const auto& p : found.pages) met_before_.insert(p.origin);
+  records_.received(now_, options_.self.name, {.kind = replica::Message::Kind::pages, .pages = found.pages});
+  for (const auto& w : found.words) records_.put(w.kind, w.key, w.value, w.ends);
+  // Former lives of this name are over, and what the disk has of each is all there is but what was not on it yet.
+  const auto longest = found.longest.count() > 0 ? found.longest : kLongestUnknown;
+  for (const auto& f : found.former) {
+    if (f.life == options_.self.number) continue;
+    const auto beside = f.left ? 0 : counts_.most_undurable();
+    records_.put(Kind::closed, replica::number_key(f.life), replica::to_text(f.number, found.damaged ? ~0ULL : beside),
+                 now_ + longest + options_.count_limits.margin);
+  }
+  out.log.push_back({"recovery", found.empty() ? "the disk knows nothing of this node"
+                                               : "the disk knows of " + std::to_string(found.pages.size()) + " lives, " +
+                                                     std::to_string(found.former.size()) + " of this name" + (found.damaged ? "; it is DAMAGED" : "")});
+  sum_raises();
+  return out;
+}
+
+Peer::ToDisk Peer::to_disk() {
+  auto changes = recovery::changes_of(records_);
+  for (auto& c : std::exchange(disk_, {})) changes.push_back(std::move(c));
+  writes_at_[++disk_number_] = counts_.writes();
+  return {std::move(changes), disk_number_};
+}
+
+Out Peer::durable(Instant now, std::uint64_t number) {
+  Out out;
+  now_ = std::max(now_, now);
+  durable_ = std::max(durable_, number);
+  for (auto it = writes_at_.begin(); it != writes_at_.end() && it->first <= number; it = writes_at_.erase(it)) counts_.durable(it->second);
+  if (largest_number_ != 0 && number >= largest_number_) counts_.largest_is(largest_), largest_number_ = 0;
+  look_at_stage(out);
+  return out;
+}
+
+Out Peer::disk_fails(Instant now) {
+  Out out;
+  now_ = std::max(now_, now);
+  if (!std::exchange(disk_fails_, true)) out.log.push_back({"recovery", "the disk refuses: this node serves without, and a loss of power finds it empty"});
+  remembers_ = true;
+  // What this life passes from here on its disk will not know: it can't be closed by it.
+  records_.put(Kind::shut, kNoDisk, "");
+  counts_.without_disk();
+  look_at_stage(out);
+  return out;
+}
+
+bool Peer::is_closed(const Origin& o) const {
+  if (records_.find(o, Kind::shut, kNoDisk)) return false;
+  bool so = false;
+  records_.each(Kind::closed, replica::number_key(o.life), [&](const Origin& by, const replica::Record& r) {
+    so = so || (by.name == o.name && r.value.size() == 16 && records_.number_of(o) >= replica::get_number(r.value, 0) &&
+                replica::get_number(r.value, 8) != ~0ULL);
+  });
+  return so;
+}
+
+bool Peer::gone(const Origin& o) const {
+  if (o.name == records_.self().name) return o != records_.self();
+  const auto* m = members_.find(o.name);
+  return !m || m->life.number != o.life || m->state >= members::State::dead;
+}
+
+// What closed lives may have added beside what they told: counted until all counts that were open then have ended.
+void Peer::sum_raises() {
+  raise_ = 0, raise_until_ = {};
+  for (const auto& key : records_.keys(Kind::closed)) {
+    std::uint64_t most = 0;
+    records_.each(Kind::closed, key, [&](const Origin&, const replica::Record& r) {
+      if (r.value.size() != 16) return;
+      const auto beside = replica::get_number(r.value, 8);
+      if (beside != ~0ULL) most = std::max(most, beside);
+      raise_until_ = std::max(raise_until_, r.ends);
+    });
+    raise_ += most;
+  }
+}
+
+recovery::Known Peer::known() const {
+  recovery::Known k;
+  k.read = remembers_;
+  k.durable = disk_fails_ || durable_ > 0;
+  k.caught_up = caught_up_;
+  if (!caught_up_) return k;
+  std::size_t here = 1 + members_.alive();
+  bool all_here = true;
+  k.nothing_lost = true;
+  for (const auto& [o, number] : records_.vector()) {
+    const auto* last = records_.find(o, Kind::node, "");
+    if (!gone(o) || (last && !last->value.empty() && last->value[0] == static_cast<char>(NodeState::left))) continue;
+    if (!is_closed(o)) all_here = false;
+    k.nothing_lost = false;
+  }
+  // Who is back says first which lives of its name are over: what they told has to be here as well.
+  for (const auto& [name, m] : members_.all()) {
+    const Origin o{name, m.life.number};
+    if (m.state == members::State::left && !ended(o)) ++here;
+    if (m.state == members::State::dead || (m.state <= members::State::suspect && !records_.find(o, Kind::node, ""))) k.nothing_lost = all_here = false;
+    const auto* shut = m.state <= members::State::suspect ? records_.find(o, Kind::shut, "") : nullptr;
+    if (!shut) continue;
+    const auto until = static_cast<std::int64_t>(replica::number_of_key(shut->value));
+    if (until > 0 || met_before_.contains(o)) k.served_by_other = std::max(k.served_by_other.value_or(Instant{}), Instant(until));
+  }
+  for (const auto& key : records_.keys(Kind::closed))
+    records_.each(Kind::closed, key, [&](const Origin& by, const replica::Record& r) {
+      if (r.value.size() == 16 && records_.number_of({by.name, replica::number_of_key(key)}) < replica::get_number(r.value, 0)) all_here = false;
+    });
+  k.all_told = all_here && here >= options_.fleet_size;
+  return k;
+}
+
+void Peer::look_at_stage(Out& out) {
+  if (!options_.disk || !begun_ || stages_.stage() == recovery::Stage::full) return;
+  const auto before = stages_.stage();
+  const auto release = stages_.look(now_, known());
+  if (stages_.stage() != before) out.log.push_back({"recovery", std::string("stage ") + recovery::name_of(stages_.stage()) + (release ? ": " + release->why : "")});
+  if (!release) return;
+  sum_raises();
+  records_.put(Kind::shut, "", replica::number_key(static_cast<std::uint64_t>(release->shut.value_or(Instant{}).count())));
+  records_.hurry();
+  take(counts_.release(release->shut), out);
+}
+
+// ---- The network --------------------------------------------------------------------------------------------
+
 Out Peer::begin(Instant now) {
   Out out;
   now_ = begun_at_ = now;
   begun_ = true;
+  stages_.begin(now);
   records_.put(Kind::node, "", node_text(state_, options_.file_version));
   records_.put(Kind::ended, "", replica::number_key(0));
   take(members_.begin(now, options_.seeds), out);
@@ -98,6 +243,7 @@
   if (!caught_up_) t = std::min(t, next_ask_);
   if (options_.beliefs && !beliefs_told_ && !starts_.empty()) t = std::min(t, begun_at_ + options_.warm_limit);
   if (beliefs_due(now_)) t = now_;
+  if (const auto stage = stages_.due()) t = std::min(t, std::max(*stage, now_));
   // While all wait for the end of an epoch: a few times in a round.
   return std::min(t, std::max(counts_.due(), now_ + options_.records.round / 8));
 }
@@ -123,7 +269,9 @@
       return m && m->life.number == o.life;
     });
     look_for_ended_lives();
+    if (options_.disk) sum_raises();
   }
+  look_at_stage(out);
   return out;
 }
 
@@ -158,6 +306,7 @@
   if (m.kind == replica::Message::Kind::vector) learn_vector(d->name, m);
   look_whether_caught_up(out);
   tell_beliefs(out);
+  look_at_stage(out);
   return out;
 }
 
@@ -192,6 +341,7 @@
     }
     if (r.kind == Kind::epoch && options_.counts) take(counts_.epoch_heard(now_, replica::number_of_key(r.value)), out);
     if (r.kind == Kind::ended) records_.hurry();
+    if (r.kind == Kind::closed) sum_raises(), records_.hurry();
   }
 }
 
@@ -201,6 +351,11 @@
   if (from.lost) out.lost = from.lost;
   for (auto& l : from.log) out.log.push_back({"counts", std::move(l)});
   if (from.hurry) records_.hurry();
+  if (from.longest) disk_.push_back(recovery::longest_count(*from.longest));
+  if (from.largest && options_.disk && *from.largest > largest_) {
+    largest_ = *from.largest, largest_number_ = disk_number_ + 1;
+    disk_.push_back(recovery::largest_add(largest_));
+  }
 }
 
 void Peer::take(std::vector<replica::Words::Told>&& told, Out& out) {
@@ -270,6 +425,7 @@
 
 bool Peer::warm(Instant now) const {
   if (heir_ && !begun_) return true;  // its predecessor has the address until it is ready
+  if (!stages_.ready()) return false;
   return (caught_up_ || now - begun_at_ >= options_.warm_limit) && !beliefs_due(now);
 }
 // Once, with a list and with copies, or with what there is of them when their time is over.
@@ -332,7 +488,7 @@
   if (members_.duplicate() || accounted < options_.fleet_size) return true;
   // A life that was replaced without a last word may have added what it did not tell.
   for (const auto& [o, number] : records_.vector()) {
-    if (!ended(o)) continue;
+    if (!ended(o) || is_closed(o)) continue;
     const auto it = ended_lives_.find(o);
     if (it == ended_lives_.end() || it->second >= since) return true;
   }
@@ -441,6 +597,8 @@
           {"cluster", options_.cluster},
           {"fleet_size", options_.fleet_size},
           {"caught_up", caught_up_},
+          {"stage", {{"name", recovery::name_of(stages_.stage())}, {"waits_for", stages_.waits_for()}, {"age_ms", ms(now - stages_.since())},
+                     {"disk", !options_.disk ? "none" : disk_fails_ ? "refuses" : "good"}, {"durable", options_.disk && durable_ == disk_number_ && !has_for_disk()}, {"raise", raise()}}},
           {"slowness", members_.slowness()},
           {"members", std::move(members)},
           {"vector", std::move(vector)},
@@ -448,7 +606,7 @@
           {"conflicts", std::move(conflicts)},
           {"counts",
            {{"epoch", c.epoch}, {"losses", c.losses}, {"settled", c.settled}, {"fallen_back", c.fallen_back}, {"settling", c.settling},
-            {"last_settle_ms", c.last_settle_ms}, {"refused", c.refused}, {"told", c.told}, {"mended", c.mended}, {"counts", c.counts}}},
+            {"last_settle_ms", c.last_settle_ms}, {"refused", c.refused}, {"told", c.told}, {"mended", c.mended}, {"counts", c.counts}, {"held", c.held}, {"undurable", c.undurable}}},
           {"drains", {{"published", w.published}, {"learnt", w.learnt}, {"undone", w.undone}, {"held", w.held}}},
           {"beliefs",
            {{"said", b.said}, {"contradicted", b.contradicted}, {"taken_back", b.taken_back}, {"complaints", b.complaints},
--- a/src/peers/peer.hpp
+++ b/src/peers/peer.hpp
@@ -11,6 +11,8 @@
 
 #include "members/members.hpp"
 #include "peers/wire.hpp"
+#include "recovery/memory.hpp"
+#include "recovery/stages.hpp"
 #include "replica/beliefs.hpp"
 #include "replica/counts.hpp"
 #include "replica/replica.hpp"
@@ -37,6 +39,8 @@
   replica::Limits records{};
   replica::CountLimits count_limits{};
   replica::BeliefLimits belief_limits{};
+  bool disk = false;  // what is known is written down: see remember() and to_disk()
+  recovery::StageLimits stages{};
 };
 
 struct Out {
@@ -68,6 +72,18 @@
   // drains above all, and is ready without having asked anybody. What can't be read is passed over.
   std::string copies() const;
   Out inherit(Instant now, std::string_view copies);
+  // With a disk, before begin(): what it had, or nothing where it can't be read.
+  Out remember(Instant now, const recovery::Remembered& found);
+  // What is to be written down since the last call. Once all of it is on the disk: durable() with `number`.
+  struct ToDisk {
+    std::vector<recovery::Change> changes{};
+    std::uint64_t number = 0;
+  };
+  ToDisk to_disk();
+  bool has_for_disk() const { return options_.disk && (records_.changed() || !disk_.empty()); }
+  Out durable(Instant now, std::uint64_t number);
+  // It refuses: what is new is not written down, and the node serves without.
+  Out disk_fails(Instant now);
   Out begin(Instant now);
   Instant due() const;
   Out tick(Instant now);
@@ -111,6 +127,8 @@
   std::vector<replica::Origin> alive() const override;
   bool lost_since(Instant since) const override;
   bool caught_up() const override { return caught_up_; }
+  bool gone(const replica::Origin& o) const override;
+  std::uint64_t raise() const override { return now_ < raise_until_ ? raise_ : 0; }
 
   void take(members::Out&& from, Out& out);
   void take(replica::Out&& from, Out& out);
@@ -126,6 +144,10 @@
   std::vector<std::string> reachable() const;
   bool warm_time_over() const;
   bool beliefs_due(Instant now) const;
+  recovery::Known known() const;
+  bool is_closed(const replica::Origin& o) const;
+  void look_at_stage(Out& out);
+  void sum_raises();
   void tell_beliefs(Out& out);
 
   PeerOptions options_;
@@ -144,6 +166,15 @@
   std::map<replica::Origin, Instant> ended_lives_;  // that others have taken the place of, without a last word: since when
   NodeState state_ = NodeState::starting;
   Figures figures_;
+  // With a disk
+  recovery::Stages stages_;
+  std::vector<recovery::Change> disk_{};
+  std::uint64_t disk_number_ = 0, durable_ = 0, largest_number_ = 0, largest_ = 0;
+  std::map<std::uint64_t, std::uint64_t> writes_at_{};  // of the counts, by the number of what was to be written down
+  std::set<replica::Origin> met_before_{};               // lives that the disk knew
+  bool remembers_ = false, disk_fails_ = false;
+  std::uint64_t raise_ = 0;                              // thousandths, of lives that are closed, until:
+  Instant raise_until_{};
 };
 
 }  // namespace docklift::peers
--- a/src/peers/sections.cpp
+++ b/src/peers/sections.cpp
@@ -49,6 +49,23 @@
   return s;
 }
 
+Section state_section() {
+  Section s{.name = "state", .doc = "What a node keeps on its disk, so that the fleet comes back in order after a loss of power. Needs [peers]."};
+  s.options = {
+      text("dir", Type::path, "", "A folder of this node alone; empty: nothing is kept."),
+      span("commit", 20 * kMs, 0, 10 * kS, "What is new waits so long for company before it is written and synced."),
+      number("undurable_units", 20, 1, 1'000'000,
+             "Of one count so many units may be passed whose record is not on the disk yet; past that calls to the store are refused at once."),
+      span("verify_limit", 3 * kS, 0, kMinute, "For what the lost nodes have passed to be known; then windows that had begun stay shut."),
+      {.key = "most_bytes", .type = Type::size, .fallback = std::int64_t{64 * kMiB},
+       .doc = "Of one file; there are two.", .reloadable = false, .least = kMiB, .most = kGiB},
+  };
+  s.check = [](const Config& c, const Section::Wrong& wrong) {
+    if (!c.text("state.dir").empty() && c.text("peers.listen").empty()) wrong("dir", "needs peers.listen");
+  };
+  return s;
+}
+
 std::optional<StationOptions> station_options(const Config& c, const snowknot::NodeConfig& platform) {
   const auto listen = snowknot::endpoint_of(c.text("peers.listen"));
   if (!listen) return std::nullopt;
@@ -87,6 +104,17 @@
   p.count_limits.settle = c.duration("peers.settle_limit");
   p.count_limits.clocks = c.duration("peers.clocks");
   p.count_limits.tells_per_s = static_cast<double>(c.whole("peers.tells_per_s"));
+  if (const auto& dir = c.text("state.dir"); !dir.empty()) {
+    recovery::KeeperOptions k;
+    k.folder = dir;
+    k.node = platform.name;
+    k.journal.commit = c.duration("state.commit");
+    k.journal.most_bytes = static_cast<std::size_t>(c.whole("state.most_bytes"));
+    o.disk = std::move(k);
+    p.disk = p.count_limits.ahead = true;
+    p.count_limits.most_undurable = static_cast<std::uint64_t>(c.whole("state.undurable_units")) * 1000;
+    p.stages = {.join = p.warm_limit, .verify = c.duration("state.verify_limit"), .clocks = p.count_limits.clocks};
+  }
   return o;
 }
 
--- a/src/peers/station.cpp
+++ b/src/peers/station.cpp
@@ -78,7 +78,29 @@
 
 // ---- The socket ---------------------------------------------------------------------------------------------
 
-void Station::start() { bind(); }
+void Station::start() {
+  if (options_.disk) return open_disk();
+  bind();
+}
+
+// One's own records first: nobody is spoken to on a start that could have been used before.
+void Station::open_disk() {
+  keeper_ = std::make_unique<recovery::Keeper>(
+      io_, timers_, *options_.disk,
+      recovery::Keeper::Owner{.found = [this](const journal::Recovered& found) {
+                                carry_out(peer_.remember(now(), recovery::recall(found, options_.disk->node)));
+                                bind();
+                              },
+                              .durable = [this](std::uint64_t number) { carry_out(peer_.durable(now(), number)); },
+                              .fails = [this] { carry_out(peer_.disk_fails(now())); }});
+  keeper_->open();
+}
+
+void Station::write_down() {
+  if (!keeper_ || !keeper_->opened() || !peer_.has_for_disk()) return;
+  const auto all = peer_.to_disk();
+  keeper_->put(all.number, all.changes);
+}
 
 void Station::bind() {
   error_code failed;
@@ -121,8 +143,9 @@
 void Station::leave() {
   if (std::exchange(left_, true)) return;
   timers_.cancel(again_);
-  if (!open_) return;
+  if (!open_) return void(keeper_.reset());
   carry_out(peer_.leave(now()));
+  keeper_.reset();
   open_ = false;
   timers_.cancel(tick_);
   error_code ignored;
@@ -141,6 +164,7 @@
     perform(next);
   }
   performing_ = false;
+  write_down();
   arm();
 }
 
--- a/src/peers/station.hpp
+++ b/src/peers/station.hpp
@@ -13,6 +13,7 @@
 #include "net/net.hpp"
 #include "node.hpp"
 #include "peers/peer.hpp"
+#include "recovery/keeper.hpp"
 #include "store/count_store.hpp"
 
 namespace docklift::peers {
@@ -20,6 +21,7 @@
 struct StationOptions {
   snowknot::Tcp::endpoint listen;  // UDP
   PeerOptions peer{};
+  std::optional<recovery::KeeperOptions> disk{};
 };
 
 class Station : public snowknot::ListView {
@@ -52,6 +54,8 @@
   using Udp = snowknot::asio::ip::udp;
 
   Instant now() const { return timers_.now().time_since_epoch(); }
+  void open_disk();
+  void write_down();
   void bind();
   void receive();
   void carry_out(Out out);
@@ -75,6 +79,7 @@
   bool performing_ = false, open_ = false, left_ = false, said_busy_ = false, heir_ = false;
   snowknot::Timers::Handle tick_, again_;
   std::optional<Instant> armed_;
+  std::unique_ptr<recovery::Keeper> keeper_;
 };
 
 }  // namespace docklift::peers
--- /dev/null
+++ b/src/recovery/keeper.cpp
@@ -0,0 +1,141 @@
+#include "recovery/keeper.hpp"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+
+#include "journal/disk.hpp"
+
+namespace docklift::recovery {
+
+namespace {
+constexpr std::chrono::milliseconds kLockAgain{20};
+}
+
+Keeper::Keeper(snowknot::asio::io_context& io, snowknot::Timers& timers, KeeperOptions options, Owner owner)
+    : io_(io), timers_(timers), options_(std::move(options)), owner_(std::move(owner)), journal_(options_.node, options_.journal) {}
+
+Keeper::~Keeper() {
+  close();
+  *alive_ = false;
+}
+
+void Keeper::open() { lock_again(); }
+
+void Keeper::fail() {
+  if (!std::exchange(broken_, true)) owner_.fails();
+}
+
+void Keeper::lock_again() {
+  if (closed_) return;
+  std::error_code ignored;
+  std::filesystem::create_directories(options_.folder, ignored);
+  if (lock_ < 0) lock_ = ::open((options_.folder / "lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (lock_ < 0) {  // read-only, or not there: what it has is read all the same, and nothing is written
+    const auto found = journal::recover(journal::read_files(options_.folder), options_.node);
+    opened_ = true;
+    fail();
+    owner_.found(found);
+    return;
+  }
+  if (::flock(lock_, LOCK_EX | LOCK_NB) != 0) {
+    timer_ = timers_.after(kLockAgain, [this] {
+      timer_.reset();
+      lock_again();
+    });
+    return;
+  }
+  const auto found = journal::recover(journal::read_files(options_.folder), options_.node);
+  for (const auto& d : found.damage) snowknot::note("state: " + (options_.folder / d.file).string() + " at " + std::to_string(d.offset) + ": " + d.what);
+  // Signals are the event loop's.
+  sigset_t all, before;
+  sigfillset(&all);
+  pthread_sigmask(SIG_BLOCK, &all, &before);
+  thread_ = std::thread([this] { work(); });
+  pthread_sigmask(SIG_SETMASK, &before, nullptr);
+  opened_ = true;
+  auto first = journal_.begin(now(), found);
+  owner_.found(found);
+  commit(std::move(first));
+  arm();
+}
+
+void Keeper::put(std::uint64_t number, const std::vector<Change>& changes) {
+  if (!opened_ || closed_ || lock_ < 0) return;
+  for (const auto& [key, value] : changes) commit(value ? journal_.put(now(), key, *value) : journal_.erase(now(), key));
+  waiting_.emplace_back(journal_.number(), number);
+  tell();
+  arm();
+}
+
+void Keeper::commit(std::optional<journal::Commit> c) {
+  if (!c) return;
+  const std::lock_guard<std::mutex> held(mutex_);
+  commits_.push_back(std::move(*c));
+  wake_.notify_one();
+}
+
+void Keeper::work() {
+  std::unique_lock<std::mutex> held(mutex_);
+  for (;;) {
+    wake_.wait(held, [this] { return stop_ || !commits_.empty(); });
+    if (commits_.empty()) return;
+    const auto c = std::move(commits_.front());
+    commits_.pop_front();
+    held.unlock();
+    const bool ok = journal::perform(options_.folder, c);
+    boost::asio::post(io_, [this, alive = alive_, id = c.id, ok] {
+      if (*alive && !closed_) done(id, ok);
+    });
+    held.lock();
+  }
+}
+
+void Keeper::done(std::uint64_t id, bool ok) {
+  commit(journal_.done(now(), id, ok));
+  if (!ok && journal_.figures().broken) fail();
+  if (ok) broken_ = false;
+  tell();
+  arm();
+}
+
+void Keeper::tell() {
+  std::uint64_t upto = 0;
+  while (!waiting_.empty() && waiting_.front().first <= journal_.durable()) {
+    upto = waiting_.front().second;
+    waiting_.pop_front();
+  }
+  if (upto != 0) owner_.durable(upto);
+}
+
+void Keeper::arm() {
+  timers_.cancel(timer_);
+  const auto due = journal_.due();
+  if (!due || closed_) return;
+  timer_ = timers_.at(snowknot::Time(std::max(*due, now())), [this] {
+    timer_.reset();
+    commit(journal_.tick(now()));
+    arm();
+  });
+}
+
+void Keeper::close() {
+  if (std::exchange(closed_, true)) return;
+  timers_.cancel(timer_);
+  if (thread_.joinable()) {
+    {
+      const std::lock_guard<std::mutex> held(mutex_);
+      stop_ = true;
+      wake_.notify_one();
+    }
+    thread_.join();  // what was under way is on the disk
+    if (auto last = journal_.last()) (void)journal::perform(options_.folder, *last);
+  }
+  if (lock_ >= 0) ::close(lock_);
+  lock_ = -1;
+}
+
+}  // namespace docklift::recovery
--- /dev/null
+++ b/src/recovery/stages.cpp
@@ -0,0 +1,53 @@
+#include "recovery/stages.hpp"
+
+namespace docklift::recovery {
+
+const char* name_of(Stage stage) {
+  switch (stage) {
+    case Stage::reading: return "reading";
+    case Stage::joining: return "joining";
+    case Stage::unmetered: return "unmetered";
+    case Stage::full: return "full";
+  }
+  return "?";
+}
+
+void Stages::enter(Instant now, Stage stage) {
+  stage_ = stage;
+  entered_ = now;
+  waits_for_.clear();
+}
+
+std::optional<Stages::Release> Stages::look(Instant now, const Known& known) {
+  if (stage_ == Stage::reading) {
+    waits_for_ = "its own records";
+    if (!known.read) return std::nullopt;
+    enter(now, Stage::joining);
+  }
+  if (stage_ == Stage::joining) {
+    const bool late = now - began_ >= limits_.join;
+    // The number of a start is never used twice: nothing is begun on one that could be forgotten, as long as the disk may still take it.
+    if (!known.durable && !late) return waits_for_ = "its start to be on the disk", std::nullopt;
+    if (!known.caught_up && !late) return waits_for_ = "copies of two others", std::nullopt;
+    enter(now, Stage::unmetered);
+  }
+  if (stage_ != Stage::unmetered) return std::nullopt;
+  const auto full = [&](std::optional<Instant> shut, std::string why) {
+    enter(now, Stage::full);
+    return Release{shut, std::move(why)};
+  };
+  if (known.caught_up && known.nothing_lost) return full({}, "nobody was lost");
+  if (known.caught_up && known.all_told) return full({}, "all that were lost are back, with all that they passed");
+  if (known.caught_up && known.served_by_other)
+    return full(known.served_by_other->count() == 0 ? std::nullopt : known.served_by_other, "another node serves that knows");
+  if (now - entered_ < limits_.verify) return waits_for_ = known.caught_up ? "lives that are over without a last word" : "copies of two others", std::nullopt;
+  return full(now + limits_.clocks, "what the lost have passed is not known in time: windows that had begun stay shut");
+}
+
+std::optional<Instant> Stages::due() const {
+  if (stage_ == Stage::joining) return began_ + limits_.join;
+  if (stage_ == Stage::unmetered) return entered_ + limits_.verify;
+  return std::nullopt;
+}
+
+}  // namespace docklift::recovery
--- a/src/replica/counts.cpp
+++ b/src/replica/counts.cpp
@@ -27,17 +27,30 @@
 Counts::Out Counts::add(Instant now, CountName name, double amount, snowknot::Duration lifetime) {
   Out out;
   // Until all have ended the lost epoch nobody knows what a count held. Nothing is added, and that is said at once.
-  if (settling_) {
+  const auto refused = [&] {
     ++figures_.refused;
     out.answers.push_back({name, CountOutcome::refused, 0, {}});
-    return out;
-  }
+  };
+  if (settling_ || held_) return refused(), out;
   const bool room = books_.size() < limits_.most_counts || books_.contains(name);
+  if (limits_.ahead && !room) return refused(), out;  // it could not be written down
   if (room) {
     auto& b = books_[name];
     if (b.ends == Instant{}) b.ends = now + lifetime + limits_.margin;
-    longest_ = std::max<Instant>(longest_, lifetime);
+    if (lifetime > longest_) longest_ = lifetime, out.longest = lifetime;
     if (amount < 0) amount = -hand_back(b, -amount);
+    if (limits_.ahead) {
+      const auto units = thousandths(std::abs(amount));
+      if (amount > 0 && !has_room(b, units)) {
+        ++figures_.undurable;
+        if (units > most_undurable()) out.largest = units;
+        return refused(), out;
+      }
+      auto& use = use_of(b, epoch_);
+      (amount > 0 ? use.taken_most : use.handed_most) += units;
+      write_one(now, name, b);
+      if (amount > 0) b.undurable.emplace_back(++writes_, units);
+    }
     b.out.push_back({amount, epoch_, false, mends_ != 0 ? sums(name).told : 0});
   } else {
     overflowed_ = now;
@@ -46,6 +59,31 @@
   return out;
 }
 
+bool Counts::has_room(Book& b, std::uint64_t units) {
+  std::uint64_t sum = units;
+  while (!b.undurable.empty() && b.undurable.front().first <= durable_) b.undurable.pop_front();
+  for (const auto& u : b.undurable) sum += u.second;
+  return sum <= most_undurable();
+}
+
+Counts::Out Counts::release(std::optional<Instant> shut) {
+  Out out;
+  if (!std::exchange(held_, false)) return out;
+  if (shut) ++figures_.fallen_back, out.lost = snowknot::CountsLost{snowknot::Time(*shut)};
+  return out;
+}
+
+// What lives that are over have surely added in the epoch in force: a store that has less has lost it. (One that lives on beyond a cut may take some
+// back: then a loss is seen that there was not, and that costs units, not the ceiling.)
+std::int64_t Counts::least_of_the_gone(CountName name) const {
+  std::int64_t sum = 0;
+  records_.each(Kind::use, key_of(name), [&](const Origin& o, const Record& r) {
+    if (o == records_.self() || !fellows_.gone(o)) return;
+    for (const auto& u : uses_of(r.value)) sum += u.epoch == epoch_ ? u.least() : 0;
+  });
+  return sum;
+}
+
 // Units that were added before the store lost its counts are not there to be taken off: they are handed back in the records alone. So what one life
 // has added to the store less what it took off is never below nothing, and a total below one's own is proof of a loss.
 double Counts::hand_back(Book& b, double amount) {
@@ -54,7 +92,7 @@
   for (const auto& u : b.uses)
     if (u.epoch == epoch_) in_store = u.least();
   for (const auto& c : b.out)
-    if (c.amount < 0 && c.epoch == epoch_) in_store -= static_cast<std::int64_t>(thousandths(-c.amount));
+    if (c.amount < 0 && c.epoch == epoch_ && !limits_.ahead) in_store -= static_cast<std::int64_t>(thousandths(-c.amount));
   const auto there = std::clamp<std::int64_t>(in_store, 0, rest);
   rest -= there;
   for (auto& u : b.uses) {
@@ -92,14 +130,18 @@
   }
   auto& use = use_of(b, call.epoch);
   const auto units = static_cast<std::uint64_t>(amount);
-  if (call.amount > 0) use.taken_most += maybe ? units : 0, use.taken_least += added ? units : 0;
+  // With a disk the most was written down ahead.
+  if (call.amount > 0 && limits_.ahead) use.taken_most -= maybe ? 0 : units;
+  if (call.amount > 0) use.taken_most += maybe && !limits_.ahead ? units : 0, use.taken_least += added ? units : 0;
+  if (call.amount < 0 && limits_.ahead) use.handed_most -= units;
   // A hand-back that was out while the store lost its counts was taken off the new one, for all that is known: what it held before is not less.
   if (call.amount < 0) use.handed_most += maybe ? units : 0, use.handed_least += added && call.epoch == epoch_ ? units : 0;
-  b.dirty = b.dirty || (maybe && amount != 0);
+  b.dirty = b.dirty || ((maybe || limits_.ahead) && amount != 0);
   CountAnswer a = answer;
   if (answer.outcome == CountOutcome::ok && call.epoch == epoch_ && !settling_) {
     const auto total = static_cast<std::int64_t>(std::llround(answer.total * 1000));  // below nothing in a store that has lost counts
-    if (total + kSlop < use.least() + b.told && total + kSlop + sums(answer.name).doubt < use.least() + b.told) {
+    const auto least = use.least() + b.told + (limits_.ahead ? least_of_the_gone(answer.name) : 0);
+    if (total + kSlop < least && total + kSlop + sums(answer.name).doubt < least) {
       // Others only ever take back what they have added: the store has lost counts. This call is in the new one. (Of all calls in the new
       // store before a node hears of it the sum is not below nothing: else one of them would have been this call.)
       if (call.amount < 0) use.handed_least -= units;
@@ -215,6 +257,7 @@
   };
   records_.each(Kind::told, key, told);
   if (planted(Plant::told_taken_off_early)) records_.each(Kind::telling, key, told);
+  if (limits_.ahead) sum.before += static_cast<std::int64_t>(fellows_.raise());
   return sum;
 }
 
@@ -291,7 +334,7 @@
 
 Counts::Figures Counts::figures() const {
   auto f = figures_;
-  f.epoch = epoch_, f.counts = books_.size(), f.settling = settling_.has_value();
+  f.epoch = epoch_, f.counts = books_.size(), f.settling = settling_.has_value(), f.held = held_;
   return f;
 }
 
--- a/src/replica/counts.hpp
+++ b/src/replica/counts.hpp
@@ -29,6 +29,9 @@
   Instant clocks{std::chrono::milliseconds(120)};      // by which those of two nodes may differ
   Instant margin{std::chrono::milliseconds(300)};      // a count is kept so long past its end
   std::size_t most_counts = 100'000;
+  // With a disk: what is added is written down ahead of the call, and of what is not known to be on the disk a count has so much at most.
+  bool ahead = false;
+  std::uint64_t most_undurable = 10'000;  // thousandths; as large as the largest call that is on the disk, where that is more
 };
 
 // What the guard asks of the fleet.
@@ -41,6 +44,10 @@
   virtual bool lost_since(Instant since) const = 0;
   // Copies have been taken from others, or there is nobody else.
   virtual bool caught_up() const = 0;
+  // No member lives this life, as far as is known.
+  virtual bool gone(const Origin&) const { return false; }
+  // Thousandths that lives which ended without a last word may have added to any one count beside what they told, all together.
+  virtual std::uint64_t raise() const { return 0; }
 };
 
 class Counts {
@@ -57,12 +64,15 @@
     std::optional<snowknot::CountsLost> lost{};     // to the module
     std::vector<std::string> log{};
     bool hurry = false;                           // records that others wait for were written
+    std::optional<std::uint64_t> largest{};         // thousandths of a call that is larger than any on the disk: not made
+    std::optional<Instant> longest{};               // a count lives longer than any before
   };
   struct Figures {
     std::uint64_t epoch = 0, losses = 0, settled = 0, fallen_back = 0, refused = 0, told = 0, mended = 0;
     std::size_t counts = 0;
-    bool settling = false;
+    bool settling = false, held = false;
     std::int64_t last_settle_ms = 0;
+    std::uint64_t undurable = 0;  // calls that were not made as too much was not on the disk yet
   };
 
   Counts(Replica& records, Fellows& fellows, CountLimits limits) : records_(records), fellows_(fellows), limits_(limits) {}
@@ -77,6 +87,19 @@
   // Somebody has died or left who may have been a teller: what it has not begun is another's to tell.
   void fellows_changed() { telling_ = telling_ || mends_ != 0; }
   void epoch_known(std::uint64_t epoch) { epoch_ = std::max(epoch_, epoch); }
+  // After a loss of power nothing is added, and that is said at once, until it is known what was added before; `shut`: not all of it ever
+  // will be, and windows that had begun by then stay shut.
+  void hold() { held_ = true; }
+  Out release(std::optional<Instant> shut);
+  // What the disk has: all that was written until `writes()` was so much, and the largest call.
+  std::uint64_t writes() const { return writes_; }
+  void durable(std::uint64_t writes) { durable_ = std::max(durable_, writes); }
+  // Nothing can be written down any more: it goes on without.
+  void without_disk() { limits_.most_undurable = ~0ULL; }
+  void largest_is(std::uint64_t thousandths) { largest_ = std::max(largest_, thousandths); }
+  void longest_was(Instant lifetime) { longest_ = std::max(longest_, lifetime); }
+  Instant longest() const { return longest_; }
+  std::uint64_t most_undurable() const { return std::max(limits_.most_undurable, largest_); }
   Out tick(Instant now);
   Instant due() const;
   // What this life has added since the last call goes into its records.
@@ -104,6 +127,7 @@
     std::deque<Call> out{};
     std::int64_t told = 0;         // thousandths, in the epoch in force
     bool dirty = false, said = false;  // said: this life is its teller, and has begun
+    std::deque<std::pair<std::uint64_t, std::uint64_t>> undurable{};  // with `ahead`: the write, and thousandths that it was for
   };
 
   Use& use_of(Book& b, std::uint64_t epoch);
@@ -113,6 +137,8 @@
   std::int64_t mend(const Call& call, snowknot::CountName name, std::int64_t total) const;
   double hand_back(Book& b, double amount);
   bool calls_of_former_epoch() const;
+  bool has_room(Book& b, std::uint64_t units);
+  std::int64_t least_of_the_gone(snowknot::CountName name) const;
   void write_one(Instant now, snowknot::CountName name, Book& b);
 
   Replica& records_;
@@ -126,7 +152,8 @@
   Instant longest_{};                     // life of a count seen so far
   Instant overflowed_{Instant::min()};    // last time that a count had no room here
   Instant next_sweep_{}, next_tell_{};
-  bool telling_ = false;
+  bool telling_ = false, held_ = false;
+  std::uint64_t writes_ = 0, durable_ = 0, largest_ = 0;
   Figures figures_;
 };
 
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -40,6 +40,7 @@
 
 void Replica::store(const Origin& origin, State& s, Record r) {
   const Key key{r.kind, r.key};
+  if (notes_) changes_.records.insert({origin, key}), changes_.origins.insert(origin);
   const auto [it, fresh] = s.records.try_emplace(key);
   if (fresh) {
     ++records_;
@@ -54,6 +55,7 @@
 void Replica::forget(const Origin& origin, State& s, const Key& key) {
   const auto it = s.records.find(key);
   if (it == s.records.end()) return;
+  if (notes_) changes_.records.insert({origin, key});
   s.by_number.erase(it->second.number);
   s.records.erase(it);
   --records_;
@@ -332,6 +334,7 @@
   s.number = std::max(s.number, page.upto);
   if (s.number > before) s.fresh = true;
   else ++figures_.pages_late;
+  if (notes_ && s.number > before) changes_.origins.insert(page.origin);
   if (page.more) {
     wants.push_back({page.origin, s.number});
     s.asked = now;
@@ -398,6 +401,7 @@
     for (const auto& k : go) forget(o, s, k);
     if (s.quiet_since == Instant{}) s.quiet_since = now;
     const bool empty = o != self_ && s.records.empty() && !lives(o) && now - s.quiet_since > limits_.keep_empty;
+    if (empty && notes_) changes_.origins.insert(o);
     it = empty ? origins_.erase(it) : std::next(it);
   }
 }
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "members/planted.hpp"
@@ -32,8 +33,8 @@
 };
 
 // In the order in which they are given up where there are too many; from `word` on never.
-enum class Kind : std::uint8_t { seen = 1, node = 2, word = 3, use = 4, epoch = 5, ended = 6, telling = 7, told = 8 };
-inline constexpr Kind kLastKind = Kind::told;
+enum class Kind : std::uint8_t { seen = 1, node = 2, word = 3, use = 4, epoch = 5, ended = 6, telling = 7, told = 8, closed = 9, shut = 10 };
+inline constexpr Kind kLastKind = Kind::shut;
 constexpr bool may_be_dropped(Kind k) { return k < Kind::word; }
 
 struct Record {
@@ -130,8 +131,21 @@
   void lose(const std::string& name);  // all records of its lives
 #endif
 
+  // For a disk: from now on each record that is put, taken or forgotten is noted, and each origin whose number grows.
+  void note_changes() { notes_ = true; }
+  struct Changes {
+    std::set<std::pair<Origin, std::pair<Kind, std::string>>> records{};
+    std::set<Origin> origins{};
+  };
+  Changes take_changes() { return std::exchange(changes_, {}); }
+  bool changed() const { return !changes_.records.empty() || !changes_.origins.empty(); }
+
   const Origin& self() const { return self_; }
   std::uint64_t number() const { return origins_.at(self_).number; }  // of one's own last change
+  std::uint64_t number_of(const Origin& o) const {  // up to which nothing of it is missing; 0: it is not known
+    const auto it = origins_.find(o);
+    return it == origins_.end() ? 0 : it->second.number;
+  }
   // What all origins say under a key.
   void each(Kind kind, const std::string& key, const std::function<void(const Origin&, const Record&)>& f) const;
   // All keys of a kind that anybody has a record under.
@@ -175,7 +189,8 @@
   std::map<Key, std::set<Origin>> where_{};
   std::size_t records_ = 0;
   std::uint64_t pushed_ = 0;
-  bool hurry_ = false;
+  bool hurry_ = false, notes_ = false;
+  Changes changes_{};
   Instant next_round_{}, next_repair_{}, paid_{};
   double purse_ = 0;
   std::vector<Conflict> conflicts_{};
--- a/tests/layers.cmake
+++ b/tests/layers.cmake
@@ -1,6 +1,6 @@
 cmake_policy(SET CMP0057 NEW)
 # Which room may include from which: each only from those named before it here. So no include runs back up.
-set(order net framing config store journal members replica node lifecycle admin stream graphql redis succession peers daemon main)
+set(order net framing config store journal members replica recovery node lifecycle admin stream graphql redis succession peers daemon main)
 set(rank 0)
 foreach(room IN LISTS order)
   set(rank_${room} ${rank})
