Losses of power in virtual time, with planted faults; a last word is no whole copy

Need: a checker for the fleet after a power loss, which knows call by call what a disk lacks.

Pages tell the number at which the state was cut, and look_whether_settled asks for whole copies. In what is new: shut windows forgotten by the next life, late datagrams of dead lives, an epoch that was never settled at a start, calls whose answer was not on the disk, a node taken for gone before it was met.

--- a/rigs/faults/schedule.hpp
+++ b/rigs/faults/schedule.hpp
@@ -23,6 +23,8 @@
   slow_store,  // `amount`: ms that its calls take longer
   drain,       // a server is drained; nodes in `whom` hear of it by their lists `length` later than the others
   older_clock, // the next start of `whom` reads a clock that is `amount` ms behind
+  power,       // all processes die at once, with what their disks had not synced; each returns within `length`, `whom` not before twice that;
+               // `amount` 1: the store of counts loses all it has as well. Never in a random schedule unless named
 };
 const char* name_of(Kind kind);
 
--- a/rigs/faults/world.hpp
+++ b/rigs/faults/world.hpp
@@ -23,6 +23,7 @@
   std::size_t servers = 4;
   bool noise = true;             // a little loss, and late repeats, at all times
   double repeats = 0.01;         // part of the datagrams that come twice then
+  bool disks = false;            // each node has one, which syncs in 1 to 6 ms and loses what it had not synced
   bool timed = false;            // how long each call into a Peer takes, by the real clock
   std::function<void(double seconds, const std::string& line)> log{};  // what nodes say
   peers::PeerOptions peer{};       // name, start, seeds and fleet size are set by the world
@@ -33,6 +34,9 @@
   // What was seen
   std::uint64_t datagrams = 0, bytes = 0, calls = 0, answers = 0, refused = 0, fallen_back = 0, settled = 0, told = 0, mended = 0,
                 false_deaths = 0, deaths = 0, gap_answers = 0, starts = 0, warm_starts = 0;
+  std::uint64_t power_losses = 0, shut_starts = 0, whole_starts = 0;  // starts with a disk: released with windows shut, or with all known
+  std::vector<double> full_s{};  // from such a start to full service
+  double worst_unknown_units = 0;  // that were missing in an answer after a loss of power: adds without an answer, or not on the disk yet
   double worst_gap_units = 0, worst_over_units = 0;
   std::vector<double> detect_s{}, drain_spread_s{}, settle_s{}, catch_up_s{};
   double converged_s = -1;       // after the last fault
--- a/src/members/planted.hpp
+++ b/src/members/planted.hpp
@@ -9,6 +9,7 @@
 enum class Plant : std::uint32_t {
   none,
   older_copy_wins,        // a page is taken whatever its numbers say
+  moved_passed_over,      // a copy counts as whole though keys have moved behind its number
   gap_passed_over,        // a page that does not join on is taken, and counts as whole
   drain_undone,           // any list of one's own undoes what others said, also an older one
   drain_fades,            // a drain is dropped when its teller dies
@@ -23,6 +24,11 @@
   any_mark_accepted,      // the seal is not looked at
   one_voice_believed,     // of servers: one word is enough, and the worst one counts
   dead_believed,          // of servers: also of those that are dead
+  gone_not_looked_at,     // a total below what lives that are over had added shows nothing
+  released_at_once,       // service is full before it is known what the lost passed
+  start_forgotten,        // a disk's word of the last start is not taken
+  disk_forgotten,         // its copies are not read
+  time_shuts_nothing,     // when time is over windows that had begun stay open
 };
 
 #ifdef DOCKLIFT_PLANTS
--- a/src/peers/peer.cpp
+++ b/src/peers/peer.cpp
@@ -15,6 +15,7 @@
 constexpr Instant kLongAgo = std::chrono::minutes(5);  // no window of a count is as long
 
 const std::string kNoDisk = "disk";  // key of a node's word that its disk refuses
+const std::string kLost = "lost";    // and until when windows that had begun were left shut
 
 std::string hex(std::uint64_t n) {
   std::array<char, 17> text{};
@@ -95,13 +96,13 @@
   Out out;
   now_ = std::max(now_, now);
   remembers_ = true;
-  members_.above(found.start);
+  if (!planted(Plant::start_forgotten)) members_.above(found.start);
   disk_.push_back(recovery::start_of(members_.self().start));
   counts_.longest_was(found.longest);
   counts_.largest_is(found.largest);
   counts_.epoch_known(found.epoch);
   for (const auto& p : found.pages) met_before_.insert(p.origin);
-  records_.received(now_, options_.self.name, {.kind = replica::Message::Kind::pages, .pages = found.pages});
+  if (!planted(Plant::disk_forgotten)) records_.received(now_, options_.self.name, {.kind = replica::Message::Kind::pages, .pages = found.pages});
   for (const auto& w : found.words) records_.put(w.kind, w.key, w.value, w.ends);
   // Former lives of this name are over, and what the disk has of each is all there is but what was not on it yet.
   const auto longest = found.longest.count() > 0 ? found.longest : kLongestUnknown;
@@ -151,7 +152,7 @@
   if (records_.find(o, Kind::shut, kNoDisk)) return false;
   bool so = false;
   records_.each(Kind::closed, replica::number_key(o.life), [&](const Origin& by, const replica::Record& r) {
-    so = so || (by.name == o.name && r.value.size() == 16 && records_.number_of(o) >= replica::get_number(r.value, 0) &&
+    so = so || (by.name == o.name && r.value.size() == 16 && records_.whole_at(o) >= replica::get_number(r.value, 0) &&
                 replica::get_number(r.value, 8) != ~0ULL);
   });
   return so;
@@ -160,7 +161,8 @@
 bool Peer::gone(const Origin& o) const {
   if (o.name == records_.self().name) return o != records_.self();
   const auto* m = members_.find(o.name);
-  return !m || m->life.number != o.life || m->state >= members::State::dead;
+  if (!m) return met_before_.contains(o);  // records may come before their origin is met
+  return m->life.number != o.life || m->state >= members::State::dead;
 }
 
 // What closed lives may have added beside what they told: counted until all counts that were open then have ended.
@@ -198,14 +200,21 @@
     const Origin o{name, m.life.number};
     if (m.state == members::State::left && !ended(o)) ++here;
     if (m.state == members::State::dead || (m.state <= members::State::suspect && !records_.find(o, Kind::node, ""))) k.nothing_lost = all_here = false;
-    const auto* shut = m.state <= members::State::suspect ? records_.find(o, Kind::shut, "") : nullptr;
-    if (!shut) continue;
-    const auto until = static_cast<std::int64_t>(replica::number_of_key(shut->value));
-    if (until > 0 || met_before_.contains(o)) k.served_by_other = std::max(k.served_by_other.value_or(Instant{}), Instant(until));
+    if (m.state > members::State::suspect) continue;
+    // What the disk knew may have died with this node, and be heard of by a late datagram.
+    if (met_before_.contains(o) && !met_now_.contains(o)) {
+      k.nothing_lost = all_here = false;
+      continue;
+    }
+    const auto* through = records_.find(o, Kind::shut, "");
+    if (through && (met_before_.contains(o) || replica::number_of_key(through->value) > 0)) k.other_serves = true;
   }
+  records_.each(Kind::shut, kLost, [&](const Origin&, const replica::Record& r) {
+    k.shut = std::max(k.shut, Instant(static_cast<std::int64_t>(replica::number_of_key(r.value))));
+  });
   for (const auto& key : records_.keys(Kind::closed))
     records_.each(Kind::closed, key, [&](const Origin& by, const replica::Record& r) {
-      if (r.value.size() == 16 && records_.number_of({by.name, replica::number_of_key(key)}) < replica::get_number(r.value, 0)) all_here = false;
+      if (r.value.size() == 16 && records_.whole_at({by.name, replica::number_of_key(key)}) < replica::get_number(r.value, 0)) all_here = false;
     });
   k.all_told = all_here && here >= options_.fleet_size;
   return k;
@@ -220,7 +229,20 @@
   sum_raises();
   records_.put(Kind::shut, "", replica::number_key(static_cast<std::uint64_t>(release->shut.value_or(Instant{}).count())));
   records_.hurry();
-  take(counts_.release(release->shut), out);
+  take(counts_.release(now_, release->shut), out);
+}
+
+// Of those that the disk knew: a vector that names this life.
+void Peer::ask_whether_they_live(Out& out) {
+  if (stages_.stage() != recovery::Stage::unmetered || now_ < next_ask_) return;
+  next_ask_ = now_ + kAskAgain;
+  std::size_t n = 0;
+  for (const auto& [name, m] : members_.all()) {
+    const Origin o{name, m.life.number};
+    if (m.state > members::State::suspect || !met_before_.contains(o) || met_now_.contains(o)) continue;
+    send(m.life.address, replica::Replica::ask(), out);
+    if (++n >= kAsked) return;
+  }
 }
 
 // ---- The network --------------------------------------------------------------------------------------------
@@ -262,6 +284,7 @@
   tell_beliefs(out);
   take(records_.tick(now_, reachable()), out);
   if (!caught_up_ && now_ >= next_ask_) ask_some(out);
+  ask_whether_they_live(out);
   if (now_ >= next_sweep_) {
     next_sweep_ = now_ + kSweep;
     records_.sweep(now_, [this](const Origin& o) {
@@ -303,7 +326,7 @@
   }
   const auto& m = std::get<replica::Message>(d->body);
   take(records_.received(now_, d->name, m), out);
-  if (m.kind == replica::Message::Kind::vector) learn_vector(d->name, m);
+  if (m.kind == replica::Message::Kind::vector) learn_vector({d->name, d->life}, m);
   look_whether_caught_up(out);
   tell_beliefs(out);
   look_at_stage(out);
@@ -348,7 +371,10 @@
 void Peer::take(replica::Counts::Out&& from, Out& out) {
   std::ranges::move(from.adds, std::back_inserter(out.adds));
   std::ranges::move(from.answers, std::back_inserter(out.answers));
-  if (from.lost) out.lost = from.lost;
+  if (from.lost) {
+    out.lost = from.lost;
+    if (options_.disk) records_.put(Kind::shut, kLost, replica::number_key(static_cast<std::uint64_t>(from.lost->at.time_since_epoch().count())));
+  }
   for (auto& l : from.log) out.log.push_back({"counts", std::move(l)});
   if (from.hurry) records_.hurry();
   if (from.longest) disk_.push_back(recovery::longest_count(*from.longest));
@@ -392,9 +418,10 @@
   look_whether_caught_up(out);
 }
 
-void Peer::learn_vector(const std::string& from, const replica::Message& m) {
+void Peer::learn_vector(const Origin& from, const replica::Message& m) {
+  if (options_.disk && std::ranges::any_of(m.entries, [&](const auto& e) { return e.origin == records_.self(); })) met_now_.insert(from);
   if (caught_up_) return;
-  auto& a = asked_[from];
+  auto& a = asked_[from.name];
   a.answered = true;
   a.origins = std::max(a.origins, m.origins);
   for (const auto& e : m.entries) {
@@ -409,10 +436,9 @@
   std::size_t whole = 0;
   for (const auto& [name, a] : asked_) {
     if (!a.answered || a.named.size() < a.origins) continue;
-    const auto mine = records_.vector();
     whole += std::ranges::all_of(a.numbers, [&](const auto& e) {
-      const auto it = mine.find(e.first);
-      return e.first == records_.self() || (it != mine.end() && it->second >= e.second);
+      // Of one that nobody lives any more there may be no whole copy left.
+      return e.first == records_.self() || (gone(e.first) ? records_.number_of(e.first) : records_.whole_at(e.first)) >= e.second;
     });
   }
   const std::size_t others = warm_time_over() ? members_.alive() : options_.fleet_size - 1;
@@ -477,7 +503,7 @@
 bool Peer::lost_since(Instant since) const {
   std::size_t accounted = 1;
   for (const auto& [name, m] : members_.all()) {
-    if (m.other_life != 0) return true;
+    if (m.other_life != 0 && !(options_.disk && is_closed({name, m.other_life}))) return true;
     if (m.state == members::State::dead) return true;
     if (m.state == members::State::left) {
       const auto* r = records_.find({name, m.life.number}, Kind::node, "");
--- a/src/peers/peer.hpp
+++ b/src/peers/peer.hpp
@@ -113,6 +113,7 @@
   const replica::Words& words() const { return words_; }
   const replica::Beliefs& beliefs() const { return beliefs_; }
   const Figures& figures() const { return figures_; }
+  recovery::Stage stage() const { return stages_.stage(); }
   // Frames with a right mark that this node would send: for tests that forge, repeat and delay.
   std::string frame(Body body);
 
@@ -136,7 +137,7 @@
   void take(std::vector<replica::Words::Told>&& told, Out& out);
   void changed(const members::Change& c, Out& out);
   void send(const std::string& address, Body body, Out& out);
-  void learn_vector(const std::string& from, const replica::Message& m);
+  void learn_vector(const replica::Origin& from, const replica::Message& m);
   void look_whether_caught_up(Out& out);
   void ask_some(Out& out);
   bool ended(const replica::Origin& o) const;
@@ -148,6 +149,7 @@
   bool is_closed(const replica::Origin& o) const;
   void look_at_stage(Out& out);
   void sum_raises();
+  void ask_whether_they_live(Out& out);
   void tell_beliefs(Out& out);
 
   PeerOptions options_;
@@ -172,6 +174,7 @@
   std::uint64_t disk_number_ = 0, durable_ = 0, largest_number_ = 0, largest_ = 0;
   std::map<std::uint64_t, std::uint64_t> writes_at_{};  // of the counts, by the number of what was to be written down
   std::set<replica::Origin> met_before_{};               // lives that the disk knew
+  std::set<replica::Origin> met_now_{};                  // lives that have named this one: they are no late word of the past
   bool remembers_ = false, disk_fails_ = false;
   std::uint64_t raise_ = 0;                              // thousandths, of lives that are closed, until:
   Instant raise_until_{};
--- a/src/peers/wire.cpp
+++ b/src/peers/wire.cpp
@@ -60,7 +60,7 @@
     json records = json::array();
     for (const auto& r : p.records)
       records.push_back(json::array({r.number, static_cast<unsigned>(r.kind), binary(r.key), binary(r.value), r.ends.count()}));
-    pages.push_back(json::array({p.origin.name, p.origin.life, p.from, p.upto, p.more, std::move(records)}));
+    pages.push_back(json::array({p.origin.name, p.origin.life, p.from, p.upto, p.more, std::move(records), p.goal}));
   }
   return json::array({static_cast<unsigned>(m.kind), m.sums, std::move(entries), m.ranges, m.origins, std::move(pages)});
 }
@@ -76,6 +76,7 @@
   for (const auto& p : j.at(5)) {
     replica::Page page{{p.at(0).get<std::string>(), p.at(1).get<std::uint64_t>()}, p.at(2).get<std::uint64_t>(),
                        p.at(3).get<std::uint64_t>(), p.at(4).get<bool>(), {}};
+      page.goal = p.size() > 6 ? p.at(6).get<std::uint64_t>() : page.upto;  // of an older version: as it took it
     for (const auto& r : p.at(5)) {
       const auto k = r.at(1).get<unsigned>();
       // A kind of a later version is left out; its number counts, so that nothing seems to be missing.
--- a/src/recovery/memory.cpp
+++ b/src/recovery/memory.cpp
@@ -68,7 +68,7 @@
   }
   for (const auto& o : changes.origins) {
     const auto number = records.number_of(o);
-    all.emplace_back(origin_key(kNumber, o), number == 0 ? std::nullopt : std::optional(number_key(number)));
+    all.emplace_back(origin_key(kNumber, o), number == 0 ? std::nullopt : std::optional(number_key(number) + number_key(records.goal_of(o))));
   }
   return all;
 }
@@ -90,7 +90,8 @@
     const auto& [origin, at] = *named;
     auto& page = pages[origin];
     page.origin = origin;
-    if (key[0] == kNumber && value.size() == 8) page.upto = std::max(page.upto, get_number(value, 0));
+    if (key[0] == kNumber && value.size() == 16)
+      page.upto = std::max(page.upto, get_number(value, 0)), page.goal = std::max(page.goal, get_number(value, 8));
     if (key[0] != kRecord || at >= key.size() || value.size() < 16) continue;
     const auto kind = static_cast<unsigned char>(key[at]);
     if (kind == 0 || kind > static_cast<unsigned char>(replica::kLastKind)) continue;
@@ -105,6 +106,7 @@
   for (auto& [origin, page] : pages) {
     const bool mine = origin.name == name;
     std::ranges::sort(page.records, {}, &Record::number);
+    if (mine) page.goal = page.upto;  // it was its only writer
     if (mine) {
       const auto state = std::ranges::find(page.records, Kind::node, &Record::kind);
       const bool left = state != page.records.end() && !state->value.empty() && state->value[0] == 'l';
--- a/src/recovery/stages.cpp
+++ b/src/recovery/stages.cpp
@@ -1,5 +1,9 @@
 #include "recovery/stages.hpp"
 
+#include <algorithm>
+
+#include "members/planted.hpp"
+
 namespace docklift::recovery {
 
 const char* name_of(Stage stage) {
@@ -34,13 +38,15 @@
   if (stage_ != Stage::unmetered) return std::nullopt;
   const auto full = [&](std::optional<Instant> shut, std::string why) {
     enter(now, Stage::full);
+    if (known.shut > Instant{}) shut = std::max(shut.value_or(Instant{}), known.shut);
     return Release{shut, std::move(why)};
   };
+  if (planted(Plant::released_at_once)) return full({}, "");
   if (known.caught_up && known.nothing_lost) return full({}, "nobody was lost");
   if (known.caught_up && known.all_told) return full({}, "all that were lost are back, with all that they passed");
-  if (known.caught_up && known.served_by_other)
-    return full(known.served_by_other->count() == 0 ? std::nullopt : known.served_by_other, "another node serves that knows");
+  if (known.caught_up && known.other_serves) return full({}, "another node serves that knows");
   if (now - entered_ < limits_.verify) return waits_for_ = known.caught_up ? "lives that are over without a last word" : "copies of two others", std::nullopt;
+  if (planted(Plant::time_shuts_nothing)) return full({}, "");
   return full(now + limits_.clocks, "what the lost have passed is not known in time: windows that had begun stay shut");
 }
 
--- a/src/recovery/stages.hpp
+++ b/src/recovery/stages.hpp
@@ -36,8 +36,8 @@
   bool caught_up = false;  // copies of others were taken, or there is nobody else
   bool all_told = false;   // all nodes of the fleet are here or have left, and all lives that are over are closed and held
   bool nothing_lost = false;  // no life is known, on the disk or from others, that ended without a last word
-  // Another serves that is through with this: it was never down, or has found out what it can. What it shut (0: nothing).
-  std::optional<Instant> served_by_other{};
+  bool other_serves = false;  // one that is through with this: it was not down with this node, or has shut what it had to
+  Instant shut{};             // until when any life that is known has had to leave windows shut; 0: none has
 };
 
 class Stages {
--- a/src/replica/counts.cpp
+++ b/src/replica/counts.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::int64_t kSlop = 2;  // thousandths: totals are rounded
 constexpr Instant kSweep = std::chrono::milliseconds(500);
+constexpr std::uint64_t kUnanswered = ~0ULL;  // for a write: there is none yet
 
 std::string key_of(CountName name) { return number_key(static_cast<std::uint64_t>(name)); }
 
@@ -49,7 +50,8 @@
       auto& use = use_of(b, epoch_);
       (amount > 0 ? use.taken_most : use.handed_most) += units;
       write_one(now, name, b);
-      if (amount > 0) b.undurable.emplace_back(++writes_, units);
+      ++writes_;
+      if (amount > 0) b.undurable.emplace_back(kUnanswered, units);
     }
     b.out.push_back({amount, epoch_, false, mends_ != 0 ? sums(name).told : 0});
   } else {
@@ -66,17 +68,34 @@
   return sum <= most_undurable();
 }
 
-Counts::Out Counts::release(std::optional<Instant> shut) {
+// Where counts of before the last loss are open, this life settles it for itself, as any that starts.
+Counts::Out Counts::release(Instant now, std::optional<Instant> shut) {
   Out out;
   if (!std::exchange(held_, false)) return out;
   if (shut) ++figures_.fallen_back, out.lost = snowknot::CountsLost{snowknot::Time(*shut)};
+  if (epoch_ == 0 || !open_before_epoch(now)) return out;
+  settling_ = now;
+  ended_said_ = false;
+  copies_whole_ = fellows_.caught_up();
+  look_whether_settled(now, out);
   return out;
 }
 
+bool Counts::open_before_epoch(Instant now) const {
+  bool open = false;
+  for (const auto& key : records_.keys(Kind::use))
+    records_.each(Kind::use, key, [&](const Origin&, const Record& r) {
+      if (r.ends <= now) return;
+      for (const auto& u : uses_of(r.value)) open = open || (u.epoch < epoch_ && u.most() > 0);
+    });
+  return open;
+}
+
 // What lives that are over have surely added in the epoch in force: a store that has less has lost it. (One that lives on beyond a cut may take some
 // back: then a loss is seen that there was not, and that costs units, not the ceiling.)
 std::int64_t Counts::least_of_the_gone(CountName name) const {
   std::int64_t sum = 0;
+  if (planted(Plant::gone_not_looked_at)) return sum;
   records_.each(Kind::use, key_of(name), [&](const Origin& o, const Record& r) {
     if (o == records_.self() || !fellows_.gone(o)) return;
     for (const auto& u : uses_of(r.value)) sum += u.epoch == epoch_ ? u.least() : 0;
@@ -137,6 +156,12 @@
   // A hand-back that was out while the store lost its counts was taken off the new one, for all that is known: what it held before is not less.
   if (call.amount < 0) use.handed_most += maybe ? units : 0, use.handed_least += added && call.epoch == epoch_ ? units : 0;
   b.dirty = b.dirty || ((maybe || limits_.ahead) && amount != 0);
+  if (limits_.ahead) {
+    write_one(now, answer.name, b);
+    ++writes_;
+    if (call.amount > 0)
+      if (const auto u = std::ranges::find(b.undurable, kUnanswered, &std::pair<std::uint64_t, std::uint64_t>::first); u != b.undurable.end()) u->first = writes_;
+  }
   CountAnswer a = answer;
   if (answer.outcome == CountOutcome::ok && call.epoch == epoch_ && !settling_) {
     const auto total = static_cast<std::int64_t>(std::llround(answer.total * 1000));  // below nothing in a store that has lost counts
@@ -165,12 +190,21 @@
 
 Counts::Out Counts::lost(Instant now, const snowknot::CountsLost&) {
   Out out;
+  if (held_) return epoch_heard(now, epoch_ + 1);
   if (!settling_) begin_epoch(now, epoch_ + 1, "the store says so", out);
   return out;
 }
 
 Counts::Out Counts::epoch_heard(Instant now, std::uint64_t epoch) {
   Out out;
+  if (held_) {  // nothing of this life is in any store: it has ended all epochs, and settles when it is released
+    if (epoch <= epoch_) return out;
+    epoch_ = epoch;
+    records_.put(Kind::epoch, "", number_key(epoch));
+    records_.put(Kind::ended, "", number_key(epoch));
+    out.hurry = true;
+    return out;
+  }
   if (epoch > epoch_) begin_epoch(now, epoch, "another node says so", out);
   return out;
 }
@@ -209,7 +243,8 @@
   bool all = ended_said_;
   for (const auto& o : fellows_.alive()) {
     const auto* r = records_.find(o, Kind::ended, "");
-    all = all && r && number_of_key(r->value) >= epoch_;
+    // And all that was said before it: what an origin has changed again since comes behind it.
+    all = all && r && number_of_key(r->value) >= epoch_ && records_.whole_at(o) >= r->number;
   }
   if (planted(Plant::settled_too_early)) all = ended_said_;
   const auto since = now - std::max(longest_, Instant(std::chrono::seconds(1))) - limits_.margin;
@@ -238,20 +273,22 @@
   Sums sum;
   const auto key = key_of(name);
   const auto alive = planted(Plant::use_of_the_dead_lost) ? fellows_.alive() : std::vector<Origin>{};
-  const auto count = [&](const Use& u, std::int64_t times) {
+  // Of lives that are over the disk may know the call and not its answer, and nobody takes anything back: with a disk what they added at most.
+  const auto count = [&](const Use& u, std::int64_t times, bool most) {
     if (u.epoch < epoch_) {
       sum.before += u.most() * times;
       sum.doubt += static_cast<std::int64_t>(u.handed_most) - static_cast<std::int64_t>(u.handed_least);
     }
-    if (u.epoch == epoch_) sum.since += u.least();
+    if (u.epoch == epoch_) sum.since += most ? std::max(u.most(), u.least()) : u.least();
   };
   records_.each(Kind::use, key, [&](const Origin& o, const Record& r) {
     if (o == records_.self()) return;  // one's own are at hand, and newer
     if (planted(Plant::use_of_the_dead_lost) && std::ranges::find(alive, o) == alive.end()) return;
-    for (const auto& u : uses_of(r.value)) count(u, planted(Plant::use_counted_twice) ? 2 : 1);
+    const bool most = limits_.ahead && fellows_.gone(o) && !planted(Plant::gone_not_looked_at);
+    for (const auto& u : uses_of(r.value)) count(u, planted(Plant::use_counted_twice) ? 2 : 1, most);
   });
   if (const auto it = books_.find(name); it != books_.end())
-    for (const auto& u : it->second.uses) count(u, 1);
+    for (const auto& u : it->second.uses) count(u, 1, false);
   const auto told = [&](const Origin&, const Record& r) {
     if (r.value.size() == 16 && get_number(r.value, 0) == epoch_) sum.told += static_cast<std::int64_t>(get_number(r.value, 8));
   };
--- a/src/replica/counts.hpp
+++ b/src/replica/counts.hpp
@@ -29,7 +29,8 @@
   Instant clocks{std::chrono::milliseconds(120)};      // by which those of two nodes may differ
   Instant margin{std::chrono::milliseconds(300)};      // a count is kept so long past its end
   std::size_t most_counts = 100'000;
-  // With a disk: what is added is written down ahead of the call, and of what is not known to be on the disk a count has so much at most.
+  // With a disk: what is added is written down ahead of the call, and of calls of which the disk is not known to have the answer too a count has
+  // so much at most.
   bool ahead = false;
   std::uint64_t most_undurable = 10'000;  // thousandths; as large as the largest call that is on the disk, where that is more
 };
@@ -90,7 +91,7 @@
   // After a loss of power nothing is added, and that is said at once, until it is known what was added before; `shut`: not all of it ever
   // will be, and windows that had begun by then stay shut.
   void hold() { held_ = true; }
-  Out release(std::optional<Instant> shut);
+  Out release(Instant now, std::optional<Instant> shut);
   // What the disk has: all that was written until `writes()` was so much, and the largest call.
   std::uint64_t writes() const { return writes_; }
   void durable(std::uint64_t writes) { durable_ = std::max(durable_, writes); }
@@ -127,11 +128,12 @@
     std::deque<Call> out{};
     std::int64_t told = 0;         // thousandths, in the epoch in force
     bool dirty = false, said = false;  // said: this life is its teller, and has begun
-    std::deque<std::pair<std::uint64_t, std::uint64_t>> undurable{};  // with `ahead`: the write, and thousandths that it was for
+    std::deque<std::pair<std::uint64_t, std::uint64_t>> undurable{};  // with `ahead`: the write of its answer, and thousandths of a call
   };
 
   Use& use_of(Book& b, std::uint64_t epoch);
   void begin_epoch(Instant now, std::uint64_t epoch, const char* why, Out& out);
+  bool open_before_epoch(Instant now) const;
   void look_whether_settled(Instant now, Out& out);
   void tell_again(Instant now, Out& out);
   std::int64_t mend(const Call& call, snowknot::CountName name, std::int64_t total) const;
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -157,7 +157,7 @@
   const auto it = origins_.find(origin);
   if (it == origins_.end() || it->second.number <= from) return true;
   const auto& s = it->second;
-  Page page{origin, from, s.number, false, {}};
+  Page page{origin, from, s.number, false, {}, std::max(s.goal, s.number)};
   for (auto n = s.by_number.upper_bound(from); n != s.by_number.end(); ++n) {
     const auto& r = s.records.at(n->second);
     if (bytes + bytes_of(r) > limits_.page_bytes && !(bytes == 0 && page.records.empty())) {
@@ -331,7 +331,9 @@
     store(page.origin, s, r);
     out.changed.emplace_back(page.origin, r);
   }
+  if (page.upto > before) s.goal = std::max(s.goal, page.goal);
   s.number = std::max(s.number, page.upto);
+  if (s.number >= s.goal || planted(Plant::moved_passed_over)) s.whole = s.number;
   if (s.number > before) s.fresh = true;
   else ++figures_.pages_late;
   if (notes_ && s.number > before) changes_.origins.insert(page.origin);
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -6,6 +6,7 @@
 // Times are nanoseconds of the fleet's clock.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -51,6 +52,9 @@
   std::uint64_t from = 0, upto = 0;
   bool more = false;  // there are some above, and the receiver is to ask for them
   std::vector<Record> records{};
+  // The origin's last number when its state was as these pages have it. A key that was changed again since `upto` stands behind it, and its former
+  // record is nowhere: before `goal` is reached a copy may lack what an origin had said long before.
+  std::uint64_t goal = 0;
 };
 
 struct Entry {
@@ -142,10 +146,19 @@
 
   const Origin& self() const { return self_; }
   std::uint64_t number() const { return origins_.at(self_).number; }  // of one's own last change
-  std::uint64_t number_of(const Origin& o) const {  // up to which nothing of it is missing; 0: it is not known
+  std::uint64_t number_of(const Origin& o) const {  // up to which no change is missing that stands; 0: it is not known
     const auto it = origins_.find(o);
     return it == origins_.end() ? 0 : it->second.number;
   }
+  // At this number the copy had all that its origin had said until then; and the number at which it next will.
+  std::uint64_t whole_at(const Origin& o) const {
+    const auto it = origins_.find(o);
+    return it == origins_.end() ? 0 : o == self_ ? it->second.number : it->second.whole;
+  }
+  std::uint64_t goal_of(const Origin& o) const {
+    const auto it = origins_.find(o);
+    return it == origins_.end() ? 0 : std::max(it->second.goal, it->second.number);
+  }
   // What all origins say under a key.
   void each(Kind kind, const std::string& key, const std::function<void(const Origin&, const Record&)>& f) const;
   // All keys of a kind that anybody has a record under.
@@ -161,7 +174,8 @@
  private:
   using Key = std::pair<Kind, std::string>;
   struct State {
-    std::uint64_t number = 0;  // up to here nothing is missing
+    std::uint64_t number = 0;  // up to here no change is missing that stands
+    std::uint64_t goal = 0, whole = 0;  // of the state that the last pages were cut from; and the last number that reached it
     std::map<Key, Record> records{};
     std::map<std::uint64_t, Key> by_number{};
     Instant asked{}, quiet_since{};
--- a/tests/planted_test.cpp
+++ b/tests/planted_test.cpp
@@ -18,10 +18,12 @@
   const char* found_by;       // part of the property's words
   std::vector<Kind> kinds;    // of faults that bring it to light
   std::uint64_t from = 1;     // first schedule: a rare one is not searched for each time
+  bool disks = false;
 };
 
 const std::vector<Case> kCases{
     {Plant::older_copy_wins, "older_copy_wins", "another copy", {Kind::repeat, Kind::delay}, 1},
+    {Plant::moved_passed_over, "moved_passed_over", "that has had", {Kind::loss, Kind::delay, Kind::pause, Kind::empty_store}, 431},
     {Plant::gap_passed_over, "gap_passed_over", "another copy", {Kind::loss, Kind::cut}, 1},
     {Plant::drain_undone, "drain_undone", "again, drained", {Kind::drain}, 1},
     {Plant::drain_fades, "drain_fades", "", {Kind::drain, Kind::kill}, 54},
@@ -33,6 +35,11 @@
     {Plant::settled_too_early, "settled_too_early", "that has had", {Kind::empty_store, Kind::delay, Kind::slow_store}, 1},
     {Plant::told_taken_off_early, "told_taken_off_early", "that has had", {Kind::empty_store, Kind::slow_store}, 1},
     {Plant::told_by_everyone, "told_by_everyone", "told again twice", {Kind::empty_store}, 1},
+    {Plant::gone_not_looked_at, "gone_not_looked_at", "that has had", {Kind::power}, 1, true},
+    {Plant::released_at_once, "released_at_once", "that has had", {Kind::power, Kind::loss, Kind::cut}, 75, true},
+    {Plant::start_forgotten, "start_forgotten", "again", {Kind::power, Kind::older_clock}, 1, true},
+    {Plant::disk_forgotten, "disk_forgotten", "", {Kind::power, Kind::drain}, 1, true},
+    {Plant::time_shuts_nothing, "time_shuts_nothing", "that has had", {Kind::power, Kind::cut}, 45, true},
     {Plant::any_mark_accepted, "any_mark_accepted", "which it never did", {Kind::repeat}, 1},
 };
 
@@ -46,6 +53,8 @@
     const auto schedule = random_schedule(seed, 3 + seed % 4, {.least = 3, .most = 7, .span = 12, .kinds = c.kinds});
     plant() = c.plant;
     WorldOptions options;
+    options.disks = c.disks;
+    if (c.disks) options.window = 8;  // longer than a return takes
     if (c.plant == Plant::older_copy_wins) options.repeats = 0.3;
     const auto verdict = play(schedule, options);
     plant() = Plant::none;
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -77,6 +77,28 @@
   EXPECT_EQ(out.sends[0].message.entries[0].number, 0U);
 }
 
+// What was changed again since is behind the number that a copy has reached, and its former record is nowhere: all of a first page, none of the second.
+TEST(Records, ACopyIsWholeOnlyWhereItHoldsWhatWasMovedBehindItsNumber) {
+  Replica a(kA, {.page_bytes = 60}, 1), b(kB, {}, 2);
+  a.put(Kind::use, "u", "21");
+  a.put(Kind::ended, "", "1");
+  a.put(Kind::use, "u", "21, and 4 since");
+  const auto all = a.all_pages();
+  ASSERT_EQ(all.size(), 2U);
+  b.received(kNow, "a", all[0]);
+  ASSERT_NE(b.find(kA, Kind::ended, ""), nullptr);
+  EXPECT_EQ(b.find(kA, Kind::use, "u"), nullptr);
+  EXPECT_EQ(b.whole_at(kA), 0U);
+  // Whoever copies from the copy learns as much, and no more.
+  Replica c(kC, {}, 3);
+  for (const auto& m : b.all_pages()) c.received(kNow, "b", m);
+  EXPECT_EQ(c.number_of(kA), 2U);
+  EXPECT_EQ(c.whole_at(kA), 0U);
+  b.received(kNow, "a", all[1]);
+  EXPECT_EQ(b.whole_at(kA), 3U);
+  EXPECT_EQ(b.find(kA, Kind::use, "u")->value, "21, and 4 since");
+}
+
 // A returning node far behind: the sender dies in the middle, another goes on from there.
 // A node that comes back to many origins with much to tell: each answer leads to the next question, and no time passes between them.
 TEST(Records, ManyOriginsAreCaughtUpWithoutAWait) {
