docklift state show and verify: what a node's disk says, damage by file and offset

Need: after a loss of power an operator asks what a disk knows, and whether it is whole, before it is used or swapped.

Shown by a process test: four lives of load, power cut, verify names the last start and the life without a last word; a byte in the middle is changed: exit 1 with file and offset, the node serves all the same, and as nobody vouches for what it passed windows that had begun stay shut.

--- a/src/daemon/command_line.cpp
+++ b/src/daemon/command_line.cpp
@@ -10,6 +10,9 @@
 #include "daemon/daemon.hpp"
 #include "daemon/fleet_command.hpp"
 #include "daemon/system.hpp"
+#ifdef DOCKLIFT_WITH_PEERS
+#include "recovery/state_command.hpp"
+#endif
 
 namespace docklift {
 namespace {
@@ -76,6 +79,18 @@
   fleet->add_option("--door", door, "address of the door (default: admin.listen of the file)");
   fleet->add_flag("--json", as_json, "as the door has it");
   fleet->add_flag("--watch", watch, "again each second");
+#ifdef DOCKLIFT_WITH_PEERS
+  auto* state = app.add_subcommand("state", "look at what a node keeps on its disk ([state] dir), without changing it");
+  state->require_subcommand(1);
+  auto* state_show = state->add_subcommand("show", "what it says");
+  auto* state_verify = state->add_subcommand("verify", "the same, and exit with 1 if anything is damaged or missing");
+  std::string folder, whose;
+  for (auto* to : {state_show, state_verify}) {
+    to->add_option("DIR", folder, "the folder")->required();
+    to->add_option("--node", whose, "whose records (default: as the file says)");
+    to->add_flag("--json", as_json, "all of it");
+  }
+#endif
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& x) {
@@ -86,6 +101,9 @@
     std::cout << schema_of_docklift().reference();
     return 0;
   }
+#ifdef DOCKLIFT_WITH_PEERS
+  if (state->parsed()) return recovery::state_command(folder, whose, as_json, state_verify->parsed());
+#endif
   if (fleet->parsed()) {
     if (door.empty() && !file.empty()) {
       const auto good = read_or_complain(file);
--- a/src/daemon/fleet_command.cpp
+++ b/src/daemon/fleet_command.cpp
@@ -78,6 +78,11 @@
       << " losses, windows shut for " << c.at("fallen_back") << '\n'
       << "network  in " << g.at("in") << ", out " << g.at("out") << ", forged " << g.at("forged") << ", repeated " << g.at("replays")
       << ", of other clusters " << g.at("strangers") << '\n';
+  if (f.contains("stage") && f["stage"].value("disk", "none") != "none") {
+    const auto& stage = f["stage"];
+    out << "service  " << stage.value("name", "") << " for " << age(stage.value("age_ms", std::int64_t{0}))
+        << (stage.value("waits_for", "").empty() ? "" : ", WAITS FOR " + stage.value("waits_for", "")) << "; disk " << stage.value("disk", "") << '\n';
+  }
   for (const auto& x : f.at("conflicts")) out << "CONFLICT " << x.at("origin").get<std::string>() << ": " << x.at("what").get<std::string>() << '\n';
   return out.str();
 }
--- a/tests/power_loss_test.cpp
+++ b/tests/power_loss_test.cpp
@@ -1,6 +1,7 @@
 // All processes of a fleet lose their power at once: they are killed, and of their disks what was never synced is taken away. docs/design/recovery.md.
 #include "fleet_fixture.hpp"
 
+#include <cstdio>
 #include <fstream>
 
 namespace docklift::faults {
@@ -122,6 +123,45 @@
   EXPECT_TRUE(end_loads());
 }
 
+std::pair<int, std::string> command(const std::string& words) {
+  const auto line = std::string(DOCKLIFT) + " " + words + " 2>&1";
+  FILE* out = ::popen(line.c_str(), "r");
+  std::string text;
+  std::array<char, 4096> space{};
+  for (std::size_t n = 0; (n = ::fread(space.data(), 1, space.size(), out)) > 0;) text.append(space.data(), n);
+  const int status = ::pclose(out);
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, text};
+}
+
+TEST_F(PowerLoss, WhatADiskSaysCanBeLookedAtAndDamageIsNamed) {
+  begin({.nodes = 3, .disks = true}, 3);
+  serve_members();
+  const auto life = fleet->fleet(1)["self"]["start"].get<std::uint64_t>();
+  power_cut(false);
+  const auto folder = fleet->process(1).state_folder();
+  const auto [good, text] = command("state verify " + folder.string());
+  EXPECT_EQ(good, 0) << text;
+  EXPECT_NE(text.find("node     n1, last start " + std::to_string(life)), std::string::npos) << text;
+  EXPECT_NE(text.find("1 of them without a last word"), std::string::npos) << text;
+  EXPECT_EQ(command("state show --node n2 " + folder.string()).first, 66);
+  // A byte in the middle of the newest file.
+  std::filesystem::path newest;
+  for (const auto& f : std::filesystem::directory_iterator(folder))
+    if (f.path().extension() != ".synced" && f.path().filename() != "lock" && f.path() > newest) newest = f.path();
+  std::fstream file(newest, std::ios::in | std::ios::out | std::ios::binary);
+  file.seekp(static_cast<std::streamoff>(std::filesystem::file_size(newest) / 2));
+  file.put('\x7f').put('\x7e');
+  file.close();
+  const auto [bad, named] = command("state verify " + folder.string());
+  EXPECT_EQ(bad, 1) << named;
+  EXPECT_NE(named.find("DAMAGE   " + newest.filename().string()), std::string::npos) << named;
+  // A node with such a disk serves; what it passed nobody vouches for.
+  power_back({0, 1, 2});
+  EXPECT_TRUE(until([&] { return all("full") && fleet->converged(); })) << states();
+  EXPECT_GE(of_counts(1, "fallen_back"), 1U) << states();
+  EXPECT_TRUE(end_loads());
+}
+
 TEST_F(PowerLoss, ADiskOfAnotherNodeIsNoMemory) {
   begin({.nodes = 3, .disks = true, .state = "verify_limit = \"500ms\"\n"}, 3);
   ASSERT_TRUE(until([&] { return all("full"); })) << states();
