--- a/rigs/replica/main.cpp
+++ b/rigs/replica/main.cpp
@@ -20,6 +20,7 @@
 #include <thread>
 
 #include "load.hpp"
+#include "passed.hpp"
 #include "process_fleet.hpp"
 #include "schedule.hpp"
 #include "world.hpp"
@@ -47,37 +48,6 @@
   std::size_t plays = 0, jobs = 1, least = 0;
 };
 
-double percentile(std::vector<double> all, double p) {
-  if (all.empty()) return -1;
-  std::sort(all.begin(), all.end());
-  return all[std::min(all.size() - 1, static_cast<std::size_t>(p * static_cast<double>(all.size())))];
-}
-
-// Units of a member under a ceiling that passed, by the second in which their requests came to a server.
-struct Passed {
-  std::map<std::uint64_t, std::vector<double>> of;  // seconds of the play
-  std::size_t between(double from, double to) const {
-    std::size_t n = 0;
-    for (const auto& [member, all] : of)
-      n += static_cast<std::size_t>(std::lower_bound(all.begin(), all.end(), to) - std::lower_bound(all.begin(), all.end(), from));
-    return n;
-  }
-  // The most over rate and burst in any span (a token bucket filled at the start).
-  double worst_over(double rate, double burst, double slack) const {
-    double worst = -1e9;
-    for (const auto& [member, all] : of) {
-      double level = burst, last = 0;
-      for (const double t : all) {
-        level = std::min(burst, level + (t - last) * rate);
-        last = t;
-        level -= 1;
-        worst = std::max(worst, -level - slack);
-      }
-    }
-    return worst;
-  }
-};
-
 struct Side {
   std::uint64_t requests = 0, served = 0, unanswered = 0, sends_after_drain = 0, faults = 0, told = 0,
                 settled = 0, fallen_back = 0, conflicts = 0;
--- a/src/peers/peer.cpp
+++ b/src/peers/peer.cpp
@@ -14,6 +14,7 @@
 constexpr Instant kLongestUnknown = std::chrono::minutes(1);  // of a count, where the disk does not tell
 constexpr Instant kLongAgo = std::chrono::minutes(5);  // no window of a count is as long
 
+constexpr std::size_t kClosedSize = 24;  // up to which number, thousandths beside, when
 const std::string kNoDisk = "disk";  // key of a node's word that its disk refuses
 const std::string kLost = "lost";    // and until when windows that had begun were left shut
 
@@ -109,7 +110,7 @@
   for (const auto& f : found.former) {
     if (f.life == options_.self.number) continue;
     const auto beside = f.left ? 0 : counts_.most_undurable();
-    records_.put(Kind::closed, replica::number_key(f.life), replica::to_text(f.number, found.damaged ? ~0ULL : beside),
+    records_.put(Kind::closed, replica::number_key(f.life), replica::to_text(f.number, found.damaged ? ~0ULL : beside) + replica::number_key(static_cast<std::uint64_t>(now_.count())),
                  now_ + longest + options_.count_limits.margin);
   }
   out.log.push_back({"recovery", found.empty() ? "the disk knows nothing of this node"
@@ -152,7 +153,7 @@
   if (records_.find(o, Kind::shut, kNoDisk)) return false;
   bool so = false;
   records_.each(Kind::closed, replica::number_key(o.life), [&](const Origin& by, const replica::Record& r) {
-    so = so || (by.name == o.name && r.value.size() == 16 && records_.whole_at(o) >= replica::get_number(r.value, 0) &&
+    so = so || (by.name == o.name && r.value.size() == kClosedSize && records_.whole_at(o) >= replica::get_number(r.value, 0) &&
                 replica::get_number(r.value, 8) != ~0ULL);
   });
   return so;
@@ -167,16 +168,17 @@
 
 // What closed lives may have added beside what they told: counted until all counts that were open then have ended.
 void Peer::sum_raises() {
-  raise_ = 0, raise_until_ = {};
+  raises_.clear();
   for (const auto& key : records_.keys(Kind::closed)) {
     std::uint64_t most = 0;
+    Instant when{};
     records_.each(Kind::closed, key, [&](const Origin&, const replica::Record& r) {
-      if (r.value.size() != 16) return;
+      if (r.value.size() != kClosedSize || r.ends <= now_) return;
       const auto beside = replica::get_number(r.value, 8);
       if (beside != ~0ULL) most = std::max(most, beside);
-      raise_until_ = std::max(raise_until_, r.ends);
+      when = std::max(when, Instant(static_cast<std::int64_t>(replica::get_number(r.value, 16))));
     });
-    raise_ += most;
+    if (most > 0) raises_.emplace_back(when, most);
   }
 }
 
@@ -214,7 +216,7 @@
   });
   for (const auto& key : records_.keys(Kind::closed))
     records_.each(Kind::closed, key, [&](const Origin& by, const replica::Record& r) {
-      if (r.value.size() == 16 && records_.whole_at({by.name, replica::number_of_key(key)}) < replica::get_number(r.value, 0)) all_here = false;
+      if (r.value.size() == kClosedSize && records_.whole_at({by.name, replica::number_of_key(key)}) < replica::get_number(r.value, 0)) all_here = false;
     });
   k.all_told = all_here && here >= options_.fleet_size;
   return k;
@@ -624,7 +626,7 @@
           {"fleet_size", options_.fleet_size},
           {"caught_up", caught_up_},
           {"stage", {{"name", recovery::name_of(stages_.stage())}, {"waits_for", stages_.waits_for()}, {"age_ms", ms(now - stages_.since())},
-                     {"disk", !options_.disk ? "none" : disk_fails_ ? "refuses" : "good"}, {"durable", options_.disk && durable_ == disk_number_ && !has_for_disk()}, {"raise", raise()}}},
+                     {"disk", !options_.disk ? "none" : disk_fails_ ? "refuses" : "good"}, {"durable", options_.disk && durable_ == disk_number_ && !has_for_disk()}, {"raise", raise({})}}},
           {"slowness", members_.slowness()},
           {"members", std::move(members)},
           {"vector", std::move(vector)},
--- a/src/peers/peer.hpp
+++ b/src/peers/peer.hpp
@@ -129,7 +129,11 @@
   bool lost_since(Instant since) const override;
   bool caught_up() const override { return caught_up_; }
   bool gone(const replica::Origin& o) const override;
-  std::uint64_t raise() const override { return now_ < raise_until_ ? raise_ : 0; }
+  std::uint64_t raise(Instant since) const override {
+    std::uint64_t sum = 0;
+    for (const auto& [closed, beside] : raises_) sum += closed > since ? beside : 0;
+    return sum;
+  }
 
   void take(members::Out&& from, Out& out);
   void take(replica::Out&& from, Out& out);
@@ -176,8 +180,7 @@
   std::set<replica::Origin> met_before_{};               // lives that the disk knew
   std::set<replica::Origin> met_now_{};                  // lives that have named this one: they are no late word of the past
   bool remembers_ = false, disk_fails_ = false;
-  std::uint64_t raise_ = 0;                              // thousandths, of lives that are closed, until:
-  Instant raise_until_{};
+  std::vector<std::pair<Instant, std::uint64_t>> raises_{};  // of lives that are closed: when, and thousandths
 };
 
 }  // namespace docklift::peers
--- a/src/replica/counts.cpp
+++ b/src/replica/counts.cpp
@@ -37,7 +37,7 @@
   if (limits_.ahead && !room) return refused(), out;  // it could not be written down
   if (room) {
     auto& b = books_[name];
-    if (b.ends == Instant{}) b.ends = now + lifetime + limits_.margin;
+    if (b.ends == Instant{}) b.ends = now + lifetime + limits_.margin, b.began = now - lifetime - limits_.margin;
     if (lifetime > longest_) longest_ = lifetime, out.longest = lifetime;
     if (amount < 0) amount = -hand_back(b, -amount);
     if (limits_.ahead) {
@@ -294,7 +294,10 @@
   };
   records_.each(Kind::told, key, told);
   if (planted(Plant::told_taken_off_early)) records_.each(Kind::telling, key, told);
-  if (limits_.ahead) sum.before += static_cast<std::int64_t>(fellows_.raise());
+  if (limits_.ahead) {
+    const auto it = books_.find(name);
+    sum.before += static_cast<std::int64_t>(fellows_.raise(it == books_.end() ? Instant{} : it->second.began));
+  }
   return sum;
 }
 
--- a/src/replica/counts.hpp
+++ b/src/replica/counts.hpp
@@ -47,8 +47,9 @@
   virtual bool caught_up() const = 0;
   // No member lives this life, as far as is known.
   virtual bool gone(const Origin&) const { return false; }
-  // Thousandths that lives which ended without a last word may have added to any one count beside what they told, all together.
-  virtual std::uint64_t raise() const { return 0; }
+  // Thousandths that lives which ended without a last word may have added to one count beside what they told, all together that were closed
+  // later than `since`.
+  virtual std::uint64_t raise(Instant) const { return 0; }
 };
 
 class Counts {
@@ -123,7 +124,7 @@
     std::int64_t told = 0;  // what was known as told again when it was sent: that is surely in its total
   };
   struct Book {
-    Instant ends{};
+    Instant ends{}, began{};         // began: not before this, by the life that it has from its first call on
     std::vector<Use> uses{};         // by epoch
     std::deque<Call> out{};
     std::int64_t told = 0;         // thousandths, in the epoch in force
