--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,6 +16,7 @@
 build-test/rigs/graphql_bench --short
 build-test/rigs/wheel_bench --short
 build-test/rigs/replica --short
+build-test/rigs/powerloss --short
 
 cmake --install build-test --prefix "$PWD/build-test/prefix" >/dev/null
 cmake -S examples -B build-test/consumer -DCMAKE_PREFIX_PATH="$PWD/build-test/prefix"
