--- a/rigs/common/process.cpp
+++ b/rigs/common/process.cpp
@@ -81,6 +81,17 @@
   }
 }
 
+std::filesystem::path NodeProcess::damage_state() const {
+  std::filesystem::path newest;
+  for (const auto& f : std::filesystem::directory_iterator(state_folder()))
+    if (f.path().extension() != ".synced" && f.path().filename() != "lock" && f.path() > newest) newest = f.path();
+  if (newest.empty()) return newest;
+  std::fstream file(newest, std::ios::in | std::ios::out | std::ios::binary);
+  file.seekp(static_cast<std::streamoff>(std::filesystem::file_size(newest) / 2));
+  file.put('\x7f').put('\x7e');
+  return newest;
+}
+
 void NodeProcess::signal(int number) const {
   if (pid_ > 0) ::kill(pid_, number);
 }
--- a/rigs/common/process.hpp
+++ b/rigs/common/process.hpp
@@ -22,6 +22,8 @@
   // From the next start on it is known what of its state is on the disk; and after its end, what a loss of power would leave is left.
   void know_the_disk() { disk_ = true; }
   void lose_unsynced(std::uint64_t seed) const;
+  // Two bytes in the middle of its newest file are changed. Which file; empty: there is none.
+  std::filesystem::path damage_state() const;
   std::filesystem::path state_folder() const { return home_ / "state"; }
   // From the next start on its wall clock is off by so much.
   void shift_clock(int ms) { clock_ms_ = ms; }
--- a/rigs/powerloss/main.cpp
+++ b/rigs/powerloss/main.cpp
@@ -8,7 +8,6 @@
 // is better with them.
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <numeric>
 
@@ -82,9 +81,7 @@
     for (const auto& l : loads) l->node_is(false), l->killed();
     fleet_->power_cut(true);
     std::vector<std::size_t> damaged;
-    if (disks_)
-      for (const auto i : {std::size_t{0}})
-        if (random_.chance(0.5) && damage(i)) damaged.push_back(i);
+    if (disks_ && random_.chance(0.5) && !fleet_->process(0).damage_state().empty()) damaged.push_back(0);
     const auto cut = Steady::now();
     std::vector<std::size_t> order(fleet_->size());
     std::iota(order.begin(), order.end(), 0);
@@ -172,18 +169,6 @@
     for (std::size_t i = 0; disks_ && i < fleet_->size(); ++i) all.push_back(fleet_->fleet(i)["self"]["start"]);
     return all;
   }
-  // A byte in the middle of the newest file of its journal.
-  bool damage(std::size_t i) {
-    std::filesystem::path newest;
-    for (const auto& f : std::filesystem::directory_iterator(fleet_->process(i).state_folder()))
-      if (f.path().extension() != ".synced" && f.path().filename() != "lock" && f.path() > newest) newest = f.path();
-    if (newest.empty()) return false;
-    std::fstream file(newest, std::ios::in | std::ios::out | std::ios::binary);
-    file.seekp(static_cast<std::streamoff>(std::filesystem::file_size(newest) / 2));
-    file.put('\x7f').put('\x7e');
-    return true;
-  }
-
   const Options& options_;
   bool disks_;
   docklift::Random random_;
--- a/tests/power_loss_test.cpp
+++ b/tests/power_loss_test.cpp
@@ -144,14 +144,8 @@
   EXPECT_NE(text.find("node     n1, last start " + std::to_string(life)), std::string::npos) << text;
   EXPECT_NE(text.find("1 of them without a last word"), std::string::npos) << text;
   EXPECT_EQ(command("state show --node n2 " + folder.string()).first, 66);
-  // A byte in the middle of the newest file.
-  std::filesystem::path newest;
-  for (const auto& f : std::filesystem::directory_iterator(folder))
-    if (f.path().extension() != ".synced" && f.path().filename() != "lock" && f.path() > newest) newest = f.path();
-  std::fstream file(newest, std::ios::in | std::ios::out | std::ios::binary);
-  file.seekp(static_cast<std::streamoff>(std::filesystem::file_size(newest) / 2));
-  file.put('\x7f').put('\x7e');
-  file.close();
+  const auto newest = fleet->process(1).damage_state();
+  ASSERT_FALSE(newest.empty());
   const auto [bad, named] = command("state verify " + folder.string());
   EXPECT_EQ(bad, 1) << named;
   EXPECT_NE(named.find("DAMAGE   " + newest.filename().string()), std::string::npos) << named;
