--- /dev/null
+++ b/src/system/base/settings.hpp
@@ -0,0 +1,51 @@
+// A process's settings file: lines of a.b=value, lists joined by commas; fields that are not known are passed over.
+// Source: the operators' page on deployment. All mistakes of a file are told together.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "system/base/result.hpp"
+
+namespace docklift {
+
+struct Bounds {  // seconds and milliseconds as named; the values stand in when a field is missing
+  double seed_lag_s = 3, reuse_s = 2, sync_s = 4, grace_s = 6, retry_win_s = 10, quota_win_s = 5, recover_s = 15;
+  double contact_ms = 5000, ack_ms = 8000, drain_ms = 2500, lost_slack_ms = 200, apply_ms = 2500;
+  double downgrade_ms = 250, skew_ms = 10000, revoke_ms = 5000, evac_ms = 5000;
+  double retry_ratio = 0.2, retry_extra = 50, quota_excess = 0.1, quota_slack = 20;
+  double cold_excess = 1.5, cold_slack = 5, ttl_max_s = 5;
+  bool strict_revoke = false;
+};
+
+struct SystemSettings {
+  std::string hostname, role, machine_class, bind_ip, zone, region, data_dir;
+  std::map<std::string, std::string> zones;   // zone -> region
+  std::map<std::string, std::string> listen;  // "http", "readyz", "ctl", "dir" -> ip:port
+  std::uint16_t first_port = 0, last_port = 0;
+  std::vector<std::string> seeds;  // ip:port of ctl
+  bool bootstrap = false, voting = false;
+  std::uint64_t memory_mb = 256, descriptors = 1024;
+  double cpu = 1;
+  std::uint32_t beat_ms = 1500;
+  std::set<std::string> contracts;
+  std::uint32_t tolerate_nodes = 1, tolerate_zones = 0, tolerate_regions = 0;
+  Bounds bounds;
+
+  // The region of a zone; empty if the zone is not known.
+  std::string region_of(const std::string& a_zone) const;
+  std::vector<std::string> seed_ips() const;  // sorted, each once
+};
+
+// Ports between the system's own processes, the same on every machine: offsets from the first of the range.
+inline constexpr std::uint16_t kStorePort = 0, kRegistryPort = 1, kProxyPort = 2;
+
+Result<SystemSettings> read_settings(const std::string& path);
+Result<SystemSettings> parse_settings(const std::string& text, const std::string& name);
+// The path from $DOCKLIFT_SETTINGS, or the usual one.
+std::string settings_path();
+
+}  // namespace docklift
--- /dev/null
+++ b/src/system/configuration/configuration.cpp
@@ -0,0 +1,376 @@
+#include "system/configuration/configuration.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+
+namespace docklift::configuration {
+namespace {
+
+using Json = nlohmann::json;
+
+// Thrown inside this file only: the first mistake of a document ends its reading.
+struct Mistake {
+  std::string field, what;
+};
+
+[[noreturn]] void wrong(const std::string& field, const std::string& what) { throw Mistake{field, what}; }
+
+const Json& member(const Json& of, const char* key) {
+  static const Json none;
+  const auto it = of.find(key);
+  return it == of.end() ? none : *it;
+}
+
+std::string text(const Json& of, const char* key) {
+  const auto& v = member(of, key);
+  if (!v.is_string() || v.get_ref<const std::string&>().empty()) wrong(key, "is no text");
+  return v.get<std::string>();
+}
+
+double amount(const Json& of, const char* key, double otherwise) {
+  const auto& v = member(of, key);
+  if (v.is_null()) return otherwise;
+  if (!v.is_number()) wrong(key, "is no number");
+  const double n = v.get<double>();
+  if (n < 0) wrong(key, "is below 0");
+  return n;
+}
+
+const Json& list(const Json& of, const char* key) {
+  static const Json empty = Json::array();
+  const auto& v = member(of, key);
+  if (v.is_null()) return empty;
+  if (!v.is_array()) wrong(key, "is no list");
+  return v;
+}
+
+std::vector<std::string> texts(const Json& of, const char* key) {
+  std::vector<std::string> out;
+  for (const auto& v : list(of, key)) {
+    if (!v.is_string()) wrong(key, "holds what is no text");
+    out.push_back(v.get<std::string>());
+  }
+  return out;
+}
+
+Kind kind_of(const Json& rule) {
+  const auto name = text(rule, "kind");
+  if (name == "idempotent") return Kind::idempotent;
+  if (name == "mutating") return Kind::mutating;
+  if (name == "download") return Kind::download;
+  wrong("kind", "is not known: " + name);
+}
+
+}  // namespace
+
+std::optional<std::uint64_t> version_of(const Json& field) {
+  if (field.is_number_unsigned()) return field.get<std::uint64_t>();
+  if (!field.is_string()) return std::nullopt;
+  const auto& s = field.get_ref<const std::string&>();
+  std::uint64_t n = 0;
+  const auto [end, failed] = std::from_chars(s.data(), s.data() + s.size(), n, 16);
+  if (s.empty() || s.size() > 16 || failed != std::errc{} || end != s.data() + s.size()) return std::nullopt;
+  return n;
+}
+
+std::string shown_version(std::uint64_t version) {
+  char out[17];
+  std::snprintf(out, sizeof out, "%08llx", static_cast<unsigned long long>(version));
+  return out;
+}
+
+std::uint64_t digest_of(std::string_view body) {  // FNV-1a; bodies are compared among a few of one operator
+  std::uint64_t h = 0xcbf29ce484222325ULL;
+  for (const char c : body) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  return h;
+}
+
+std::uint64_t State::version() const {
+  return document.is_object() ? version_of(member(document, "gen")).value_or(0) : 0;
+}
+
+Result<std::shared_ptr<const Configuration>> read(const Json& document) {
+  auto c = std::make_shared<Configuration>();
+  try {
+    if (!document.is_object()) wrong("configuration", "is no object");
+    const auto version = version_of(member(document, "gen"));
+    if (!version) wrong("gen", "is no version");
+    c->version = *version;
+    if (const auto& l = member(document, "limits"); l.is_object()) {
+      c->limits.header_bytes = static_cast<std::size_t>(amount(l, "hdr_bytes", 16384));
+      c->limits.body_bytes = static_cast<std::size_t>(amount(l, "max_body_bytes", 64u << 20));
+      c->limits.header_ms = amount(l, "hdr_ms", 3000), c->limits.idle_ms = amount(l, "idle_ms", 15000);
+    }
+    tsl::robin_map<std::string, std::uint32_t> services;
+    for (const auto& s : list(document, "clusters")) {
+      Service one;
+      one.name = text(s, "name");
+      if (member(s, "hc_path").is_string()) one.health_path = text(s, "hc_path");
+      one.max_conns = static_cast<std::uint32_t>(amount(s, "max_conns", 0));
+      one.warmup_s = amount(s, "warmup_s", 0), one.cold_per_s = amount(s, "cold_per_s", 0);
+      if (!services.emplace(one.name, static_cast<std::uint32_t>(c->services.size())).second)
+        wrong("clusters", one.name + " stands there twice");
+      c->services.push_back(std::move(one));
+    }
+    const auto service = [&](const Json& of) {
+      const auto found = services.find(text(of, "svc"));
+      if (found == services.end()) wrong("svc", "names no service: " + text(of, "svc"));
+      return found->second;
+    };
+    c->has_tenants_ = !list(document, "accts").empty();
+    for (const auto& t : list(document, "accts")) {
+      Tenant one;
+      one.name = text(t, "name");
+      if (!member(t, "prio").is_null()) one.priority = static_cast<std::uint32_t>(amount(t, "prio", 0));
+      one.per_s = amount(t, "per_s", 0), one.burst = amount(t, "burst", 0);
+      one.regions = texts(t, "pin_regions");
+      const auto index = static_cast<std::uint32_t>(c->tenants.size());
+      for (const auto& key : texts(t, "apikeys")) {
+        const auto [it, fresh] = c->by_key_.emplace(key, index);
+        if (!fresh && it->second != index) wrong("apikeys", "a key of " + one.name + " is another's too");
+      }
+      c->tenants.push_back(std::move(one));
+    }
+    std::set<std::string> names;
+    for (const auto& l : list(document, "listeners")) {
+      const auto host = text(l, "vhost");
+      for (const auto& r : list(l, "policy")) {
+        Route one;
+        one.name = text(r, "name"), one.host = host, one.kind = kind_of(r);
+        if (!names.insert(one.name).second) wrong("policy", one.name + " stands there twice");
+        one.prefix = text(member(r, "match"), "pfx");
+        if (one.prefix.front() != '/' || one.prefix.back() != '/') wrong("pfx", "does not begin and end with a slash");
+        const auto& open = member(r, "public");
+        if (!open.is_null() && !open.is_boolean()) wrong("public", "is neither true nor false");
+        one.is_public = open.is_boolean() && open.get<bool>();
+        one.priority = static_cast<std::uint32_t>(amount(r, "prio", 0));
+        one.target_ms = amount(r, "target_ms", 0);
+        const auto& action = member(r, "action");
+        if (!action.is_object()) wrong("action", "is missing for " + one.name);
+        one.timeout_ms = amount(action, "tmo_ms", 0);
+        one.tries = static_cast<std::uint32_t>(amount(action, "tries", 1));
+        if (one.tries == 0) wrong("tries", "is 0 for " + one.name);
+        one.regions = texts(action, "pin_regions");
+        if (const auto& split = member(action, "split"); !split.is_null()) {
+          for (const auto& p : list(action, "split")) {
+            one.parts.push_back({service(p), amount(p, "wt", 0)});
+            one.weights += one.parts.back().weight;
+          }
+          if (one.weights <= 0) wrong("wt", "sums to 0 for " + one.name);
+        } else {
+          one.parts.push_back({service(action), 1});
+          one.weights = 1;
+        }
+        c->by_host_[host].push_back(static_cast<std::uint32_t>(c->routes.size()));
+        c->routes.push_back(std::move(one));
+      }
+    }
+  } catch (const Mistake& m) {
+    return Failure{"read configuration", m.field, m.what};
+  } catch (const nlohmann::json::exception& x) {
+    return Failure{"read configuration", "", x.what()};
+  }
+  for (auto it = c->by_host_.begin(); it != c->by_host_.end(); ++it)
+    std::ranges::stable_sort(it.value(), [&](std::uint32_t a, std::uint32_t b) {
+      return c->routes[a].prefix.size() > c->routes[b].prefix.size();
+    });
+  return std::shared_ptr<const Configuration>(c);
+}
+
+const Route* Configuration::route(std::string_view host, std::string_view target) const {
+  if (const auto colon = host.rfind(':'); colon != std::string_view::npos) host = host.substr(0, colon);
+  const auto found = by_host_.find(std::string(host));
+  if (found == by_host_.end()) return nullptr;
+  const auto path = target.substr(0, target.find('?'));
+  for (const auto i : found->second)
+    if (path.starts_with(routes[i].prefix)) return &routes[i];
+  return nullptr;
+}
+
+const Tenant* Configuration::tenant_of(std::string_view key) const {
+  const auto found = by_key_.find(std::string(key));
+  return found == by_key_.end() ? nullptr : &tenants[found->second];
+}
+
+namespace {
+
+Judgement refused(int status, std::string why) { return {status, std::move(why), false}; }
+
+// The version and base of a body against the state; 200 if they fit.
+Judgement judge_base(const State& state, const Json& body) {
+  if (!body.is_object()) return refused(400, "the body is no object");
+  const auto version = version_of(member(body, "gen")), parent = version_of(member(body, "parent"));
+  if (!version) return refused(400, "gen is no version");
+  if (!parent) return refused(400, "parent is no version");
+  const auto current = state.version();
+  if (*parent != current)
+    return refused(412, "parent is " + shown_version(*parent) + ", the current version " + shown_version(current));
+  if (*version <= current) return refused(400, "gen is not above the current version");
+  return {};
+}
+
+std::optional<Json> parsed(std::string_view body) {
+  auto json = Json::parse(body, nullptr, false);
+  if (json.is_discarded()) return std::nullopt;
+  return json;
+}
+
+bool was_taken(const State& state, std::string_view body) {
+  return std::ranges::find(state.taken, digest_of(body)) != state.taken.end();
+}
+
+bool named(const Json& item, const std::string& name) {
+  return item.is_object() && member(item, "name") == name;
+}
+
+// Items of a list, added or replaced by name.
+void upsert(Json& into, const Json& items) {
+  if (!into.is_array()) into = Json::array();
+  for (const auto& item : items) {
+    const auto name = text(item, "name");
+    const auto it = std::ranges::find_if(into, [&](const Json& old) { return named(old, name); });
+    if (it != into.end()) {
+      *it = item;
+    } else {
+      into.push_back(item);
+    }
+  }
+}
+
+void drop_route(Json& listeners, const std::string& name) {
+  for (auto l = listeners.begin(); l != listeners.end();) {
+    auto& rules = (*l)["policy"];
+    if (rules.is_array()) {
+      const auto gone = std::ranges::find_if(rules, [&](const Json& r) { return named(r, name); });
+      if (gone != rules.end()) rules.erase(gone);
+    }
+    l = rules.empty() ? listeners.erase(l) : std::next(l);
+  }
+}
+
+void upsert_routes(Json& listeners, const Json& changed) {
+  if (!listeners.is_array()) listeners = Json::array();
+  for (const auto& l : changed) {
+    const auto host = text(l, "vhost");
+    for (const auto& rule : list(l, "policy")) {
+      const auto name = text(rule, "name");
+      auto at = std::ranges::find_if(listeners, [&](const Json& o) { return member(o, "vhost") == host; });
+      if (at != listeners.end()) {
+        auto& rules = (*at)["policy"];
+        const auto old = std::ranges::find_if(rules, [&](const Json& r) { return named(r, name); });
+        if (old != rules.end()) {
+          *old = rule;
+          continue;
+        }
+      }
+      drop_route(listeners, name);  // it stood under another host
+      at = std::ranges::find_if(listeners, [&](const Json& o) { return member(o, "vhost") == host; });
+      if (at == listeners.end()) {
+        auto fresh = l;
+        fresh["policy"] = Json::array();
+        listeners.push_back(std::move(fresh));
+        at = std::prev(listeners.end());
+      }
+      (*at)["policy"].push_back(rule);
+    }
+  }
+}
+
+Json patched(const Json& old, const Json& patch) {
+  Json next = old;
+  next["gen"] = patch.at("gen"), next["parent"] = patch.at("parent");
+  if (const auto& set = member(patch, "upsert"); set.is_object()) {
+    for (const auto& [key, items] : set.items()) {
+      if (key == "listeners") {
+        upsert_routes(next["listeners"], items);
+      } else if (items.is_array()) {
+        upsert(next[key == "svcs" ? "clusters" : key], items);
+      } else {
+        next[key] = items;  // limits
+      }
+    }
+  } else if (!set.is_null()) {
+    wrong("upsert", "is no object");
+  }
+  if (const auto& drop = member(patch, "remove"); drop.is_object()) {
+    for (const auto& [key, names] : drop.items()) {
+      if (!names.is_array()) wrong("remove", "holds what is no list");
+      for (const auto& name : names) {
+        if (!name.is_string()) wrong("remove", "holds what is no name");
+        if (key == "routing" || key == "listeners") {
+          if (next["listeners"].is_array()) drop_route(next["listeners"], name.get<std::string>());
+        } else if (auto& all = next[key == "svcs" ? "clusters" : key]; all.is_array()) {
+          const auto gone = std::ranges::find_if(all, [&](const Json& o) { return named(o, name.get<std::string>()); });
+          if (gone != all.end()) all.erase(gone);
+        }
+      }
+    }
+  } else if (!drop.is_null()) {
+    wrong("remove", "is no object");
+  }
+  return next;
+}
+
+Judgement judge_document(Json&& document, Json* after) {
+  if (const auto read_back = read(document); failed(read_back))
+    return refused(400, failure(read_back).peer + " " + failure(read_back).what);
+  if (after) *after = std::move(document);
+  return {};
+}
+
+}  // namespace
+
+Judgement judge_replace(const State& state, std::string_view body, Json* after) {
+  if (was_taken(state, body)) return {200, "", true};
+  auto json = parsed(body);
+  if (!json) return refused(400, "the body is not whole");
+  if (const auto base = judge_base(state, *json); base.status != 200) return base;
+  return judge_document(std::move(*json), after);
+}
+
+Judgement judge_patch(const State& state, std::string_view body, Json* after) {
+  if (was_taken(state, body)) return {200, "", true};
+  const auto json = parsed(body);
+  if (!json) return refused(400, "the body is not whole");
+  if (const auto base = judge_base(state, *json); base.status != 200) return base;
+  if (!state.document.is_object()) return refused(412, "there is no configuration to change");
+  try {
+    return judge_document(patched(state.document, *json), after);
+  } catch (const Mistake& m) {
+    return refused(400, m.field + " " + m.what);
+  } catch (const nlohmann::json::exception& x) {
+    return refused(400, x.what());
+  }
+}
+
+bool apply(State& state, ChangeKind kind, const std::string& change) {
+  constexpr std::size_t kTaken = 64;  // bodies that may still be sent again unchanged
+  ++state.position;
+  const auto insert = [&](std::vector<std::string>& into) {
+    const auto at = std::ranges::lower_bound(into, change);
+    if (at != into.end() && *at == change) return false;
+    into.insert(at, change);
+    return true;
+  };
+  switch (kind) {
+    case ChangeKind::replace:
+    case ChangeKind::patch: {
+      Json after;
+      const auto j = kind == ChangeKind::replace ? judge_replace(state, change, &after) : judge_patch(state, change, &after);
+      if (j.status != 200 || j.already) return false;
+      state.document = std::move(after);
+      state.taken.push_back(digest_of(change));
+      if (state.taken.size() > kTaken) state.taken.erase(state.taken.begin());
+      return true;
+    }
+    case ChangeKind::evacuate: return insert(state.evacuated);
+    case ChangeKind::readmit: return std::erase(state.evacuated, change) > 0;
+    case ChangeKind::join: return insert(state.voters);
+    case ChangeKind::nothing: break;
+  }
+  return false;
+}
+
+}  // namespace docklift::configuration
--- /dev/null
+++ b/src/system/configuration/configuration.hpp
@@ -0,0 +1,105 @@
+// The configuration: what is sent by the operator, checked; and what it means for a request. Pure.
+// Source: the operators' protocol page. Documents keep every field that was sent, known here or not.
+#pragma once
+
+#include <tsl/robin_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "system/base/result.hpp"
+
+namespace docklift::configuration {
+
+enum class Kind { idempotent, mutating, download };
+
+struct Part {  // of a split
+  std::uint32_t service = 0;  // index into Configuration::services
+  double weight = 1;
+};
+
+struct Route {
+  std::string name, host, prefix;
+  Kind kind = Kind::mutating;
+  bool is_public = false;
+  std::uint32_t priority = 0, tries = 1;
+  double target_ms = 0, timeout_ms = 0;
+  std::vector<Part> parts;
+  double weights = 0;                // their sum
+  std::vector<std::string> regions;  // homes; empty: everywhere
+};
+
+struct Tenant {
+  std::string name;
+  std::optional<std::uint32_t> priority;
+  double per_s = 0, burst = 0;  // 0: no limit
+  std::vector<std::string> regions;
+};
+
+struct Service {
+  std::string name, health_path;
+  std::uint32_t max_conns = 0;
+  double warmup_s = 0, cold_per_s = 0;
+};
+
+struct Limits {
+  std::size_t header_bytes = 16384, body_bytes = 64u << 20;
+  double header_ms = 3000, idle_ms = 15000;
+};
+
+class Configuration {
+ public:
+  std::uint64_t version = 0;
+  Limits limits;
+  std::vector<Route> routes;
+  std::vector<Tenant> tenants;
+  std::vector<Service> services;
+
+  // The route with the longest prefix of the path among the host's; null: there is none. `host` may carry a port.
+  const Route* route(std::string_view host, std::string_view target) const;
+  const Tenant* tenant_of(std::string_view key) const;
+  bool has_tenants() const { return has_tenants_; }
+
+ private:
+  friend Result<std::shared_ptr<const Configuration>> read(const nlohmann::json& document);
+  tsl::robin_map<std::string, std::vector<std::uint32_t>> by_host_;  // routes, longest prefix first
+  tsl::robin_map<std::string, std::uint32_t> by_key_;
+  bool has_tenants_ = false;
+};
+
+// What a whole document means; a failure names the field.
+Result<std::shared_ptr<const Configuration>> read(const nlohmann::json& document);
+
+std::optional<std::uint64_t> version_of(const nlohmann::json& field);  // eight hexadecimal digits, or 0
+std::string shown_version(std::uint64_t version);
+
+// What the changes up to a position have made. The same changes in the same order give the same state everywhere.
+struct State {
+  std::uint64_t position = 0;
+  nlohmann::json document;  // null: none yet
+  std::vector<std::string> evacuated, voters;  // sorted
+  std::vector<std::uint64_t> taken;            // digests of bodies, oldest first
+
+  std::uint64_t version() const;
+};
+
+struct Judgement {
+  int status = 200;  // 200, 400 or 412
+  std::string why;
+  bool already = false;  // 200 for what was taken before: nothing to agree on
+};
+// What a body would be answered on top of a state; on 200 and not `already`, `after` (if not null) is the document.
+Judgement judge_replace(const State& state, std::string_view body, nlohmann::json* after);
+Judgement judge_patch(const State& state, std::string_view body, nlohmann::json* after);
+std::uint64_t digest_of(std::string_view body);
+
+enum class ChangeKind : std::uint8_t { replace, patch, evacuate, readmit, join, nothing };
+// Puts a change at the next place of the log into force. False: it changed nothing that is in force.
+bool apply(State& state, ChangeKind kind, const std::string& text);
+
+}  // namespace docklift::configuration
--- /dev/null
+++ b/src/system/http/server.cpp
@@ -0,0 +1,133 @@
+#include "system/http/server.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace docklift::http {
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+struct Server::Session : std::enable_shared_from_this<Session> {
+  Session(Server& owner, Socket s) : server(&owner), socket(std::move(s)), timer(socket.get_executor()) {}
+
+  void read() {
+    arm(in.empty() ? server->limits_.idle : server->limits_.whole);
+    const auto had = in.size();
+    in.resize(had + (want > had ? std::min<std::size_t>(want - had, 1u << 20) : 4096));
+    socket.async_read_some(asio::buffer(in.data() + had, in.size() - had),
+                           [self = shared_from_this(), had](error_code failed, std::size_t n) {
+                             self->in.resize(had + n);
+                             if (failed || !self->server) return self->end();
+                             self->take();
+                           });
+  }
+
+  // One whole call of what was read.
+  void take() {
+    Head head;
+    const auto r = read_request(in, server->limits_.head_bytes, head);
+    if (r.read == Read::more) return read();
+    if (r.read != Read::done) return answer({r.read == Read::bad ? 400 : 431, ""}, false);
+    const auto kind = body_of(head);
+    if (!kind) return answer({400, ""}, false);
+    if (kind->coding == stream::Coding::length && kind->length > server->limits_.body_bytes)
+      return answer({413, ""}, false);
+    Call call{std::string(head.method), std::string(head.target), ""};
+    stream::BodyDecoder decoder(*kind);
+    std::string_view rest = std::string_view(in).substr(r.used);
+    if (kind->coding == stream::Coding::length && rest.size() < kind->length) {
+      want = r.used + kind->length;
+      return read();
+    }
+    while (!decoder.done()) {
+      const auto step = decoder.next(rest);
+      if (step.status == stream::BodyDecoder::Status::bad) return answer({400, ""}, false);
+      call.body.append(step.data);
+      rest.remove_prefix(step.used);
+      if (call.body.size() > server->limits_.body_bytes) return answer({413, ""}, false);
+      if (step.status == stream::BodyDecoder::Status::more) return read();
+    }
+    const bool keep = head.keeps_alive();
+    in.erase(0, in.size() - rest.size());
+    want = 0;
+    timer.cancel();
+    server->handle_(call, [weak = weak_from_this(), keep, done = false](Answer a) mutable {
+      if (std::exchange(done, true)) return;
+      if (const auto self = weak.lock(); self && self->server) self->answer(a, keep);
+    });
+  }
+
+  void answer(const Answer& a, bool keep) {
+    out = "HTTP/1.1 " + std::to_string(a.status) + " " + std::string(reason(a.status)) + "\r\n";
+    if (!a.body.empty()) out += "Content-Type: application/json\r\n";
+    if (a.retry_after_s > 0) out += "Retry-After: " + std::to_string(a.retry_after_s).substr(0, 5) + "\r\n";
+    if (!keep) out += "Connection: close\r\n";
+    out += "Content-Length: " + std::to_string(a.body.size()) + "\r\n\r\n" + a.body;
+    arm(server->limits_.whole);
+    asio::async_write(socket, asio::buffer(out), [self = shared_from_this(), keep](error_code failed, std::size_t) {
+      if (failed || !keep || !self->server) return self->end();
+      if (self->in.empty()) return self->read();
+      self->take();
+    });
+  }
+
+  void arm(Duration limit) {
+    timer.expires_after(limit);
+    timer.async_wait([weak = weak_from_this()](error_code failed) {
+      if (const auto self = weak.lock(); self && !failed) self->end();
+    });
+  }
+
+  void end() {
+    error_code ignored;
+    socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    socket.close(ignored);
+    timer.cancel();
+    if (auto* s = std::exchange(server, nullptr)) s->sessions_.erase(shared_from_this());
+  }
+
+  Server* server;
+  Socket socket;
+  Timer timer;
+  std::string in, out;
+  std::size_t want = 0;  // bytes of the message being read, where known
+};
+
+Server::Server(asio::io_context& io, const Tcp::endpoint& at, ServerLimits limits, Handle handle)
+    : acceptor_(io.get_executor()), limits_(limits), handle_(std::move(handle)) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(Acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen();
+  accept();
+}
+
+Server::~Server() { close(); }
+
+void Server::close() {
+  closed_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);
+  const auto all = std::exchange(sessions_, {});
+  for (const auto& s : all) {
+    s->server = nullptr;
+    s->timer.cancel();
+    s->socket.close(ignored);
+  }
+}
+
+void Server::accept() {
+  acceptor_.async_accept([this](error_code failed, Socket socket) {
+    if (failed == asio::error::operation_aborted || closed_) return;
+    if (!failed && sessions_.size() < limits_.connections) {
+      error_code ignored;
+      socket.set_option(Tcp::no_delay(true), ignored);
+      const auto session = std::make_shared<Session>(*this, std::move(socket));
+      sessions_.insert(session);
+      session->read();
+    }
+    accept();
+  });
+}
+
+}  // namespace docklift::http
--- /dev/null
+++ b/src/system/net/link.cpp
@@ -0,0 +1,230 @@
+#include "system/net/link.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+#include <random>
+
+namespace docklift {
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+Result<Tcp::endpoint> endpoint_of(const std::string& text) {
+  const auto at = snowknot::endpoint_of(text);
+  if (!at || at->port() == 0) return Failure{"read address", text, "not IP:PORT"};
+  return *at;
+}
+
+void set_peer_timeout(Socket& socket, Duration timeout) {
+  const int ms = static_cast<int>(millis(timeout));
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
+Link::Link(Socket socket, std::string peer, LinkLimits limits)
+    : socket_(std::move(socket)), timer_(socket_.get_executor()), peer_(std::move(peer)), limits_(limits) {
+  error_code ignored;
+  socket_.set_option(Tcp::no_delay(true), ignored);
+  set_peer_timeout(socket_, limits_.silence);
+}
+
+Link::~Link() = default;
+
+void Link::start(OnFrame on_frame, OnClosed on_closed) {
+  on_frame_ = std::move(on_frame), on_closed_ = std::move(on_closed);
+  heard_ = said_ = std::chrono::steady_clock::now();
+  read_length();
+  tick();
+}
+
+void Link::send(capnp::MessageBuilder& message) {
+  if (!open_) return;
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  if (queued_ + bytes.size() > limits_.queued_bytes) return fail("send", "the peer does not read");
+  const auto n = static_cast<std::uint32_t>(bytes.size());
+  std::string out(4 + bytes.size(), '\0');
+  for (std::size_t i = 0; i < 4; ++i) out[i] = static_cast<char>((n >> (8 * i)) & 0xff);
+  std::memcpy(out.data() + 4, bytes.begin(), bytes.size());
+  queued_ += out.size();
+  out_.push_back(std::move(out));
+  if (writing_) return;
+  // What is said in one turn of the loop goes out together.
+  writing_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->write(); });
+}
+
+void Link::write() {
+  if (!open_) return;
+  if (out_.empty()) return void(writing_ = false);
+  sending_.assign(std::make_move_iterator(out_.begin()), std::make_move_iterator(out_.end()));
+  out_.clear();
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(sending_.size());
+  for (const auto& s : sending_) buffers.push_back(asio::buffer(s));
+  asio::async_write(socket_, buffers, [self = shared_from_this()](error_code failed, std::size_t sent) {
+    self->queued_ -= std::min(self->queued_, sent);
+    if (failed) return self->fail("write", failed.message());
+    self->said_ = std::chrono::steady_clock::now();
+    self->write();
+  });
+}
+
+void Link::read_length() {
+  asio::async_read(socket_, asio::buffer(length_), [self = shared_from_this()](error_code failed, std::size_t) {
+    if (failed) return self->fail("read", failed.message());
+    std::uint32_t n = 0;
+    for (std::size_t i = 0; i < 4; ++i) n |= static_cast<std::uint32_t>(self->length_[i]) << (8 * i);
+    if (n == 0 || n % sizeof(capnp::word) != 0 || n > self->limits_.frame_bytes)
+      return self->fail("read", "no length of a frame");
+    self->read_body(n);
+  });
+}
+
+void Link::read_body(std::uint32_t bytes) {
+  if (!open_) return;
+  body_.resize(bytes / sizeof(capnp::word));
+  asio::async_read(socket_, asio::buffer(body_), [self = shared_from_this()](error_code failed, std::size_t) {
+    if (failed) return self->fail("read", failed.message());
+    if (!self->open_) return;
+    self->heard_ = std::chrono::steady_clock::now();
+    try {
+      capnp::ReaderOptions options;
+      options.traversalLimitInWords = 64u << 20;
+      capnp::FlatArrayMessageReader reader(kj::arrayPtr(self->body_.data(), self->body_.size()), options);
+      const auto frame = reader.getRoot<wire::Frame>();
+      if (!frame.isAlive()) self->on_frame_(frame);
+    } catch (const kj::Exception& x) {
+      return self->fail("read", x.getDescription().cStr());
+    }
+    if (self->body_.capacity() > (1u << 16)) std::vector<capnp::word>().swap(self->body_);
+    if (self->open_) self->read_length();
+  });
+}
+
+void Link::tick() {
+  if (!open_) return;
+  timer_.expires_after(limits_.alive / 2);
+  timer_.async_wait([self = shared_from_this()](error_code failed) {
+    if (failed || !self->open_) return;
+    const auto now = std::chrono::steady_clock::now();
+    if (now - self->heard_ > self->limits_.silence) return self->fail("read", "silence");
+    if (!self->writing_ && now - self->said_ >= self->limits_.alive) {
+      capnp::MallocMessageBuilder message(8);
+      message.initRoot<wire::Frame>().setAlive();
+      self->send(message);
+    }
+    self->tick();
+  });
+}
+
+void Link::fail(const char* step, const std::string& what) {
+  if (!open_) return;
+  const auto self = shared_from_this();
+  const auto told = std::move(on_closed_);
+  close();
+  if (told) told(Failure{step, peer_, what});
+}
+
+void Link::close() {
+  if (!std::exchange(open_, false)) return;
+  error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+  // Freed later: a callback may be running now.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->on_frame_ = nullptr, self->on_closed_ = nullptr;
+    self->out_.clear();
+  });
+}
+
+Dialer::Dialer(asio::io_context& io, Tcp::endpoint to, LinkLimits limits, Link::OnFrame on_frame, OnOpen on_open,
+               Link::OnClosed on_closed)
+    : io_(io),
+      to_(std::move(to)),
+      limits_(limits),
+      on_frame_(std::move(on_frame)),
+      on_open_(std::move(on_open)),
+      on_closed_(std::move(on_closed)),
+      timer_(io.get_executor()) {}
+
+void Dialer::start() { connect(); }
+
+void Dialer::stop() {
+  stopped_ = true;
+  timer_.cancel();
+  if (pending_) {
+    error_code ignored;
+    pending_->close(ignored);
+  }
+  if (link_) link_->close();
+}
+
+void Dialer::connect() {
+  if (stopped_) return;
+  pending_ = std::make_shared<Socket>(io_.get_executor());
+  const auto socket = pending_;
+  timer_.expires_after(limits_.connect);
+  timer_.async_wait([self = shared_from_this(), socket](error_code failed) {
+    error_code ignored;
+    if (!failed && self->pending_ == socket) socket->close(ignored);
+  });
+  socket->async_connect(to_, [self = shared_from_this(), socket](error_code failed) {
+    self->timer_.cancel();
+    self->pending_ = nullptr;
+    if (self->stopped_) return;
+    if (failed) {
+      self->on_closed_(Failure{"connect", self->to_.address().to_string(), failed.message()});
+      return self->again();
+    }
+    self->pause_ = {};
+    self->link_ = std::make_shared<Link>(std::move(*socket), self->to_.address().to_string(), self->limits_);
+    const auto link = self->link_;
+    link->start(self->on_frame_, [self](const Failure& why) {
+      self->on_closed_(why);
+      self->again();
+    });
+    self->on_open_(link);
+  });
+}
+
+void Dialer::again() {
+  if (stopped_) return;
+  static std::minstd_rand chance(std::random_device{}());
+  pause_ = std::clamp<Duration>(pause_ * 2, std::chrono::milliseconds(100), std::chrono::milliseconds(1000));
+  timer_.expires_after(pause_ * (50 + static_cast<int>(chance() % 51)) / 100);
+  timer_.async_wait([self = shared_from_this()](error_code failed) {
+    if (!failed) self->connect();
+  });
+}
+
+LinkListener::LinkListener(asio::io_context& io, const Tcp::endpoint& at, LinkLimits limits, OnLink on_link)
+    : acceptor_(io.get_executor()), limits_(limits), on_link_(std::move(on_link)) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(Acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen();
+  accept();
+}
+
+void LinkListener::close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void LinkListener::accept() {
+  acceptor_.async_accept([this](error_code failed, Socket socket) {
+    if (failed == asio::error::operation_aborted) return;
+    if (!failed) {
+      error_code unknown;
+      const auto peer = socket.remote_endpoint(unknown);
+      if (!unknown) on_link_(std::make_shared<Link>(std::move(socket), peer.address().to_string(), limits_));
+    }
+    accept();
+  });
+}
+
+}  // namespace docklift
--- /dev/null
+++ b/src/system/wire/fleet.capnp
@@ -0,0 +1,125 @@
+# What the system's own processes say to each other: one Frame after another on a TCP connection. No time of day
+# crosses a link: ages and remaining times in milliseconds do.
+@0xc7d0a4f19e3b5821;
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("docklift::wire");
+
+enum Role { proxy @0; registry @1; store @2; }
+enum Phase { ready @0; draining @1; gone @2; }
+
+# A member of the fleet, as it tells itself. Mergeable: of one life the higher stamp, of two lives the younger one
+# (the higher `life`, which is wall-clock nanoseconds at its start, made unique; only compared for one id).
+struct Node {
+  id @0 :Text;        # host name
+  life @1 :UInt64;
+  stamp @2 :UInt64;   # rises with each renewal
+  role @3 :Role;
+  zone @4 :Text;
+  address @5 :Text;   # proxies: ip:port of `http`; registries: ip of the inner ports
+  ready @6 :Bool;     # may be given to clients
+  leaving @7 :Bool;
+  ageMs @8 :UInt32;   # since its last renewal was heard by whom it renewed at
+}
+
+# A server's record. Mergeable by id: the higher `calls`; `gone` wins over all.
+struct Server {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  zone @3 :Text;
+  cap @4 :UInt32;
+  phase @5 :Phase;
+  calls @6 :UInt64;
+  coldMs @7 :UInt32;  # how long it stays cold, from now
+  ageMs @8 :UInt32;   # since the beat was heard
+}
+
+enum Change { replace @0; patch @1; evacuate @2; readmit @3; join @4; nothing @5; }
+# One agreed change, at its place in the log of changes.
+struct Entry {
+  position @0 :UInt64;   # 1, 2, 3, ...
+  change @1 :Change;
+  text @2 :Data;         # replace, patch: the body as it was sent; evacuate, readmit: the zone; join: the voter's ip
+}
+struct Snapshot {
+  position @0 :UInt64;   # of the last change in it
+  document @1 :Data;     # the whole configuration as JSON; empty: none yet
+  evacuated @2 :List(Text);
+  voters @3 :List(Text); # ips
+  taken @4 :List(UInt64);  # digests of the bodies that were taken, oldest first: the same one again is acknowledged
+}
+
+struct Proposal {
+  call @0 :UInt64;       # of the proposer's choice
+  change @1 :Change;
+  text @2 :Data;
+}
+struct Verdict {         # status as PROTOCOL has it: 200, 400, 412; 503: no majority in time, may be sent again
+  call @0 :UInt64;
+  status @1 :UInt16;
+  why @2 :Text;
+  position @3 :UInt64;   # of the last change that the proposer's store knows to be in force
+}
+
+# Quotas. A proxy asks the holder of the counts to add units to a tenant's count in a window.
+struct Add {
+  tenant @0 :Text;
+  ahead @1 :Bool;        # of the next window, not of the present one
+  units @2 :Int32;       # below 0: handed back
+  window @3 :Int64;      # only where units < 0: the window they were leased of
+}
+struct Adds { call @0 :UInt64; items @1 :List(Add); }
+struct Grant {
+  tenant @0 :Text;
+  window @1 :Int64;
+  units @2 :UInt32;
+  startsMs @3 :Int32;    # when its window begins, from now; below 0: so long ago
+  endsMs @4 :UInt32;     # when it ends, from now
+  left @5 :UInt32;       # of the window's count after this
+}
+# refused: this registry does not hold the counts
+struct Grants { call @0 :UInt64; term @1 :UInt64; refused @2 :Bool; items @3 :List(Grant); }
+
+# What a registry knows, to a proxy: changed records, or all.
+struct Fleet {
+  whole @0 :Bool;             # these are all servers: what is not among them is gone
+  servers @1 :List(Server);
+  proxies @2 :List(Text);     # ids of the live proxies of the fleet; empty: as told before
+  registries @3 :List(Text);  # ips of registries that are up
+  holder @4 :Text;            # ip of the registry that holds the counts; empty: none is known
+  term @5 :UInt64;            # of that duty; rises with each holder
+  position @6 :UInt64;        # of the newest change that the registry has
+  confirmedMs @7 :UInt32;     # so long ago a majority knew of none beyond it; all ones: not known
+}
+
+# Between registries: records merged both ways; a digest of ranges asks for what differs.
+struct Gossip {
+  servers @0 :List(Server);
+  nodes @1 :List(Node);
+  digests @2 :List(UInt64);   # over ranges of the servers' ids; empty: none asked for
+}
+# The duty of holding the counts: a holder needs a majority of the voters, each of which grants it to one at a time.
+struct DutyAsk { term @0 :UInt64; holder @1 :Text; successor @2 :Text; release @3 :Bool; }
+struct DutyAnswer { term @0 :UInt64; granted @1 :Bool; waitMs @2 :UInt32; holder @3 :Text; }
+
+struct Confirmed { position @0 :UInt64; ageMs @1 :UInt32; }
+
+struct Frame {
+  union {
+    hello @0 :Node;           # the first frame of a connection, by who connects; then as a renewal
+    follow @1 :UInt64;        # send me changes after this position (0: I have nothing)
+    snapshot @2 :Snapshot;
+    entries @3 :List(Entry);
+    fleet @4 :Fleet;
+    adds @5 :Adds;
+    grants @6 :Grants;
+    proposal @7 :Proposal;
+    verdict @8 :Verdict;
+    gossip @9 :Gossip;
+    dutyAsk @10 :DutyAsk;
+    dutyAnswer @11 :DutyAnswer;
+    agreement @12 :Data;      # store to store: bytes of the room `agreement`
+    alive @13 :Void;
+    confirmed @14 :Confirmed; # store to registry
+  }
+}
