--- /dev/null
+++ b/src/system/store/main.cpp
@@ -0,0 +1,24 @@
+#include "system/program/program.hpp"
+#include "system/store/store.hpp"
+
+int main(int argc, char** argv) {
+  using namespace docklift;
+  return run_program(
+      {"docklift-store", "Agrees on the configuration with the other stores and keeps it on disk."}, argc, argv,
+      [](boost::asio::io_context& io, const SystemSettings& settings) {
+        const Log log("store");
+        if (settings.data_dir.empty()) return log.error("read settings: datadir is missing"), 2;
+        auto disk = Disk::open(settings.data_dir + "/changes");
+        if (failed(disk)) return log.error(failure(disk).shown()), 1;
+        auto kept = value(disk)->read();
+        if (failed(kept)) return log.error(failure(kept).shown()), 1;
+        log.info(value(kept).any ? "the disk holds change " + std::to_string(value(kept).state.position) + " and " +
+                                       std::to_string(value(kept).log.size()) + " after it"
+                                 : "the disk is empty");
+        Store store(io, settings, std::move(value(disk)), std::move(value(kept)));
+        store.start();
+        const Signals signals(io, [&] { store.stop(), io.stop(); }, [](const SystemSettings&) {});
+        io.run();
+        return 0;
+      });
+}
--- /dev/null
+++ b/src/system/store/store.cpp
@@ -0,0 +1,236 @@
+#include "system/store/store.hpp"
+
+#include <random>
+
+namespace docklift {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Duration kTick = 50ms;
+constexpr std::size_t kWritesWaiting = 64;  // behind a disk that hangs; then nothing more is taken in
+
+agreement::Options options_of(const SystemSettings& s) {
+  agreement::Options o;
+  o.self = s.bind_ip, o.zone = s.zone;
+  o.seeds = s.seed_ips();
+  o.bootstrap = s.bootstrap, o.votes = s.voting;
+  o.chance = (std::uint64_t(std::random_device{}()) << 32) | std::random_device{}();
+  return o;
+}
+
+}  // namespace
+
+Store::Store(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Disk> disk, agreement::Kept kept)
+    : io_(io),
+      settings_(settings),
+      ballots_(options_of(settings), std::move(kept)),
+      disk_(std::move(disk)),
+      log_("store"),
+      timer_(io.get_executor()) {}
+
+void Store::start() {
+  const auto ip = boost::asio::ip::make_address(settings_.bind_ip);
+  const auto port = static_cast<std::uint16_t>(settings_.first_port + kStorePort);
+  listener_ = std::make_unique<LinkListener>(io_, Tcp::endpoint(ip, port), LinkLimits{},
+                                             [this](const std::shared_ptr<Link>& link) { accepted(link); });
+  carry_out(ballots_.start(clock_.now()));
+  dial_others();
+  tick();
+}
+
+void Store::stop() {
+  stopped_ = true;
+  timer_.cancel();
+  listener_->close();
+  for (auto& [ip, dialer] : stores_) dialer->stop();
+  for (auto& [link, ip] : peers_) link->close();
+  for (auto& [link, r] : registries_) link->close();
+}
+
+// Every store dials every other one; what it says goes out on that link.
+void Store::dial_others() {
+  std::set<std::string> others(ballots_.state().voters.begin(), ballots_.state().voters.end());
+  for (const auto& ip : settings_.seed_ips()) others.insert(ip);
+  for (const auto& [ip, zone] : zones_) others.insert(ip);
+  others.erase(settings_.bind_ip);
+  for (const auto& ip : others) {
+    if (stores_.contains(ip)) continue;
+    const Tcp::endpoint to(boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(settings_.first_port + kStorePort));
+    const auto dialer = std::make_shared<Dialer>(
+        io_, to, LinkLimits{},
+        [this, ip](wire::Frame::Reader frame) {  // answers may come back on the same link
+          if (!frame.isAgreement() || stopped_) return;
+          if (const auto m = agreement::decode(fleet::text_of(frame.getAgreement())))
+            carry_out(ballots_.receive(clock_.now(), ip, *m));
+        },
+        [this, ip](const std::shared_ptr<Link>& link) {
+          fleet::Outgoing hello;
+          auto node = hello.frame().initHello();
+          node.setId(settings_.hostname), node.setRole(wire::Role::STORE), node.setZone(settings_.zone);
+          node.setAddress(settings_.bind_ip);
+          link->send(hello.message());
+          if (const auto zone = zones_.find(ip); zone != zones_.end()) ballots_.linked(ip, zone->second);
+        },
+        [this, ip](const Failure& why) {
+          ballots_.unlinked(ip);
+          log_.debug(why.shown());
+        });
+    stores_[ip] = dialer;
+    dialer->start();
+  }
+}
+
+void Store::accepted(const std::shared_ptr<Link>& link) {
+  const std::weak_ptr<Link> weak = link;
+  link->start(
+      [this, weak](wire::Frame::Reader frame) {
+        if (const auto l = weak.lock()) on_frame(l, frame);
+      },
+      [this, weak](const Failure&) {
+        if (const auto l = weak.lock()) ended(l);
+      });
+}
+
+void Store::ended(const std::shared_ptr<Link>& link) {
+  peers_.erase(link.get());
+  registries_.erase(link.get());
+}
+
+void Store::on_frame(const std::shared_ptr<Link>& link, wire::Frame::Reader frame) {
+  if (stopped_) return;
+  const Time now = clock_.now();
+  switch (frame.which()) {
+    case wire::Frame::HELLO: {
+      const auto node = frame.getHello();
+      if (node.getRole() == wire::Role::STORE) {
+        const std::string ip = node.getAddress().cStr();
+        peers_[link.get()] = ip;
+        zones_[ip] = node.getZone().cStr();
+        dial_others();
+        if (const auto d = stores_.find(ip); d != stores_.end() && d->second->up()) ballots_.linked(ip, zones_[ip]);
+      } else {
+        registries_[link.get()] = {link, false, 0};
+      }
+      break;
+    }
+    case wire::Frame::AGREEMENT: {
+      const auto from = peers_.find(link.get());
+      if (from == peers_.end() || disk_.waiting() > kWritesWaiting) break;
+      if (const auto m = agreement::decode(fleet::text_of(frame.getAgreement())))
+        carry_out(ballots_.receive(now, from->second, *m));
+      break;
+    }
+    case wire::Frame::FOLLOW: {
+      const auto r = registries_.find(link.get());
+      if (r == registries_.end()) break;
+      r->second.follows = true, r->second.position = frame.getFollow();
+      bring_up_to_date(r->second);
+      tell_confirmed(r->second);
+      break;
+    }
+    case wire::Frame::PROPOSAL: {
+      const auto p = frame.getProposal();
+      const auto id = ++proposals_;
+      calls_[id] = {link, p.getCall()};
+      carry_out(ballots_.propose(now, id, fleet::kind_of(p.getChange()), fleet::text_of(p.getText())));
+      break;
+    }
+    default: break;
+  }
+}
+
+// Everything that is said waits until all that was to be durable before it is.
+void Store::carry_out(agreement::Out out) {
+  for (const auto& note : out.notes) log_.info(note);
+  if (!out.chosen.empty() || out.snapshot) {
+    for (const auto& c : out.chosen)
+      log_.info("change " + std::to_string(c.slot) + " is in force, version " +
+                configuration::shown_version(ballots_.state().version()));
+    for (auto& [link, r] : registries_) bring_up_to_date(r);
+    dial_others();
+  }
+  if (out.confirmed)
+    for (auto& [link, r] : registries_) tell_confirmed(r);
+  const bool waits = out.write.durable || writes_out_ > 0;
+  if (out.write.empty() && !waits) return release(std::move(out));
+  auto write = std::move(out.write);
+  out.write = {};
+  if (!waits) {
+    disk_.write(std::move(write), [] {});
+    return release(std::move(out));
+  }
+  ++writes_out_;
+  const auto later = std::make_shared<agreement::Out>(std::move(out));
+  disk_.write(std::move(write), [this, later] {
+    boost::asio::post(io_, [this, later] {
+      --writes_out_;
+      if (!stopped_) release(std::move(*later));
+    });
+  });
+}
+
+void Store::release(agreement::Out out) {
+  for (const auto& s : out.settled) {
+    const auto call = calls_.extract(s.id);
+    const auto link = call ? call.mapped().first.lock() : nullptr;
+    if (!link || !link->open()) continue;
+    fleet::Outgoing answer;
+    auto v = answer.frame().initVerdict();
+    v.setCall(call.mapped().second), v.setStatus(static_cast<std::uint16_t>(s.status)), v.setWhy(s.why);
+    v.setPosition(ballots_.state().position);
+    link->send(answer.message());
+  }
+  for (const auto& s : out.sends) send(s.to, s.message);
+}
+
+void Store::send(const std::string& to, const agreement::Message& message) {
+  if (to == settings_.bind_ip) {  // in a turn of its own: the agreement's calls must not nest
+    boost::asio::post(io_, [this, message] {
+      if (!stopped_) carry_out(ballots_.receive(clock_.now(), settings_.bind_ip, message));
+    });
+    return;
+  }
+  const auto it = stores_.find(to);
+  if (it == stores_.end() || !it->second->up()) return;
+  fleet::Outgoing frame;
+  frame.frame().setAgreement(fleet::data_of(agreement::encode(message)));
+  it->second->link()->send(frame.message());
+}
+
+void Store::bring_up_to_date(Registry& r) {
+  const auto& state = ballots_.state();
+  if (!r.follows || !r.link->open() || r.position >= state.position || ballots_.blank()) return;
+  fleet::Outgoing frame;
+  const auto entries = r.position == 0 ? std::nullopt : ballots_.after(r.position);
+  if (entries) {
+    auto list = frame.frame().initEntries(static_cast<unsigned>(entries->size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      const auto& c = (*entries)[i];
+      fleet::put(list[i], fleet::Entry{c.slot, fleet::change_of(c.change.kind), c.change.text});
+    }
+  } else {
+    fleet::put(frame.frame().initSnapshot(), state);
+  }
+  r.position = state.position;
+  r.link->send(frame.message());
+}
+
+void Store::tell_confirmed(Registry& r) {
+  if (!r.follows || !r.link->open() || ballots_.confirmed_at() == Time{}) return;
+  fleet::Outgoing frame;
+  auto c = frame.frame().initConfirmed();
+  c.setPosition(ballots_.confirmed_position());
+  c.setAgeMs(millis(clock_.now() - ballots_.confirmed_at()));
+  r.link->send(frame.message());
+}
+
+void Store::tick() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](boost::system::error_code failed_wait) {
+    if (failed_wait || stopped_) return;
+    if (disk_.waiting() <= kWritesWaiting) carry_out(ballots_.tick(clock_.now()));
+    tick();
+  });
+}
+
+}  // namespace docklift
