System: registries know servers and members, take calls from outside, hold the counts

Mergeable records gossiped among registries; one duty, granted by a majority for a while, of holding tenants' window counts.

--- /dev/null
+++ b/src/system/counts/counts.cpp
@@ -0,0 +1,67 @@
+#include "system/counts/counts.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace docklift::counts {
+namespace {
+constexpr double kLeastWindow = 0.5, kMostWindow = 2;  // seconds; a longer one would pin units for too long
+}
+
+Window window_of(const Quota& q) {
+  if (q.per_s <= 0) return {};
+  const double wanted = std::clamp(q.burst / q.per_s, kLeastWindow, kMostWindow);
+  const double limit = std::max(1.0, std::floor(q.per_s * wanted + 1e-9));  // whole units: what is left over serves nobody
+  return {from_seconds(limit / q.per_s), limit};
+}
+
+void Counts::begin(Time now, bool first) {
+  counts_.clear();
+  begun_ = first ? Time{} : now;
+}
+
+Counts::Count& Counts::at(Time now, const std::string& tenant, std::int64_t present, Duration length) {
+  auto [it, fresh] = counts_.try_emplace(tenant);
+  auto& c = it.value();
+  c.at = now;
+  if (!fresh && c.window == present) return c;
+  const bool next = !fresh && present == c.window + 1;
+  c.used[0] = next ? c.used[1] : 0;
+  c.used[1] = 0;
+  c.window = present;
+  if (begun_ != Time{} && Time(length * present) < begun_) c.used[0] = 1e18;  // granted by who held it before
+  return c;
+}
+
+Grant Counts::add(Time now, const std::string& tenant, const Quota& quota, bool ahead, std::uint32_t units) {
+  const auto w = window_of(quota);
+  Grant g;
+  if (w.length == Duration{}) return g;
+  const std::int64_t present = now.time_since_epoch() / w.length;
+  auto& c = at(now, tenant, present, w.length);
+  auto& used = c.used[ahead ? 1 : 0];
+  const double room = std::max(0.0, w.limit - used);
+  g.units = static_cast<std::uint32_t>(std::min<double>(units, std::floor(room + 1e-9)));
+  used += g.units;
+  g.left = static_cast<std::uint32_t>(std::max(0.0, std::floor(room - g.units + 1e-9)));
+  g.window = present + (ahead ? 1 : 0);
+  g.starts = Time(w.length * g.window) - now;
+  g.ends = g.starts + w.length;
+  return g;
+}
+
+void Counts::hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window, std::uint32_t units) {
+  const auto w = window_of(quota);
+  if (w.length == Duration{}) return;
+  const std::int64_t present = now.time_since_epoch() / w.length;
+  if (window != present && window != present + 1) return;
+  auto& used = at(now, tenant, present, w.length).used[window - present];
+  if (used < 1e17) used = std::max(0.0, used - units);
+}
+
+void Counts::sweep(Time now) {
+  for (auto it = counts_.begin(); it != counts_.end();)
+    it = now - it->second.at > std::chrono::seconds(20) ? counts_.erase(it) : std::next(it);
+}
+
+}  // namespace docklift::counts
--- /dev/null
+++ b/src/system/counts/counts.hpp
@@ -0,0 +1,55 @@
+// The counts of units that the holder of the duty keeps: for each tenant one for the present window and one for the next. Pure.
+// Weighted Fair Escrow: proxies add quanta to a window's count; what passes the window's limit is handed back.
+//
+// Invariant: of a window never more than its limit is granted; a holder grants nothing of windows that began before it did.
+// A window lasts burst / per_s, and its limit is per_s times that: any span of s seconds touches s / window + 1 windows, so at
+// most per_s * s + burst pass in it.
+#pragma once
+
+#include <tsl/robin_map.h>
+
+#include <cstdint>
+#include <string>
+
+#include "system/base/time.hpp"
+
+namespace docklift::counts {
+
+struct Quota {
+  double per_s = 0, burst = 0;
+};
+struct Window {
+  Duration length{};
+  double limit = 0;  // units
+};
+// No quota (per_s 0): length 0.
+Window window_of(const Quota& q);
+
+struct Grant {
+  std::int64_t window = 0;
+  std::uint32_t units = 0, left = 0;
+  Duration starts{}, ends{};  // from now
+};
+
+class Counts {
+ public:
+  // Takes over at `now`. `first`: nobody held them before.
+  void begin(Time now, bool first);
+  // Adds up to `units` to the count of the present window, or of the next one.
+  Grant add(Time now, const std::string& tenant, const Quota& quota, bool ahead, std::uint32_t units);
+  void hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window, std::uint32_t units);
+  void sweep(Time now);  // forgets windows that are over
+  std::size_t size() const { return counts_.size(); }
+
+ private:
+  struct Count {
+    std::int64_t window = 0;  // the earlier of the two
+    double used[2] = {0, 0};
+    Time at{};
+  };
+  Count& at(Time now, const std::string& tenant, std::int64_t present, Duration length);
+  tsl::robin_map<std::string, Count> counts_;
+  Time begun_{};
+};
+
+}  // namespace docklift::counts
--- /dev/null
+++ b/src/system/duty/duty.cpp
@@ -0,0 +1,80 @@
+#include "system/duty/duty.hpp"
+
+#include <algorithm>
+
+namespace docklift::duty {
+
+Duty::Duty(Terms terms, std::string self, bool remembers, Time now)
+    : terms_(terms), self_(std::move(self)), silent_until_(remembers ? now : now + terms.lease), granted_until_(now) {}
+
+Answer Duty::asked(Time now, const Ask& ask) {
+  seen_term_ = std::max(seen_term_, ask.term);
+  if (ask.release) {
+    if (ask.holder == granted_to_ && ask.term == granted_term_) {
+      granted_to_ = ask.successor;
+      granted_until_ = ask.successor.empty() ? now : now + terms_.lease;
+      if (ask.successor == self_) next_ask_ = now, named_ = true;
+    }
+    return {granted_term_, false, granted_to_};
+  }
+  if (now < silent_until_) return {granted_term_, false, ""};
+  const bool renews = ask.holder == granted_to_ && ask.term == granted_term_;
+  const bool open = now >= granted_until_ || ask.holder == granted_to_;
+  if (!renews && !(open && ask.term > granted_term_)) return {granted_term_, false, granted_to_};
+  granted_term_ = ask.term, granted_to_ = ask.holder, granted_until_ = now + terms_.lease;
+  return {ask.term, true, ask.holder};
+}
+
+std::optional<Ask> Duty::tick(Time now, const std::vector<std::string>& voters, std::size_t rank) {
+  majority_ = voters.size() / 2 + 1;
+  if (held_term_ != 0 && now >= held_until_) held_term_ = 0;
+  if (now < next_ask_ || std::ranges::find(voters, self_) == voters.end()) return std::nullopt;
+  if (held_term_ == 0) {
+    // Claims that cross would hold each other up: who has got no majority gives back what it was granted, and waits by rank.
+    if (asking_term_ != 0 && granted_to_ == self_ && granted_term_ == asking_term_ && !named_) {
+      next_ask_ = now + terms_.stagger * static_cast<int>(rank + 1);
+      const Ask back{asking_term_, self_, "", true};
+      asked(now, back);
+      asking_term_ = 0;
+      return back;
+    }
+    const auto free_at = granted_until_ + terms_.stagger * static_cast<int>(rank);
+    if (now < silent_until_ || (!named_ && now < free_at)) return std::nullopt;
+    named_ = false;
+    asking_term_ = std::max({seen_term_, granted_term_, asking_term_}) + 1;
+  } else {
+    asking_term_ = held_term_;
+  }
+  next_ask_ = now + (held_term_ == 0 ? terms_.renew / 2 : terms_.renew);
+  asked_at_ = now;
+  grants_.clear();
+  const Ask ask{asking_term_, self_, "", false};
+  if (asked(now, ask).granted) grants_.insert(self_);
+  count(now);
+  return ask;
+}
+
+void Duty::answered(Time now, const std::string& from, const Answer& answer) {
+  seen_term_ = std::max(seen_term_, answer.term);
+  if (!answer.granted || answer.term != asking_term_) return;
+  grants_.insert(from);
+  count(now);
+}
+
+void Duty::count(Time now) {
+  if (grants_.size() < majority_) return;
+  const auto until = asked_at_ + terms_.lease - terms_.margin;
+  if (now >= until) return;
+  held_term_ = asking_term_, held_until_ = std::max(held_until_, until);
+}
+
+std::optional<Ask> Duty::release(Time now, const std::string& successor) {
+  if (!holds(now)) return std::nullopt;
+  const Ask ask{held_term_, self_, successor, true};
+  held_term_ = 0, held_until_ = now;
+  asked(now, ask);
+  next_ask_ = now + terms_.lease;
+  return ask;
+}
+
+}  // namespace docklift::duty
--- /dev/null
+++ b/src/system/duty/duty.hpp
@@ -0,0 +1,69 @@
+// A duty that one of several does at a time: who holds it has been granted it by a majority for a while, and renews. The holder
+// names its successor when it ends in order; a majority does when it can't. Pure. Terms rise with each holder.
+// Safe while clocks run at the same speed to within `margin` of `lease`: a grantor that has lost its memory grants nothing for a lease.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "system/base/time.hpp"
+
+namespace docklift::duty {
+
+struct Terms {
+  Duration lease = std::chrono::milliseconds(1500);
+  Duration margin = std::chrono::milliseconds(200);
+  Duration renew = std::chrono::milliseconds(400);
+  Duration stagger = std::chrono::milliseconds(120);  // between those that may claim it, by rank
+};
+
+struct Ask {
+  std::uint64_t term = 0;
+  std::string holder, successor;
+  bool release = false;
+};
+struct Answer {
+  std::uint64_t term = 0;
+  bool granted = false;
+  std::string holder;  // to whom it is granted now, where it was refused
+};
+
+class Duty {
+ public:
+  // `remembers`: false where this process may have granted it in an earlier life.
+  Duty(Terms terms, std::string self, bool remembers, Time now);
+
+  // Asks to be sent to every voter but this one; called at least each 100 ms. `rank`: of this one among those that may claim it.
+  std::optional<Ask> tick(Time now, const std::vector<std::string>& voters, std::size_t rank);
+  Answer asked(Time now, const Ask& ask);
+  void answered(Time now, const std::string& from, const Answer& answer);
+  // Ends holding it, for `successor` (may be empty).
+  std::optional<Ask> release(Time now, const std::string& successor);
+
+  bool holds(Time now) const { return held_term_ != 0 && now < held_until_; }
+  std::uint64_t held_term() const { return held_term_; }
+  // Who holds it as far as is known here; empty: nobody.
+  std::string holder(Time now) const { return now < granted_until_ ? granted_to_ : std::string(); }
+  std::uint64_t term() const { return granted_term_; }
+
+ private:
+  void count(Time now);
+
+  Terms terms_;
+  std::string self_;
+  // as a grantor
+  Time silent_until_{};
+  std::uint64_t granted_term_ = 0;
+  std::string granted_to_;
+  Time granted_until_{};
+  // as a claimant
+  bool named_ = false;  // by who held it before
+  std::uint64_t asking_term_ = 0, held_term_ = 0, seen_term_ = 0;
+  Time asked_at_{}, held_until_{}, next_ask_{};
+  std::set<std::string> grants_;
+  std::size_t majority_ = 1;
+};
+
+}  // namespace docklift::duty
--- /dev/null
+++ b/src/system/fleet/frames.cpp
@@ -0,0 +1,63 @@
+#include "system/fleet/frames.hpp"
+
+#include <algorithm>
+
+namespace docklift::fleet {
+
+void put(wire::Snapshot::Builder to, const configuration::State& s) {
+  to.setPosition(s.position);
+  if (!s.document.is_null()) to.setDocument(data_of(s.document.dump()));
+  auto evacuated = to.initEvacuated(static_cast<unsigned>(s.evacuated.size()));
+  for (unsigned i = 0; i < evacuated.size(); ++i) evacuated.set(i, s.evacuated[i]);
+  auto voters = to.initVoters(static_cast<unsigned>(s.voters.size()));
+  for (unsigned i = 0; i < voters.size(); ++i) voters.set(i, s.voters[i]);
+  auto taken = to.initTaken(static_cast<unsigned>(s.taken.size()));
+  for (unsigned i = 0; i < taken.size(); ++i) taken.set(i, s.taken[i]);
+}
+
+configuration::State get(wire::Snapshot::Reader r) {
+  configuration::State s;
+  s.position = r.getPosition();
+  if (r.getDocument().size() > 0) s.document = nlohmann::json::parse(text_of(r.getDocument()));
+  for (const auto t : r.getEvacuated()) s.evacuated.emplace_back(t.cStr());
+  for (const auto t : r.getVoters()) s.voters.emplace_back(t.cStr());
+  for (const auto t : r.getTaken()) s.taken.push_back(t);
+  return s;
+}
+
+void put(wire::Entry::Builder to, const Entry& e) {
+  to.setPosition(e.position), to.setChange(e.change), to.setText(data_of(e.text));
+}
+
+Entry get(wire::Entry::Reader r) { return {r.getPosition(), r.getChange(), text_of(r.getText())}; }
+
+bool apply(configuration::State& state, const Entry& e) {
+  state.position = e.position - 1;
+  return configuration::apply(state, kind_of(e.change), e.text);
+}
+
+configuration::ChangeKind kind_of(wire::Change c) {
+  switch (c) {
+    case wire::Change::REPLACE: return configuration::ChangeKind::replace;
+    case wire::Change::PATCH: return configuration::ChangeKind::patch;
+    case wire::Change::EVACUATE: return configuration::ChangeKind::evacuate;
+    case wire::Change::READMIT: return configuration::ChangeKind::readmit;
+    case wire::Change::JOIN: return configuration::ChangeKind::join;
+    case wire::Change::NOTHING: break;
+  }
+  return configuration::ChangeKind::nothing;
+}
+
+wire::Change change_of(configuration::ChangeKind kind) {
+  switch (kind) {
+    case configuration::ChangeKind::replace: return wire::Change::REPLACE;
+    case configuration::ChangeKind::patch: return wire::Change::PATCH;
+    case configuration::ChangeKind::evacuate: return wire::Change::EVACUATE;
+    case configuration::ChangeKind::readmit: return wire::Change::READMIT;
+    case configuration::ChangeKind::join: return wire::Change::JOIN;
+    case configuration::ChangeKind::nothing: break;
+  }
+  return wire::Change::NOTHING;
+}
+
+}  // namespace docklift::fleet
--- /dev/null
+++ b/src/system/fleet/records.cpp
@@ -0,0 +1,132 @@
+#include "system/fleet/records.hpp"
+
+#include <algorithm>
+
+namespace docklift::fleet {
+namespace {
+
+constexpr Duration kColdSlop = std::chrono::milliseconds(250);  // told remainders differ by delays alone
+
+std::uint64_t hash(const std::string& s, std::uint64_t seed = 0) {
+  std::uint64_t h = 0xcbf29ce484222325ULL ^ seed;
+  for (const char c : s) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  return mix(h);
+}
+
+bool cold_differs(const Server& a, const Server& b, Time now) {
+  const bool x = a.cold_until > now, y = b.cold_until > now;
+  if (x != y) return true;
+  return x && std::max(a.cold_until, b.cold_until) - std::min(a.cold_until, b.cold_until) > kColdSlop;
+}
+
+}  // namespace
+
+Merged Servers::merge(const Server& s) {
+  const auto [it, fresh] = all_.try_emplace(s.id, s);
+  if (fresh) return Merged::changed;
+  auto& known = it->second;
+  if (known.phase == Phase::GONE) return Merged::nothing;
+  if (s.phase != Phase::GONE && (s.calls < known.calls || (s.calls == known.calls && s.phase <= known.phase))) {
+    if (s.calls == known.calls && s.heard > known.heard) return known.heard = s.heard, Merged::heard;
+    return Merged::nothing;
+  }
+  const bool changed = known.phase != s.phase || known.address != s.address || known.service != s.service ||
+                       known.cap != s.cap || cold_differs(known, s, s.heard);
+  if (s.phase == Phase::GONE) {  // a leave tells the id alone
+    known.phase = Phase::GONE, known.heard = s.heard, known.calls = std::max(known.calls, s.calls);
+    return Merged::changed;
+  }
+  known = s;
+  return changed ? Merged::changed : Merged::heard;
+}
+
+const Server* Servers::find(const std::string& id) const {
+  const auto it = all_.find(id);
+  return it == all_.end() ? nullptr : &it->second;
+}
+
+std::vector<Server> Servers::expire(Time now, Duration silence, Duration kept) {
+  std::vector<Server> lost;
+  for (auto it = all_.begin(); it != all_.end();) {
+    auto& s = it->second;
+    if (s.phase == Phase::GONE) {
+      it = now - s.heard > kept ? all_.erase(it) : std::next(it);
+      continue;
+    }
+    if (silence > Duration{} && now - s.heard > silence) {
+      lost.push_back(s);
+      it = all_.erase(it);  // not a tombstone: it comes back with its next beat
+      continue;
+    }
+    ++it;
+  }
+  return lost;
+}
+
+std::size_t Servers::range_of(const std::string& id, std::size_t ranges) { return hash(id) % ranges; }
+
+std::vector<std::uint64_t> Servers::digests(std::size_t ranges) const {
+  std::vector<std::uint64_t> out(ranges);
+  for (const auto& [id, s] : all_)
+    out[range_of(id, ranges)] ^= mix(hash(id) ^ hash(s.address, 7) ^ static_cast<std::uint64_t>(s.phase));
+  return out;
+}
+
+Merged Nodes::merge(const Node& n) {
+  if (const auto ended = ended_.find(n.id); ended != ended_.end() && !all_.contains(n.id) && n.life < ended->second)
+    return Merged::nothing;
+  const auto [it, fresh] = all_.try_emplace(n.id, n);
+  if (fresh) return Merged::changed;
+  auto& known = it->second;
+  if (n.life < known.life || (n.life == known.life && n.stamp <= known.stamp)) return Merged::nothing;
+  const bool changed = n.life != known.life || n.ready != known.ready || n.leaving != known.leaving ||
+                       n.address != known.address;
+  known = n;
+  return changed ? Merged::changed : Merged::heard;
+}
+
+std::vector<Node> Nodes::expire(Time now, Duration lease) {
+  std::vector<Node> out;
+  for (auto it = all_.begin(); it != all_.end();) {
+    if (now - it->second.heard <= lease) {
+      ++it;
+      continue;
+    }
+    ended_[it->first] = it->second.life;
+    out.push_back(it->second);
+    it = all_.erase(it);
+  }
+  if (ended_.size() > 4096) ended_.clear();
+  return out;
+}
+
+void put(wire::Server::Builder to, const Server& s, Time now) {
+  to.setId(s.id), to.setService(s.service), to.setAddress(s.address), to.setZone(s.zone);
+  to.setCap(s.cap), to.setPhase(s.phase), to.setCalls(s.calls);
+  to.setColdMs(s.cold_until > now ? millis(s.cold_until - now) : 0);
+  to.setAgeMs(millis(now - s.heard));
+}
+
+Server get(wire::Server::Reader r, Time now) {
+  Server s;
+  s.id = r.getId().cStr(), s.service = r.getService().cStr(), s.address = r.getAddress().cStr();
+  s.zone = r.getZone().cStr(), s.cap = r.getCap(), s.phase = r.getPhase(), s.calls = r.getCalls();
+  s.heard = now - from_millis(r.getAgeMs());
+  s.cold_until = r.getColdMs() > 0 ? now + from_millis(r.getColdMs()) : Time{};
+  return s;
+}
+
+void put(wire::Node::Builder to, const Node& n, Time now) {
+  to.setId(n.id), to.setLife(n.life), to.setStamp(n.stamp), to.setRole(n.role), to.setZone(n.zone);
+  to.setAddress(n.address), to.setReady(n.ready), to.setLeaving(n.leaving), to.setAgeMs(millis(now - n.heard));
+}
+
+Node get(wire::Node::Reader r, Time now) {
+  Node n;
+  n.id = r.getId().cStr(), n.life = r.getLife(), n.stamp = r.getStamp(), n.role = r.getRole();
+  n.zone = r.getZone().cStr(), n.address = r.getAddress().cStr();
+  n.ready = r.getReady(), n.leaving = r.getLeaving(), n.heard = now - from_millis(r.getAgeMs());
+  return n;
+}
+
+}  // namespace docklift::fleet
--- /dev/null
+++ b/src/system/registry/registry.cpp
@@ -0,0 +1,527 @@
+#include "system/registry/registry.hpp"
+
+#include <algorithm>
+
+#include "system/program/program.hpp"
+
+namespace docklift {
+namespace {
+
+using namespace std::chrono_literals;
+using fleet::Merged;
+
+constexpr Duration kTick = 100ms;
+constexpr std::uint64_t kFlushTicks = 4;      // what was heard again is told to the others so often
+constexpr std::uint64_t kDigestTicks = 50;    // and digests of all records
+constexpr Duration kLease = 2500ms;           // a member that has not renewed for so long is none
+constexpr double kSilentBeats = 4;            // beats that a server may miss
+constexpr Duration kKept = 60s;               // that a server is gone is remembered
+constexpr Duration kProposal = 5500ms;        // a change without a verdict
+constexpr std::size_t kRanges = 64;           // of ids, for digests
+
+}  // namespace
+
+Registry::Registry(boost::asio::io_context& io, const SystemSettings& settings)
+    : io_(io),
+      settings_(settings),
+      log_("registry"),
+      started_(clock_.now()),
+      duty_(duty::Terms{}, settings.bind_ip, settings.bootstrap, clock_.now()),
+      timer_(io.get_executor()) {
+  self_.id = settings.hostname, self_.zone = settings.zone, self_.address = settings.bind_ip;
+  self_.role = fleet::Role::REGISTRY, self_.life = draw_life(), self_.ready = true;
+}
+
+std::vector<std::string> Registry::voter_ips() const {
+  return changes_.state().voters.empty() ? settings_.seed_ips() : changes_.state().voters;
+}
+
+// Every core machine that is known: voters, seeds, and registries that have told of themselves.
+std::vector<std::string> Registry::core_ips() const {
+  std::set<std::string> all;
+  for (const auto& ip : voter_ips()) all.insert(ip);
+  for (const auto& ip : settings_.seed_ips()) all.insert(ip);
+  for (const auto& [id, n] : nodes_.all())
+    if (n.role == fleet::Role::REGISTRY && !n.leaving) all.insert(n.address);
+  all.insert(settings_.bind_ip);
+  return {all.begin(), all.end()};
+}
+
+void Registry::start() {
+  const auto ip = boost::asio::ip::make_address(settings_.bind_ip);
+  listener_ = std::make_unique<LinkListener>(
+      io_, Tcp::endpoint(ip, static_cast<std::uint16_t>(settings_.first_port + kRegistryPort)), LinkLimits{},
+      [this](const std::shared_ptr<Link>& link) { accepted(link); });
+  dial_all();
+  tick();
+}
+
+void Registry::dial_all() {
+  for (const auto& ip : core_ips()) dial(ip);
+}
+
+void Registry::dial(const std::string& ip) {
+  const auto address = boost::asio::ip::make_address(ip);
+  const auto port = [&](std::uint16_t offset) { return static_cast<std::uint16_t>(settings_.first_port + offset); };
+  const auto hello = [this](const std::shared_ptr<Link>& link) {
+    fleet::Outgoing out;
+    self_.heard = clock_.now();
+    fleet::put(out.frame().initHello(), self_, clock_.now());
+    link->send(out.message());
+  };
+  if (!stores_.contains(ip)) {
+    const auto dialer = std::make_shared<Dialer>(
+        io_, Tcp::endpoint(address, port(kStorePort)), LinkLimits{},
+        [this, ip](wire::Frame::Reader frame) { on_store_frame(ip, frame); },
+        [this, hello, ip](const std::shared_ptr<Link>& link) {
+          hello(link);
+          fleet::Outgoing out;
+          out.frame().setFollow(changes_.position());
+          link->send(out.message());
+          for (auto& [call, p] : pending_)
+            if (p.store.empty()) send_pending(call, p);
+        },
+        [this, ip](const Failure& why) {
+          log_.debug(why.shown());
+          for (auto& [call, p] : pending_)
+            if (p.store == ip) p.store.clear(), send_pending(call, p);
+        });
+    stores_[ip] = dialer;
+    dialer->start();
+  }
+  if (ip != settings_.bind_ip && !registries_.contains(ip)) {
+    const auto dialer = std::make_shared<Dialer>(
+        io_, Tcp::endpoint(address, port(kRegistryPort)), LinkLimits{},
+        [this, ip](wire::Frame::Reader frame) { on_peer_frame(ip, frame); },
+        [this, hello](const std::shared_ptr<Link>& link) {
+          hello(link);
+          fleet::Outgoing out;  // all that is known here
+          auto g = out.frame().initGossip();
+          auto servers = g.initServers(static_cast<unsigned>(servers_.all().size()));
+          unsigned i = 0;
+          for (const auto& [id, s] : servers_.all()) fleet::put(servers[i++], s, clock_.now());
+          auto nodes = g.initNodes(static_cast<unsigned>(nodes_.all().size()));
+          i = 0;
+          for (const auto& [id, n] : nodes_.all()) fleet::put(nodes[i++], n, clock_.now());
+          link->send(out.message());
+        },
+        [this](const Failure& why) { log_.debug(why.shown()); });
+    registries_[ip] = dialer;
+    dialer->start();
+  }
+}
+
+void Registry::accepted(const std::shared_ptr<Link>& link) {
+  const std::weak_ptr<Link> weak = link;
+  link->start(
+      [this, weak](wire::Frame::Reader frame) {
+        if (const auto l = weak.lock(); l && !stopped_) on_frame(l, frame);
+      },
+      [this, weak](const Failure&) {
+        if (const auto l = weak.lock()) peers_.erase(l.get()), proxies_.erase(l.get());
+      });
+}
+
+void Registry::on_frame(const std::shared_ptr<Link>& link, wire::Frame::Reader frame) {
+  const Time now = clock_.now();
+  switch (frame.which()) {
+    case wire::Frame::HELLO: {
+      auto node = fleet::get(frame.getHello(), now);
+      node.heard = now;
+      if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
+        auto& p = proxies_[link.get()] = {link, node.id, false, 0};
+        tell_all_servers(p);
+      }
+      if (node.role == fleet::Role::REGISTRY && !peers_.contains(link.get())) {
+        peers_[link.get()] = node.address;
+        dial(node.address);
+      }
+      const auto merged = nodes_.merge(node);
+      if (merged == Merged::changed) members_changed_ = true, gossip({}, {node});
+      if (merged == Merged::heard) heard_nodes_[node.id] = node;
+      break;
+    }
+    case wire::Frame::FOLLOW: {
+      const auto p = proxies_.find(link.get());
+      if (p == proxies_.end()) break;
+      p->second.follows = true, p->second.position = frame.getFollow();
+      if (fleet::Outgoing out; changes_.frame_after(p->second.position, out))
+        p->second.position = changes_.position(), link->send(out.message());
+      break;
+    }
+    case wire::Frame::ADDS: {
+      if (const auto p = proxies_.find(link.get()); p != proxies_.end()) on_adds(p->second, frame.getAdds());
+      break;
+    }
+    case wire::Frame::GOSSIP: on_gossip(frame.getGossip(), link); break;
+    case wire::Frame::DUTY_ASK: {
+      const auto a = frame.getDutyAsk();
+      const auto answer =
+          duty_.asked(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(), a.getRelease()});
+      fleet::Outgoing out;
+      auto to = out.frame().initDutyAnswer();
+      to.setTerm(answer.term), to.setGranted(answer.granted), to.setHolder(answer.holder);
+      link->send(out.message());
+      check_duty();
+      break;
+    }
+    default: break;
+  }
+}
+
+void Registry::on_peer_frame(const std::string& ip, wire::Frame::Reader frame) {
+  if (stopped_) return;
+  if (frame.isDutyAnswer()) {
+    const auto a = frame.getDutyAnswer();
+    duty_.answered(clock_.now(), ip, {a.getTerm(), a.getGranted(), a.getHolder().cStr()});
+    check_duty();
+  } else if (frame.isGossip()) {
+    on_gossip(frame.getGossip(), nullptr);
+  }
+}
+
+// ---- the configuration ---------------------------------------------------------------------------
+
+void Registry::on_store_frame(const std::string& ip, wire::Frame::Reader frame) {
+  if (stopped_) return;
+  switch (frame.which()) {
+    case wire::Frame::SNAPSHOT: after_news(changes_.take(frame.getSnapshot())); break;
+    case wire::Frame::ENTRIES: {
+      const auto news = changes_.take(frame.getEntries());
+      if (news == fleet::ChangeLog::News::gap) {
+        if (const auto d = stores_.find(ip); d != stores_.end() && d->second->up()) {
+          fleet::Outgoing out;
+          out.frame().setFollow(changes_.position());
+          d->second->link()->send(out.message());
+        }
+      }
+      after_news(news);
+      break;
+    }
+    case wire::Frame::CONFIRMED: {
+      const auto c = frame.getConfirmed();
+      const auto at = clock_.now() - from_millis(c.getAgeMs());
+      // What is confirmed at a place that has not come here yet says nothing of what is here.
+      if (c.getPosition() > changes_.position() || at <= confirmed_at_) break;
+      confirmed_position_ = c.getPosition(), confirmed_at_ = at;
+      fleet::Outgoing out;
+      fill(out.frame().initFleet());
+      for (auto& [link, p] : proxies_) p.link->send(out.message());
+      break;
+    }
+    case wire::Frame::VERDICT: {
+      const auto v = frame.getVerdict();
+      auto call = pending_.extract(v.getCall());
+      if (call) call.mapped().done(v.getStatus(), v.getWhy().cStr(), v.getPosition());
+      break;
+    }
+    default: break;
+  }
+}
+
+void Registry::after_news(fleet::ChangeLog::News news) {
+  if (news != fleet::ChangeLog::News::taken) return;
+  for (auto& [link, p] : proxies_) {
+    if (!p.follows) continue;
+    if (fleet::Outgoing out; changes_.frame_after(p.position, out))
+      p.position = changes_.position(), p.link->send(out.message());
+  }
+  for (const auto& zone : changes_.readmitted())
+    for (const auto& [id, s] : servers_.all())
+      if (s.zone == zone) retold_.insert(id);
+  dial_all();
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (std::get<0>(*it) > changes_.position()) {
+      ++it;
+      continue;
+    }
+    const auto done = std::move(std::get<2>(*it));
+    it = waiting_.erase(it);
+    done(true);
+  }
+}
+
+void Registry::when_at(std::uint64_t position, std::function<void(bool)> done) {
+  if (changes_.position() >= position) return done(true);
+  waiting_.emplace_back(position, clock_.now() + 800ms, std::move(done));
+}
+
+void Registry::propose(configuration::ChangeKind kind, const std::string& text, Done done) {
+  const auto call = ++calls_;
+  auto& p = pending_[call] = {kind, text, std::move(done), clock_.now() + kProposal, ""};
+  send_pending(call, p);
+}
+
+// To the store on this machine, or to another one while that is not up.
+void Registry::send_pending(std::uint64_t call, Pending& p) {
+  auto to = stores_.find(settings_.bind_ip);
+  if (to == stores_.end() || !to->second->up())
+    to = std::ranges::find_if(stores_, [](const auto& s) { return s.second->up(); });
+  if (to == stores_.end()) return;
+  fleet::Outgoing out;
+  auto proposal = out.frame().initProposal();
+  proposal.setCall(call), proposal.setChange(fleet::change_of(p.kind)), proposal.setText(fleet::data_of(p.text));
+  p.store = to->first;
+  to->second->link()->send(out.message());
+}
+
+// ---- records -------------------------------------------------------------------------------------
+
+void Registry::heard(const fleet::Server& server) {
+  const auto merged = servers_.merge(server);
+  const auto* s = servers_.find(server.id);
+  if (!s) return;
+  if (merged == Merged::changed) {
+    gossip({*s}, {});
+    tell_servers({*s});
+  } else if (merged == Merged::heard) {
+    heard_servers_[s->id] = *s;
+    if (retold_.erase(s->id) > 0) tell_servers({*s});
+  }
+}
+
+void Registry::on_gossip(wire::Gossip::Reader g, const std::shared_ptr<Link>& answer_on) {
+  const Time now = clock_.now();
+  std::vector<fleet::Server> changed;
+  for (const auto r : g.getServers()) {
+    const auto s = fleet::get(r, now);
+    const auto merged = servers_.merge(s);
+    if (merged == Merged::changed || (merged == Merged::heard && retold_.erase(s.id) > 0))
+      if (const auto* known = servers_.find(s.id)) changed.push_back(*known);
+  }
+  for (const auto r : g.getNodes()) {
+    const auto n = fleet::get(r, now);
+    if (now - n.heard <= kLease && nodes_.merge(n) == Merged::changed) {
+      members_changed_ = true;
+      if (n.role == fleet::Role::REGISTRY) dial(n.address);
+    }
+  }
+  if (!changed.empty()) tell_servers(changed);
+  if (const auto digests = g.getDigests(); digests.size() == kRanges && answer_on) {
+    const auto own = servers_.digests(kRanges);
+    std::vector<const fleet::Server*> differ;
+    for (const auto& [id, s] : servers_.all())
+      if (const auto range = servers_.range_of(id, kRanges); own[range] != digests[static_cast<unsigned>(range)])
+        differ.push_back(&s);
+    if (differ.empty()) return;
+    fleet::Outgoing out;
+    auto list = out.frame().initGossip().initServers(static_cast<unsigned>(differ.size()));
+    for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], *differ[i], now);
+    answer_on->send(out.message());
+  }
+}
+
+template <class Fill>
+void Registry::to_registries(Fill fill_frame) {
+  fleet::Outgoing out;
+  fill_frame(out.frame());
+  for (auto& [ip, d] : registries_)
+    if (d->up()) d->link()->send(out.message());
+}
+
+void Registry::gossip(const std::vector<fleet::Server>& servers, const std::vector<fleet::Node>& nodes) {
+  const Time now = clock_.now();
+  to_registries([&](wire::Frame::Builder& frame) {
+    auto g = frame.initGossip();
+    auto s = g.initServers(static_cast<unsigned>(servers.size()));
+    for (unsigned i = 0; i < s.size(); ++i) fleet::put(s[i], servers[i], now);
+    auto n = g.initNodes(static_cast<unsigned>(nodes.size()));
+    for (unsigned i = 0; i < n.size(); ++i) fleet::put(n[i], nodes[i], now);
+  });
+}
+
+// ---- what proxies are told -----------------------------------------------------------------------
+
+void Registry::fill(wire::Fleet::Builder to) {
+  const Time now = clock_.now();
+  to.setHolder(duty_.holds(now) ? settings_.bind_ip : told_holder_);
+  to.setTerm(duty_.holds(now) ? duty_.held_term() : told_term_);
+  to.setPosition(changes_.position());
+  to.setConfirmedMs(confirmed_at_ == Time{} ? 0xffffffffU : millis(now - confirmed_at_));
+}
+
+void Registry::tell_servers(const std::vector<fleet::Server>& changed) {
+  const Time now = clock_.now();
+  fleet::Outgoing out;
+  auto f = out.frame().initFleet();
+  fill(f);
+  auto list = f.initServers(static_cast<unsigned>(changed.size()));
+  for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], changed[i], now);
+  for (auto& [link, p] : proxies_) p.link->send(out.message());
+}
+
+void Registry::tell_all_servers(Proxy& p) {
+  fleet::Outgoing out;
+  auto f = out.frame().initFleet();
+  fill(f);
+  auto list = f.initServers(static_cast<unsigned>(servers_.all().size()));
+  unsigned i = 0;
+  for (const auto& [id, s] : servers_.all()) fleet::put(list[i++], s, clock_.now());
+  p.link->send(out.message());
+  members_changed_ = true;
+}
+
+void Registry::tell_members() {
+  fleet::Outgoing out;
+  auto f = out.frame().initFleet();
+  fill(f);
+  std::vector<std::string> proxies, registries{settings_.bind_ip};
+  for (const auto& [id, n] : nodes_.all()) {
+    if (n.role == fleet::Role::PROXY) proxies.push_back(n.zone + "/" + id);
+    if (n.role == fleet::Role::REGISTRY && !n.leaving && n.address != settings_.bind_ip) registries.push_back(n.address);
+  }
+  auto p = f.initProxies(static_cast<unsigned>(proxies.size()));
+  for (unsigned i = 0; i < p.size(); ++i) p.set(i, proxies[i]);
+  auto r = f.initRegistries(static_cast<unsigned>(registries.size()));
+  for (unsigned i = 0; i < r.size(); ++i) r.set(i, registries[i]);
+  for (auto& [link, proxy] : proxies_) proxy.link->send(out.message());
+}
+
+// ---- the counts ----------------------------------------------------------------------------------
+
+void Registry::on_adds(Proxy& p, wire::Adds::Reader adds) {
+  const Time now = clock_.now();
+  check_duty();
+  fleet::Outgoing out;
+  auto to = out.frame().initGrants();
+  to.setCall(adds.getCall());
+  const auto& c = changes_.configuration();
+  if (!duty_.holds(now) || !c) {
+    to.setRefused(true);
+    return p.link->send(out.message());
+  }
+  to.setTerm(duty_.held_term());
+  const auto items = adds.getItems();
+  auto list = to.initItems(items.size());
+  for (unsigned i = 0; i < items.size(); ++i) {
+    const auto a = items[i];
+    const std::string tenant = a.getTenant().cStr();
+    const auto known = std::ranges::find(c->tenants, tenant, &configuration::Tenant::name);
+    const counts::Quota quota = known == c->tenants.end() ? counts::Quota{} : counts::Quota{known->per_s, known->burst};
+    list[i].setTenant(tenant);
+    if (a.getUnits() < 0) {
+      counts_.hand_back(now, tenant, quota, a.getWindow(), static_cast<std::uint32_t>(-a.getUnits()));
+      continue;
+    }
+    const auto g = counts_.add(now, tenant, quota, a.getAhead(), static_cast<std::uint32_t>(a.getUnits()));
+    list[i].setWindow(g.window), list[i].setUnits(g.units), list[i].setLeft(g.left);
+    list[i].setStartsMs(static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(g.starts).count()));
+    list[i].setEndsMs(millis(g.ends));
+  }
+  p.link->send(out.message());
+}
+
+void Registry::send_duty(const duty::Ask& ask) {
+  to_registries([&](wire::Frame::Builder& frame) {
+    auto a = frame.initDutyAsk();
+    a.setTerm(ask.term), a.setHolder(ask.holder), a.setSuccessor(ask.successor), a.setRelease(ask.release);
+  });
+}
+
+// Takes up or lays down the counts as the duty comes and goes, and tells proxies who holds them.
+void Registry::check_duty() {
+  const Time now = clock_.now();
+  if (duty_.holds(now) && counting_term_ != duty_.held_term()) {
+    counting_term_ = duty_.held_term();
+    counts_.begin(now, counting_term_ == 1);
+    log_.info("holds the counts, term " + std::to_string(counting_term_));
+  }
+  const auto holder = duty_.holds(now) ? settings_.bind_ip : duty_.holder(now);
+  const auto term = duty_.holds(now) ? duty_.held_term() : duty_.term();
+  // Granted here is not yet held: a claimant tells of itself when a majority has granted it.
+  if (holder != settings_.bind_ip || duty_.holds(now)) {
+    if (holder == told_holder_ && term == told_term_) return;
+    told_holder_ = holder, told_term_ = term;
+    fleet::Outgoing out;
+    fill(out.frame().initFleet());
+    for (auto& [link, p] : proxies_) p.link->send(out.message());
+  }
+}
+
+// ---- time ----------------------------------------------------------------------------------------
+
+void Registry::flush() {
+  std::vector<fleet::Server> servers;
+  std::vector<fleet::Node> nodes;
+  for (auto& [id, s] : heard_servers_) servers.push_back(std::move(s));
+  for (auto& [id, n] : heard_nodes_) nodes.push_back(std::move(n));
+  heard_servers_.clear(), heard_nodes_.clear();
+  self_.stamp++, self_.heard = clock_.now();
+  nodes_.merge(self_);
+  nodes.push_back(self_);
+  gossip(servers, nodes);
+}
+
+void Registry::tick() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](boost::system::error_code failed_wait) {
+    if (failed_wait || stopped_) return;
+    const Time now = clock_.now();
+    ++ticks_;
+    const auto voters = voter_ips();
+    const auto rank = std::ranges::find(voters, settings_.bind_ip) - voters.begin();
+    if (const auto ask = duty_.tick(now, voters, static_cast<std::size_t>(rank))) send_duty(*ask);
+    check_duty();
+    if (ticks_ % kFlushTicks == 0) flush();
+    if (ticks_ % kDigestTicks == 0) {
+      to_registries([&](wire::Frame::Builder& frame) {
+        const auto digests = servers_.digests(kRanges);
+        auto list = frame.initGossip().initDigests(static_cast<unsigned>(digests.size()));
+        for (unsigned i = 0; i < list.size(); ++i) list.set(i, digests[i]);
+      });
+      counts_.sweep(now);
+    }
+    // Only who hears all others can tell a silent server from its own isolation.
+    const bool alone = std::ranges::any_of(registries_, [](const auto& r) { return !r.second->up(); });
+    if (alone || alone_since_ == Time{}) alone_since_ = now;
+    const auto silence = from_millis(kSilentBeats * settings_.beat_ms);
+    const auto lost = servers_.expire(now, now - alone_since_ > silence ? silence : Duration{}, kKept);
+    if (!lost.empty()) {
+      auto told = lost;
+      for (auto& s : told) s.phase = fleet::Phase::GONE, log_.info("server " + s.id + " is silent");
+      tell_servers(told);
+    }
+    const auto left = nodes_.expire(now, kLease);
+    for (const auto& n : left) log_.info("member " + n.id + " has not renewed");
+    if (!left.empty()) members_changed_ = true;
+    if (std::exchange(members_changed_, false)) tell_members();
+    for (auto it = pending_.begin(); it != pending_.end();) {
+      if (now < it->second.until) {
+        ++it;
+        continue;
+      }
+      const auto done = std::move(it->second.done);
+      it = pending_.erase(it);
+      done(503, "no store has answered", 0);
+    }
+    std::vector<std::function<void(bool)>> late;
+    std::erase_if(waiting_, [&](auto& w) {
+      if (now < std::get<1>(w)) return false;
+      late.push_back(std::move(std::get<2>(w)));
+      return true;
+    });
+    for (const auto& done : late) done(false);
+    tick();
+  });
+}
+
+void Registry::stop(std::function<void()> ended) {
+  const Time now = clock_.now();
+  std::string successor;
+  for (const auto& [ip, d] : registries_)
+    if (successor.empty() && d->up()) successor = ip;
+  if (const auto ask = duty_.release(now, successor)) send_duty(*ask);
+  self_.leaving = true, self_.ready = false;
+  flush();
+  stopped_ = true;
+  timer_.expires_after(300ms);
+  timer_.async_wait([this, ended = std::move(ended)](boost::system::error_code) {
+    listener_->close();
+    for (auto& [ip, d] : registries_) d->stop();
+    for (auto& [ip, d] : stores_) d->stop();
+    for (auto& [link, p] : proxies_) p.link->close();
+    ended();
+  });
+}
+
+}  // namespace docklift
--- /dev/null
+++ b/src/system/registry/registry.hpp
@@ -0,0 +1,113 @@
+// A registry on sockets: what it knows of servers, members and the configuration, and whom it tells. The calls from outside
+// are the handlers' (handlers.hpp).
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "system/base/log.hpp"
+#include "system/base/settings.hpp"
+#include "system/counts/counts.hpp"
+#include "system/duty/duty.hpp"
+#include "system/fleet/change_log.hpp"
+#include "system/fleet/records.hpp"
+#include "system/net/link.hpp"
+
+namespace docklift {
+
+class Registry {
+ public:
+  Registry(boost::asio::io_context& io, const SystemSettings& settings);
+  void start();
+  // Names a successor for the counts, tells others, and calls `ended` when that is out.
+  void stop(std::function<void()> ended);
+
+  // ---- for the handlers
+  const SystemSettings& settings() const { return settings_; }
+  const fleet::ChangeLog& changes() const { return changes_; }
+  const fleet::Servers& servers() const { return servers_; }
+  const fleet::Nodes& nodes() const { return nodes_; }
+  Time now() const { return clock_.now(); }
+  Duration up_for() const { return clock_.now() - started_; }
+  void heard(const fleet::Server& server);  // a beat or a leave
+  // `done` with the verdict's status, its reason and position; 503 where no store answers in time.
+  using Done = std::function<void(int status, const std::string& why, std::uint64_t position)>;
+  void propose(configuration::ChangeKind kind, const std::string& text, Done done);
+  // `done` when the configuration here is at least at that position, or (false) when it takes too long.
+  void when_at(std::uint64_t position, std::function<void(bool)> done);
+
+ private:
+  struct Proxy {
+    std::shared_ptr<Link> link;
+    std::string id;
+    bool follows = false;
+    std::uint64_t position = 0;
+  };
+  struct Pending {
+    configuration::ChangeKind kind{};
+    std::string text;
+    Done done;
+    Time until{};
+    std::string store;  // to which it was sent; empty: to none yet
+  };
+  void accepted(const std::shared_ptr<Link>& link);
+  void on_frame(const std::shared_ptr<Link>& link, wire::Frame::Reader frame);
+  void on_store_frame(const std::string& ip, wire::Frame::Reader frame);
+  void on_peer_frame(const std::string& ip, wire::Frame::Reader frame);
+  void on_gossip(wire::Gossip::Reader g, const std::shared_ptr<Link>& answer_on);
+  void on_adds(Proxy& p, wire::Adds::Reader adds);
+  void after_news(fleet::ChangeLog::News news);
+  void dial(const std::string& ip);
+  void dial_all();
+  void send_pending(std::uint64_t call, Pending& p);
+  void tell_servers(const std::vector<fleet::Server>& changed);
+  void tell_all_servers(Proxy& p);
+  void tell_members();
+  void fill(wire::Fleet::Builder to);
+  void gossip(const std::vector<fleet::Server>& servers, const std::vector<fleet::Node>& nodes);
+  void send_duty(const duty::Ask& ask);
+  void check_duty();
+  void tick();
+  void flush();
+  std::vector<std::string> core_ips() const;
+  std::vector<std::string> voter_ips() const;
+  template <class Fill>
+  void to_registries(Fill fill);
+
+  boost::asio::io_context& io_;
+  SystemSettings settings_;
+  snowknot::Clock clock_;
+  Log log_;
+  Time started_{}, alone_since_{};
+  std::unique_ptr<LinkListener> listener_;
+  std::map<std::string, std::shared_ptr<Dialer>> registries_, stores_;  // by ip
+  std::map<Link*, std::string> peers_;                                  // registries that dialled
+  std::map<Link*, Proxy> proxies_;
+  fleet::Servers servers_;
+  fleet::Nodes nodes_;
+  std::map<std::string, fleet::Server> heard_servers_;  // to be gossiped with the next flush
+  std::map<std::string, fleet::Node> heard_nodes_;
+  std::set<std::string> retold_;  // servers whose next beat proxies must know, as their zone was taken back
+  fleet::ChangeLog changes_;
+  std::uint64_t confirmed_position_ = 0;
+  Time confirmed_at_{};
+  duty::Duty duty_;
+  counts::Counts counts_;
+  std::uint64_t counting_term_ = 0;
+  std::string told_holder_;
+  std::uint64_t told_term_ = 0;
+  bool members_changed_ = false;
+  std::map<std::uint64_t, Pending> pending_;
+  std::uint64_t calls_ = 0;
+  std::vector<std::tuple<std::uint64_t, Time, std::function<void(bool)>>> waiting_;
+  Timer timer_;
+  std::uint64_t ticks_ = 0;
+  fleet::Node self_;
+  bool stopped_ = false;
+};
+
+}  // namespace docklift
