--- /dev/null
+++ b/src/system/decisions/decisions.cpp
@@ -0,0 +1,222 @@
+#include "system/decisions/decisions.hpp"
+
+#include <algorithm>
+
+namespace docklift::decisions {
+namespace {
+
+using namespace std::chrono_literals;
+// Tuned values, each with its reason.
+constexpr double kUnitsWait = 0.4;       // of the aim that a request waits for units: a round trip to another region
+constexpr double kPlaceWait = 0.2;       // of the aim that it waits for a place at a server; a refusal later than a quarter costs
+constexpr std::uint32_t kMisses = 4;     // servers that could not be connected to for one request
+constexpr Duration kRevokeMargin = 700ms;  // of the time in which a removed key must end: what is under way must arrive
+constexpr double kLeastLeft = 0.12;      // of the aim that must be left for a further try to be worth a place
+
+}  // namespace
+
+Decisions::Decisions(Place self, std::map<std::string, std::string> regions_of_zones, const Bounds& bounds,
+                     std::uint64_t chance)
+    : bounds_(bounds),
+      servers_(std::move(self), std::move(regions_of_zones), bounds, chance),
+      repeats_(bounds),
+      rng_(chance ^ 0x9e3779b97f4a7c15ULL) {}
+
+void Decisions::configure(Time, std::shared_ptr<const configuration::Configuration> c) {
+  configuration_ = std::move(c);
+  servers_.configure(*configuration_);
+  std::vector<std::string> names;
+  for (const auto& t : configuration_->tenants) {
+    names.push_back(t.name);
+    units_.set_quota(t.name, {t.per_s, t.burst});
+  }
+  units_.keep_only(names);
+}
+
+void Decisions::set_evacuated(Time now, const std::vector<std::string>& zones, const std::vector<std::string>& readmitted) {
+  servers_.set_evacuated(zones);
+  if (!readmitted.empty()) servers_.readmitted(now, readmitted);
+}
+
+void Decisions::proxies(const std::vector<std::string>& zone_and_id) {
+  servers_.set_proxies(zone_and_id);
+  units_.set_proxies(zone_and_id.size());
+  repeats_.set_proxies(zone_and_id.size());
+}
+
+Actions Decisions::holder(Time now, bool reachable) {
+  units_.set_holder(now, reachable);
+  after_units(now);
+  return done();
+}
+
+Duration Decisions::back_off(const Request& r) {
+  const double part = 0.1 + 0.2 * static_cast<double>(rng_() >> 11) * 0x1.0p-53;
+  return snowknot::scaled(std::max<Duration>(r.target, 200ms), part);
+}
+
+void Decisions::refuse(RequestId id, int status, Duration retry_after) {
+  out_.push_back(Refuse{id, status, retry_after});
+  requests_.erase(id);
+}
+
+Actions Decisions::arrive(Time now, const Arrival& a) {
+  const auto& route = *a.route;
+  Request r;
+  double lot = static_cast<double>(rng_() >> 11) * 0x1.0p-53 * route.weights;
+  const auto* part = &route.parts.back();
+  for (const auto& p : route.parts) {
+    if (p.weight <= 0) continue;
+    part = &p;
+    if ((lot -= p.weight) < 0) break;
+  }
+  r.service = configuration_->services[part->service].name;
+  r.repeatable = route.kind != configuration::Kind::mutating;
+  r.target = from_millis(route.target_ms > 0 ? route.target_ms : 1000);
+  r.arrived = now;
+  const Duration held = route.timeout_ms > 0 ? std::min(a.time_left, from_millis(route.timeout_ms)) : a.time_left;
+  r.deadline = now + held;
+  r.tries = route.tries;
+  r.place_until = now + snowknot::scaled(std::min(r.target, held), kPlaceWait);
+  r.regions = route.regions;
+  bool homeless = false;
+  if (a.tenant && !a.tenant->regions.empty()) {
+    if (r.regions.empty()) {
+      r.regions = a.tenant->regions;
+    } else {
+      std::erase_if(r.regions, [&](const auto& one) {
+        return std::ranges::find(a.tenant->regions, one) == a.tenant->regions.end();
+      });
+      homeless = r.regions.empty();
+    }
+  }
+  // Keys that were taken away must end here too, also where this proxy is cut off from the core.
+  const bool stale = bounds_.strict_revoke && configuration_->has_tenants() &&
+                     (confirmed_at_ == Time{} || now - confirmed_at_ > from_millis(bounds_.revoke_ms) - kRevokeMargin);
+  if (stale || homeless) {
+    out_.push_back(Refuse{a.request, 503, back_off(r)});
+    return done();
+  }
+  repeats_.request(r.service);
+  auto& kept = requests_.insert_or_assign(a.request, std::move(r)).first.value();
+  if (a.tenant) {
+    kept.tenant = a.tenant->name;
+    Duration retry_after{};
+    bool holder_lost = false;
+    const auto wait = snowknot::scaled(std::min(kept.target, held), kUnitsWait);
+    switch (units_.take(now, kept.tenant, a.request, wait, retry_after, holder_lost)) {
+      case Units::Take::passed: send_on(now, a.request, kept); break;
+      case Units::Take::waits: break;
+      case Units::Take::refused: refuse(a.request, holder_lost ? 503 : 429, retry_after); break;
+    }
+    after_units(now);
+  } else {
+    send_on(now, a.request, kept);
+  }
+  return done();
+}
+
+void Decisions::send_on(Time now, RequestId id, Request& r) {
+  ServerHandle server = kNoServer;
+  switch (servers_.choose(now, r.service, r.regions, r.tried, server)) {
+    case Servers::Pick::server: return send(now, id, r, server);
+    case Servers::Pick::none: {
+      if (!r.tenant.empty()) units_.give_back(now, r.tenant);
+      return refuse(id, 503, back_off(r));
+    }
+    case Servers::Pick::full: break;
+  }
+  if (now >= r.place_until) {
+    if (!r.tenant.empty()) units_.give_back(now, r.tenant);
+    return refuse(id, 503, back_off(r));
+  }
+  if (!std::exchange(r.parked, true)) parked_.push_back(id);
+}
+
+void Decisions::send(Time now, RequestId id, Request& r, ServerHandle server) {
+  servers_.sent(now, server);
+  ++r.sends;
+  r.at = server;
+  r.tried.push_back(server);
+  out_.push_back(Send{id, server, std::max<Duration>(r.deadline - now, 1ms)});
+}
+
+Actions Decisions::ended(Time now, RequestId id, Outcome outcome, Duration took, bool whole) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return done();
+  auto& r = found.value();
+  servers_.ended(now, r.at, outcome, took);
+  r.at = kNoServer;
+  if (outcome == Outcome::ok) {
+    out_.push_back(Relay{id});
+    requests_.erase(id);
+  } else {
+    const bool missed = outcome == Outcome::connect_failed;
+    if (missed) --r.sends, ++r.misses;
+    if (!proves_not_run(outcome)) r.may_have_run = true;
+    const bool in_time = now + snowknot::scaled(r.target, kLeastLeft) < r.deadline;
+    bool again = in_time && (!r.may_have_run || r.repeatable) && r.sends < r.tries && r.misses < kMisses;
+    // Whom nobody was reached for has arrived nowhere, and needs none of the budget.
+    ServerHandle server = kNoServer;
+    again = again && servers_.choose(now, r.service, r.regions, r.tried, server) == Servers::Pick::server;
+    if (again && r.sends > 0) again = repeats_.take(r.service);
+    if (again) {
+      send(now, id, r, server);
+    } else if (!r.may_have_run) {
+      if (!r.tenant.empty()) units_.give_back(now, r.tenant);
+      refuse(id, 503, back_off(r));
+    } else {
+      if (whole && outcome == Outcome::error) {
+        out_.push_back(Relay{id});
+      } else {
+        out_.push_back(Fail{id, outcome == Outcome::timeout ? 504 : 502});
+      }
+      requests_.erase(id);
+    }
+  }
+  serve_parked(now);
+  after_units(now);
+  return done();
+}
+
+void Decisions::serve_parked(Time now) {
+  if (parked_.empty()) return;
+  const auto waiting = std::exchange(parked_, {});
+  for (const auto id : waiting) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) continue;
+    auto& r = found.value();
+    r.parked = false;
+    send_on(now, id, r);
+  }
+}
+
+// What the lease book has settled: who passes goes on, who is turned away is refused, what is to be asked is asked.
+void Decisions::after_units(Time now) {
+  auto adds = units_.adds(now);
+  for (const auto id : units_.passed())
+    if (const auto found = requests_.find(id); found != requests_.end()) send_on(now, id, found.value());
+  for (const auto& t : units_.turned(now))
+    if (requests_.contains(t.request)) refuse(t.request, t.holder_lost ? 503 : 429, t.retry_after);
+  if (!adds.empty()) out_.push_back(Ask{std::move(adds)});
+}
+
+Actions Decisions::granted(Time now, std::uint64_t term, const std::vector<Granted>& grants) {
+  for (const auto& g : grants) units_.granted(now, term, g);
+  after_units(now);
+  return done();
+}
+
+Actions Decisions::grants_failed(Time now) {
+  units_.call_failed(now);
+  after_units(now);
+  return done();
+}
+
+Actions Decisions::tick(Time now) {
+  serve_parked(now);
+  after_units(now);
+  return done();
+}
+
+}  // namespace docklift::decisions
--- /dev/null
+++ b/src/system/decisions/decisions.hpp
@@ -0,0 +1,111 @@
+// Every decision of a proxy: which server a request goes to, whether it is sent again, what is refused. Fronts carry bytes.
+// Pure: events with their time go in, actions come out; the same seed and events give the same actions. An arrived request gets
+// exactly one final action (Refuse, Fail or Relay); each Send is followed by one ended().
+#pragma once
+
+#include <tsl/robin_map.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "system/decisions/repeats.hpp"
+#include "system/decisions/servers.hpp"
+#include "system/decisions/units.hpp"
+
+namespace docklift::decisions {
+
+struct Arrival {
+  RequestId request{};
+  const configuration::Route* route = nullptr;    // used during the call only
+  const configuration::Tenant* tenant = nullptr;  // null: none
+  Duration time_left{};                           // until the client gives up
+};
+
+struct Send {  // to a server; `first`: nothing was sent for it before
+  RequestId request{};
+  ServerHandle server = kNoServer;
+  Duration timeout{};
+};
+struct Refuse {  // it has not run and never will
+  RequestId request{};
+  int status = 503;
+  Duration retry_after{};
+};
+struct Fail {  // no promise about what ran
+  RequestId request{};
+  int status = 502;
+};
+struct Relay {  // the last answer of a server, as it is
+  RequestId request{};
+};
+struct Ask {  // units, of the holder of the counts
+  std::vector<Add> adds;
+};
+using Action = std::variant<Send, Refuse, Fail, Relay, Ask>;
+using Actions = std::vector<Action>;
+
+namespace flow {  // complete before the tables of them
+struct Request {
+  std::string service, tenant;
+  std::vector<std::string> regions;
+  bool repeatable = false, may_have_run = false;
+  Duration target{};
+  Time arrived{}, deadline{}, place_until{};
+  std::uint32_t tries = 1, sends = 0, misses = 0;
+  bool parked = false;
+  std::vector<ServerHandle> tried;
+  ServerHandle at = kNoServer;
+};
+}  // namespace flow
+
+class Decisions {
+ public:
+  Decisions(Place self, std::map<std::string, std::string> regions_of_zones, const Bounds& bounds, std::uint64_t chance);
+
+  // ---- news
+  void configure(Time now, std::shared_ptr<const configuration::Configuration> c);
+  void set_evacuated(Time now, const std::vector<std::string>& zones, const std::vector<std::string>& readmitted);
+  void servers(Time now, const std::vector<fleet::Server>& changed) { servers_.news(now, changed); }
+  void proxies(const std::vector<std::string>& zone_and_id);
+  Actions holder(Time now, bool reachable);
+  // As of `at`, a majority of the core knew of no configuration that is not here.
+  void confirmed(Time at) { confirmed_at_ = std::max(confirmed_at_, at); }
+
+  // ---- requests
+  Actions arrive(Time now, const Arrival& a);
+  // `whole`: an answer of the server is at hand that can be relayed.
+  Actions ended(Time now, RequestId request, Outcome outcome, Duration took, bool whole);
+  Actions granted(Time now, std::uint64_t term, const std::vector<Granted>& grants);
+  Actions grants_failed(Time now);
+  Actions tick(Time now);  // at least each 20 ms while something is open
+
+  const Servers::Known* known(ServerHandle server) const { return servers_.known(server); }
+  std::vector<ServerHandle> dropped() { return servers_.dropped(); }
+  std::size_t open() const { return requests_.size(); }
+
+ private:
+  using Request = flow::Request;
+  void send_on(Time now, RequestId id, Request& r);
+  void send(Time now, RequestId id, Request& r, ServerHandle server);
+  void refuse(RequestId id, int status, Duration retry_after);
+  void after_units(Time now);
+  void serve_parked(Time now);
+  Duration back_off(const Request& r);
+  Actions done() { return std::exchange(out_, {}); }
+
+  Bounds bounds_;
+  std::shared_ptr<const configuration::Configuration> configuration_;
+  Servers servers_;
+  Units units_;
+  Repeats repeats_;
+  std::mt19937_64 rng_;
+  tsl::robin_map<RequestId, Request> requests_;
+  std::vector<RequestId> parked_;
+  Time confirmed_at_{};
+  Actions out_;
+};
+
+}  // namespace docklift::decisions
--- /dev/null
+++ b/src/system/decisions/servers.hpp
@@ -0,0 +1,118 @@
+// What one proxy holds of the servers, and which of them a request goes to. Pure.
+//
+// Invariants: a server that drains, is gone or stands in an evacuated zone is never chosen; a request with homes goes to no other
+// region; over all proxies a cold server gets at most its told rate and one request more for each of kColdSharers proxies.
+#pragma once
+
+#include <tsl/robin_map.h>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "system/base/settings.hpp"
+#include "system/base/time.hpp"
+#include "system/configuration/configuration.hpp"
+#include "system/fleet/records.hpp"
+
+namespace docklift::decisions {
+
+using ServerHandle = std::uint32_t;
+inline constexpr ServerHandle kNoServer = 0xffffffffU;
+
+enum class Outcome {
+  ok,              // a whole answer of the server
+  error,           // a whole answer that says that it failed; it ran
+  not_run,         // an answer that says it has not run
+  other_instance,  // another server has the address; not run
+  connect_failed,  // never sent
+  reset,           // the connection ended or was silent; it may have run
+  garbled,         // no answer to this request; it may have run
+  timeout,         // its time was up
+};
+bool proves_not_run(Outcome o);
+
+struct Place {
+  std::string id, zone, region;
+};
+
+struct Known {
+  std::string id, address, service, zone;
+  bool listed = false;
+  std::uint32_t max_conns = 0;  // of this proxy; 0: no bound
+};
+
+namespace servers {  // complete before the tables of them
+struct Server {
+  Known known;
+  std::string region;
+  fleet::Phase phase = fleet::Phase::READY;
+  std::uint64_t calls = 0;
+  std::uint32_t cap = 1, in_flight = 0;
+  Time heard{}, cold_until{}, unsure_since{};
+  double success = 1, slowness = 1;
+  Time ejected_until{}, busy_since{};
+  Duration ejection{};
+  double credit = 0;
+  Time credit_at{};
+  bool sharer = false;  // may send to it while it is cold
+  bool used = false;    // the slot
+};
+struct Service {
+  std::vector<ServerHandle> servers;
+  double usual = 0;  // seconds: EWMA of answers
+  double cold_per_s = 0;
+  std::uint32_t max_conns = 0;
+};
+}  // namespace servers
+
+class Servers {
+ public:
+  using Known = decisions::Known;
+  Servers(Place self, std::map<std::string, std::string> regions_of_zones, const Bounds& bounds, std::uint64_t chance);
+
+  void configure(const configuration::Configuration& c);
+  // Records as registries tell them; what is older than what is known is passed over.
+  void news(Time now, const std::vector<fleet::Server>& changed);
+  void set_proxies(const std::vector<std::string>& zone_and_id);
+  void set_evacuated(const std::vector<std::string>& zones);
+  // Their servers may have turned cold: they count as cold until they have told anew.
+  void readmitted(Time now, const std::vector<std::string>& zones);
+
+  enum class Pick { server, full, none };  // full: all that could take it have enough; none: there is no server for it
+  // `tried`: servers that it was sent to before.
+  Pick choose(Time now, const std::string& service, const std::vector<std::string>& regions,
+              const std::vector<ServerHandle>& tried, ServerHandle& chosen);
+  void sent(Time now, ServerHandle server);
+  void ended(Time now, ServerHandle server, Outcome outcome, Duration took);
+
+  const Known* known(ServerHandle server) const;
+  // Handles of servers that are no longer listed and at which nothing is out, since the last call.
+  std::vector<ServerHandle> dropped() { return std::exchange(dropped_, {}); }
+  std::size_t size() const { return by_id_.size(); }
+
+ private:
+  using Server = servers::Server;
+  using Service = servers::Service;
+  bool is_cold(Time now, const Server& s) const;
+  bool may_take_cold(Time now, Server& s, const Service& service);
+  void rank(Server& s) const;
+  double cost(Time now, const Server& s, const Service& service);
+  void unlist(ServerHandle h);
+
+  Place self_;
+  std::map<std::string, std::string> regions_;
+  Bounds bounds_;
+  std::mt19937_64 rng_;
+  std::vector<Server> servers_;
+  std::vector<ServerHandle> free_, dropped_;
+  tsl::robin_map<std::string, ServerHandle> by_id_;
+  tsl::robin_map<std::string, Service> services_;
+  std::vector<std::pair<std::string, std::string>> proxies_;  // zone, id
+  std::map<std::string, std::size_t> proxies_in_;
+  std::vector<std::string> evacuated_;
+};
+
+}  // namespace docklift::decisions
--- /dev/null
+++ b/src/system/decisions/units.hpp
@@ -0,0 +1,108 @@
+// Units leased under tenants' names: Weighted Fair Escrow at one proxy. A request passes if a unit is held under its tenant's name;
+// otherwise a quantum is added to that tenant's count at the holder of the counts first. Pure.
+//
+// Invariants: a unit is spent in the window it was leased of; at most one call is out for a tenant and window; units of an older
+// term are dropped when a newer holder grants.
+// Ours: what a proxy used in the last windows is leased of the next one ahead of its begin, so that a holder far away costs no
+// request its round trip.
+#pragma once
+
+#include <tsl/robin_map.h>
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "system/base/time.hpp"
+#include "system/counts/counts.hpp"
+
+namespace docklift::decisions {
+
+using RequestId = std::uint64_t;
+
+struct Add {  // to be sent to the holder
+  std::string tenant;
+  bool ahead = false;
+  std::uint32_t units = 0;
+};
+struct Granted {
+  std::string tenant;
+  std::int64_t window = 0;
+  std::uint32_t units = 0, left = 0;
+  Duration starts{}, ends{};  // from now
+};
+struct Turned {  // a request that waited is refused
+  RequestId request{};
+  Duration retry_after{};
+  bool holder_lost = false;  // not for its quota: nobody could be asked
+};
+
+namespace units {  // complete before the tables of them
+struct Lease {
+  std::int64_t window = -1;
+  double held = 0;
+  Time starts{}, ends{};
+  bool spent = false;  // the holder has no more of this window
+};
+struct Waiting {
+  RequestId request{};
+  Time until{};
+};
+struct Tenant {
+  counts::Quota quota;
+  counts::Window window;
+  Lease now, next;
+  double used = 0, usual = 0;  // in this window; EWMA over windows
+  bool call_out = false, ahead_out = false;
+  Time called_at{};
+  std::deque<Waiting> waiting;
+  bool dirty = false;
+};
+}  // namespace units
+
+class Units {
+ public:
+  enum class Take { passed, waits, refused };
+
+  void set_quota(const std::string& tenant, const counts::Quota& quota);
+  void keep_only(const std::vector<std::string>& tenants);
+  void set_proxies(std::size_t n) { proxies_ = n > 0 ? n : 1; }
+  void set_holder(Time now, bool reachable);  // whether the holder can be asked
+
+  // `refused`: `retry_after` tells when to come back.
+  Take take(Time now, const std::string& tenant, RequestId request, Duration wait_limit, Duration& retry_after,
+            bool& holder_lost);
+  void forget(const std::string& tenant, RequestId request);  // it no longer waits
+  void give_back(Time now, const std::string& tenant);        // a unit that was taken and not used
+
+  void granted(Time now, std::uint64_t term, const Granted& g);
+  void call_failed(Time now);  // calls that are out get no answer
+
+  // What is to be asked now, who passes, and who is refused. Called after each of the above and with time.
+  std::vector<Add> adds(Time now);
+  std::vector<RequestId> passed() { return std::exchange(passed_, {}); }
+  std::vector<Turned> turned(Time now);
+  // Before this nothing changes by time alone.
+  Time next() const { return next_; }
+
+ private:
+  using Lease = units::Lease;
+  using Waiting = units::Waiting;
+  using Tenant = units::Tenant;
+  void roll(Time now, Tenant& t);
+  void mark(const std::string& name, Tenant& t);
+  void settle(Time now, Tenant& t);
+
+  tsl::robin_map<std::string, Tenant> tenants_;
+  std::vector<std::string> dirty_;
+  std::vector<RequestId> passed_;
+  std::vector<Turned> turned_;
+  std::size_t proxies_ = 1;
+  bool reachable_ = false;
+  std::uint64_t term_ = 0;
+  Duration trip_ = std::chrono::milliseconds(20);  // EWMA of a call's round trip
+  Time next_{}, swept_{};
+};
+
+}  // namespace docklift::decisions
--- /dev/null
+++ b/src/system/proxy/news.cpp
@@ -0,0 +1,170 @@
+#include "system/proxy/news.hpp"
+
+#include <algorithm>
+
+#include "system/program/program.hpp"
+
+namespace docklift::proxy {
+namespace {
+using namespace std::chrono_literals;
+constexpr Duration kRenew = 600ms;
+constexpr std::size_t kLinks = 3;  // registries that one proxy is linked to
+}  // namespace
+
+News::News(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock, Listener& listener)
+    : io_(io), settings_(settings), clock_(clock), listener_(listener), log_("news"), timer_(io.get_executor()) {
+  self_.id = settings.hostname, self_.zone = settings.zone, self_.role = fleet::Role::PROXY;
+  self_.life = draw_life();
+  if (const auto http = settings.listen.find("http"); http != settings.listen.end()) self_.address = http->second;
+}
+
+void News::start() {
+  registries_ = settings_.seed_ips();
+  choose_registries();
+  tick();
+}
+
+void News::stop() {
+  stopped_ = true;
+  timer_.cancel();
+  for (auto& [ip, d] : links_) d->stop();
+}
+
+// Links stay where they are; missing ones are made up for, the holder of the counts is always linked.
+void News::choose_registries() {
+  for (const auto& ip : registries_)
+    if (links_.size() < kLinks) dial(ip);
+  if (!holder_.empty()) dial(holder_);
+}
+
+void News::dial(const std::string& ip) {
+  if (links_.contains(ip) || stopped_) return;
+  const Tcp::endpoint to(boost::asio::ip::make_address(ip),
+                         static_cast<std::uint16_t>(settings_.first_port + kRegistryPort));
+  const auto dialer = std::make_shared<Dialer>(
+      io_, to, LinkLimits{}, [this, ip](wire::Frame::Reader frame) { on_frame(ip, frame); },
+      [this, ip](const std::shared_ptr<Link>& link) {
+        fleet::Outgoing out;
+        self_.stamp++, self_.heard = clock_.now();
+        fleet::put(out.frame().initHello(), self_, clock_.now());
+        link->send(out.message());
+        follow(ip);
+        check_holder();
+      },
+      [this](const Failure& why) {
+        log_.debug(why.shown());
+        check_holder();
+      });
+  links_[ip] = dialer;
+  dialer->start();
+}
+
+void News::follow(const std::string& ip) {
+  const auto d = links_.find(ip);
+  if (d == links_.end() || !d->second->up()) return;
+  fleet::Outgoing out;
+  out.frame().setFollow(changes_.position());
+  d->second->link()->send(out.message());
+}
+
+void News::set_state(bool ready, bool leaving) {
+  if (self_.ready == ready && self_.leaving == leaving) return;
+  self_.ready = ready, self_.leaving = leaving;
+  renew();
+}
+
+void News::renew() {
+  fleet::Outgoing out;
+  self_.stamp++, self_.heard = clock_.now();
+  fleet::put(out.frame().initHello(), self_, clock_.now());
+  for (auto& [ip, d] : links_)
+    if (d->up()) d->link()->send(out.message());
+}
+
+void News::tick() {
+  timer_.expires_after(kRenew);
+  timer_.async_wait([this](boost::system::error_code failed_wait) {
+    if (failed_wait || stopped_) return;
+    renew();
+    choose_registries();
+    tick();
+  });
+}
+
+void News::check_holder() {
+  const auto d = links_.find(holder_);
+  const bool reachable = !holder_.empty() && d != links_.end() && d->second->up();
+  if (std::exchange(reachable_, reachable) != reachable) listener_.on_holder(reachable);
+}
+
+void News::ask(const std::vector<decisions::Add>& adds) {
+  const auto d = links_.find(holder_);
+  if (d == links_.end() || !d->second->up()) return listener_.on_grants_failed();
+  fleet::Outgoing out;
+  auto to = out.frame().initAdds();
+  to.setCall(++calls_);
+  auto list = to.initItems(static_cast<unsigned>(adds.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setTenant(adds[i].tenant), list[i].setAhead(adds[i].ahead);
+    list[i].setUnits(static_cast<std::int32_t>(adds[i].units));
+  }
+  d->second->link()->send(out.message());
+}
+
+void News::on_frame(const std::string& ip, wire::Frame::Reader frame) {
+  if (stopped_) return;
+  switch (frame.which()) {
+    case wire::Frame::SNAPSHOT:
+      if (changes_.take(frame.getSnapshot()) == fleet::ChangeLog::News::taken) listener_.on_changes(changes_);
+      break;
+    case wire::Frame::ENTRIES: {
+      const auto news = changes_.take(frame.getEntries());
+      if (news == fleet::ChangeLog::News::gap) follow(ip);
+      if (news == fleet::ChangeLog::News::taken) listener_.on_changes(changes_);
+      break;
+    }
+    case wire::Frame::FLEET: on_fleet(ip, frame.getFleet()); break;
+    case wire::Frame::GRANTS: {
+      const auto g = frame.getGrants();
+      if (g.getRefused()) {
+        if (ip == holder_) listener_.on_grants_failed();
+        break;
+      }
+      std::vector<decisions::Granted> grants;
+      for (const auto i : g.getItems())
+        if (i.getEndsMs() > 0)
+          grants.push_back({i.getTenant().cStr(), i.getWindow(), i.getUnits(), i.getLeft(), from_millis(i.getStartsMs()),
+                            from_millis(i.getEndsMs())});
+      listener_.on_grants(g.getTerm(), grants);
+      break;
+    }
+    default: break;
+  }
+}
+
+void News::on_fleet(const std::string& ip, wire::Fleet::Reader f) {
+  const Time now = clock_.now();
+  if (f.getServers().size() > 0) {
+    std::vector<fleet::Server> changed;
+    for (const auto s : f.getServers()) changed.push_back(fleet::get(s, now));
+    listener_.on_servers(changed);
+  }
+  if (f.getProxies().size() > 0) {
+    std::vector<std::string> proxies;
+    for (const auto p : f.getProxies()) proxies.emplace_back(p.cStr());
+    if (proxies != proxies_) listener_.on_proxies(proxies_ = proxies);
+  }
+  if (f.getRegistries().size() > 0)
+    for (const auto r : f.getRegistries())
+      if (std::ranges::find(registries_, r.cStr()) == registries_.end()) registries_.emplace_back(r.cStr());
+  if (f.getTerm() > term_ || (f.getTerm() == term_ && holder_.empty())) {
+    term_ = f.getTerm(), holder_ = f.getHolder().cStr();
+    choose_registries();
+    check_holder();
+  }
+  if (f.getConfirmedMs() != 0xffffffffU && f.getPosition() <= changes_.position())
+    listener_.on_confirmed(now - from_millis(f.getConfirmedMs()));
+  if (f.getPosition() > changes_.position() + 1) follow(ip);
+}
+
+}  // namespace docklift::proxy
--- /dev/null
+++ b/src/system/proxy/news.hpp
@@ -0,0 +1,65 @@
+// A proxy's links to registries: it renews its lease there, follows the log of changes, hears of servers and members, and asks the
+// holder of the counts for units. News goes to one listener; what comes twice or late is told apart there by its place.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "system/base/log.hpp"
+#include "system/base/settings.hpp"
+#include "system/decisions/units.hpp"
+#include "system/fleet/change_log.hpp"
+#include "system/net/link.hpp"
+
+namespace docklift::proxy {
+
+class News {
+ public:
+  struct Listener {
+    virtual ~Listener() = default;
+    virtual void on_changes(const fleet::ChangeLog& changes) = 0;
+    virtual void on_servers(const std::vector<fleet::Server>& changed) = 0;
+    virtual void on_proxies(const std::vector<std::string>& zone_and_id) = 0;
+    virtual void on_confirmed(Time at) = 0;
+    virtual void on_holder(bool reachable) = 0;
+    virtual void on_grants(std::uint64_t term, const std::vector<decisions::Granted>& grants) = 0;
+    virtual void on_grants_failed() = 0;
+  };
+  News(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock, Listener& listener);
+  void start();
+  void stop();
+  // What the registries are told of this proxy, at once and with each renewal.
+  void set_state(bool ready, bool leaving);
+  void ask(const std::vector<decisions::Add>& adds);
+  const fleet::ChangeLog& changes() const { return changes_; }
+
+ private:
+  void dial(const std::string& ip);
+  void choose_registries();
+  void on_frame(const std::string& ip, wire::Frame::Reader frame);
+  void on_fleet(const std::string& ip, wire::Fleet::Reader f);
+  void follow(const std::string& ip);
+  void renew();
+  void tick();
+  void check_holder();
+
+  boost::asio::io_context& io_;
+  SystemSettings settings_;
+  const snowknot::Clock& clock_;
+  Listener& listener_;
+  Log log_;
+  fleet::ChangeLog changes_;
+  fleet::Node self_;
+  std::map<std::string, std::shared_ptr<Dialer>> links_;  // by ip
+  std::vector<std::string> registries_;                   // as they have told, those first that were linked first
+  std::vector<std::string> proxies_;
+  std::string holder_;
+  std::uint64_t term_ = 0, calls_ = 0;
+  bool reachable_ = false;
+  Timer timer_;
+  bool stopped_ = false;
+};
+
+}  // namespace docklift::proxy
--- /dev/null
+++ b/src/system/proxy/proxy.cpp
@@ -0,0 +1,194 @@
+#include "system/proxy/proxy.hpp"
+
+#include <random>
+
+namespace docklift::proxy {
+namespace {
+using namespace std::chrono_literals;
+constexpr Duration kTick = 20ms;          // while requests are open
+constexpr Duration kNoConfiguration = 300ms;
+constexpr Duration kLastAnswers = 700ms;  // before the grace ends: what is still open gets its last answer
+constexpr Duration kStopsAccepting = 1600ms;
+constexpr double kClientPart = 0.6;       // of the descriptors
+std::uint64_t drawn() { return (std::uint64_t(std::random_device{}()) << 32) | std::random_device{}(); }
+}  // namespace
+
+Proxy::Proxy(boost::asio::io_context& io, const SystemSettings& settings)
+    : io_(io),
+      settings_(settings),
+      timers_(io, clock_),
+      log_("proxy"),
+      decisions_({settings.hostname, settings.zone, settings.region}, settings.zones, settings.bounds, drawn()),
+      upstream_(io, timers_),
+      news_(io, settings_, clock_, *this),
+      acceptor_(io.get_executor()) {}
+
+Proxy::~Proxy() = default;
+
+Result<std::monostate> Proxy::start() {
+  const auto http = settings_.listen.find("http"), ready = settings_.listen.find("readyz");
+  if (http == settings_.listen.end()) return Failure{"read settings", "listen.http", "is missing"};
+  auto at = endpoint_of(http->second);
+  if (failed(at)) return failure(at);
+  acceptor_.open(value(at).protocol());
+  acceptor_.set_option(Acceptor::reuse_address(true));
+  acceptor_.bind(value(at));
+  acceptor_.listen(1024);
+  accept();
+  if (ready != settings_.listen.end()) {
+    auto where = endpoint_of(ready->second);
+    if (failed(where)) return failure(where);
+    readyz_ = std::make_unique<http::Server>(io_, value(where), http::ServerLimits{},
+                                             [this](const http::Call& call, const http::Server::Respond& respond) {
+                                               if (call.path() != "/readyz") return respond({404, ""});
+                                               const bool serves = configuration_ && heard_servers_ && !draining_;
+                                               respond({serves ? 200 : 503, ""});
+                                             });
+  }
+  news_.start();
+  return std::monostate{};
+}
+
+configuration::Limits Proxy::limits() const {
+  return configuration_ ? configuration_->limits : configuration::Limits{};
+}
+
+void Proxy::accept() {
+  acceptor_.async_accept([this](boost::system::error_code failed_accept, Socket socket) {
+    if (failed_accept == boost::asio::error::operation_aborted) return;
+    if (!failed_accept && static_cast<double>(sessions_.size()) < kClientPart * static_cast<double>(settings_.descriptors)) {
+      snowknot::set_no_delay(socket);
+      const auto session = std::make_shared<Session>(*this, timers_, std::move(socket));
+      sessions_.insert(session);
+      session->start();
+    }
+    accept();
+  });
+}
+
+void Proxy::on_ended(const std::shared_ptr<Session>& session) { sessions_.erase(session); }
+
+void Proxy::on_request(const std::shared_ptr<Session>& session, Request request) {
+  const Time now = clock_.now();
+  if (!configuration_) return session->answer(503, kNoConfiguration);
+  const auto* route = configuration_->route(request.host, request.target);
+  if (!route) return session->answer(404, {});
+  const auto* tenant = request.key.empty() ? nullptr : configuration_->tenant_of(request.key);
+  if (configuration_->has_tenants() && !route->is_public && !tenant) return session->answer(401, {});
+  const auto id = ++last_id_;
+  const Duration left = from_millis(request.deadline_ms.value_or(route->timeout_ms > 0 ? route->timeout_ms : 10000));
+  auto& x = exchanges_[id];
+  x.session = session, x.request = std::move(request), x.deadline = now + left;
+  if (tenant) x.tenant = tenant->name;
+  carry_out(decisions_.arrive(now, {id, route, tenant, left}));
+  if (!ticking_ && decisions_.open() > 0) tick();
+}
+
+void Proxy::carry_out(decisions::Actions actions) {
+  for (auto& action : actions) {
+    if (const auto* s = std::get_if<decisions::Send>(&action)) {
+      send(*s);
+    } else if (const auto* ask = std::get_if<decisions::Ask>(&action)) {
+      news_.ask(ask->adds);
+    } else if (const auto* r = std::get_if<decisions::Refuse>(&action)) {
+      if (const auto x = exchanges_.extract(r->request)) x.mapped().session->answer(r->status, r->retry_after);
+    } else if (const auto* f = std::get_if<decisions::Fail>(&action)) {
+      if (const auto x = exchanges_.extract(f->request)) x.mapped().session->answer(f->status, {});
+    } else if (const auto* relay = std::get_if<decisions::Relay>(&action)) {
+      if (auto x = exchanges_.extract(relay->request))
+        x.mapped().session->answer(std::move(x.mapped().last.reply), x.mapped().last.body_at);
+    }
+  }
+}
+
+void Proxy::send(const decisions::Send& s) {
+  const auto it = exchanges_.find(s.request);
+  const auto* server = decisions_.known(s.server);
+  if (it == exchanges_.end() || !server) return;
+  auto& x = it->second;
+  Attempt a;
+  a.server = s.server, a.address = server->address, a.method = x.request.method, a.attempt_id = x.request.attempt_id;
+  a.body = x.request.body;
+  a.deadline = clock_.now() + s.timeout;
+  a.head = x.request.head;
+  a.head += "Deadline: " + std::to_string(std::max(1u, millis(s.timeout))) + "\r\nWant-Instance: " + server->id + "\r\n";
+  if (!x.tenant.empty()) a.head += "Tenant: " + x.tenant + "\r\n";
+  upstream_.start(std::move(a), [this, id = s.request](Answered answered) {
+    const auto open = exchanges_.find(id);
+    if (open == exchanges_.end()) return;
+    const auto outcome = answered.outcome;
+    const auto took = answered.took;
+    const bool whole = answered.status != 0;
+    open->second.last = std::move(answered);
+    carry_out(decisions_.ended(clock_.now(), id, outcome, took, whole));
+    for (const auto h : decisions_.dropped()) upstream_.forget(h);
+  });
+}
+
+void Proxy::tick() {
+  ticking_ = true;
+  timers_.after(kTick, [this] {
+    carry_out(decisions_.tick(clock_.now()));
+    if (decisions_.open() > 0) return tick();
+    ticking_ = false;
+  });
+}
+
+void Proxy::check_ready() { news_.set_state(configuration_ && heard_servers_ && !draining_, draining_); }
+
+void Proxy::on_changes(const fleet::ChangeLog& changes) {
+  const Time now = clock_.now();
+  if (const auto& c = changes.configuration(); c && c != configuration_) {
+    configuration_ = c;
+    decisions_.configure(now, c);
+    log_.info("version " + configuration::shown_version(c->version) + " is in force");
+  }
+  decisions_.set_evacuated(now, changes.state().evacuated, changes.readmitted());
+  check_ready();
+}
+
+void Proxy::on_servers(const std::vector<fleet::Server>& changed) {
+  heard_servers_ = true;
+  decisions_.servers(clock_.now(), changed);
+  for (const auto h : decisions_.dropped()) upstream_.forget(h);
+  check_ready();
+}
+
+void Proxy::on_proxies(const std::vector<std::string>& zone_and_id) { decisions_.proxies(zone_and_id); }
+
+void Proxy::on_holder(bool reachable) { carry_out(decisions_.holder(clock_.now(), reachable)); }
+
+void Proxy::on_grants(std::uint64_t term, const std::vector<decisions::Granted>& grants) {
+  carry_out(decisions_.granted(clock_.now(), term, grants));
+}
+
+void Proxy::on_grants_failed() { carry_out(decisions_.grants_failed(clock_.now())); }
+
+void Proxy::drain(std::function<void()> ended) {
+  if (std::exchange(draining_, true)) return;
+  check_ready();
+  const auto grace = from_seconds(settings_.bounds.grace_s);
+  timers_.after(grace - kStopsAccepting, [this] {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    const auto all = sessions_;
+    for (const auto& s : all) s->drain();
+  });
+  timers_.after(grace - kLastAnswers, [this, ended = std::move(ended)] { say_last(ended); });
+}
+
+// What waits for units or a place is refused; what a server works on is left to the end.
+void Proxy::say_last(std::function<void()> ended) {
+  const auto all = sessions_;
+  for (const auto& s : all) s->drain();
+  if (exchanges_.empty() || clock_.now() == Time{}) {
+    timers_.after(100ms, [this, ended = std::move(ended)] {
+      news_.stop();
+      ended();
+    });
+    return;
+  }
+  timers_.after(50ms, [this, ended = std::move(ended)]() mutable { say_last(std::move(ended)); });
+}
+
+}  // namespace docklift::proxy
--- /dev/null
+++ b/src/system/proxy/proxy.hpp
@@ -0,0 +1,70 @@
+// The proxy on sockets: clients' sessions, the decisions, connections to servers, news from registries.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "system/decisions/decisions.hpp"
+#include "system/http/server.hpp"
+#include "system/proxy/news.hpp"
+#include "system/proxy/session.hpp"
+#include "system/proxy/upstream.hpp"
+
+namespace docklift::proxy {
+
+class Proxy : public Session::Host, public News::Listener {
+ public:
+  Proxy(boost::asio::io_context& io, const SystemSettings& settings);
+  ~Proxy() override;
+  Result<std::monostate> start();
+  // Leaves in order: is no longer given to clients, answers what is open, and calls `ended` within the grace.
+  void drain(std::function<void()> ended);
+
+  configuration::Limits limits() const override;
+  bool draining() const override { return draining_; }
+  void on_request(const std::shared_ptr<Session>& session, Request request) override;
+  void on_ended(const std::shared_ptr<Session>& session) override;
+
+  void on_changes(const fleet::ChangeLog& changes) override;
+  void on_servers(const std::vector<fleet::Server>& changed) override;
+  void on_proxies(const std::vector<std::string>& zone_and_id) override;
+  void on_confirmed(Time at) override { decisions_.confirmed(at); }
+  void on_holder(bool reachable) override;
+  void on_grants(std::uint64_t term, const std::vector<decisions::Granted>& grants) override;
+  void on_grants_failed() override;
+
+ private:
+  struct Exchange {
+    std::shared_ptr<Session> session;
+    Request request;
+    std::string tenant;
+    Time deadline{};
+    Answered last;
+  };
+  void accept();
+  void carry_out(decisions::Actions actions);
+  void send(const decisions::Send& s);
+  void tick();
+  void check_ready();
+  void say_last(std::function<void()> ended);
+
+  boost::asio::io_context& io_;
+  SystemSettings settings_;
+  snowknot::Clock clock_;
+  snowknot::Timers timers_;
+  Log log_;
+  decisions::Decisions decisions_;
+  Upstream upstream_;
+  News news_;
+  Acceptor acceptor_;
+  std::unique_ptr<http::Server> readyz_;
+  std::shared_ptr<const configuration::Configuration> configuration_;
+  std::set<std::shared_ptr<Session>> sessions_;
+  std::unordered_map<decisions::RequestId, Exchange> exchanges_;
+  decisions::RequestId last_id_ = 0;
+  bool draining_ = false, heard_servers_ = false, ticking_ = false;
+};
+
+}  // namespace docklift::proxy
--- /dev/null
+++ b/src/system/proxy/upstream.hpp
@@ -0,0 +1,63 @@
+// Connections to servers: pools, one attempt at a time on each, and what an answer must show to be the one to this request.
+// Callbacks run on the io_context's thread, never from within start().
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "net/net.hpp"
+#include "system/decisions/servers.hpp"
+#include "system/http/head.hpp"
+#include "system/net/link.hpp"
+
+namespace docklift::proxy {
+
+using decisions::Outcome;
+using decisions::ServerHandle;
+
+struct Attempt {
+  ServerHandle server = decisions::kNoServer;
+  std::string address, method, attempt_id;
+  std::string head;                         // up to and without the empty line
+  std::shared_ptr<const std::string> body;  // null: none
+  Time deadline{};
+};
+
+struct Answered {
+  Outcome outcome = Outcome::reset;
+  Duration took{};
+  int status = 0;     // of a whole answer
+  std::string reply;  // it, ready for the client: status line, fields, body; without the end of the head where `body_at` is
+  std::size_t body_at = 0;  // where the fields end: Connection may be put in there
+  std::uint32_t cold_ms = 0;
+};
+
+class Upstream {
+ public:
+  using Done = std::function<void(Answered)>;
+  Upstream(boost::asio::io_context& io, snowknot::Timers& timers);
+  ~Upstream();
+  void start(Attempt attempt, Done done);
+  void forget(ServerHandle server);  // closes its idle connections
+  std::size_t connections() const { return open_; }
+
+ private:
+  struct Connection;
+  struct Pool {
+    std::string address;
+    std::vector<std::shared_ptr<Connection>> idle;
+  };
+  void drop(const std::shared_ptr<Connection>& c);
+
+  boost::asio::io_context& io_;
+  snowknot::Timers& timers_;
+  std::unordered_map<ServerHandle, Pool> pools_;
+  std::set<std::shared_ptr<Connection>> all_;
+  std::size_t open_ = 0;
+};
+
+}  // namespace docklift::proxy
