--- a/src/system/duty/duty.cpp
+++ b/src/system/duty/duty.cpp
@@ -9,6 +9,7 @@
 
 Answer Duty::asked(Time now, const Ask& ask) {
   seen_term_ = std::max(seen_term_, ask.term);
+  if (ask.holds && ask.term > known_term_) known_term_ = ask.term, known_holder_ = ask.holder;
   if (ask.release) {
     if (ask.holder == granted_to_ && ask.term == granted_term_) {
       granted_to_ = ask.successor;
@@ -33,7 +34,7 @@
     // Claims that cross would hold each other up: who has got no majority gives back what it was granted, and waits by rank.
     if (asking_term_ != 0 && granted_to_ == self_ && granted_term_ == asking_term_ && !named_) {
       next_ask_ = now + terms_.stagger * static_cast<int>(rank + 1);
-      const Ask back{asking_term_, self_, "", true};
+      const Ask back{asking_term_, self_, "", true, false};
       asked(now, back);
       asking_term_ = 0;
       return back;
@@ -48,7 +49,7 @@
   next_ask_ = now + (held_term_ == 0 ? terms_.renew / 2 : terms_.renew);
   asked_at_ = now;
   grants_.clear();
-  const Ask ask{asking_term_, self_, "", false};
+  const Ask ask{asking_term_, self_, "", false, held_term_ != 0};
   if (asked(now, ask).granted) grants_.insert(self_);
   count(now);
   return ask;
@@ -66,11 +67,12 @@
   const auto until = asked_at_ + terms_.lease - terms_.margin;
   if (now >= until) return;
   held_term_ = asking_term_, held_until_ = std::max(held_until_, until);
+  if (held_term_ > known_term_) known_term_ = held_term_, known_holder_ = self_;
 }
 
 std::optional<Ask> Duty::release(Time now, const std::string& successor) {
   if (!holds(now)) return std::nullopt;
-  const Ask ask{held_term_, self_, successor, true};
+  const Ask ask{held_term_, self_, successor, true, false};
   held_term_ = 0, held_until_ = now;
   asked(now, ask);
   next_ask_ = now + terms_.lease;
--- a/src/system/duty/duty.hpp
+++ b/src/system/duty/duty.hpp
@@ -23,6 +23,7 @@
   std::uint64_t term = 0;
   std::string holder, successor;
   bool release = false;
+  bool holds = false;  // granted by a majority before, and renewed now
 };
 struct Answer {
   std::uint64_t term = 0;
@@ -44,9 +45,9 @@
 
   bool holds(Time now) const { return held_term_ != 0 && now < held_until_; }
   std::uint64_t held_term() const { return held_term_; }
-  // Who holds it as far as is known here; empty: nobody.
-  std::string holder(Time now) const { return now < granted_until_ ? granted_to_ : std::string(); }
-  std::uint64_t term() const { return granted_term_; }
+  // Who was last known to hold it, with its term: by its own word, as a claim that was granted here alone is no duty.
+  const std::string& holder() const { return known_holder_; }
+  std::uint64_t term() const { return known_term_; }
 
  private:
   void count(Time now);
@@ -58,6 +59,8 @@
   std::uint64_t granted_term_ = 0;
   std::string granted_to_;
   Time granted_until_{};
+  std::string known_holder_;
+  std::uint64_t known_term_ = 0;
   // as a claimant
   bool named_ = false;  // by who held it before
   std::uint64_t asking_term_ = 0, held_term_ = 0, seen_term_ = 0;
--- a/src/system/proxy/news.cpp
+++ b/src/system/proxy/news.cpp
@@ -157,9 +157,11 @@
   if (f.getRegistries().size() > 0)
     for (const auto r : f.getRegistries())
       if (std::ranges::find(registries_, r.cStr()) == registries_.end()) registries_.emplace_back(r.cStr());
-  if (f.getTerm() > term_ || (f.getTerm() == term_ && holder_.empty())) {
+  if (f.getTerm() > term_) {
     term_ = f.getTerm(), holder_ = f.getHolder().cStr();
     choose_registries();
+    // What was asked of the one before gets no answer that counts.
+    if (std::exchange(reachable_, false)) listener_.on_holder(false);
     check_holder();
   }
   if (f.getConfirmedMs() != 0xffffffffU && f.getPosition() <= changes_.position())
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -157,7 +157,7 @@
     case wire::Frame::DUTY_ASK: {
       const auto a = frame.getDutyAsk();
       const auto answer =
-          duty_.asked(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(), a.getRelease()});
+          duty_.asked(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(), a.getRelease(), a.getHolds()});
       fleet::Outgoing out;
       auto to = out.frame().initDutyAnswer();
       to.setTerm(answer.term), to.setGranted(answer.granted), to.setHolder(answer.holder);
@@ -334,8 +334,8 @@
 
 void Registry::fill(wire::Fleet::Builder to) {
   const Time now = clock_.now();
-  to.setHolder(duty_.holds(now) ? settings_.bind_ip : told_holder_);
-  to.setTerm(duty_.holds(now) ? duty_.held_term() : told_term_);
+  to.setHolder(duty_.holder());
+  to.setTerm(duty_.term());
   to.setPosition(changes_.position());
   to.setConfirmedMs(confirmed_at_ == Time{} ? 0xffffffffU : millis(now - confirmed_at_));
 }
@@ -415,6 +415,7 @@
   to_registries([&](wire::Frame::Builder& frame) {
     auto a = frame.initDutyAsk();
     a.setTerm(ask.term), a.setHolder(ask.holder), a.setSuccessor(ask.successor), a.setRelease(ask.release);
+    a.setHolds(ask.holds);
   });
 }
 
@@ -426,16 +427,11 @@
     counts_.begin(now, counting_term_ == 1);
     log_.info("holds the counts, term " + std::to_string(counting_term_));
   }
-  const auto holder = duty_.holds(now) ? settings_.bind_ip : duty_.holder(now);
-  const auto term = duty_.holds(now) ? duty_.held_term() : duty_.term();
-  // Granted here is not yet held: a claimant tells of itself when a majority has granted it.
-  if (holder != settings_.bind_ip || duty_.holds(now)) {
-    if (holder == told_holder_ && term == told_term_) return;
-    told_holder_ = holder, told_term_ = term;
-    fleet::Outgoing out;
-    fill(out.frame().initFleet());
-    for (auto& [link, p] : proxies_) p.link->send(out.message());
-  }
+  if (duty_.term() == told_term_) return;
+  told_term_ = duty_.term();
+  fleet::Outgoing out;
+  fill(out.frame().initFleet());
+  for (auto& [link, p] : proxies_) p.link->send(out.message());
 }
 
 // ---- time ----------------------------------------------------------------------------------------
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -98,7 +98,6 @@
   duty::Duty duty_;
   counts::Counts counts_;
   std::uint64_t counting_term_ = 0;
-  std::string told_holder_;
   std::uint64_t told_term_ = 0;
   bool members_changed_ = false;
   std::map<std::uint64_t, Pending> pending_;
