--- a/src/system/counts/counts.cpp
+++ b/src/system/counts/counts.cpp
@@ -5,14 +5,20 @@
 
 namespace docklift::counts {
 namespace {
-constexpr double kLeastWindow = 0.5, kMostWindow = 2;  // seconds; a longer one would pin units for too long
-}
+constexpr int kFewestParts = 2, kMostParts = 10;  // of the span: windows of 0.5 to 2.5 s where it is 5 s
+constexpr double kMoreThanRate = 1.08;            // of the rate that a window's limit should give
+constexpr double kMarginPart = 0.3;  // of excess and slack left alone: requests are judged when they arrive at servers
+}  // namespace
 
-Window window_of(const Quota& q) {
+Window window_of(const Quota& q, const Judged& judged) {
   if (q.per_s <= 0) return {};
-  const double wanted = std::clamp(q.burst / q.per_s, kLeastWindow, kMostWindow);
-  const double limit = std::max(1.0, std::floor(q.per_s * wanted + 1e-9));  // whole units: what is left over serves nobody
-  return {from_seconds(limit / q.per_s), limit};
+  const double told = q.per_s * judged.span_s + q.burst;
+  const double allowed = told + (told * judged.excess + judged.slack) * (1 - kMarginPart);
+  for (int parts = kFewestParts;; ++parts) {
+    const double length = judged.span_s / parts;
+    const double limit = std::max(1.0, std::floor(allowed / (parts + 1)));
+    if (parts == kMostParts || limit >= kMoreThanRate * q.per_s * length) return {from_seconds(length), limit};
+  }
 }
 
 void Counts::begin(Time now, bool first) {
@@ -34,7 +40,7 @@
 }
 
 Grant Counts::add(Time now, const std::string& tenant, const Quota& quota, bool ahead, std::uint32_t units) {
-  const auto w = window_of(quota);
+  const auto w = window_of(quota, judged_);
   Grant g;
   if (w.length == Duration{}) return g;
   const std::int64_t present = now.time_since_epoch() / w.length;
@@ -51,7 +57,7 @@
 }
 
 void Counts::hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window, std::uint32_t units) {
-  const auto w = window_of(quota);
+  const auto w = window_of(quota, judged_);
   if (w.length == Duration{}) return;
   const std::int64_t present = now.time_since_epoch() / w.length;
   if (window != present && window != present + 1) return;
--- a/src/system/counts/counts.hpp
+++ b/src/system/counts/counts.hpp
@@ -2,8 +2,9 @@
 // Weighted Fair Escrow: proxies add quanta to a window's count; what passes the window's limit is handed back.
 //
 // Invariant: of a window never more than its limit is granted; a holder grants nothing of windows that began before it did.
-// A window lasts burst / per_s, and its limit is per_s times that: any span of s seconds touches s / window + 1 windows, so at
-// most per_s * s + burst pass in it.
+// Windows are whole parts of the span over which quotas are judged: such a span touches `parts` + 1 of them, so with a limit of
+// what may pass in the span over parts + 1 no span is ever over. A window lasts about burst over rate: the longest one whose limit
+// gives the tenant its rate and a little more, as what is leased at one proxy and not spent there is lost to the others.
 #pragma once
 
 #include <tsl/robin_map.h>
@@ -22,8 +23,11 @@
   Duration length{};
   double limit = 0;  // units
 };
+struct Judged {  // how quotas are judged: (per_s * span + burst) * (1 + excess) + slack in any span
+  double span_s = 5, excess = 0.1, slack = 20;
+};
 // No quota (per_s 0): length 0.
-Window window_of(const Quota& q);
+Window window_of(const Quota& q, const Judged& judged);
 
 struct Grant {
   std::int64_t window = 0;
@@ -33,6 +37,7 @@
 
 class Counts {
  public:
+  explicit Counts(const Judged& judged = {}) : judged_(judged) {}
   // Takes over at `now`. `first`: nobody held them before.
   void begin(Time now, bool first);
   // Adds up to `units` to the count of the present window, or of the next one.
@@ -49,6 +54,7 @@
   };
   Count& at(Time now, const std::string& tenant, std::int64_t present, Duration length);
   tsl::robin_map<std::string, Count> counts_;
+  Judged judged_;
   Time begun_{};
 };
 
--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -19,6 +19,7 @@
                      std::uint64_t chance)
     : bounds_(bounds),
       servers_(std::move(self), std::move(regions_of_zones), bounds, chance),
+      units_({bounds.quota_win_s, bounds.quota_excess, bounds.quota_slack}, chance),
       repeats_(bounds),
       rng_(chance ^ 0x9e3779b97f4a7c15ULL) {}
 
@@ -50,6 +51,11 @@
   return done();
 }
 
+Actions Decisions::new_holder(Time now) {
+  units_.new_holder(now);
+  return done();
+}
+
 Duration Decisions::back_off(const Request& r) {
   const double part = 0.1 + 0.2 * static_cast<double>(rng_() >> 11) * 0x1.0p-53;
   return snowknot::scaled(std::max<Duration>(r.target, 200ms), part);
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -71,6 +71,7 @@
   void servers(Time now, const std::vector<fleet::Server>& changed) { servers_.news(now, changed); }
   void proxies(const std::vector<std::string>& zone_and_id);
   Actions holder(Time now, bool reachable);
+  Actions new_holder(Time now);
   // As of `at`, a majority of the core knew of no configuration that is not here.
   void confirmed(Time at) { confirmed_at_ = std::max(confirmed_at_, at); }
 
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -10,7 +10,9 @@
 using namespace std::chrono_literals;
 // Tuned values, each with its reason.
 constexpr double kUsualGain = 0.35;         // of the last window's use in what is usual: three windows show a change
-constexpr double kAheadRoom = 0.5;          // of the root of the usual use, asked ahead on top of it: arrivals vary
+constexpr double kAheadPart = 0.85;         // of the usual use is leased ahead: what lies here unspent is lost to others
+constexpr double kScarce = 0.2;             // of a window's limit left at the holder: what is not needed here is handed back
+constexpr double kBackAfter = 0.5;          // part of a window after which that is done
 constexpr Duration kAheadLead = 120ms;      // and how long before a window begins, on top of a round trip
 constexpr double kFewRequests = 4;          // "a few requests' units" in one quantum
 constexpr Duration kLateCall = 1500ms;      // a call without an answer counts as refused after it
@@ -23,7 +25,7 @@
 
 void Units::set_quota(const std::string& tenant, const counts::Quota& quota) {
   auto& t = tenants_[tenant];
-  const auto window = counts::window_of(quota);
+  const auto window = counts::window_of(quota, judged_);
   if (window.length != t.window.length || window.limit < t.window.limit) t.now = t.next = {};
   t.quota = quota, t.window = window;
 }
@@ -60,6 +62,13 @@
   next_ = now;
 }
 
+void Units::new_holder(Time now) {
+  for (auto it = tenants_.begin(); it != tenants_.end(); ++it) {
+    roll(now, it.value());
+    it.value().next = {};
+  }
+}
+
 void Units::roll(Time now, Tenant& t) {
   if (t.now.window >= 0 && now + kEnds >= t.now.ends) {
     t.usual += kUsualGain * (t.used - t.usual);
@@ -119,11 +128,7 @@
 
 void Units::granted(Time now, std::uint64_t term, const Granted& g) {
   if (term < term_) return;
-  if (term > term_) {
-    // The windows of an earlier holder are not this one's.
-    term_ = term;
-    for (auto it = tenants_.begin(); it != tenants_.end(); ++it) it.value().now = it.value().next = {};
-  }
+  term_ = term;
   const auto found = tenants_.find(g.tenant);
   if (found == tenants_.end()) return;
   auto& t = found.value();
@@ -137,10 +142,11 @@
   const Time starts = now + g.starts, ends = now + g.ends;
   auto& lease = g.starts > Duration{} ? t.next : t.now;
   if (now + kEnds < ends) {
-    if (lease.window != g.window) lease = {g.window, 0, starts, ends, false};
+    if (lease.window != g.window) lease = {g.window, 0, starts, ends, false, false};
     lease.held += g.units;
     lease.starts = std::min(lease.starts, starts), lease.ends = std::min(lease.ends, ends);
     if (g.left == 0) lease.spent = true;
+    lease.scarce = g.left < kScarce * t.window.limit;
   }
   settle(now, t);
   if (!t.waiting.empty()) mark(g.tenant, t);
@@ -175,9 +181,21 @@
       const bool begins_soon = t.now.window >= 0 && now + kAheadLead + trip_ >= t.now.ends;
       const double usual = std::max(t.usual, begins_soon ? t.usual + kUsualGain * (t.used - t.usual) : 0.0);
       if (reachable_ && begins_soon && t.next.window < 0 && !t.ahead_out && usual >= kLeastUsual) {
-        const auto units = std::ceil(usual + kAheadRoom * std::sqrt(usual));
-        out.push_back({it.key(), true, static_cast<std::uint32_t>(std::min(units, t.window.limit))});
-        t.ahead_out = true, t.called_at = now;
+        // A part of a unit is asked for by chance, so that all proxies together ask for no more than is used.
+        const double lot = static_cast<double>(rng_() % 1024) / 1024;
+        const auto units = std::min(std::floor(kAheadPart * usual + lot), t.window.limit);
+        t.ahead_out = units >= 1;
+        if (t.ahead_out) out.push_back({it.key(), true, static_cast<std::uint32_t>(units), -1}), t.called_at = now;
+      }
+      // Units that lie here while others are short of them.
+      if (reachable_ && t.now.scarce && t.now.held >= 1 && now < t.now.ends) {
+        const double gone = seconds(now - t.now.starts) / seconds(t.window.length);
+        const double needed = std::ceil(t.usual * (1 - gone));
+        if (gone > kBackAfter && t.now.held > needed + 1) {
+          const double back = std::floor(t.now.held - needed);
+          t.now.held -= back;
+          out.push_back({it.key(), false, static_cast<std::uint32_t>(back), t.now.window});
+        }
       }
       if (!t.waiting.empty()) mark(it.key(), t);
     }
@@ -194,7 +212,7 @@
     const double few = std::clamp(t.usual - t.used, 1.0, kFewRequests);
     if (waiting == 0 && (t.now.held >= 1 || t.now.window < 0 || t.used >= t.usual)) continue;  // none is expected
     const double units = std::max(waiting, std::min(few, most));
-    out.push_back({name, false, static_cast<std::uint32_t>(units)});
+    out.push_back({name, false, static_cast<std::uint32_t>(units), -1});
     t.call_out = true, t.called_at = now;
   }
   next_ = now + kSweep;
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -11,6 +11,7 @@
 
 #include <deque>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
   std::string tenant;
   bool ahead = false;
   std::uint32_t units = 0;
+  std::int64_t back = -1;  // at least 0: they are handed back, to the count of this window
 };
 struct Granted {
   std::string tenant;
@@ -44,6 +46,7 @@
   double held = 0;
   Time starts{}, ends{};
   bool spent = false;  // the holder has no more of this window
+  bool scarce = false;  // or little
 };
 struct Waiting {
   RequestId request{};
@@ -63,6 +66,7 @@
 
 class Units {
  public:
+  Units(const counts::Judged& judged, std::uint64_t chance) : judged_(judged), rng_(chance) {}
   enum class Take { passed, waits, refused };
 
   void set_quota(const std::string& tenant, const counts::Quota& quota);
@@ -78,6 +82,8 @@
 
   void granted(Time now, std::uint64_t term, const Granted& g);
   void call_failed(Time now);  // calls that are out get no answer
+  // Another one holds the counts now: what was leased ahead is granted anew by it, what is of the present window stays.
+  void new_holder(Time now);
 
   // What is to be asked now, who passes, and who is refused. Called after each of the above and with time.
   std::vector<Add> adds(Time now);
@@ -95,6 +101,8 @@
   void settle(Time now, Tenant& t);
 
   tsl::robin_map<std::string, Tenant> tenants_;
+  counts::Judged judged_;
+  std::minstd_rand rng_;
   std::vector<std::string> dirty_;
   std::vector<RequestId> passed_;
   std::vector<Turned> turned_;
--- a/src/system/duty/duty.hpp
+++ b/src/system/duty/duty.hpp
@@ -13,9 +13,9 @@
 namespace docklift::duty {
 
 struct Terms {
-  Duration lease = std::chrono::milliseconds(1500);
-  Duration margin = std::chrono::milliseconds(200);
-  Duration renew = std::chrono::milliseconds(400);
+  Duration lease = std::chrono::milliseconds(1200);
+  Duration margin = std::chrono::milliseconds(150);
+  Duration renew = std::chrono::milliseconds(250);
   Duration stagger = std::chrono::milliseconds(120);  // between those that may claim it, by rank
 };
 
--- a/src/system/proxy/news.cpp
+++ b/src/system/proxy/news.cpp
@@ -106,7 +106,8 @@
   auto list = to.initItems(static_cast<unsigned>(adds.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
     list[i].setTenant(adds[i].tenant), list[i].setAhead(adds[i].ahead);
-    list[i].setUnits(static_cast<std::int32_t>(adds[i].units));
+    const auto units = static_cast<std::int32_t>(adds[i].units);
+    list[i].setUnits(adds[i].back < 0 ? units : -units), list[i].setWindow(adds[i].back);
   }
   d->second->link()->send(out.message());
 }
@@ -162,6 +163,7 @@
     choose_registries();
     // What was asked of the one before gets no answer that counts.
     if (std::exchange(reachable_, false)) listener_.on_holder(false);
+    listener_.on_new_holder();
     check_holder();
   }
   if (f.getConfirmedMs() != 0xffffffffU && f.getPosition() <= changes_.position())
--- a/src/system/proxy/news.hpp
+++ b/src/system/proxy/news.hpp
@@ -24,6 +24,7 @@
     virtual void on_proxies(const std::vector<std::string>& zone_and_id) = 0;
     virtual void on_confirmed(Time at) = 0;
     virtual void on_holder(bool reachable) = 0;
+    virtual void on_new_holder() = 0;
     virtual void on_grants(std::uint64_t term, const std::vector<decisions::Granted>& grants) = 0;
     virtual void on_grants_failed() = 0;
   };
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -158,6 +158,8 @@
 
 void Proxy::on_holder(bool reachable) { carry_out(decisions_.holder(clock_.now(), reachable)); }
 
+void Proxy::on_new_holder() { carry_out(decisions_.new_holder(clock_.now())); }
+
 void Proxy::on_grants(std::uint64_t term, const std::vector<decisions::Granted>& grants) {
   carry_out(decisions_.granted(clock_.now(), term, grants));
 }
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -27,6 +27,7 @@
       log_("registry"),
       started_(clock_.now()),
       duty_(duty::Terms{}, settings.bind_ip, settings.bootstrap, clock_.now()),
+      counts_({settings.bounds.quota_win_s, settings.bounds.quota_excess, settings.bounds.quota_slack}),
       timer_(io.get_executor()) {
   self_.id = settings.hostname, self_.zone = settings.zone, self_.address = settings.bind_ip;
   self_.role = fleet::Role::REGISTRY, self_.life = draw_life(), self_.ready = true;
