--- a/src/system/counts/counts.cpp
+++ b/src/system/counts/counts.cpp
@@ -31,26 +31,27 @@
   auto& c = it.value();
   c.at = now;
   if (!fresh && c.window == present) return c;
-  const bool next = !fresh && present == c.window + 1;
-  c.used[0] = next ? c.used[1] : 0;
-  c.used[1] = 0;
+  // Also back in time by no more than that: the clock does not go backwards, but a quota's window may have changed.
+  const auto step = fresh ? kAhead + 1 : present - c.window;
+  for (int i = 0; i <= kAhead; ++i) c.used[i] = step > 0 && i + step <= kAhead ? c.used[i + step] : 0;
   c.window = present;
   if (begun_ != Time{} && Time(length * present) < begun_) c.used[0] = 1e18;  // granted by who held it before
   return c;
 }
 
-Grant Counts::add(Time now, const std::string& tenant, const Quota& quota, bool ahead, std::uint32_t units) {
+Grant Counts::add(Time now, const std::string& tenant, const Quota& quota, int ahead, std::uint32_t units) {
   const auto w = window_of(quota, judged_);
   Grant g;
   if (w.length == Duration{}) return g;
   const std::int64_t present = now.time_since_epoch() / w.length;
   auto& c = at(now, tenant, present, w.length);
-  auto& used = c.used[ahead ? 1 : 0];
+  ahead = std::clamp(ahead, 0, kAhead);
+  auto& used = c.used[ahead];
   const double room = std::max(0.0, w.limit - used);
   g.units = static_cast<std::uint32_t>(std::min<double>(units, std::floor(room + 1e-9)));
   used += g.units;
   g.left = static_cast<std::uint32_t>(std::max(0.0, std::floor(room - g.units + 1e-9)));
-  g.window = present + (ahead ? 1 : 0);
+  g.window = present + ahead;
   g.starts = Time(w.length * g.window) - now;
   g.ends = g.starts + w.length;
   return g;
@@ -60,7 +61,7 @@
   const auto w = window_of(quota, judged_);
   if (w.length == Duration{}) return;
   const std::int64_t present = now.time_since_epoch() / w.length;
-  if (window != present && window != present + 1) return;
+  if (window < present || window > present + kAhead) return;
   auto& used = at(now, tenant, present, w.length).used[window - present];
   if (used < 1e17) used = std::max(0.0, used - units);
 }
--- a/src/system/counts/counts.hpp
+++ b/src/system/counts/counts.hpp
@@ -1,4 +1,5 @@
-// The counts of units that the holder of the duty keeps: for each tenant one for the present window and one for the next. Pure.
+// The counts of units that the holder of the duty keeps: for each tenant one for the present window and for each of
+// the kAhead next ones. Pure.
 // Weighted Fair Escrow: proxies add quanta to a window's count; what passes the window's limit is handed back.
 //
 // Invariant: of a window never more than its limit is granted; a holder grants nothing of windows that began before it did.
@@ -29,6 +30,8 @@
 // No quota (per_s 0): length 0.
 Window window_of(const Quota& q, const Judged& judged);
 
+inline constexpr int kAhead = 3;  // windows that may be leased of before they begin: they carry proxies over a change of holder
+
 struct Grant {
   std::int64_t window = 0;
   std::uint32_t units = 0, left = 0;
@@ -40,16 +43,16 @@
   explicit Counts(const Judged& judged = {}) : judged_(judged) {}
   // Takes over at `now`. `first`: nobody held them before.
   void begin(Time now, bool first);
-  // Adds up to `units` to the count of the present window, or of the next one.
-  Grant add(Time now, const std::string& tenant, const Quota& quota, bool ahead, std::uint32_t units);
+  // Adds up to `units` to the count of the present window, or of the `ahead`th after it.
+  Grant add(Time now, const std::string& tenant, const Quota& quota, int ahead, std::uint32_t units);
   void hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window, std::uint32_t units);
   void sweep(Time now);  // forgets windows that are over
   std::size_t size() const { return counts_.size(); }
 
  private:
   struct Count {
-    std::int64_t window = 0;  // the earlier of the two
-    double used[2] = {0, 0};
+    std::int64_t window = 0;  // the present one
+    double used[kAhead + 1] = {};
     Time at{};
   };
   Count& at(Time now, const std::string& tenant, std::int64_t present, Duration length);
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -11,6 +11,8 @@
 // Tuned values, each with its reason.
 constexpr double kUsualGain = 0.35;         // of the last window's use in what is usual: three windows show a change
 constexpr double kAheadPart = 0.85;         // of the usual use is leased ahead: what lies here unspent is lost to others
+constexpr double kAheadFrom = 0.3;          // part of a window after which the ones to come are leased of
+constexpr double kTopUp = 0.3;              // of the usual use that must be missing of a lease for it to be added to
 constexpr double kScarce = 0.2;             // of a window's limit left at the holder: what is not needed here is handed back
 constexpr double kBackAfter = 0.5;          // part of a window after which that is done
 constexpr Duration kAheadLead = 120ms;      // and how long before a window begins, on top of a round trip
@@ -26,7 +28,7 @@
 void Units::set_quota(const std::string& tenant, const counts::Quota& quota) {
   auto& t = tenants_[tenant];
   const auto window = counts::window_of(quota, judged_);
-  if (window.length != t.window.length || window.limit < t.window.limit) t.now = t.next = {};
+  if (window.length != t.window.length || window.limit < t.window.limit) t.leases.clear(), t.anchored = false;
   t.quota = quota, t.window = window;
 }
 
@@ -51,7 +53,8 @@
 void Units::call_failed(Time now) {
   for (auto it = tenants_.begin(); it != tenants_.end(); ++it) {
     auto& t = it.value();
-    t.call_out = t.ahead_out = false;
+    t.call_out = false;
+    for (auto& [window, lease] : t.leases) lease.asked_at = {};
     if (reachable_) {
       if (!t.waiting.empty()) mark(it.key(), t);
       continue;
@@ -62,23 +65,44 @@
   next_ = now;
 }
 
+Time Units::start_of(const Tenant& t, std::int64_t window) const {
+  return t.anchor_start + t.window.length * (window - t.anchor);
+}
+
 void Units::new_holder(Time now) {
   for (auto it = tenants_.begin(); it != tenants_.end(); ++it) {
-    roll(now, it.value());
-    it.value().next = {};
+    auto& t = it.value();
+    roll(now, t);
+    if (t.anchored) {
+      t.old_held = t.leases[t.present].held, t.old_ends = start_of(t, t.present + 1);
+    }
+    t.leases.clear();
+    t.anchored = false;
   }
 }
 
+// Forgets windows that are over. A unit is not spent so shortly before its window ends that it would arrive after it.
 void Units::roll(Time now, Tenant& t) {
-  if (t.now.window >= 0 && now + kEnds >= t.now.ends) {
-    t.usual += kUsualGain * (t.used - t.usual);
-    t.used = 0;
-    t.now = {};
-  }
-  if (t.next.window >= 0 && now >= t.next.starts && t.now.window < 0) {
-    t.now = std::exchange(t.next, {});
-    if (now + kEnds >= t.now.ends) t.now = {};
-  }
+  if (!t.anchored) return;
+  const auto gone = now + kEnds - t.anchor_start;
+  auto steps = gone / t.window.length;
+  if (gone < Duration{}) steps = 0;
+  const auto present = t.anchor + steps;
+  if (present <= t.present) return;
+  t.usual += kUsualGain * (t.used - t.usual);
+  if (present > t.present + 1) t.usual *= std::pow(1 - kUsualGain, std::min<double>(20, static_cast<double>(present - t.present - 1)));
+  t.used = 0;
+  t.present = present;
+  t.leases.erase(t.leases.begin(), t.leases.lower_bound(present));
+}
+
+bool Units::spend(Time now, Tenant& t) {
+  if (t.old_held >= 1 && now + kEnds < t.old_ends) return t.old_held -= 1, true;
+  if (!t.anchored) return false;
+  const auto lease = t.leases.find(t.present);
+  if (lease == t.leases.end() || lease->second.held < 1) return false;
+  lease->second.held -= 1;
+  return true;
 }
 
 void Units::mark(const std::string& name, Tenant& t) {
@@ -93,17 +117,16 @@
   roll(now, t);
   t.used += 1;
   holder_lost = false;
-  if (t.waiting.empty() && t.now.held >= 1) {
-    t.now.held -= 1;
-    if (t.now.held < 1) mark(tenant, t);
+  if (t.waiting.empty() && spend(now, t)) {
+    mark(tenant, t);
     return Take::passed;
   }
   if (!reachable_) {
     retry_after = kNoHolder, holder_lost = true;
     return Take::refused;
   }
-  if (t.now.spent) {
-    retry_after = t.now.ends - now;
+  if (t.anchored && t.leases[t.present].spent) {
+    retry_after = start_of(t, t.present + 1) - now;
     return Take::refused;
   }
   t.waiting.push_back({request, now + wait_limit});
@@ -122,7 +145,7 @@
   if (found == tenants_.end()) return;
   auto& t = found.value();
   roll(now, t);
-  if (t.now.window >= 0) t.now.held += 1;
+  if (t.anchored) t.leases[t.present].held += 1;
   settle(now, t);
 }
 
@@ -133,18 +156,20 @@
   if (found == tenants_.end()) return;
   auto& t = found.value();
   roll(now, t);
-  const bool ahead = t.ahead_out && g.starts > Duration{};
-  (ahead ? t.ahead_out : t.call_out) = false;
-  if (t.called_at != Time{}) {
-    const auto took = now - t.called_at;
-    trip_ += (took - trip_) / 8;
+  const bool ahead = g.starts > Duration{};
+  if (!ahead) {
+    t.call_out = false;
+    if (t.called_at != Time{}) trip_ += (now - t.called_at - trip_) / 8;
+  }
+  if (!t.anchored || now + g.starts < start_of(t, g.window)) {  // the earliest word is the least delayed
+    const auto n = ahead ? (g.starts + t.window.length - Duration(1)) / t.window.length : 0;
+    t.anchor = g.window - n, t.anchor_start = now + g.starts - t.window.length * n;
+    if (!std::exchange(t.anchored, true)) t.present = t.anchor;
   }
-  const Time starts = now + g.starts, ends = now + g.ends;
-  auto& lease = g.starts > Duration{} ? t.next : t.now;
-  if (now + kEnds < ends) {
-    if (lease.window != g.window) lease = {g.window, 0, starts, ends, false, false};
+  roll(now, t);
+  if (g.window >= t.present) {
+    auto& lease = t.leases[g.window];
     lease.held += g.units;
-    lease.starts = std::min(lease.starts, starts), lease.ends = std::min(lease.ends, ends);
     if (g.left == 0) lease.spent = true;
     lease.scarce = g.left < kScarce * t.window.limit;
   }
@@ -154,16 +179,45 @@
 
 // Whoever fits passes in order of arrival; where the window is spent the others are refused.
 void Units::settle(Time now, Tenant& t) {
-  while (!t.waiting.empty() && t.now.held >= 1) {
-    t.now.held -= 1;
+  while (!t.waiting.empty() && spend(now, t)) {
     passed_.push_back(t.waiting.front().request);
     t.waiting.pop_front();
   }
-  if (t.waiting.empty() || !t.now.spent || t.call_out) return;
-  for (const auto& w : t.waiting) turned_.push_back({w.request, t.now.ends - now, false});
+  if (t.waiting.empty() || !t.anchored || !t.leases[t.present].spent || t.call_out) return;
+  for (const auto& w : t.waiting) turned_.push_back({w.request, start_of(t, t.present + 1) - now, false});
   t.waiting.clear();
 }
 
+void Units::lease_ahead(Time now, const std::string& name, Tenant& t, std::vector<Add>& out) {
+  const auto starts = start_of(t, t.present), ends = start_of(t, t.present + 1);
+  const double gone = seconds(now - starts) / seconds(t.window.length);
+  auto& lease = t.leases[t.present];
+  // Units that lie here while others are short of them.
+  if (lease.scarce && gone > kBackAfter) {
+    const double needed = std::ceil(t.usual * (1 - gone));
+    if (lease.held > needed + 1) {
+      const double back = std::floor(lease.held - needed);
+      lease.held -= back;
+      out.push_back({name, 0, static_cast<std::uint32_t>(back), t.present});
+    }
+  }
+  const bool begins_soon = now + kAheadLead + trip_ >= ends;
+  const double usual = begins_soon ? t.usual + kUsualGain * (t.used - t.usual) : t.usual;
+  if (usual < kLeastUsual || (gone < kAheadFrom && !begins_soon)) return;
+  for (int ahead = 1; ahead <= counts::kAhead; ++ahead) {
+    auto& next = t.leases[t.present + ahead];
+    if (next.spent || now < next.asked_at + t.window.length / 2) continue;
+    // A part of a unit is asked for by chance, so that all proxies together ask for no more than is used.
+    const double lot = static_cast<double>(rng_() % 1024) / 1024;
+    const double wanted = std::min(std::floor(kAheadPart * usual + lot), t.window.limit) - next.held;
+    // What was leased before is added to once more, shortly before it is needed.
+    const bool again = next.asked_at != Time{};
+    if (again && (ahead > 1 || !begins_soon || wanted < kTopUp * usual)) continue;
+    next.asked_at = now;
+    if (wanted >= 1) out.push_back({name, ahead, static_cast<std::uint32_t>(wanted), -1});
+  }
+}
+
 std::vector<Add> Units::adds(Time now) {
   std::vector<Add> out;
   if (now >= swept_ + kSweep) {
@@ -172,31 +226,13 @@
       auto& t = it.value();
       if (t.window.length == Duration{}) continue;
       roll(now, t);
-      if ((t.call_out || t.ahead_out) && now >= t.called_at + kLateCall) t.call_out = t.ahead_out = false;
+      if (t.call_out && now >= t.called_at + kLateCall) t.call_out = false;
       while (!t.waiting.empty() && now >= t.waiting.front().until) {
         turned_.push_back({t.waiting.front().request, std::max<Duration>(trip_, 50ms), false});
         t.waiting.pop_front();
       }
       settle(now, t);
-      const bool begins_soon = t.now.window >= 0 && now + kAheadLead + trip_ >= t.now.ends;
-      const double usual = std::max(t.usual, begins_soon ? t.usual + kUsualGain * (t.used - t.usual) : 0.0);
-      if (reachable_ && begins_soon && t.next.window < 0 && !t.ahead_out && usual >= kLeastUsual) {
-        // A part of a unit is asked for by chance, so that all proxies together ask for no more than is used.
-        const double lot = static_cast<double>(rng_() % 1024) / 1024;
-        const auto units = std::min(std::floor(kAheadPart * usual + lot), t.window.limit);
-        t.ahead_out = units >= 1;
-        if (t.ahead_out) out.push_back({it.key(), true, static_cast<std::uint32_t>(units), -1}), t.called_at = now;
-      }
-      // Units that lie here while others are short of them.
-      if (reachable_ && t.now.scarce && t.now.held >= 1 && now < t.now.ends) {
-        const double gone = seconds(now - t.now.starts) / seconds(t.window.length);
-        const double needed = std::ceil(t.usual * (1 - gone));
-        if (gone > kBackAfter && t.now.held > needed + 1) {
-          const double back = std::floor(t.now.held - needed);
-          t.now.held -= back;
-          out.push_back({it.key(), false, static_cast<std::uint32_t>(back), t.now.window});
-        }
-      }
+      if (reachable_ && t.anchored) lease_ahead(now, it.key(), t, out);
       if (!t.waiting.empty()) mark(it.key(), t);
     }
   }
@@ -205,14 +241,17 @@
     if (found == tenants_.end()) continue;
     auto& t = found.value();
     t.dirty = false;
-    if (!reachable_ || t.call_out || t.now.spent) continue;
+    roll(now, t);
+    if (!reachable_ || t.call_out) continue;
+    const double held = t.anchored ? t.leases[t.present].held : 0;
+    if (t.anchored && t.leases[t.present].spent) continue;
     const double waiting = static_cast<double>(t.waiting.size());
     // A quantum is a few requests' units, at most burst over twice the proxies, at least what waits.
     const double most = std::max(1.0, std::floor(t.window.limit / (2.0 * static_cast<double>(proxies_))));
     const double few = std::clamp(t.usual - t.used, 1.0, kFewRequests);
-    if (waiting == 0 && (t.now.held >= 1 || t.now.window < 0 || t.used >= t.usual)) continue;  // none is expected
+    if (waiting == 0 && (held >= 1 || !t.anchored || t.used >= t.usual)) continue;  // none is expected
     const double units = std::max(waiting, std::min(few, most));
-    out.push_back({name, false, static_cast<std::uint32_t>(units), -1});
+    out.push_back({name, 0, static_cast<std::uint32_t>(units), -1});
     t.call_out = true, t.called_at = now;
   }
   next_ = now + kSweep;
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -3,13 +3,14 @@
 //
 // Invariants: a unit is spent in the window it was leased of; at most one call is out for a tenant and window; units of an older
 // term are dropped when a newer holder grants.
-// Ours: what a proxy used in the last windows is leased of the next one ahead of its begin, so that a holder far away costs no
-// request its round trip.
+// Ours: what a proxy used in the last windows is leased of the next ones ahead of their begin, so that a holder far away costs no
+// request its round trip, and a change of holder costs few requests.
 #pragma once
 
 #include <tsl/robin_map.h>
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -24,7 +25,7 @@
 
 struct Add {  // to be sent to the holder
   std::string tenant;
-  bool ahead = false;
+  int ahead = 0;  // of which window: 0 the present one, 1 the next, ...
   std::uint32_t units = 0;
   std::int64_t back = -1;  // at least 0: they are handed back, to the count of this window
 };
@@ -41,12 +42,11 @@
 };
 
 namespace units {  // complete before the tables of them
-struct Lease {
-  std::int64_t window = -1;
+struct Lease {  // of one window
   double held = 0;
-  Time starts{}, ends{};
-  bool spent = false;  // the holder has no more of this window
+  bool spent = false;   // the holder has no more of it
   bool scarce = false;  // or little
+  Time asked_at{};      // when units of it were last asked for, ahead of its begin
 };
 struct Waiting {
   RequestId request{};
@@ -55,9 +55,14 @@
 struct Tenant {
   counts::Quota quota;
   counts::Window window;
-  Lease now, next;
+  bool anchored = false;  // where windows lie is known
+  std::int64_t anchor = 0, present = 0;
+  Time anchor_start{};
+  std::map<std::int64_t, Lease> leases;  // from the present window on
+  double old_held = 0;                   // units of the present window that an earlier holder granted
+  Time old_ends{};
   double used = 0, usual = 0;  // in this window; EWMA over windows
-  bool call_out = false, ahead_out = false;
+  bool call_out = false;
   Time called_at{};
   std::deque<Waiting> waiting;
   bool dirty = false;
@@ -97,6 +102,9 @@
   using Waiting = units::Waiting;
   using Tenant = units::Tenant;
   void roll(Time now, Tenant& t);
+  bool spend(Time now, Tenant& t);
+  Time start_of(const Tenant& t, std::int64_t window) const;
+  void lease_ahead(Time now, const std::string& name, Tenant& t, std::vector<Add>& out);
   void mark(const std::string& name, Tenant& t);
   void settle(Time now, Tenant& t);
 
--- a/src/system/duty/duty.cpp
+++ b/src/system/duty/duty.cpp
@@ -55,6 +55,12 @@
   return ask;
 }
 
+void Duty::saw(std::uint64_t term) {
+  seen_term_ = std::max(seen_term_, term);
+  // What it holds would be taken for an older one's: it claims anew, which the same holder is granted.
+  if (held_term_ != 0 && held_term_ < term) held_term_ = 0, named_ = true, next_ask_ = {};
+}
+
 void Duty::answered(Time now, const std::string& from, const Answer& answer) {
   seen_term_ = std::max(seen_term_, answer.term);
   if (!answer.granted || answer.term != asking_term_) return;
--- a/src/system/duty/duty.hpp
+++ b/src/system/duty/duty.hpp
@@ -40,6 +40,8 @@
   std::optional<Ask> tick(Time now, const std::vector<std::string>& voters, std::size_t rank);
   Answer asked(Time now, const Ask& ask);
   void answered(Time now, const std::string& from, const Answer& answer);
+  // A term that somebody knows of: later ones are higher, also where all voters have lost their memory.
+  void saw(std::uint64_t term);
   // Ends holding it, for `successor` (may be empty).
   std::optional<Ask> release(Time now, const std::string& successor);
 
--- a/src/system/fleet/records.cpp
+++ b/src/system/fleet/records.cpp
@@ -118,7 +118,7 @@
 
 void put(wire::Node::Builder to, const Node& n, Time now) {
   to.setId(n.id), to.setLife(n.life), to.setStamp(n.stamp), to.setRole(n.role), to.setZone(n.zone);
-  to.setAddress(n.address), to.setReady(n.ready), to.setLeaving(n.leaving), to.setAgeMs(millis(now - n.heard));
+  to.setAddress(n.address), to.setReady(n.ready), to.setLeaving(n.leaving), to.setAgeMs(millis(now - n.heard)), to.setTerm(n.term);
 }
 
 Node get(wire::Node::Reader r, Time now) {
@@ -126,6 +126,7 @@
   n.id = r.getId().cStr(), n.life = r.getLife(), n.stamp = r.getStamp(), n.role = r.getRole();
   n.zone = r.getZone().cStr(), n.address = r.getAddress().cStr();
   n.ready = r.getReady(), n.leaving = r.getLeaving(), n.heard = now - from_millis(r.getAgeMs());
+  n.term = r.getTerm();
   return n;
 }
 
--- a/src/system/fleet/records.hpp
+++ b/src/system/fleet/records.hpp
@@ -27,7 +27,7 @@
 
 struct Node {
   std::string id, zone, address;
-  std::uint64_t life = 0, stamp = 0;
+  std::uint64_t life = 0, stamp = 0, term = 0;
   Role role = Role::PROXY;
   bool ready = false, leaving = false;
   Time heard{};
--- a/src/system/proxy/news.cpp
+++ b/src/system/proxy/news.cpp
@@ -105,7 +105,7 @@
   to.setCall(++calls_);
   auto list = to.initItems(static_cast<unsigned>(adds.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
-    list[i].setTenant(adds[i].tenant), list[i].setAhead(adds[i].ahead);
+    list[i].setTenant(adds[i].tenant), list[i].setAhead(static_cast<std::uint8_t>(adds[i].ahead));
     const auto units = static_cast<std::int32_t>(adds[i].units);
     list[i].setUnits(adds[i].back < 0 ? units : -units), list[i].setWindow(adds[i].back);
   }
@@ -159,7 +159,7 @@
     for (const auto r : f.getRegistries())
       if (std::ranges::find(registries_, r.cStr()) == registries_.end()) registries_.emplace_back(r.cStr());
   if (f.getTerm() > term_) {
-    term_ = f.getTerm(), holder_ = f.getHolder().cStr();
+    term_ = self_.term = f.getTerm(), holder_ = f.getHolder().cStr();
     choose_registries();
     // What was asked of the one before gets no answer that counts.
     if (std::exchange(reachable_, false)) listener_.on_holder(false);
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -129,6 +129,7 @@
     case wire::Frame::HELLO: {
       auto node = fleet::get(frame.getHello(), now);
       node.heard = now;
+      duty_.saw(node.term);
       if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
         auto& p = proxies_[link.get()] = {link, node.id, false, 0};
         tell_all_servers(p);
@@ -425,7 +426,7 @@
   const Time now = clock_.now();
   if (duty_.holds(now) && counting_term_ != duty_.held_term()) {
     counting_term_ = duty_.held_term();
-    counts_.begin(now, counting_term_ == 1);
+    counts_.begin(now, settings_.bootstrap && counting_term_ == 1);
     log_.info("holds the counts, term " + std::to_string(counting_term_));
   }
   if (duty_.term() == told_term_) return;
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -19,6 +19,7 @@
   ready @6 :Bool;     # may be given to clients
   leaving @7 :Bool;
   ageMs @8 :UInt32;   # since its last renewal was heard by whom it renewed at
+  term @9 :UInt64;    # the highest term of the duty of the counts that it knows of
 }
 
 # A server's record. Mergeable by id: the higher `calls`; `gone` wins over all.
@@ -64,7 +65,7 @@
 # Quotas. A proxy asks the holder of the counts to add units to a tenant's count in a window.
 struct Add {
   tenant @0 :Text;
-  ahead @1 :Bool;        # of the next window, not of the present one
+  ahead @1 :UInt8;       # of which window: 0 the present one, 1 the next, ...
   units @2 :Int32;       # below 0: handed back
   window @3 :Int64;      # only where units < 0: the window they were leased of
 }
