Stories of stores that agree, over a core in memory; plays of random faults by seed

Virtual time, links that lose and are cut, disks that lose power or are lost; what was acknowledged is held against what is in force.

--- /dev/null
+++ b/tests/system/agreement_test.cpp
@@ -0,0 +1,231 @@
+// Stores that agree: stories over a core in memory, and plays of random faults by seed whose history is held against what operators
+// were told.
+#include <boost/test/unit_test.hpp>
+
+#include "core_fleet.hpp"
+
+namespace docklift::test {
+namespace {
+
+const std::vector<std::string> kTwoZones = {"a", "a", "b"};
+
+BOOST_AUTO_TEST_SUITE(agreement)
+
+BOOST_AUTO_TEST_CASE(given_three_stores_when_a_configuration_is_sent_to_one_then_all_have_it) {
+  CoreFleet core(kTwoZones, 1);
+  BOOST_TEST(core.put(1, 5, 0) == 200);
+  core.run(1s);
+  for (std::size_t i = 0; i < 3; ++i) BOOST_TEST(core.state(i).version() == 5u);
+}
+
+BOOST_AUTO_TEST_CASE(given_two_operators_when_both_build_on_one_version_then_one_is_taken) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    CoreFleet core(kTwoZones, seed);
+    BOOST_TEST(core.put(0, 5, 0) == 200);
+    const auto a = core.propose(0, ChangeKind::replace, config_body(7, 5, "one"));
+    const auto b = core.propose(2, ChangeKind::replace, config_body(8, 5, "two"));
+    const int first = core.settled(a), second = core.settled(b);
+    BOOST_TEST(((first == 200 && second == 412) || (first == 412 && second == 200)), "seed " << seed << ": " << first << ' ' << second);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(given_a_taken_configuration_when_it_is_sent_again_elsewhere_then_it_is_acknowledged_once_more) {
+  CoreFleet core(kTwoZones, 3);
+  BOOST_TEST(core.put(0, 5, 0) == 200);
+  BOOST_TEST(core.put(0, 9, 5) == 200);
+  const auto places = core.history.size();
+  BOOST_TEST(core.put(2, 5, 0) == 200);
+  BOOST_TEST(core.put(1, 9, 5) == 200);
+  BOOST_TEST(core.history.size() == places);
+  BOOST_TEST(core.put(1, 12, 5) == 412);
+  BOOST_TEST(core.put(1, 9, 9) == 400);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_store_that_is_behind_when_it_is_sent_what_builds_on_the_newest_then_it_does_not_refuse) {
+  CoreFleet core(kTwoZones, 4);
+  BOOST_TEST(core.put(0, 5, 0) == 200);
+  core.run(1s);
+  core.cut(0, 2), core.cut(1, 2);
+  BOOST_TEST(core.put(0, 6, 5) == 200);
+  core.heal();
+  BOOST_TEST(core.put(2, 7, 6) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_minority_when_it_is_asked_to_change_something_then_it_acknowledges_nothing) {
+  CoreFleet core(kTwoZones, 5);
+  BOOST_TEST(core.put(0, 5, 0) == 200);
+  core.cut(0, 2), core.cut(1, 2);
+  const auto lonely = core.propose(2, ChangeKind::replace, config_body(8, 5, "lonely"));
+  BOOST_TEST(core.put(1, 6, 5) == 200);
+  BOOST_TEST(core.settled(lonely) == 503);
+  core.heal();
+  core.run(2s);
+  for (std::size_t i = 0; i < 3; ++i) BOOST_TEST(core.state(i).version() == 6u);
+}
+
+BOOST_AUTO_TEST_CASE(given_an_acknowledged_change_when_all_lose_power_then_it_is_in_force_after) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    CoreFleet core(kTwoZones, seed);
+    BOOST_TEST(core.put(seed % 3, 5, 0) == 200);
+    BOOST_TEST(core.settled(core.propose(0, ChangeKind::evacuate, "a")) == 200);
+    for (std::size_t i = 0; i < 3; ++i) core.lose_power(i);
+    core.run(1s);
+    for (std::size_t i = 0; i < 3; ++i) core.start(i);
+    BOOST_TEST(core.settled(core.propose(1, ChangeKind::nothing, "")) == 200);
+    BOOST_TEST(core.state(1).version() == 5u, "seed " << seed);
+    BOOST_TEST(core.state(1).evacuated.size() == 1u, "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(given_an_acknowledged_change_when_a_whole_zone_loses_its_disks_then_it_is_in_force_after) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    CoreFleet core(kTwoZones, seed);
+    BOOST_TEST(core.put(seed % 3, 5, 0) == 200);
+    core.lose_disk(0), core.lose_disk(1), core.lose_power(2);
+    core.run(600ms);
+    for (std::size_t i = 0; i < 3; ++i) core.start(i);
+    BOOST_TEST(core.settled(core.propose(0, ChangeKind::nothing, "")) == 200, "seed " << seed);
+    BOOST_TEST(core.state(0).version() == 5u, "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(given_a_store_without_its_disk_when_only_one_other_is_up_then_it_has_no_say) {
+  CoreFleet core(kTwoZones, 7);
+  BOOST_TEST(core.put(0, 5, 0) == 200);
+  core.kill(2);
+  core.lose_disk(1);
+  core.start(1);
+  core.run(2s);
+  BOOST_TEST(core.members[1].ballots->blank());
+  const auto call = core.propose(0, ChangeKind::replace, config_body(6, 5));
+  BOOST_TEST(core.settled(call) == 503);
+  core.start(2);
+  core.run(1s);
+  BOOST_TEST(!core.members[1].ballots->blank());
+  core.run(4s);
+  BOOST_TEST(core.put(1, 9, core.state(1).version()) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_fourth_core_machine_when_it_starts_then_it_becomes_a_voter) {
+  CoreFleet core({"a", "a", "b", "b"}, 8);
+  BOOST_TEST(core.put(0, 5, 0) == 200);
+  BOOST_TEST(core.run_until([&] { return core.state(0).voters.size() == 4; }));
+  BOOST_TEST(core.put(3, 6, 5) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_zone_in_reach_when_a_majority_lies_in_one_zone_then_it_waits_for_the_other) {
+  CoreFleet core(kTwoZones, 9);
+  core.run(500ms);
+  core.least = 1ms, core.most = 2ms;
+  BOOST_TEST(core.put(0, 5, 0) == 200);
+  // At the moment of the answer the store of the other zone has it on its disk.
+  const auto kept = core.members[2].disk.read();
+  BOOST_TEST((kept.state.position + kept.log.size() >= 1 || !kept.accepted.empty()));
+}
+
+BOOST_AUTO_TEST_CASE(given_a_change_left_half_agreed_when_a_store_confirms_then_it_is_completed_or_never_was) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CoreFleet core(kTwoZones, seed);
+    BOOST_TEST(core.put(0, 5, 0) == 200);
+    core.propose(0, ChangeKind::replace, config_body(6, 5, "half"));
+    core.run(Duration(static_cast<Duration::rep>(core.random() % 12000000)));
+    core.kill(0);
+    core.run(3s);
+    BOOST_TEST(core.state(1).version() == core.state(2).version(), "seed " << seed);
+    BOOST_TEST(core.settled(core.propose(1, ChangeKind::nothing, "")) == 200, "seed " << seed);
+  }
+}
+
+// Random faults within what must be borne. Every acknowledged configuration must be in the history, on its parent; places agree.
+struct Play {
+  std::vector<std::string> wrongs;
+  std::uint64_t acknowledged = 0;
+};
+
+Play play(std::uint64_t seed, bool lying_disks) {
+  CoreFleet core(kTwoZones, seed);
+  core.loss = 0.05, core.most = 40ms;
+  if (lying_disks)
+    for (auto& m : core.members) m.disk.lie();
+  std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> sent;  // call -> version, parent
+  std::uint64_t version = 1;
+  core.run(500ms);
+  for (int step = 0; step < 60; ++step) {
+    const auto at = core.random() % 3;
+    if (core.is_up(at)) {
+      const auto parent = core.state(at).version();
+      version += 1 + core.random() % 3;
+      sent[core.propose(at, ChangeKind::replace, config_body(version, parent, "s" + std::to_string(version)))] = {version, parent};
+    }
+    core.run(Duration(static_cast<Duration::rep>(core.random() % 400) * 1000000));
+    const auto down = [&] {
+      std::size_t n = 0;
+      for (std::size_t i = 0; i < 3; ++i) n += !core.is_up(i) || core.members[i].ballots->blank();
+      return n;
+    };
+    switch (core.random() % 8) {
+      case 0:  // one machine that counts may be lost, and its disk with it
+        if (down() == 0 && core.random() % 2 == 0) core.lose_disk(at);
+        break;
+      case 1:
+        if (core.is_up(at)) core.lose_power(at);
+        break;
+      case 2:
+        if (core.is_up(at)) core.kill(at);
+        break;
+      case 3: core.cut(core.random() % 3, core.random() % 3); break;
+      case 4: core.heal(); break;
+      case 5:
+        for (std::size_t i = 0; i < 3; ++i)
+          if (core.is_up(i)) core.lose_power(i);
+        break;
+      default: break;
+    }
+    for (std::size_t i = 0; i < 3; ++i)
+      if (!core.is_up(i) && core.random() % 2 == 0) core.start(i);
+    if (down() == 0 && step % 6 == 0) core.heal(), core.run(2s);
+  }
+  core.heal(), core.loss = 0;
+  for (std::size_t i = 0; i < 3; ++i)
+    if (!core.is_up(i)) core.start(i);
+  core.run(12s);
+  Play p;
+  p.wrongs = core.wrongs;
+  if (core.settled(core.propose(0, ChangeKind::nothing, "")) != 200) p.wrongs.push_back("the core does not come back");
+  std::map<std::uint64_t, std::uint64_t> in_force;  // parent -> version
+  for (const auto& [place, text] : core.history) {
+    if (text.front() != '0') continue;
+    const auto json = nlohmann::json::parse(text.substr(1));
+    in_force[*configuration::version_of(json["parent"])] = *configuration::version_of(json["gen"]);
+  }
+  for (const auto& [call, vp] : sent) {
+    if (core.answers[call].status != 200) continue;
+    ++p.acknowledged;
+    const auto it = in_force.find(vp.second);
+    if (it == in_force.end() || it->second != vp.first) p.wrongs.push_back("acknowledged version " + std::to_string(vp.first) + " is not in force");
+  }
+  for (std::size_t i = 1; i < 3; ++i)
+    if (core.state(i).version() != core.state(0).version()) p.wrongs.push_back("stores differ at the end");
+  return p;
+}
+
+BOOST_AUTO_TEST_CASE(given_random_faults_when_operators_go_on_then_what_was_acknowledged_holds) {
+  std::uint64_t acknowledged = 0;
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    const auto p = play(seed, false);
+    for (const auto& w : p.wrongs) BOOST_TEST(false, "seed " << seed << ": " << w);
+    acknowledged += p.acknowledged;
+  }
+  BOOST_TEST(acknowledged > 1500u);  // the plays are about something
+}
+
+BOOST_AUTO_TEST_CASE(given_disks_that_lie_when_power_is_lost_then_the_play_finds_it) {
+  std::size_t found = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) found += !play(seed, true).wrongs.empty();
+  BOOST_TEST(found > 10u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace docklift::test
--- /dev/null
+++ b/tests/system/core_fleet.hpp
@@ -0,0 +1,226 @@
+// Stores in memory: virtual time, links that delay, lose and are cut, disks that lose power or are lost. What operators were told is
+// held against what is in force. By seed; nothing here sleeps.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "system/agreement/ballots.hpp"
+
+namespace docklift::test {
+
+using namespace std::chrono_literals;
+using agreement::Ballots;
+using agreement::Chosen;
+using configuration::ChangeKind;
+
+inline std::string config_body(std::uint64_t version, std::uint64_t parent, const std::string& service = "alpha") {
+  return R"({"gen":")" + configuration::shown_version(version) + R"(","parent":")" + configuration::shown_version(parent) +
+         R"(","limits":{"hdr_bytes":16384},"accts":[{"name":"t1","apikeys":["k1"],"per_s":10,"burst":10}],"listeners":[{"vhost":"h.example","policy":[{"name":"r1","kind":"idempotent","target_ms":500,"match":{"pfx":"/a/"},"action":{"svc":")" +
+         service + R"(","tmo_ms":1000,"tries":2}}]}],"clusters":[{"name":")" + service +
+         R"(","hc_path":"/healthz","max_conns":100,"warmup_s":3.0,"cold_per_s":5}]})";
+}
+
+// What a store has on its disk: what is durable, and what was written after.
+class MemoryDisk {
+ public:
+  void write(const agreement::Write& w) {
+    pending_.push_back(w);
+    if (w.durable && !lies_) sync();
+  }
+  void sync() {
+    for (const auto& w : pending_) apply(w);
+    pending_.clear();
+  }
+  // Each later write is there or not, but none without those before it (one log file).
+  void lose_power(std::mt19937_64& random) {
+    const std::size_t kept = pending_.empty() ? 0 : random() % (pending_.size() + 1);
+    for (std::size_t i = 0; i < kept; ++i) apply(pending_[i]);
+    pending_.clear();
+  }
+  void kill() { sync(); }  // files are left as they were
+  void wipe() { kept_ = {}, accepted_.clear(), log_.clear(), pending_.clear(); }
+  void lie() { lies_ = true; }  // a planted fault: syncs do nothing
+  agreement::Kept read() const {
+    auto k = kept_;
+    k.accepted.assign(accepted_.begin(), accepted_.end());
+    for (const auto& [slot, c] : log_) k.log.push_back(c);
+    return k;
+  }
+
+ private:
+  void apply(const agreement::Write& w) {
+    if (w.state) kept_.state = *w.state, kept_.any = true;
+    if (w.promised) kept_.promised = *w.promised;
+    std::erase_if(accepted_, [&](const auto& a) { return a.first <= w.forget_accepted; });
+    std::erase_if(log_, [&](const auto& a) { return a.first <= w.forget_log; });
+    for (const auto& [slot, a] : w.accepted) accepted_[slot] = a;
+    for (const auto& c : w.log) log_[c.slot] = c;
+  }
+  agreement::Kept kept_;
+  std::map<std::uint64_t, agreement::Accepted> accepted_;
+  std::map<std::uint64_t, Chosen> log_;
+  std::vector<agreement::Write> pending_;
+  bool lies_ = false;
+};
+
+class CoreFleet {
+ public:
+  struct Member {
+    std::string ip, zone;
+    MemoryDisk disk;
+    std::unique_ptr<Ballots> ballots;  // null: down
+    std::uint64_t life = 0;
+  };
+  struct Answer {
+    int status = 0;  // 0: none yet
+    std::string why;
+  };
+
+  // Zones of the members, in order; their ips are 10.0.0.1, 10.0.0.2, ...
+  CoreFleet(std::vector<std::string> zones, std::uint64_t seed) : random(seed) {
+    for (std::size_t i = 0; i < zones.size(); ++i) members.push_back({"10.0.0." + std::to_string(i + 1), zones[i], {}, nullptr, 0});
+    for (auto& m : members) up(m, true);
+  }
+
+  void run(Duration for_time) {
+    const Time until = now + for_time;
+    while (!events_.empty() && events_.top().at <= until) {
+      auto e = events_.top();
+      events_.pop();
+      now = e.at;
+      e.what();
+    }
+    now = until;
+  }
+  bool run_until(const std::function<bool()>& done, Duration limit = 20s) {
+    const Time until = now + limit;
+    while (!done()) {
+      if (now >= until) return false;
+      run(5ms);
+    }
+    return true;
+  }
+
+  std::uint64_t propose(std::size_t at, ChangeKind kind, const std::string& text) {
+    const auto id = ++calls_;
+    answers[id] = {};
+    if (members[at].ballots) carry_out(members[at], members[at].ballots->propose(now, id, kind, text));
+    return id;
+  }
+  // The answer of a call that is waited for.
+  int settled(std::uint64_t id, Duration limit = 20s) {
+    run_until([&] { return answers[id].status != 0; }, limit);
+    return answers[id].status;
+  }
+  int put(std::size_t at, std::uint64_t version, std::uint64_t parent, const std::string& service = "alpha") {
+    return settled(propose(at, ChangeKind::replace, config_body(version, parent, service)));
+  }
+
+  void kill(std::size_t i) { end(i), members[i].disk.kill(); }
+  void lose_power(std::size_t i) { end(i), members[i].disk.lose_power(random); }
+  void lose_disk(std::size_t i) { end(i), members[i].disk.wipe(); }
+  void start(std::size_t i) { up(members[i], false); }
+  void cut(std::size_t a, std::size_t b) { cuts_.insert({std::min(a, b), std::max(a, b)}), relink(); }
+  void heal() { cuts_.clear(), relink(); }
+
+  const configuration::State& state(std::size_t i) const { return members[i].ballots->state(); }
+  bool is_up(std::size_t i) const { return members[i].ballots != nullptr; }
+
+  std::vector<Member> members;
+  std::mt19937_64 random;
+  Time now{1h};
+  double loss = 0;            // of messages
+  Duration least = 1ms, most = 3ms;
+  std::map<std::uint64_t, Answer> answers;
+  std::map<std::uint64_t, std::string> history;  // place -> what is in force there, as any store has told
+  std::vector<std::string> wrongs;               // two stores that differ
+
+ private:
+  struct Event {
+    Time at{};
+    std::uint64_t order = 0;
+    std::function<void()> what;
+    bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+  void later(Duration d, std::function<void()> what) { events_.push({now + d, ++order_, std::move(what)}); }
+
+  std::size_t index(const std::string& ip) const {
+    for (std::size_t i = 0; i < members.size(); ++i)
+      if (members[i].ip == ip) return i;
+    return members.size();
+  }
+  bool reaches(std::size_t a, std::size_t b) const { return !cuts_.contains({std::min(a, b), std::max(a, b)}); }
+
+  void end(std::size_t i) {
+    members[i].ballots.reset();
+    ++members[i].life;
+    relink();
+  }
+
+  void up(Member& m, bool bootstrap) {
+    agreement::Options o;
+    o.self = m.ip, o.zone = m.zone, o.bootstrap = bootstrap, o.chance = random();
+    for (std::size_t i = 0; i < std::min<std::size_t>(3, members.size()); ++i) o.seeds.push_back(members[i].ip);
+    m.ballots = std::make_unique<Ballots>(o, m.disk.read());
+    carry_out(m, m.ballots->start(now));
+    relink();
+    tick(m, m.life);
+  }
+  void relink() {
+    for (std::size_t a = 0; a < members.size(); ++a)
+      for (std::size_t b = 0; b < members.size(); ++b) {
+        if (a == b || !members[a].ballots) continue;
+        if (members[b].ballots && reaches(a, b)) {
+          members[a].ballots->linked(members[b].ip, members[b].zone);
+        } else {
+          members[a].ballots->unlinked(members[b].ip);
+        }
+      }
+  }
+  void tick(Member& m, std::uint64_t life) {
+    const auto i = index(m.ip);
+    later(50ms, [this, i, life] {
+      auto& at = members[i];
+      if (!at.ballots || at.life != life) return;
+      carry_out(at, at.ballots->tick(now));
+      tick(at, life);
+    });
+  }
+  void carry_out(Member& m, agreement::Out out) {
+    if (!out.write.empty()) m.disk.write(out.write);
+    for (const auto& c : out.chosen) {
+      const auto text = std::to_string(static_cast<int>(c.change.kind)) + c.change.text;
+      const auto [it, fresh] = history.try_emplace(c.slot, text);
+      if (!fresh && it->second != text) wrongs.push_back("place " + std::to_string(c.slot) + " holds two changes");
+    }
+    for (const auto& s : out.settled) answers[s.id] = {s.status, s.why};
+    const auto from = index(m.ip);
+    const auto life = m.life;
+    for (auto& s : out.sends) {
+      const auto to = index(s.to);
+      if (to >= members.size()) continue;
+      const bool own = to == from;
+      if (!own && (!reaches(from, to) || static_cast<double>(random() % 10000) < loss * 10000)) continue;
+      const Duration d = own ? Duration(1us) : least + Duration(static_cast<Duration::rep>(random() % static_cast<std::uint64_t>((most - least).count() + 1)));
+      // Through the encoding, as on the wire.
+      later(d, [this, to, from, life, own, bytes = agreement::encode(s.message)] {
+        if (!members[to].ballots || (own && members[to].life != life) || !reaches(from, to)) return;
+        const auto message = agreement::decode(bytes);
+        if (!message) return wrongs.push_back("a message can't be read");
+        carry_out(members[to], members[to].ballots->receive(now, members[from].ip, *message));
+      });
+    }
+  }
+
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0, calls_ = 0;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+};
+
+}  // namespace docklift::test
