--- /dev/null
+++ b/tests/system/parts_test.cpp
@@ -0,0 +1,280 @@
+// The smaller parts: settings, heads, the configuration, records, the log of changes, the disk.
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+
+#include "core_fleet.hpp"
+#include "system/base/settings.hpp"
+#include "system/disk/disk.hpp"
+#include "system/fleet/change_log.hpp"
+#include "system/http/head.hpp"
+
+namespace docklift::test {
+namespace {
+
+using configuration::State;
+
+BOOST_AUTO_TEST_SUITE(parts)
+
+const char* const kSettings =
+    "hostname=edge-1\nrole=proxy\nbind_ip=10.1.0.23\naz=z1\nrgn=r1\nazs.z1=r1\nazs.z2=r2\nlisten.http=10.1.0.23:80\n"
+    "port_range=7460,7475\nseeds=10.1.0.25:83,10.4.0.41:83\nbootstrap=true\nlimits.cpu=0.2\nbounds.drain_ms=2500\n"
+    "bounds.strict_revoke=true\nnot.known=7\ninvariants=base,drain\n";
+
+BOOST_AUTO_TEST_CASE(given_a_settings_file_when_it_is_read_then_all_that_is_known_is_taken) {
+  auto read = parse_settings(kSettings, "x");
+  BOOST_REQUIRE(!failed(read));
+  const auto& s = value(read);
+  BOOST_TEST(s.hostname == "edge-1");
+  BOOST_TEST(s.region_of("z2") == "r2");
+  BOOST_TEST(s.seed_ips().size() == 2u);
+  BOOST_TEST(s.bootstrap);
+  BOOST_TEST(s.bounds.drain_ms == 2500);
+  BOOST_TEST(s.bounds.strict_revoke);
+  BOOST_TEST(s.contracts.contains("drain"));
+}
+
+BOOST_AUTO_TEST_CASE(given_a_settings_file_with_mistakes_when_it_is_read_then_each_has_a_line) {
+  auto read = parse_settings("az=z\nport_range=9,9\nseeds=\nbootstrap=maybe\nbounds.drain_ms=-4\n", "x");
+  BOOST_REQUIRE(failed(read));
+  const auto& what = failure(read).what;
+  BOOST_TEST(std::count(what.begin(), what.end(), '\n') == 4);
+  for (const auto* key : {"hostname", "bind_ip", "bootstrap", "bounds.drain_ms", "port_range"})
+    BOOST_TEST(what.find(key) != std::string::npos, key);
+}
+
+BOOST_AUTO_TEST_CASE(given_heads_that_could_hide_another_request_when_they_are_read_then_they_are_bad) {
+  http::Head h;
+  for (const auto* text : {"GET /a HTTP/1.1\r\nHost : x\r\n\r\n", "GET /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n", "GET  /a HTTP/1.1\r\n\r\n",
+                           "GET /a HTTP/1.1\nHost: x\r\n\r\n", "GET a HTTP/1.1\r\n\r\n", "GET /a HTTP/2.0\r\n\r\n",
+                           "G\x01T /a HTTP/1.1\r\n\r\n", "GET /a HTTP/1.1\r\nA: b\rc\r\n\r\n"})
+    BOOST_TEST((http::read_request(text, 1000, h).read == http::Read::bad), text);
+  BOOST_TEST((http::read_request("GET /a HTTP/1.1\r\nHost: x\r\n", 1000, h).read == http::Read::more));
+  BOOST_TEST((http::read_request(std::string(2000, 'a'), 1000, h).read == http::Read::too_long));
+  const std::string two = "GET /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n";
+  BOOST_REQUIRE((http::read_request(two, 1000, h).read == http::Read::done));
+  BOOST_TEST(!http::body_of(h).has_value());
+  const std::string both = "POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+  BOOST_REQUIRE((http::read_request(both, 1000, h).read == http::Read::done));
+  BOOST_TEST(!http::body_of(h).has_value());
+  BOOST_TEST((http::read_answer("noise", 1000, h).read == http::Read::bad));
+  BOOST_TEST((http::read_answer("HTT", 1000, h).read == http::Read::more));
+}
+
+BOOST_AUTO_TEST_CASE(given_a_query_when_a_value_is_asked_for_then_it_is_decoded) {
+  BOOST_TEST(http::query_value("/resolve?name=a%2Eb&rgn=hu-east&az=", "name") == "a.b");
+  BOOST_TEST(http::query_value("/resolve?name=a&rgn=hu-east", "rgn") == "hu-east");
+  BOOST_TEST(http::query_value("/resolve?xname=a", "name") == "");
+}
+
+// ---- the configuration
+
+BOOST_AUTO_TEST_CASE(given_bodies_that_are_invalid_when_they_are_judged_then_they_get_400) {
+  State s;
+  nlohmann::json after;
+  BOOST_TEST(configuration::judge_replace(s, config_body(1, 0), &after).status == 200);
+  const auto with = [](const char* from, const char* to) {
+    auto body = config_body(1, 0);
+    const auto at = body.find(from);
+    BOOST_REQUIRE(at != std::string::npos);
+    return body.replace(at, std::string(from).size(), to);
+  };
+  for (const auto& body :
+       {with("}]}", "}"), with(R"("svc":"alpha")", R"("svc":"beta")"), with(R"("tries":2)", R"("tries":0)"),
+        with(R"("svc":"alpha")", R"("split":[{"svc":"alpha","wt":0}])"), with(R"("svc":"alpha")", R"("split":[{"svc":"alpha","wt":-1},{"svc":"alpha","wt":2}])"),
+        with(R"("accts":[)", R"("accts":[{"name":"t0","apikeys":["k1"]},)"), with(R"("gen":"00000001")", R"("gen":"00000000")"),
+        with(R"("pfx":"/a/")", R"("pfx":"/a")")})
+    BOOST_TEST(configuration::judge_replace(s, body, nullptr).status == 400, body);
+  BOOST_TEST(configuration::judge_replace(s, config_body(4, 2), nullptr).status == 412);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_patch_when_it_is_taken_then_items_change_by_name_and_all_else_stays) {
+  State s;
+  BOOST_REQUIRE(configuration::apply(s, configuration::ChangeKind::replace, config_body(1, 0)));
+  const std::string patch =
+      R"({"gen":"00000003","parent":"00000001","upsert":{"listeners":[{"vhost":"other.example","policy":[{"name":"r1","kind":"mutating","match":{"pfx":"/b/"},"action":{"svc":"beta","tries":1,"tmo_ms":9}},{"name":"r2","kind":"idempotent","match":{"pfx":"/a/c/"},"action":{"svc":"alpha","tries":1}}]}],"clusters":[{"name":"beta","max_conns":5}],"accts":[{"name":"t2","apikeys":["k2"]}]},"remove":{"routing":["gone"]}})";
+  BOOST_REQUIRE(configuration::apply(s, configuration::ChangeKind::patch, patch));
+  BOOST_TEST(s.version() == 3u);
+  BOOST_TEST(s.document["listeners"].size() == 1u);  // r1 went to the other host, and its old one is empty
+  BOOST_TEST(s.document["clusters"].size() == 2u);
+  BOOST_TEST(s.document["clusters"][0]["warmup_s"].is_number_float());  // as it was sent
+  auto read = configuration::read(s.document);
+  BOOST_REQUIRE(!failed(read));
+  const auto& c = *value(read);
+  BOOST_TEST((c.route("other.example:80", "/b/x?y=1")->kind == configuration::Kind::mutating));
+  BOOST_TEST(c.route("h.example", "/a/x") == nullptr);
+  BOOST_TEST(c.tenant_of("k2")->name == "t2");
+  const std::string removal = R"({"gen":"00000004","parent":"00000003","remove":{"routing":["r1"],"accts":["t2"],"svcs":["beta"]}})";
+  BOOST_REQUIRE(configuration::apply(s, configuration::ChangeKind::patch, removal));
+  BOOST_TEST(s.document["clusters"].size() == 1u);
+  BOOST_TEST(s.document["accts"].size() == 1u);
+  // The same once more changes nothing; one that leaves a route without its service is refused.
+  BOOST_TEST(!configuration::apply(s, configuration::ChangeKind::patch, removal));
+  BOOST_TEST(configuration::judge_patch(s, R"({"gen":"00000009","parent":"00000004","remove":{"svcs":["alpha"]}})", nullptr).status == 400);
+}
+
+BOOST_AUTO_TEST_CASE(given_routes_that_overlap_when_a_path_is_looked_up_then_the_longest_prefix_wins) {
+  auto d = nlohmann::json::parse(config_body(1, 0));
+  auto rule = d["listeners"][0]["policy"][0];
+  rule["name"] = "deep", rule["match"]["pfx"] = "/a/b/";
+  d["listeners"][0]["policy"].push_back(rule);
+  auto read = configuration::read(d);
+  BOOST_REQUIRE(!failed(read));
+  BOOST_TEST(value(read)->route("h.example", "/a/b/c")->name == "deep");
+  BOOST_TEST(value(read)->route("h.example", "/a/bc")->name == "r1");
+  BOOST_TEST(value(read)->route("h.example", "/b/") == nullptr);
+  BOOST_TEST(value(read)->route("x.example", "/a/") == nullptr);
+}
+
+// ---- records
+
+fleet::Server server(const std::string& id, std::uint64_t calls, fleet::Phase phase = fleet::Phase::READY) {
+  fleet::Server s;
+  s.id = id, s.service = "s", s.address = "10.0.0.1:1", s.zone = "z", s.calls = calls, s.phase = phase, s.heard = Time{1h} + 1s * static_cast<int>(calls);
+  return s;
+}
+
+BOOST_AUTO_TEST_CASE(given_records_in_any_order_when_they_are_merged_then_all_registries_have_the_same) {
+  std::mt19937_64 random(3);
+  std::vector<fleet::Server> told;
+  for (int i = 0; i < 8; ++i)
+    for (std::uint64_t c = 1; c < 6; ++c) {
+      auto s = server("i" + std::to_string(i), c, c >= 4 && i % 2 == 0 ? fleet::Phase::DRAINING : fleet::Phase::READY);
+      if (c == 5 && i % 4 == 0) s.phase = fleet::Phase::GONE;
+      told.push_back(s);
+    }
+  std::vector<std::uint64_t> first;
+  for (int round = 0; round < 30; ++round) {
+    std::shuffle(told.begin(), told.end(), random);
+    fleet::Servers table;
+    for (const auto& s : told) table.merge(s);
+    const auto digests = table.digests(16);
+    if (first.empty()) first = digests;
+    BOOST_TEST(digests == first);
+    BOOST_TEST((table.find("i0")->phase == fleet::Phase::GONE));
+    BOOST_TEST((table.find("i2")->phase == fleet::Phase::DRAINING));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(given_a_silent_server_when_the_registry_hears_all_others_then_it_is_lost_until_it_beats_again) {
+  fleet::Servers table;
+  table.merge(server("a", 1));
+  BOOST_TEST(table.expire(Time{1h} + 60s, Duration{}, 60s).empty());  // a registry that is alone calls nobody lost
+  BOOST_TEST(table.expire(Time{1h} + 60s, 6s, 60s).size() == 1u);
+  BOOST_TEST((table.merge(server("a", 2)) == fleet::Merged::changed));
+  table.merge(server("a", 0, fleet::Phase::GONE));
+  BOOST_TEST((table.merge(server("a", 9)) == fleet::Merged::nothing));  // who has left stays gone
+}
+
+BOOST_AUTO_TEST_CASE(given_a_member_that_restarted_when_a_word_of_its_earlier_life_comes_late_then_it_is_passed_over) {
+  fleet::Nodes nodes;
+  fleet::Node n;
+  n.id = "p", n.life = 5, n.stamp = 1, n.heard = Time{1h};
+  nodes.merge(n);
+  auto next = n;
+  next.life = 6;
+  BOOST_TEST((nodes.merge(next) == fleet::Merged::changed));
+  n.stamp = 100;
+  BOOST_TEST((nodes.merge(n) == fleet::Merged::nothing));
+  BOOST_TEST(nodes.expire(Time{1h} + 10s, 2s).size() == 1u);
+  BOOST_TEST((nodes.merge(n) == fleet::Merged::nothing));
+  BOOST_TEST(nodes.all().empty());
+}
+
+// ---- the log of changes as followers have it
+
+BOOST_AUTO_TEST_CASE(given_a_follower_when_a_change_is_missing_then_it_says_so_and_takes_nothing_past_it) {
+  fleet::ChangeLog source, follower;
+  const auto feed = [](fleet::ChangeLog& to, std::vector<fleet::Entry> entries) {
+    fleet::Outgoing out;
+    auto list = out.frame().initEntries(static_cast<unsigned>(entries.size()));
+    for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], entries[i]);
+    return to.take(out.frame().asReader().getEntries());
+  };
+  const fleet::Entry one{1, wire::Change::REPLACE, config_body(1, 0)}, two{2, wire::Change::EVACUATE, "z"}, three{3, wire::Change::READMIT, "z"};
+  BOOST_TEST((feed(source, {one, two}) == fleet::ChangeLog::News::taken));
+  BOOST_TEST((feed(follower, {two}) == fleet::ChangeLog::News::gap));
+  BOOST_TEST((feed(follower, {one, three}) == fleet::ChangeLog::News::gap));
+  BOOST_TEST(follower.position() == 1u);
+  BOOST_TEST((feed(follower, {one, two}) == fleet::ChangeLog::News::taken));
+  BOOST_TEST((feed(follower, {one, two}) == fleet::ChangeLog::News::none));
+  BOOST_TEST((feed(follower, {three}) == fleet::ChangeLog::News::taken));
+  BOOST_TEST(follower.readmitted().size() == 1u);
+  fleet::Outgoing snapshot;
+  fleet::ChangeLog fresh;
+  BOOST_REQUIRE(source.frame_after(0, snapshot));
+  BOOST_TEST((fresh.take(snapshot.frame().asReader().getSnapshot()) == fleet::ChangeLog::News::taken));
+  BOOST_TEST(fresh.position() == 2u);
+  BOOST_TEST(fresh.configuration()->version == 1u);
+  BOOST_TEST(fresh.state().evacuated.size() == 1u);
+}
+
+// ---- the disk
+
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/docklift-disk-XXXXXX";
+    path = ::mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+BOOST_AUTO_TEST_CASE(given_a_disk_when_it_is_opened_again_then_it_holds_what_was_written) {
+  Folder f;
+  {
+    auto disk = Disk::open(f.path + "/d");
+    BOOST_REQUIRE(!failed(disk));
+    BOOST_TEST(!std::get<agreement::Kept>(value(disk)->read()).any);
+    agreement::Write w;
+    w.state = State{4, nlohmann::json::parse(config_body(1, 0)), {"z"}, {"10.0.0.1"}, {77}};
+    w.promised = agreement::Ballot{9, "10.0.0.2"};
+    w.accepted.emplace_back(6, agreement::Accepted{{8, "x"}, {ChangeKind::evacuate, "z2", "x", 3}});
+    w.log.push_back({5, {ChangeKind::readmit, "z", "x", 2}});
+    w.durable = true;
+    BOOST_TEST(!failed(value(disk)->write(w)));
+  }
+  auto disk = Disk::open(f.path + "/d");
+  BOOST_REQUIRE(!failed(disk));
+  auto kept = value(disk)->read();
+  BOOST_REQUIRE(!failed(kept));
+  const auto& k = value(kept);
+  BOOST_TEST(k.any);
+  BOOST_TEST(k.state.position == 4u);
+  BOOST_TEST(k.state.version() == 1u);
+  BOOST_TEST(k.promised.round == 9u);
+  BOOST_REQUIRE(k.accepted.size() == 1);
+  BOOST_TEST(k.accepted[0].first == 6u);
+  BOOST_TEST(k.accepted[0].second.change.text == "z2");
+  BOOST_REQUIRE(k.log.size() == 1);
+  BOOST_TEST(k.log[0].slot == 5u);
+  agreement::Write forget;
+  forget.forget_accepted = 6, forget.forget_log = 5;
+  BOOST_TEST(!failed(value(disk)->write(forget)));
+  auto after = value(disk)->read();
+  BOOST_TEST(value(after).accepted.empty());
+  BOOST_TEST(value(after).log.empty());
+}
+
+BOOST_AUTO_TEST_CASE(given_a_damaged_disk_when_it_is_opened_then_it_is_mended_or_set_aside) {
+  Folder f;
+  {
+    auto disk = Disk::open(f.path + "/d");
+    agreement::Write w;
+    w.state = State{4, nullptr, {}, {"10.0.0.1"}, {}};
+    w.durable = true;
+    BOOST_REQUIRE(!failed(value(disk)->write(w)));
+  }
+  std::ofstream(f.path + "/d/CURRENT") << "nonsense\n";
+  auto disk = Disk::open(f.path + "/d");
+  BOOST_REQUIRE(!failed(disk));
+  auto kept = value(disk)->read();
+  BOOST_REQUIRE(!failed(kept));
+  // Either all of it is there again, or nothing is and the store counts as one without its disk.
+  BOOST_TEST((value(kept).any ? value(kept).state.position == 4u : value(kept).state.position == 0u));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace docklift::test
