--- a/src/system/duty/duty.cpp
+++ b/src/system/duty/duty.cpp
@@ -32,9 +32,12 @@
   return {ask.term, true, false, ask.holder};
 }
 
-std::optional<Ask> Duty::tick(Time now, const std::vector<std::string>& voters, std::size_t rank) {
+std::optional<Ask> Duty::tick(Time now, const std::vector<std::string>& voters, const std::vector<std::string>& linked) {
   majority_ = voters.size() / 2 + 1, voters_ = voters.size();
   if (held_term_ != 0 && now >= held_until_) held_term_ = 0;
+  const auto rank = std::ranges::count_if(linked, [&](const auto& v) { return v < self_; });
+  const bool enough = linked.size() >= (now < silent_until_ ? voters_ : majority_);
+  enough_since_ = enough ? std::min(enough_since_, now) : Time::max();
   if (now < next_ask_ || std::ranges::find(voters, self_) == voters.end()) return std::nullopt;
   if (held_term_ == 0) {
     // Claims that cross would hold each other up: who has got no majority gives back what it was granted, and waits by rank.
@@ -45,7 +48,8 @@
       asking_term_ = 0;
       return back;
     }
-    const auto free_at = granted_until_ + terms_.stagger * static_cast<int>(rank);
+    if (!enough) return std::nullopt;
+    const auto free_at = std::max(granted_until_, enough_since_) + terms_.stagger * static_cast<int>(rank);
     if (!named_ && now < free_at) return std::nullopt;
     named_ = false;
     asking_term_ = std::max({seen_term_, granted_term_, asking_term_}) + 1;
--- a/src/system/duty/duty.hpp
+++ b/src/system/duty/duty.hpp
@@ -38,8 +38,9 @@
   // `remembers`: false where this process may have granted it in an earlier life.
   Duty(Terms terms, std::string self, bool remembers, Time now);
 
-  // Asks to be sent to every voter but this one; called at least each 100 ms. `rank`: of this one among those that may claim it.
-  std::optional<Ask> tick(Time now, const std::vector<std::string>& voters, std::size_t rank);
+  // Asks to be sent to every voter but this one; called at least each 100 ms. `linked`: the voters in reach, this one among them;
+  // those that come first by name claim first.
+  std::optional<Ask> tick(Time now, const std::vector<std::string>& voters, const std::vector<std::string>& linked);
   Answer asked(Time now, const Ask& ask);
   void answered(Time now, const std::string& from, const Answer& answer);
   // A term that somebody knows of: later ones are higher, also where all voters have lost their memory.
@@ -68,7 +69,7 @@
   // as a claimant
   bool named_ = false;  // by who held it before
   std::uint64_t asking_term_ = 0, held_term_ = 0, seen_term_ = 0;
-  Time asked_at_{}, held_until_{}, next_ask_{};
+  Time asked_at_{}, held_until_{}, next_ask_{}, enough_since_ = Time::max();  // voters in reach for a claim to succeed
   std::set<std::string> grants_, blanks_;
   std::size_t majority_ = 1, voters_ = 1;
 };
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -493,8 +493,12 @@
     const Time now = clock_.now();
     ++ticks_;
     const auto voters = voter_ips();
-    const auto rank = std::ranges::find(voters, settings_.bind_ip) - voters.begin();
-    if (const auto ask = duty_.tick(now, voters, static_cast<std::size_t>(rank))) send_duty(*ask);
+    std::vector<std::string> linked;
+    for (const auto& ip : voters) {
+      const auto d = registries_.find(ip);
+      if (ip == settings_.bind_ip || (d != registries_.end() && d->second->up())) linked.push_back(ip);
+    }
+    if (const auto ask = duty_.tick(now, voters, linked)) send_duty(*ask);
     check_duty();
     if (ticks_ % kFlushTicks == 0) flush();
     if (ticks_ % kShelveTicks == 0) shelve();
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -82,6 +82,12 @@
     return h;
   }
   bool reaches(std::size_t a, std::size_t b) const { return !cut[a] && !cut[b]; }
+  std::vector<std::string> linked(std::size_t i) const {
+    std::vector<std::string> all;
+    for (std::size_t j = 0; j < ips.size(); ++j)
+      if (j == i || (duties[j] && reaches(i, j))) all.push_back(ips[j]);
+    return all;
+  }
   void tell(std::size_t from, const duty::Ask& ask) {
     for (std::size_t to = 0; to < duties.size(); ++to) {
       if (to == from) continue;
@@ -109,7 +115,7 @@
       if (now.time_since_epoch() % 100ms == Duration{})
         for (std::size_t i = 0; i < duties.size(); ++i)
           if (duties[i])
-            if (const auto ask = duties[i]->tick(now, ips, i)) tell(i, *ask);
+            if (const auto ask = duties[i]->tick(now, ips, linked(i))) tell(i, *ask);
       most_holders = std::max(most_holders, holders().size());
       for (const auto h : holders()) highest = std::max(highest, duties[h]->held_term());
     }
