Where units are short each proxy has its part of a window

The holder now keeps each proxy to its part for 0.6 of a window where all together want more than the limit.

--- a/src/system/counts/counts.cpp
+++ b/src/system/counts/counts.cpp
@@ -9,6 +9,9 @@
 constexpr Duration kEdge = std::chrono::milliseconds(120);  // by which two machines may differ on where a window begins
 constexpr double kMoreThanRate = 1.08;            // of the rate that a window's limit should give
 constexpr double kMarginPart = 0.3;  // of excess and slack left alone: requests are judged when they arrive at servers
+constexpr double kPressed = 0.95;  // of the limit, that all proxies together must want for each to be kept to its part
+constexpr double kSharedFor = 0.6;  // part of a window for which that is so: then who comes first has what is left
+constexpr Duration kShareKept = std::chrono::seconds(6);
 }  // namespace
 
 Window window_of(const Quota& q, const Judged& judged) {
@@ -35,12 +38,26 @@
   if (!fresh && c.window == present) return c;
   // Also back in time by no more than that: the clock does not go backwards, but a quota's window may have changed.
   const auto step = fresh ? kAhead + 1 : present - c.window;
-  for (int i = 0; i <= kAhead; ++i) c.used[i] = step > 0 && i + step <= kAhead ? c.used[i + step] : 0;
+  const auto shift = [step](double(&of)[kAhead + 1]) {
+    for (int i = 0; i <= kAhead; ++i) of[i] = step > 0 && i + step <= kAhead ? of[i + step] : 0;
+  };
+  shift(c.used);
+  c.demand = 0;
+  for (auto share = c.shares.begin(); share != c.shares.end();) {
+    if (now - share->second.at > kShareKept) {
+      share = c.shares.erase(share);
+      continue;
+    }
+    shift(share.value().granted);
+    c.demand += share->second.demand;
+    ++share;
+  }
   c.window = present;
   return c;
 }
 
-Grant Counts::add(Time now, const std::string& tenant, const Quota& quota, int ahead, std::uint32_t units) {
+Grant Counts::add(Time now, const std::string& tenant, const Quota& quota, int ahead, std::uint32_t units,
+                  const std::string& proxy, double demand) {
   const auto w = window_of(quota, judged_);
   Grant g;
   if (w.length == Duration{}) return g;
@@ -51,12 +68,29 @@
   // Of a window that began before this holder did, others have granted; proxies see its edges a little off.
   const bool others = begun_ != Time{} && base_ + w.length * (now_in + ahead) < begun_ + kEdge;
   const double room = others ? 0 : std::max(0.0, w.limit - used);
-  g.units = static_cast<std::uint32_t>(std::min<double>(units, std::floor(room + 1e-9)));
+  double most = room;
+  if (!proxy.empty()) {
+    auto& share = c.shares[proxy];
+    c.demand += demand - share.demand;
+    share.demand = demand, share.at = now;
+    const double gone = seconds(now - base_ - w.length * now_in) / seconds(w.length);
+    if (c.demand > kPressed * w.limit && (ahead > 0 || gone < kSharedFor)) {
+      const double part = std::ceil(w.limit * std::max(demand, 1.0) / std::max(c.demand, 1.0));
+      most = std::clamp(part - share.granted[ahead], 0.0, room);
+    }
+    share.granted[ahead] += std::min<double>(units, std::floor(most + 1e-9));
+  }
+  g.units = static_cast<std::uint32_t>(std::min<double>(units, std::floor(most + 1e-9)));
   used += g.units;
   g.left = static_cast<std::uint32_t>(std::max(0.0, std::floor(room - g.units + 1e-9)));
   g.window = now_in + ahead;
   g.starts = base_ + w.length * g.window - now;
   g.ends = g.starts + w.length;
+  if (g.left == 0) {
+    g.more = g.ends;
+  } else if (g.units < units) {  // its part is granted: what others leave can be had later
+    g.more = std::max<Duration>(g.starts + snowknot::scaled(w.length, kSharedFor), std::chrono::milliseconds(1));
+  }
   return g;
 }
 
--- a/src/system/counts/counts.hpp
+++ b/src/system/counts/counts.hpp
@@ -36,25 +36,39 @@
   std::int64_t window = 0;
   std::uint32_t units = 0, left = 0;
   Duration starts{}, ends{};  // from now
+  Duration more{};            // no more of it can be had for so long
 };
 
+namespace count {  // complete before the table of them
+struct Share {
+  double demand = 0;               // requests a window
+  double granted[kAhead + 1] = {}; // of the present window and those after it
+  Time at{};
+};
+struct Count {
+  std::int64_t window = 0;  // the present one
+  double used[kAhead + 1] = {};
+  double demand = 0;  // of all shares
+  tsl::robin_map<std::string, Share> shares;  // by proxy
+  Time at{};
+};
+}  // namespace count
+
 class Counts {
  public:
   explicit Counts(const Judged& judged = {}) : judged_(judged) {}
   // Takes over at `now`. `first`: no proxy has units of another holder; windows then begin with this one.
   void begin(Time now, bool first);
-  // Adds up to `units` to the count of the present window, or of the `ahead`th after it.
-  Grant add(Time now, const std::string& tenant, const Quota& quota, int ahead, std::uint32_t units);
+  // Adds up to `units` to the count of the present window, or of the `ahead`th after it. `proxy` usually has `demand` requests a
+  // window: where all proxies together want more than the limit, each has its part, and what others leave shortly before the end.
+  Grant add(Time now, const std::string& tenant, const Quota& quota, int ahead, std::uint32_t units,
+            const std::string& proxy = {}, double demand = 0);
   void hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window, std::uint32_t units);
   void sweep(Time now);  // forgets windows that are over
   std::size_t size() const { return counts_.size(); }
 
  private:
-  struct Count {
-    std::int64_t window = 0;  // the present one
-    double used[kAhead + 1] = {};
-    Time at{};
-  };
+  using Count = count::Count;
   Count& at(Time now, const std::string& tenant, std::int64_t present);
   tsl::robin_map<std::string, Count> counts_;
   Judged judged_;
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -125,8 +125,8 @@
     retry_after = kNoHolder, holder_lost = true;
     return Take::refused;
   }
-  if (t.anchored && t.leases[t.present].spent) {
-    retry_after = start_of(t, t.present + 1) - now;
+  if (t.anchored && now < t.leases[t.present].shut) {
+    retry_after = t.leases[t.present].shut - now;
     return Take::refused;
   }
   t.waiting.push_back({request, now + wait_limit});
@@ -170,7 +170,7 @@
   if (g.window >= t.present) {
     auto& lease = t.leases[g.window];
     lease.held += g.units;
-    if (g.left == 0) lease.spent = true;
+    if (g.more > Duration{}) lease.shut = now + g.more;
     lease.scarce = g.left < kScarce * t.window.limit;
   }
   settle(now, t);
@@ -183,14 +183,16 @@
     passed_.push_back(t.waiting.front().request);
     t.waiting.pop_front();
   }
-  if (t.waiting.empty() || !t.anchored || !t.leases[t.present].spent || t.call_out) return;
-  for (const auto& w : t.waiting) turned_.push_back({w.request, start_of(t, t.present + 1) - now, false});
+  if (t.waiting.empty() || !t.anchored || t.call_out || now >= t.leases[t.present].shut) return;
+  for (const auto& w : t.waiting) turned_.push_back({w.request, t.leases[t.present].shut - now, false});
   t.waiting.clear();
 }
 
 void Units::lease_ahead(Time now, const std::string& name, Tenant& t, std::vector<Add>& out) {
   const auto starts = start_of(t, t.present), ends = start_of(t, t.present + 1);
   const double gone = seconds(now - starts) / seconds(t.window.length);
+  const bool begins_soon = now + kAheadLead + trip_ >= ends;
+  const double usual = begins_soon ? t.usual + kUsualGain * (t.used - t.usual) : t.usual;
   auto& lease = t.leases[t.present];
   // Units that lie here while others are short of them.
   if (lease.scarce && gone > kBackAfter) {
@@ -198,15 +200,13 @@
     if (lease.held > needed + 1) {
       const double back = std::floor(lease.held - needed);
       lease.held -= back;
-      out.push_back({name, 0, static_cast<std::uint32_t>(back), t.present});
+      out.push_back({name, 0, static_cast<std::uint32_t>(back), t.present, usual});
     }
   }
-  const bool begins_soon = now + kAheadLead + trip_ >= ends;
-  const double usual = begins_soon ? t.usual + kUsualGain * (t.used - t.usual) : t.usual;
   if (usual < kLeastUsual || (gone < kAheadFrom && !begins_soon)) return;
   for (int ahead = 1; ahead <= counts::kAhead; ++ahead) {
     auto& next = t.leases[t.present + ahead];
-    if (next.spent || now < next.asked_at + t.window.length / 2) continue;
+    if (now < next.shut || now < next.asked_at + t.window.length / 2) continue;
     // A part of a unit is asked for by chance, so that all proxies together ask for no more than is used.
     const double lot = static_cast<double>(rng_() % 1024) / 1024;
     const double wanted = std::min(std::floor(kAheadPart * usual + lot), t.window.limit) - next.held;
@@ -214,7 +214,7 @@
     const bool again = next.asked_at != Time{};
     if (again && (ahead > 1 || !begins_soon || wanted < kTopUp * usual)) continue;
     next.asked_at = now;
-    if (wanted >= 1) out.push_back({name, ahead, static_cast<std::uint32_t>(wanted), -1});
+    if (wanted >= 1) out.push_back({name, ahead, static_cast<std::uint32_t>(wanted), -1, usual});
   }
 }
 
@@ -244,14 +244,14 @@
     roll(now, t);
     if (!reachable_ || t.call_out) continue;
     const double held = t.anchored ? t.leases[t.present].held : 0;
-    if (t.anchored && t.leases[t.present].spent) continue;
+    if (t.anchored && now < t.leases[t.present].shut) continue;
     const double waiting = static_cast<double>(t.waiting.size());
     // A quantum is a few requests' units, at most burst over twice the proxies, at least what waits.
     const double most = std::max(1.0, std::floor(t.window.limit / (2.0 * static_cast<double>(proxies_))));
     const double few = std::clamp(t.usual - t.used, 1.0, kFewRequests);
     if (waiting == 0 && (held >= 1 || !t.anchored || t.used >= t.usual)) continue;  // none is expected
     const double units = std::max(waiting, std::min(few, most));
-    out.push_back({name, 0, static_cast<std::uint32_t>(units), -1});
+    out.push_back({name, 0, static_cast<std::uint32_t>(units), -1, std::max(t.usual, t.used)});
     t.call_out = true, t.called_at = now;
   }
   next_ = now + kSweep;
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -28,12 +28,14 @@
   int ahead = 0;  // of which window: 0 the present one, 1 the next, ...
   std::uint32_t units = 0;
   std::int64_t back = -1;  // at least 0: they are handed back, to the count of this window
+  double demand = 0;       // requests a window that this proxy has of the tenant
 };
 struct Granted {
   std::string tenant;
   std::int64_t window = 0;
   std::uint32_t units = 0, left = 0;
   Duration starts{}, ends{};  // from now
+  Duration more{};            // no more of it can be had for so long
 };
 struct Turned {  // a request that waited is refused
   RequestId request{};
@@ -44,8 +46,8 @@
 namespace units {  // complete before the tables of them
 struct Lease {  // of one window
   double held = 0;
-  bool spent = false;   // the holder has no more of it
-  bool scarce = false;  // or little
+  Time shut{};          // until then the holder has no more of it for this proxy
+  bool scarce = false;  // little is left of it
   Time asked_at{};      // when units of it were last asked for, ahead of its begin
 };
 struct Waiting {
--- a/src/system/proxy/news.cpp
+++ b/src/system/proxy/news.cpp
@@ -108,6 +108,7 @@
     list[i].setTenant(adds[i].tenant), list[i].setAhead(static_cast<std::uint8_t>(adds[i].ahead));
     const auto units = static_cast<std::int32_t>(adds[i].units);
     list[i].setUnits(adds[i].back < 0 ? units : -units), list[i].setWindow(adds[i].back);
+    list[i].setDemand(static_cast<float>(adds[i].demand));
   }
   d->second->link()->send(out.message());
 }
@@ -135,7 +136,7 @@
       for (const auto i : g.getItems())
         if (i.getEndsMs() > 0)
           grants.push_back({i.getTenant().cStr(), i.getWindow(), i.getUnits(), i.getLeft(), from_millis(i.getStartsMs()),
-                            from_millis(i.getEndsMs())});
+                            from_millis(i.getEndsMs()), from_millis(i.getMoreMs())});
       listener_.on_grants(g.getTerm(), grants);
       break;
     }
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -68,6 +68,7 @@
   ahead @1 :UInt8;       # of which window: 0 the present one, 1 the next, ...
   units @2 :Int32;       # below 0: handed back
   window @3 :Int64;      # only where units < 0: the window they were leased of
+  demand @4 :Float32;    # requests a window that this proxy usually has of the tenant
 }
 struct Adds { call @0 :UInt64; items @1 :List(Add); }
 struct Grant {
@@ -77,6 +78,7 @@
   startsMs @3 :Int32;    # when its window begins, from now; below 0: so long ago
   endsMs @4 :UInt32;     # when it ends, from now
   left @5 :UInt32;       # of the window's count after this
+  moreMs @6 :UInt32;     # no more of it can be had for so long; 0: more may be asked for
 }
 # refused: this registry does not hold the counts
 struct Grants { call @0 :UInt64; term @1 :UInt64; refused @2 :Bool; items @3 :List(Grant); }
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -237,7 +237,8 @@
     for (const auto& t : p.turned(now)) refused += waiting.erase(t.request);
     if (adds.empty() || !reachable) return;
     ++calls;
-    wire.push({now + trip / 2, order++, [this, i, adds, its_term = term] {
+    const Duration way = i < near ? Duration(500us) : trip / 2;
+    wire.push({now + way, order++, [this, i, adds, way, its_term = term] {
                  if (its_term != term || !reachable) return;
                  std::vector<decisions::Granted> grants;
                  const Time at = now;
@@ -246,19 +247,23 @@
                      holder.hand_back(now, a.tenant, quota, a.back, a.units);
                      continue;
                    }
-                   const auto g = holder.add(now, a.tenant, quota, a.ahead, a.units);
-                   grants.push_back({a.tenant, g.window, g.units, g.left, g.starts, g.ends});
+                   const auto g = holder.add(now, a.tenant, quota, a.ahead, a.units, std::to_string(i), a.demand);
+                   grants.push_back({a.tenant, g.window, g.units, g.left, g.starts, g.ends, g.more});
                  }
                  (void)at;
-                 wire.push({now + trip / 2, order++, [this, i, grants, its_term] {
+                 wire.push({now + way, order++, [this, i, grants, its_term] {
                               if (its_term != term) return;
                               for (const auto& g : grants) proxies[i].granted(now, its_term, g);
                               settle(i);
                             }});
                }});
   }
-  void pass(std::uint64_t) {
+  void pass(std::uint64_t id) {
     ++passed;
+    if (const auto it = waiting.find(id); it != waiting.end()) {
+      ++passed_at[it->second];
+      waiting.erase(it);
+    }
     times.push_back(now);
     while (times.front() < now - 5s) times.pop_front();
     worst = std::max(worst, times.size());
@@ -285,7 +290,7 @@
         bool lost = false;
         ++asked;
         switch (proxies[i].take(now, "t", id, 200ms, retry, lost)) {
-          case Units::Take::passed: ++at_once, pass(id); break;
+          case Units::Take::passed: ++at_once, ++passed_at[i], pass(id); break;
           case Units::Take::waits: waiting.insert({id, i}); break;
           case Units::Take::refused: ++refused; break;
         }
@@ -324,6 +329,8 @@
   std::uint64_t order = 0, ids = 0, term = 1, asked = 0, passed = 0, at_once = 0, refused = 0, calls = 0;
   std::size_t worst = 0;  // passed in any 5 s
   bool reachable = true;
+  std::size_t near = 0;  // the first proxies, that stand beside the holder
+  std::map<std::size_t, std::uint64_t> passed_at;
 };
 
 BOOST_AUTO_TEST_CASE(given_a_tenant_inside_its_quota_when_it_comes_through_many_proxies_then_nearly_all_pass_at_once) {
@@ -347,6 +354,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(given_a_flood_at_proxies_near_and_far_when_units_are_short_then_each_has_its_part) {
+  UnitsFleet f(8, {80, 80}, 3);
+  f.near = 3, f.trip = 110ms;
+  f.run(6s, 80 * 6);
+  f.passed_at.clear(), f.passed = 0;
+  f.run(30s, 80 * 6);
+  std::uint64_t near = 0, far = 0;
+  for (const auto& [i, n] : f.passed_at) (i < 3 ? near : far) += n;
+  const double ratio = (static_cast<double>(far) / 5) / (static_cast<double>(near) / 3);
+  BOOST_TEST(ratio > 0.7, "a far proxy passes " << ratio << " of what a near one does");
+  BOOST_TEST(static_cast<double>(f.passed) >= 0.93 * 80 * 30);
+  BOOST_TEST(static_cast<double>(f.worst) <= (80 * 5 + 80) * 1.1 + 20);
+}
+
 BOOST_AUTO_TEST_CASE(given_a_holder_that_is_lost_when_another_takes_over_then_leases_bridge_it_and_no_span_is_over) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     UnitsFleet f(8, {60, 60}, seed);
