A holder that restarts takes a new term; one that blank voters promised renews

A claim now carries the holder's life. Two stories; they were not run against the code before, which lacks the field.

--- a/src/system/duty/duty.cpp
+++ b/src/system/duty/duty.cpp
@@ -4,8 +4,8 @@
 
 namespace docklift::duty {
 
-Duty::Duty(Terms terms, std::string self, bool remembers, Time now)
-    : terms_(terms), self_(std::move(self)), silent_until_(remembers ? now : now + terms.lease), granted_until_(now) {}
+Duty::Duty(Terms terms, std::string self, std::uint64_t life, bool remembers, Time now)
+    : terms_(terms), self_(std::move(self)), life_(life), silent_until_(remembers ? now : now + terms.lease), granted_until_(now) {}
 
 Answer Duty::asked(Time now, const Ask& ask) {
   seen_term_ = std::max(seen_term_, ask.term);
@@ -18,20 +18,28 @@
     }
     return {granted_term_, false, false, granted_to_};
   }
-  if (now < silent_until_) {
+  const bool renews = ask.holder == granted_to_ && ask.term == granted_term_ && ask.life == granted_life_;
+  if (now < silent_until_ && !renews) {
     // Promised, in case all others are without memory too: to one at a time.
     const bool free = now >= granted_until_ || ask.holder == granted_to_;
     if (!free || ask.term <= granted_term_) return {granted_term_, false, false, granted_to_};
-    granted_term_ = ask.term, granted_to_ = ask.holder, granted_until_ = now + terms_.lease;
+    grant(now, ask);
+    return {ask.term, false, true, ask.holder};
+  }
+  if (now < silent_until_) {
+    granted_until_ = now + terms_.lease;
     return {ask.term, false, true, ask.holder};
   }
-  const bool renews = ask.holder == granted_to_ && ask.term == granted_term_;
   const bool open = now >= granted_until_ || ask.holder == granted_to_;
   if (!renews && !(open && ask.term > granted_term_)) return {granted_term_, false, false, granted_to_};
-  granted_term_ = ask.term, granted_to_ = ask.holder, granted_until_ = now + terms_.lease;
+  grant(now, ask);
   return {ask.term, true, false, ask.holder};
 }
 
+void Duty::grant(Time now, const Ask& ask) {
+  granted_term_ = ask.term, granted_to_ = ask.holder, granted_life_ = ask.life, granted_until_ = now + terms_.lease;
+}
+
 std::optional<Ask> Duty::tick(Time now, const std::vector<std::string>& voters, const std::vector<std::string>& linked) {
   majority_ = voters.size() / 2 + 1, voters_ = voters.size();
   if (held_term_ != 0 && now >= held_until_) held_term_ = 0;
@@ -43,7 +51,7 @@
     // Claims that cross would hold each other up: who has got no majority gives back what it was granted, and waits by rank.
     if (asking_term_ != 0 && granted_to_ == self_ && granted_term_ == asking_term_ && !named_) {
       next_ask_ = now + terms_.stagger * static_cast<int>(rank + 1);
-      const Ask back{asking_term_, self_, "", true, false};
+      const Ask back{asking_term_, self_, "", true, false, life_};
       asked(now, back);
       asking_term_ = 0;
       return back;
@@ -59,7 +67,7 @@
   next_ask_ = now + (held_term_ == 0 ? terms_.renew / 2 : terms_.renew);
   asked_at_ = now;
   grants_.clear(), blanks_.clear();
-  const Ask ask{asking_term_, self_, "", false, held_term_ != 0};
+  const Ask ask{asking_term_, self_, "", false, held_term_ != 0, life_};
   answered(now, self_, asked(now, ask));
   count(now);
   return ask;
@@ -88,7 +96,7 @@
 
 std::optional<Ask> Duty::release(Time now, const std::string& successor) {
   if (!holds(now)) return std::nullopt;
-  const Ask ask{held_term_, self_, successor, true, false};
+  const Ask ask{held_term_, self_, successor, true, false, life_};
   held_term_ = 0, held_until_ = now;
   asked(now, ask);
   next_ask_ = now + terms_.lease;
--- a/src/system/duty/duty.hpp
+++ b/src/system/duty/duty.hpp
@@ -25,6 +25,7 @@
   std::string holder, successor;
   bool release = false;
   bool holds = false;  // granted by a majority before, and renewed now
+  std::uint64_t life = 0;  // of the holder: a restarted one has forgotten what it held, and renews nothing
 };
 struct Answer {
   std::uint64_t term = 0;
@@ -36,7 +37,7 @@
 class Duty {
  public:
   // `remembers`: false where this process may have granted it in an earlier life.
-  Duty(Terms terms, std::string self, bool remembers, Time now);
+  Duty(Terms terms, std::string self, std::uint64_t life, bool remembers, Time now);
 
   // Asks to be sent to every voter but this one; called at least each 100 ms. `linked`: the voters in reach, this one among them;
   // those that come first by name claim first.
@@ -56,13 +57,16 @@
 
  private:
   void count(Time now);
+  void grant(Time now, const Ask& ask);
 
   Terms terms_;
   std::string self_;
+  std::uint64_t life_;
   // as a grantor
   Time silent_until_{};
   std::uint64_t granted_term_ = 0;
   std::string granted_to_;
+  std::uint64_t granted_life_ = 0;
   Time granted_until_{};
   std::string known_holder_;
   std::uint64_t known_term_ = 0;
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -28,7 +28,7 @@
       settings_(settings),
       log_("registry"),
       started_(clock_.now()),
-      duty_(duty::Terms{}, settings.bind_ip, settings.bootstrap, clock_.now()),
+      duty_(duty::Terms{}, settings.bind_ip, draw_life(), settings.bootstrap, clock_.now()),
       counts_({settings.bounds.quota_win_s, settings.bounds.quota_excess, settings.bounds.quota_slack}),
       shelf_(std::move(shelf)),
       timer_(io.get_executor()) {
@@ -163,7 +163,7 @@
     case wire::Frame::DUTY_ASK: {
       const auto a = frame.getDutyAsk();
       const auto answer =
-          duty_.asked(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(), a.getRelease(), a.getHolds()});
+          duty_.asked(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(), a.getRelease(), a.getHolds(), a.getLife()});
       fleet::Outgoing out;
       auto to = out.frame().initDutyAnswer();
       to.setTerm(answer.term), to.setGranted(answer.granted), to.setBlank(answer.blank), to.setHolder(answer.holder);
@@ -423,7 +423,7 @@
   to_registries([&](wire::Frame::Builder& frame) {
     auto a = frame.initDutyAsk();
     a.setTerm(ask.term), a.setHolder(ask.holder), a.setSuccessor(ask.successor), a.setRelease(ask.release);
-    a.setHolds(ask.holds);
+    a.setHolds(ask.holds), a.setLife(ask.life);
   });
 }
 
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -103,7 +103,7 @@
 }
 # The duty of holding the counts: a holder needs a majority of the voters, each of which grants it to one at a time.
 # `holds`: it has been granted this term by a majority and renews. Only that is told to proxies: a claim is no duty.
-struct DutyAsk { term @0 :UInt64; holder @1 :Text; successor @2 :Text; release @3 :Bool; holds @4 :Bool; }
+struct DutyAsk { term @0 :UInt64; holder @1 :Text; successor @2 :Text; release @3 :Bool; holds @4 :Bool; life @5 :UInt64; }
 # `blank`: the voter has no memory of whom it granted it to, and has promised it to nobody else since it started.
 struct DutyAnswer { term @0 :UInt64; granted @1 :Bool; blank @2 :Bool; holder @3 :Text; }
 
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -71,7 +71,7 @@
   explicit DutyFleet(std::size_t n, std::uint64_t seed, bool remembers = true) : random(seed) {
     for (std::size_t i = 0; i < n; ++i) {
       ips.push_back(std::to_string(i));
-      duties.push_back(std::make_unique<duty::Duty>(duty::Terms{}, ips.back(), remembers, now));
+      duties.push_back(std::make_unique<duty::Duty>(duty::Terms{}, ips.back(), ++lives, remembers, now));
     }
     cut.assign(n, false);
   }
@@ -127,7 +127,7 @@
   std::vector<bool> cut;
   std::deque<std::pair<Time, std::function<void()>>> wire;
   std::size_t most_holders = 0;
-  std::uint64_t highest = 0;
+  std::uint64_t highest = 0, lives = 0;
 };
 
 BOOST_AUTO_TEST_CASE(given_three_registries_that_start_at_once_when_they_claim_then_one_holds_within_a_second) {
@@ -189,8 +189,11 @@
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     DutyFleet f(3, seed, false);
     f.run(900ms);
-    BOOST_TEST(f.holders().size() == 1u, "seed " << seed);
+    BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
+    const auto term = f.duties[f.holders()[0]]->held_term();
     f.run(4s);
+    BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
+    BOOST_TEST(f.duties[f.holders()[0]]->held_term() == term, "seed " << seed);  // it renews while they are silent
     BOOST_TEST(f.most_holders == 1u, "seed " << seed);
   }
 }
@@ -202,20 +205,36 @@
     const auto first = f.holders().at(0);
     f.cut[first] = true;
     for (std::size_t i = 0; i < 3; ++i)
-      if (i != first) f.duties[i] = std::make_unique<duty::Duty>(duty::Terms{}, f.ips[i], false, f.now);
+      if (i != first) f.duties[i] = std::make_unique<duty::Duty>(duty::Terms{}, f.ips[i], ++f.lives, false, f.now);
     f.run(4s);
     BOOST_TEST(f.most_holders == 1u, "seed " << seed);
     BOOST_TEST(f.holders().size() == 1u, "seed " << seed);
   }
 }
 
+BOOST_AUTO_TEST_CASE(given_a_holder_that_restarts_within_its_lease_when_it_claims_then_its_term_is_a_new_one) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    DutyFleet f(3, seed);
+    f.run(2s);
+    const auto first = f.holders().at(0);
+    const auto term = f.duties[first]->held_term();
+    f.duties[first].reset();
+    f.run(300ms);
+    f.duties[first] = std::make_unique<duty::Duty>(duty::Terms{}, f.ips[first], ++f.lives, false, f.now);
+    f.run(3s);
+    BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
+    BOOST_TEST(f.duties[f.holders()[0]]->held_term() > term, "seed " << seed);
+    BOOST_TEST(f.most_holders == 1u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(given_a_voter_without_memory_when_it_has_just_started_then_it_grants_nothing_for_a_lease) {
-  duty::Duty d({}, "a", false, Time{1h});
-  const auto b = d.asked(Time{1h} + 1s, {1, "b", "", false, false});
+  duty::Duty d({}, "a", 1, false, Time{1h});
+  const auto b = d.asked(Time{1h} + 1s, {1, "b", "", false, false, 1});
   BOOST_TEST((!b.granted && b.blank));
-  const auto c = d.asked(Time{1h} + 1100ms, {2, "c", "", false, false});
+  const auto c = d.asked(Time{1h} + 1100ms, {2, "c", "", false, false, 1});
   BOOST_TEST((!c.granted && !c.blank));  // it is promised to one at a time
-  BOOST_TEST(d.asked(Time{1h} + 1300ms, {3, "b", "", false, false}).granted);
+  BOOST_TEST(d.asked(Time{1h} + 1300ms, {3, "b", "", false, false, 1}).granted);
 }
 
 // ---- proxies that lease
