--- a/src/system/counts/counts.cpp
+++ b/src/system/counts/counts.cpp
@@ -27,8 +27,7 @@
 
 void Counts::begin(Time now, bool first) {
   counts_.clear();
-  begun_ = first ? Time{} : now;
-  base_ = first ? now : Time{};
+  begun_ = now, first_ = first;
 }
 
 Counts::Count& Counts::at(Time now, const std::string& tenant, std::int64_t present) {
@@ -61,19 +60,21 @@
   const auto w = window_of(quota, judged_);
   Grant g;
   if (w.length == Duration{}) return g;
-  const auto now_in = present(now, w);
+  const std::int64_t now_in = now.time_since_epoch() / w.length;
   auto& c = at(now, tenant, now_in);
   ahead = std::clamp(ahead, 0, kAhead);
   auto& used = c.used[ahead];
   // Of a window that began before this holder did, others have granted; proxies see its edges a little off.
-  const bool others = begun_ != Time{} && base_ + w.length * (now_in + ahead) < begun_ + kEdge;
-  const double room = others ? 0 : std::max(0.0, w.limit - used);
+  const Time starts(w.length * (now_in + ahead));
+  double limit = w.limit;
+  if (starts < begun_ + kEdge) limit = first_ ? std::floor(w.limit * std::clamp(1 - seconds(begun_ - starts) / seconds(w.length), 0.0, 1.0)) : 0;
+  const double room = std::max(0.0, limit - used);
   double most = room;
   if (!proxy.empty()) {
     auto& share = c.shares[proxy];
     c.demand += demand - share.demand;
     share.demand = demand, share.at = now;
-    const double gone = seconds(now - base_ - w.length * now_in) / seconds(w.length);
+    const double gone = seconds(now - Time(w.length * now_in)) / seconds(w.length);
     if (c.demand > kPressed * w.limit && (ahead > 0 || gone < kSharedFor)) {
       const double part = std::ceil(w.limit * std::max(demand, 1.0) / std::max(c.demand, 1.0));
       most = std::clamp(part - share.granted[ahead], 0.0, room);
@@ -84,7 +85,7 @@
   used += g.units;
   g.left = static_cast<std::uint32_t>(std::max(0.0, std::floor(room - g.units + 1e-9)));
   g.window = now_in + ahead;
-  g.starts = base_ + w.length * g.window - now;
+  g.starts = Time(w.length * g.window) - now;
   g.ends = g.starts + w.length;
   if (g.left == 0) {
     g.more = g.ends;
@@ -97,7 +98,7 @@
 void Counts::hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window, std::uint32_t units) {
   const auto w = window_of(quota, judged_);
   if (w.length == Duration{}) return;
-  const auto now_in = present(now, w);
+  const std::int64_t now_in = now.time_since_epoch() / w.length;
   if (window < now_in || window > now_in + kAhead) return;
   auto& used = at(now, tenant, now_in).used[window - now_in];
   used = std::max(0.0, used - units);
--- a/src/system/counts/counts.hpp
+++ b/src/system/counts/counts.hpp
@@ -57,7 +57,7 @@
 class Counts {
  public:
   explicit Counts(const Judged& judged = {}) : judged_(judged) {}
-  // Takes over at `now`. `first`: no proxy has units of another holder; windows then begin with this one.
+  // Takes over at `now`. `first`: no proxy has units of another holder; of the present window it then grants the part that is left.
   void begin(Time now, bool first);
   // Adds up to `units` to the count of the present window, or of the `ahead`th after it. `proxy` usually has `demand` requests a
   // window: where all proxies together want more than the limit, each has its part, and what others leave shortly before the end.
@@ -72,8 +72,8 @@
   Count& at(Time now, const std::string& tenant, std::int64_t present);
   tsl::robin_map<std::string, Count> counts_;
   Judged judged_;
-  Time begun_{}, base_{};
-  std::int64_t present(Time now, const Window& w) const { return (now - base_) / w.length; }
+  Time begun_{};
+  bool first_ = false;
 };
 
 }  // namespace docklift::counts
--- a/src/system/duty/duty.cpp
+++ b/src/system/duty/duty.cpp
@@ -1,6 +1,7 @@
 #include "system/duty/duty.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace docklift::duty {
 
@@ -8,7 +9,7 @@
     : terms_(terms), self_(std::move(self)), life_(life), silent_until_(remembers ? now : now + terms.lease), granted_until_(now) {}
 
 Answer Duty::asked(Time now, const Ask& ask) {
-  seen_term_ = std::max(seen_term_, ask.term);
+  if (ask.holds) seen_term_ = std::max(seen_term_, ask.term);
   if (ask.holds && ask.term > known_term_) known_term_ = ask.term, known_holder_ = ask.holder;
   if (ask.release) {
     if (ask.holder == granted_to_ && ask.term == granted_term_) {
@@ -40,7 +41,8 @@
   granted_term_ = ask.term, granted_to_ = ask.holder, granted_life_ = ask.life, granted_until_ = now + terms_.lease;
 }
 
-std::optional<Ask> Duty::tick(Time now, const std::vector<std::string>& voters, const std::vector<std::string>& linked) {
+std::optional<Ask> Duty::tick(Time now, std::uint64_t wall_ms, const std::vector<std::string>& voters,
+                              const std::vector<std::string>& linked) {
   majority_ = voters.size() / 2 + 1, voters_ = voters.size();
   if (held_term_ != 0 && now >= held_until_) held_term_ = 0;
   const auto rank = std::ranges::count_if(linked, [&](const auto& v) { return v < self_; });
@@ -57,10 +59,12 @@
       return back;
     }
     if (!enough) return std::nullopt;
-    const auto free_at = std::max(granted_until_, enough_since_) + terms_.stagger * static_cast<int>(rank);
+    auto free_at = std::max(granted_until_, enough_since_) + terms_.stagger * static_cast<int>(rank);
+    if (now < silent_until_) free_at += terms_.hearing;
     if (!named_ && now < free_at) return std::nullopt;
     named_ = false;
-    asking_term_ = std::max({seen_term_, granted_term_, asking_term_}) + 1;
+    if (seen_term_ == 0) asking_first_ = true;
+    asking_term_ = std::max({seen_term_, granted_term_, asking_term_, wall_ms}) + 1;
   } else {
     asking_term_ = held_term_;
   }
@@ -75,12 +79,13 @@
 
 void Duty::saw(std::uint64_t term) {
   seen_term_ = std::max(seen_term_, term);
+  if (term != 0) asking_first_ = false;
   // What it holds would be taken for an older one's: it claims anew, which the same holder is granted.
   if (held_term_ != 0 && held_term_ < term) held_term_ = 0, named_ = true, next_ask_ = {};
 }
 
 void Duty::answered(Time now, const std::string& from, const Answer& answer) {
-  seen_term_ = std::max(seen_term_, answer.term);
+  if (answer.term > asking_term_) seen_term_ = std::max(seen_term_, answer.term);
   if (answer.term != asking_term_ || (!answer.granted && !answer.blank)) return;
   (answer.granted ? grants_ : blanks_).insert(from);
   count(now);
@@ -90,6 +95,7 @@
   if (grants_.size() < majority_ && grants_.size() + blanks_.size() < voters_) return;
   const auto until = asked_at_ + terms_.lease - terms_.margin;
   if (now >= until) return;
+  if (held_term_ != asking_term_) held_first_ = std::exchange(asking_first_, false);
   held_term_ = asking_term_, held_until_ = std::max(held_until_, until);
   if (held_term_ > known_term_) known_term_ = held_term_, known_holder_ = self_;
 }
--- a/src/system/duty/duty.hpp
+++ b/src/system/duty/duty.hpp
@@ -17,6 +17,7 @@
   Duration lease = std::chrono::milliseconds(1200);
   Duration margin = std::chrono::milliseconds(150);
   Duration renew = std::chrono::milliseconds(250);
+  Duration hearing = std::chrono::milliseconds(300);  // after a start without memory: members tell the terms that they know
   Duration stagger = std::chrono::milliseconds(120);  // between those that may claim it, by rank
 };
 
@@ -41,7 +42,9 @@
 
   // Asks to be sent to every voter but this one; called at least each 100 ms. `linked`: the voters in reach, this one among them;
   // those that come first by name claim first.
-  std::optional<Ask> tick(Time now, const std::vector<std::string>& voters, const std::vector<std::string>& linked);
+  // A first term is drawn from `wall_ms` (the time of day), so that terms of two starts of everything are not the same.
+  std::optional<Ask> tick(Time now, std::uint64_t wall_ms, const std::vector<std::string>& voters,
+                          const std::vector<std::string>& linked);
   Answer asked(Time now, const Ask& ask);
   void answered(Time now, const std::string& from, const Answer& answer);
   // A term that somebody knows of: later ones are higher, also where all voters have lost their memory.
@@ -51,6 +54,8 @@
 
   bool holds(Time now) const { return held_term_ != 0 && now < held_until_; }
   std::uint64_t held_term() const { return held_term_; }
+  // Nobody knew of an earlier holder when it was claimed.
+  bool held_first() const { return held_first_; }
   // Who was last known to hold it, with its term: by its own word, as a claim that was granted here alone is no duty.
   const std::string& holder() const { return known_holder_; }
   std::uint64_t term() const { return known_term_; }
@@ -72,6 +77,7 @@
   std::uint64_t known_term_ = 0;
   // as a claimant
   bool named_ = false;  // by who held it before
+  bool held_first_ = false, asking_first_ = false;
   std::uint64_t asking_term_ = 0, held_term_ = 0, seen_term_ = 0;
   Time asked_at_{}, held_until_{}, next_ask_{}, enough_since_ = Time::max();  // voters in reach for a claim to succeed
   std::set<std::string> grants_, blanks_;
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -432,8 +432,7 @@
   const Time now = clock_.now();
   if (duty_.holds(now) && counting_term_ != duty_.held_term()) {
     counting_term_ = duty_.held_term();
-    // Term 1: no proxy knows of an earlier holder, so none has units of one.
-    counts_.begin(now, counting_term_ == 1);
+    counts_.begin(now, duty_.held_first());
     log_.info("holds the counts, term " + std::to_string(counting_term_));
   }
   if (duty_.term() == told_term_) return;
@@ -499,7 +498,7 @@
       const auto d = registries_.find(ip);
       if (ip == settings_.bind_ip || (d != registries_.end() && d->second->up())) linked.push_back(ip);
     }
-    if (const auto ask = duty_.tick(now, voters, linked)) send_duty(*ask);
+    if (const auto ask = duty_.tick(now, draw_life() / 1'000'000, voters, linked)) send_duty(*ask);
     check_duty();
     if (ticks_ % kFlushTicks == 0) flush();
     if (ticks_ % kShelveTicks == 0) shelve();
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 #include "system/counts/counts.hpp"
 #include "system/decisions/units.hpp"
@@ -63,6 +64,9 @@
   BOOST_TEST(c.add(began + length / 2 + 1ms, "t", q, 0, 5).units == 0u);
   BOOST_TEST(c.add(began + length / 2 + 1ms, "t", q, 1, 5).units == 5u);
   BOOST_TEST(c.add(began + length + 1ms, "t", q, 0, 5).units == 5u);
+  counts::Counts first(kJudged);  // nobody held them before: what is left of the window
+  first.begin(began + length / 2, true);
+  BOOST_TEST(first.add(began + length / 2 + 1ms, "t", q, 0, 1000).units == std::floor(counts::window_of(q, kJudged).limit / 2));
 }
 
 // ---- the duty
@@ -115,7 +119,7 @@
       if (now.time_since_epoch() % 100ms == Duration{})
         for (std::size_t i = 0; i < duties.size(); ++i)
           if (duties[i])
-            if (const auto ask = duties[i]->tick(now, ips, linked(i))) tell(i, *ask);
+            if (const auto ask = duties[i]->tick(now, wall, ips, linked(i))) tell(i, *ask);
       most_holders = std::max(most_holders, holders().size());
       for (const auto h : holders()) highest = std::max(highest, duties[h]->held_term());
     }
@@ -127,7 +131,7 @@
   std::vector<bool> cut;
   std::deque<std::pair<Time, std::function<void()>>> wire;
   std::size_t most_holders = 0;
-  std::uint64_t highest = 0, lives = 0;
+  std::uint64_t highest = 0, lives = 0, wall = 1000;
 };
 
 BOOST_AUTO_TEST_CASE(given_three_registries_that_start_at_once_when_they_claim_then_one_holds_within_a_second) {
@@ -175,13 +179,15 @@
 
 BOOST_AUTO_TEST_CASE(given_registries_that_all_restart_when_a_proxy_knows_an_older_term_then_the_next_one_is_higher) {
   DutyFleet f(3, 12, false);
-  f.duties[0]->saw(41);
+  f.duties[0]->saw(4100), f.duties[1]->saw(4100), f.duties[2]->saw(4100);
   f.run(4s);
   BOOST_REQUIRE(f.holders().size() == 1);
-  f.duties[f.holders()[0]]->saw(90);
+  BOOST_TEST(f.duties[f.holders()[0]]->held_term() > 4100u);
+  BOOST_TEST(!f.duties[f.holders()[0]]->held_first());
+  f.duties[f.holders()[0]]->saw(9000);
   f.run(4s);
   BOOST_REQUIRE(f.holders().size() == 1);
-  BOOST_TEST(f.duties[f.holders()[0]]->held_term() > 90u);
+  BOOST_TEST(f.duties[f.holders()[0]]->held_term() > 9000u);
   BOOST_TEST(f.most_holders == 1u);
 }
 
@@ -195,9 +201,22 @@
     BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
     BOOST_TEST(f.duties[f.holders()[0]]->held_term() == term, "seed " << seed);  // it renews while they are silent
     BOOST_TEST(f.most_holders == 1u, "seed " << seed);
+    BOOST_TEST(f.duties[f.holders()[0]]->held_first());
   }
 }
 
+BOOST_AUTO_TEST_CASE(given_everything_restarted_twice_when_the_duty_is_claimed_then_the_terms_differ) {
+  std::set<std::uint64_t> terms;
+  for (int start = 0; start < 3; ++start) {
+    DutyFleet f(3, 5, false);
+    f.wall = 1000 + static_cast<std::uint64_t>(start) * 700;
+    f.run(1s);
+    BOOST_REQUIRE(f.holders().size() == 1);
+    terms.insert(f.duties[f.holders()[0]]->held_term());
+  }
+  BOOST_TEST(terms.size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(given_a_holder_that_lives_when_the_others_restart_then_no_other_holds_beside_it) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     DutyFleet f(3, seed);
