--- /dev/null
+++ b/standins/system/server.hpp
@@ -0,0 +1,103 @@
+// A stand-in for a server of a service, from the operators' protocol page: it answers with what a script says, raw. One io_context.
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "system/http/head.hpp"
+#include "system/net/link.hpp"
+
+namespace docklift::standin {
+
+// One request as it arrived: its head's text and its body.
+struct Seen {
+  std::string head, body;
+  std::string field(std::string_view name) const {
+    http::Head h;
+    if (http::read_request(head, head.size(), h).read != http::Read::done) return {};
+    return std::string(h.only(name).value_or(""));
+  }
+  std::string target() const {
+    http::Head h;
+    return http::read_request(head, head.size(), h).read == http::Read::done ? std::string(h.target) : "";
+  }
+};
+
+struct Reply {
+  std::string bytes;  // raw
+  bool close = false;
+};
+
+// A 200 with stamp and id, as a server sends it.
+inline Reply good(const Seen& seen, const std::string& body) {
+  return {"HTTP/1.1 200 OK\r\nAttempt-Id: " + seen.field("Attempt-Id") + "\r\nSeal: s1\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body,
+          false};
+}
+
+class Server {
+ public:
+  using Script = std::function<Reply(const Seen&)>;
+  Server(boost::asio::io_context& io, const std::string& address, Script script)
+      : acceptor_(io.get_executor()), script_(std::make_shared<Script>(std::move(script))) {
+    const auto at = *snowknot::endpoint_of(address);
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(Acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen();
+    accept();
+  }
+  std::vector<Seen>& seen() { return *seen_; }
+
+ private:
+  struct Session : std::enable_shared_from_this<Session> {
+    Session(Socket s, std::shared_ptr<Script> says, std::shared_ptr<std::vector<Seen>> into)
+        : socket(std::move(s)), script(std::move(says)), seen(std::move(into)) {}
+    void read() {
+      socket.async_read_some(boost::asio::buffer(chunk),
+                             [self = shared_from_this()](boost::system::error_code failed, std::size_t n) {
+                               if (failed) return;
+                               self->in.append(self->chunk, n);
+                               self->take();
+                             });
+    }
+    void take() {
+      http::Head h;
+      const auto r = http::read_request(in, 65536, h);
+      if (r.read != http::Read::done) return read();
+      const auto length = static_cast<std::size_t>(http::number(h.only("Content-Length").value_or("0")).value_or(0));
+      if (in.size() < r.used + length) return read();
+      seen->push_back({in.substr(0, r.used), in.substr(r.used, length)});
+      in.erase(0, r.used + length);
+      const auto reply = (*script)(seen->back());
+      out = reply.bytes;
+      boost::asio::async_write(socket, boost::asio::buffer(out),
+                               [self = shared_from_this(), reply](boost::system::error_code failed, std::size_t) {
+                                 if (failed || reply.close) return snowknot::close_now(self->socket);
+                                 if (self->in.empty()) return self->read();
+                                 self->take();
+                               });
+    }
+    Socket socket;
+    std::shared_ptr<Script> script;
+    std::shared_ptr<std::vector<Seen>> seen;
+    std::string in, out;
+    char chunk[4096];
+  };
+  void accept() {
+    acceptor_.async_accept([this](boost::system::error_code failed, Socket socket) {
+      if (failed) return;
+      std::make_shared<Session>(std::move(socket), script_, seen_)->read();
+      accept();
+    });
+  }
+  Acceptor acceptor_;
+  std::shared_ptr<Script> script_;
+  std::shared_ptr<std::vector<Seen>> seen_ = std::make_shared<std::vector<Seen>>();
+};
+
+}  // namespace docklift::standin
--- /dev/null
+++ b/tests/system/path_test.cpp
@@ -0,0 +1,248 @@
+// The whole path on loopback sockets in one loop: three stores, three registries, two proxies and a stand-in for a server. What is
+// waited for is an event, with a limit; nothing sleeps.
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+
+#include "core_fleet.hpp"
+#include "standins/system/server.hpp"
+#include "system/proxy/proxy.hpp"
+#include "system/registry/handlers.hpp"
+#include "system/store/store.hpp"
+
+namespace docklift::test {
+namespace {
+
+namespace asio = boost::asio;
+
+// Addresses of one test's machines; tests may run side by side.
+std::string ip(int machine) { return "127.61." + std::to_string(::getpid() % 200 + 20) + "." + std::to_string(machine); }
+
+struct Call {
+  std::string text;  // the whole answer
+  int status = 0;
+  std::string body;
+};
+
+class Fleet {
+ public:
+  Fleet() : port_(static_cast<std::uint16_t>(20000 + ::getpid() % 20000)) {
+    char name[] = "/tmp/docklift-path-XXXXXX";
+    folder_ = ::mkdtemp(name);
+    for (int i = 1; i <= 3; ++i) start_core(i);
+    for (int i = 4; i <= 5; ++i) start_proxy(i);
+  }
+  ~Fleet() {
+    for (auto& s : stores) s->stop();
+    io.poll();
+    std::filesystem::remove_all(folder_);
+  }
+
+  std::string ctl(int machine) const { return ip(machine) + ":" + std::to_string(port_ + 10); }
+  std::string dir(int machine) const { return ip(machine) + ":" + std::to_string(port_ + 11); }
+  std::string http(int machine) const { return ip(machine) + ":" + std::to_string(port_ + 12); }
+  std::string server(int n) const { return ip(9) + ":" + std::to_string(port_ + 20 + n); }
+
+  bool until(const std::function<bool()>& done, Duration limit = 10s) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!done()) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      io.run_one_for(std::chrono::milliseconds(20));
+    }
+    return true;
+  }
+
+  Call call(const std::string& address, const std::string& request) {
+    Socket socket(io.get_executor());
+    Call c;
+    bool ended = false;
+    char chunk[4096];
+    std::function<void()> read = [&] {
+      socket.async_read_some(asio::buffer(chunk), [&](boost::system::error_code failed, std::size_t n) {
+        c.text.append(chunk, n);
+        http::Head h;
+        const auto r = http::read_answer(c.text, 65536, h);
+        if (r.read == http::Read::done) {
+          const auto length = static_cast<std::size_t>(http::number(h.only("Content-Length").value_or("0")).value_or(0));
+          c.status = h.status;
+          c.body = c.text.substr(r.used);
+          if (c.body.size() >= length) return void(ended = true);
+        }
+        if (failed) return void(ended = true);
+        read();
+      });
+    };
+    socket.async_connect(*snowknot::endpoint_of(address), [&](boost::system::error_code failed) {
+      if (failed) return void(ended = true);
+      asio::async_write(socket, asio::buffer(request), [&](boost::system::error_code, std::size_t) { read(); });
+    });
+    BOOST_TEST(until([&] { return ended; }), "no answer to " << request.substr(0, 40));
+    snowknot::close_now(socket);
+    io.poll();
+    return c;
+  }
+  Call post(const std::string& address, const std::string& path, const std::string& body) {
+    return call(address, "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  Call get(const std::string& address, const std::string& path) {
+    return call(address, "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  Call ask(int proxy, const std::string& path, const std::string& key = "k1", const std::string& more = "") {
+    return call(http(proxy), "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id" + std::to_string(++ids_) +
+                                 "\r\nDeadline: 3000\r\nTenant: forged\r\nKey: " + key + "\r\n" + more + "\r\n");
+  }
+  Call beat(const std::string& id, int n, const std::string& phase = "ready") {
+    return post(ctl(1 + n % 3), "/Instances.Heartbeat/" + id,
+                R"({"svc":"alpha","addr":")" + server(n) + R"(","az":"z1","gen":"v1","cap":4,"phase":")" + phase +
+                    R"(","warm_left_ms":0,"calls":)" + std::to_string(++beats_) + "}");
+  }
+
+  asio::io_context io{1};
+  std::vector<std::unique_ptr<Store>> stores;
+  std::vector<std::unique_ptr<Registry>> registries;
+  std::vector<std::unique_ptr<http::Server>> doors;
+  std::vector<std::unique_ptr<proxy::Proxy>> proxies;
+
+ private:
+  SystemSettings settings(int machine) {
+    const auto p = [&](int offset) { return std::to_string(port_ + offset); };
+    auto text = "hostname=m" + std::to_string(machine) + "\nbind_ip=" + ip(machine) + "\naz=z1\nrgn=r1\nazs.z1=r1\nport_range=" +
+                p(0) + "," + p(5) + "\nseeds=" + ctl(1) + "," + ctl(2) + "," + ctl(3) + "\nbootstrap=true\nvoting=true\nhb_ms=1500\n" +
+                "listen.ctl=" + ctl(machine) + "\nlisten.dir=" + dir(machine) + "\nlisten.http=" + http(machine) +
+                "\nlimits.nofile=1024\nbounds.strict_revoke=true\n";
+    auto read = parse_settings(text, "test");
+    BOOST_REQUIRE(!failed(read));
+    return value(read);
+  }
+  void start_core(int machine) {
+    const auto s = settings(machine);
+    auto disk = Disk::open(folder_ + "/" + s.hostname);
+    BOOST_REQUIRE(!failed(disk));
+    auto kept = value(disk)->read();
+    stores.push_back(std::make_unique<Store>(io, s, std::move(value(disk)), std::move(value(kept))));
+    stores.back()->start();
+    registries.push_back(std::make_unique<Registry>(io, s, nullptr));
+    auto& r = *registries.back();
+    r.start();
+    doors.push_back(std::make_unique<http::Server>(
+        io, *snowknot::endpoint_of(ctl(machine)), http::ServerLimits{},
+        dispatch({std::make_shared<Instances>(r), std::make_shared<Configurations>(r), std::make_shared<Evacuations>(r)})));
+    doors.push_back(std::make_unique<http::Server>(io, *snowknot::endpoint_of(dir(machine)), http::ServerLimits{},
+                                                   dispatch({std::make_shared<Directory>(r)})));
+  }
+  void start_proxy(int machine) {
+    proxies.push_back(std::make_unique<proxy::Proxy>(io, settings(machine)));
+    BOOST_REQUIRE(!failed(proxies.back()->start()));
+  }
+  std::uint16_t port_;
+  std::string folder_;
+  std::uint64_t ids_ = 0, beats_ = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(path)
+
+BOOST_AUTO_TEST_CASE(given_a_fleet_when_it_is_configured_and_a_server_beats_then_requests_are_served) {
+  Fleet f;
+  BOOST_TEST(f.ask(4, "/a/x").status == 503);  // no configuration yet
+  BOOST_TEST(f.until([&] { return f.post(f.ctl(1), "/Config.Replace", config_body(3, 0)).status == 200; }));
+  const auto read = f.get(f.ctl(2), "/Config.Read");
+  BOOST_TEST(read.status == 200);
+  BOOST_TEST((nlohmann::json::parse(read.body) == nlohmann::json::parse(config_body(3, 0))));
+  BOOST_TEST(f.post(f.ctl(3), "/Config.Replace", config_body(4, 1)).status == 412);
+  BOOST_TEST(f.post(f.ctl(3), "/Config.Replace", "{").status == 400);
+
+  bool odd = false;
+  standin::Server server(f.io, f.server(0), [&](const standin::Seen& seen) -> standin::Reply {
+    if (seen.target() == "/a/extra") {
+      auto r = standin::good(seen, "whole");
+      r.bytes += "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\njunk";
+      return r;
+    }
+    if (seen.target() == "/a/other" && !odd) {
+      odd = true;
+      return {"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwrong" + standin::good(seen, "right").bytes, false};
+    }
+    if (seen.target() == "/a/encoded")
+      return {"HTTP/1.1 200 OK\r\nAttempt-Id: " + seen.field("Attempt-Id") + "\r\nSeal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nzz", false};
+    if (seen.target() == "/a/short")
+      return {"HTTP/1.1 200 OK\r\nAttempt-Id: " + seen.field("Attempt-Id") + "\r\nSeal: s\r\nContent-Length: 20\r\n\r\ncut", true};
+    return standin::good(seen, "hello");
+  });
+  BOOST_TEST(f.beat("i-1", 0).status == 200);
+  Call served;
+  BOOST_TEST(f.until([&] { return (served = f.ask(4, "/a/x")).status == 200; }));
+  BOOST_TEST(served.body == "hello");
+  BOOST_TEST(served.text.find("Seal: s1") != std::string::npos);
+  const auto& seen = server.seen().back();
+  BOOST_TEST(seen.field("Want-Instance") == "i-1");
+  BOOST_TEST(seen.field("Tenant") == "t1");  // not what the client said
+  BOOST_TEST(seen.field("Key") == "");
+  BOOST_TEST(http::number(seen.field("Deadline")).value_or(0) > 0);
+  BOOST_TEST(f.ask(5, "/a/x").status == 200);
+
+  // What configurations allow.
+  BOOST_TEST(f.ask(4, "/a/x", "nobody").status == 401);
+  BOOST_TEST(f.ask(4, "/b/x").status == 404);
+  BOOST_TEST(f.call(f.http(4), "GET /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n").status == 400);
+
+  // What is no answer to the request.
+  BOOST_TEST(f.ask(4, "/a/extra").body == "whole");
+  BOOST_TEST(f.ask(4, "/a/x").body == "hello");
+  BOOST_TEST(f.ask(4, "/a/other").body == "right");
+  BOOST_TEST(f.ask(4, "/a/encoded").status == 502);
+  BOOST_TEST(f.ask(4, "/a/short").status == 502);
+
+  // Requests sent behind each other are answered in order.
+  const auto one = [&](const char* id, const char* more) {
+    return std::string("GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: ") + id + "\r\nDeadline: 3000\r\nKey: k1\r\n" + more + "\r\n";
+  };
+  const auto both = f.call(f.http(4), one("p1", "") + one("p2", "Connection: close\r\n"));
+  BOOST_TEST(both.status == 200);
+  BOOST_TEST(both.text.find("Attempt-Id: p1") != std::string::npos);
+
+  // Where clients go.
+  Call where;
+  BOOST_TEST(f.until([&] {
+    where = f.get(f.dir(2), "/resolve?name=h.example&rgn=r1&az=z1");
+    return where.status == 200 && nlohmann::json::parse(where.body)["endpoints"].size() == 2;
+  }));
+
+  // A key is taken away; then the zone's servers, then the server drains.
+  const std::string patch = R"({"gen":"00000009","parent":"00000003","upsert":{"accts":[{"name":"t1","apikeys":["k2"],"per_s":10,"burst":10}]}})";
+  BOOST_TEST(f.post(f.ctl(2), "/Config.Patch", patch).status == 200);
+  BOOST_TEST(f.post(f.ctl(1), "/Config.Patch", patch).status == 200);  // the same once more
+  BOOST_TEST(f.until([&] { return f.ask(4, "/a/x").status == 401; }));
+  BOOST_TEST(f.ask(4, "/a/x", "k2").status == 200);
+  BOOST_TEST(f.post(f.ctl(3), "/Evac.Start/z1", "").status == 200);
+  BOOST_TEST(f.until([&] { return f.ask(4, "/a/x", "k2").status == 503; }));
+  BOOST_TEST(f.post(f.ctl(3), "/Evac.Start/nowhere", "").status == 404);
+  BOOST_TEST(f.post(f.ctl(1), "/Evac.Stop/z1", "").status == 200);
+  f.beat("i-1", 0);
+  BOOST_TEST(f.until([&] { return f.ask(4, "/a/x", "k2").status == 200; }));
+  BOOST_TEST(f.beat("i-1", 0, "draining").status == 200);
+  BOOST_TEST(f.until([&] { return f.ask(4, "/a/x", "k2").status == 503; }));
+  BOOST_TEST(f.post(f.ctl(1), "/Instances.Leave/i-1", "").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_proxy_that_is_told_to_end_when_a_request_is_under_way_then_it_is_answered_before_it_leaves) {
+  Fleet f;
+  BOOST_TEST(f.until([&] { return f.post(f.ctl(1), "/Config.Replace", config_body(3, 0)).status == 200; }));
+  standin::Server server(f.io, f.server(0), [&](const standin::Seen& seen) { return standin::good(seen, "last"); });
+  f.beat("i-1", 0);
+  BOOST_TEST(f.until([&] { return f.ask(5, "/a/x").status == 200; }));
+  bool ended = false;
+  f.proxies[1]->drain([&] { ended = true; });
+  const auto last = f.ask(5, "/a/x");
+  BOOST_TEST(last.status == 200);
+  BOOST_TEST(last.text.find("Connection: close") != std::string::npos);
+  Call where;
+  BOOST_TEST(f.until([&] {
+    where = f.get(f.dir(1), "/resolve?name=h.example&rgn=r1&az=z1");
+    return where.status == 200 && nlohmann::json::parse(where.body)["endpoints"].size() == 1;
+  }));
+  BOOST_TEST(f.until([&] { return ended; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace docklift::test
