--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -10,7 +10,8 @@
 using namespace std::chrono_literals;
 // Tuned values, each with its reason.
 constexpr double kUsualGain = 0.35;         // of the last window's use in what is usual: three windows show a change
-constexpr double kAheadPart = 0.85;         // of the usual use is leased ahead: what lies here unspent is lost to others
+constexpr double kAheadLess = 0.5;          // of the root of the usual use, by which less than it is leased ahead: what lies here
+                                            // unspent is lost to others, and of little use little is sure to be spent
 constexpr double kAheadFrom = 0.3;          // part of a window after which the ones to come are leased of
 constexpr double kTopUp = 0.3;              // of the usual use that must be missing of a lease for it to be added to
 constexpr double kScarce = 0.2;             // of a window's limit left at the holder: what is not needed here is handed back
@@ -209,7 +210,8 @@
     if (now < next.shut || now < next.asked_at + t.window.length / 2) continue;
     // A part of a unit is asked for by chance, so that all proxies together ask for no more than is used.
     const double lot = static_cast<double>(rng_() % 1024) / 1024;
-    const double wanted = std::min(std::floor(kAheadPart * usual + lot), t.window.limit) - next.held;
+    const double sure = std::max(0.0, usual - kAheadLess * std::sqrt(usual));
+    const double wanted = std::min(std::floor(sure + lot), t.window.limit) - next.held;
     // What was leased before is added to once more, shortly before it is needed.
     const bool again = next.asked_at != Time{};
     if (again && (ahead > 1 || !begins_soon || wanted < kTopUp * usual)) continue;
