--- a/src/system/agreement/agreement.capnp
+++ b/src/system/agreement/agreement.capnp
@@ -1,18 +1,12 @@
 # What stores say to each other and keep on disk.
 @0xd3f6b1c8a02e7745;
 using Cxx = import "/capnp/c++.capnp";
+using Fleet = import "/system/wire/fleet.capnp";
 $Cxx.namespace("docklift::agreement::wire");
 
 struct Ballot { round @0 :UInt64; by @1 :Text; }
 struct Change { kind @0 :UInt8; text @1 :Data; author @2 :Text; number @3 :UInt64; }
 struct Accepted { slot @0 :UInt64; ballot @1 :Ballot; change @2 :Change; }
-struct State {
-  position @0 :UInt64;
-  document @1 :Data;
-  evacuated @2 :List(Text);
-  voters @3 :List(Text);
-  taken @4 :List(UInt64);
-}
 struct Message {
   slot @0 :UInt64;       # of ask, promise, offer, vote, chosen
   ballot @1 :Ballot;
@@ -30,5 +24,5 @@
   }
 }
 struct Status { round @0 :UInt64; chosen @1 :UInt64; blank @2 :Bool; accepted @3 :List(Accepted); }
-struct Log { snapshot @0 :State; entries @1 :List(Entry); whole @2 :Bool; }
+struct Log { snapshot @0 :Fleet.Snapshot; entries @1 :List(Entry); whole @2 :Bool; }
 struct Entry { slot @0 :UInt64; change @1 :Change; }
--- a/src/system/agreement/ballots.cpp
+++ b/src/system/agreement/ballots.cpp
@@ -8,11 +8,12 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t kKeptChanges = 64;    // for stores and registries that are behind a little
-constexpr std::uint64_t kSnapshotEach = 32; // changes from one snapshot on disk to the next
-constexpr std::size_t kQueued = 256;        // proposals that wait; more get 503 at once
-constexpr Duration kFetchGap = 100ms;       // a log that was asked for is waited for so long
-constexpr Duration kResolveAfter = 150ms;   // whoever proposes a change that is not yet chosen is left this long to end
+constexpr std::size_t kKeptChanges = 64;     // for stores and registries that are behind a little
+constexpr std::uint64_t kSnapshotEach = 32;  // changes from one snapshot on disk to the next
+constexpr std::size_t kQueued = 256;         // proposals that wait; more get 503 at once
+constexpr Duration kFetchGap = 100ms;        // a log that was asked for is waited for so long
+constexpr Duration
+    kResolveAfter = 150ms;  // whoever proposes a change that is not yet chosen is left this long to end
 constexpr std::uint64_t kWhole = std::numeric_limits<std::uint64_t>::max();  // Fetch::after: a snapshot
 
 std::vector<std::string> sorted(std::vector<std::string> v) {
@@ -20,7 +21,9 @@
   v.erase(std::ranges::unique(v).begin(), v.end());
   return v;
 }
-bool holds(const std::vector<std::string>& v, const std::string& s) { return std::ranges::binary_search(v, s); }
+bool holds(const std::vector<std::string>& v, const std::string& s) {
+  return std::ranges::binary_search(v, s);
+}
 
 }  // namespace
 
@@ -65,7 +68,8 @@
 }
 
 Duration Ballots::chance(Duration least, Duration most) {
-  return least + Duration(static_cast<Duration::rep>(rng_() % static_cast<std::uint64_t>((most - least).count() + 1)));
+  return least + Duration(static_cast<Duration::rep>(rng_() %
+                                                     static_cast<std::uint64_t>((most - least).count() + 1)));
 }
 
 std::optional<std::vector<Chosen>> Ballots::after(std::uint64_t place) const {
@@ -95,8 +99,8 @@
   queue_.pop_front();
 }
 
-// The next proposal: what can be answered is answered, what changes something gets a ballot. A refusal because of the
-// present state is given only when a majority has been asked whether that state is the newest.
+// The next proposal: what can be answered is answered, what changes something gets a ballot. A refusal
+// because of the present state is given only when a majority has been asked whether that state is the newest.
 void Ballots::drive(Time now) {
   while (phase_ == Phase::idle && !queue_.empty() && !blank_ && !state_.voters.empty()) {
     auto& p = queue_.front();
@@ -128,7 +132,8 @@
   ballot_ = {round_, options_.self};
   promises_.clear(), votes_.clear(), refusals_.clear();
   highest_.reset();
-  // Its own promise first, durably: else a store that fails and comes back could offer two changes under one ballot.
+  // Its own promise first, durably: else a store that fails and comes back could offer two changes under one
+  // ballot.
   promised_ = ballot_;
   out_.write.promised = promised_, out_.write.durable = true;
   phase_ = Phase::asking, phase_since_ = now;
@@ -176,7 +181,8 @@
   if (phase_ == Phase::offering) phase_ = Phase::spreading, spread_since_ = now;
 }
 
-// Whether the loss of one zone would leave the change on a disk; true where no voter of another zone is in reach.
+// Whether the loss of one zone would leave the change on a disk; true where no voter of another zone is in
+// reach.
 bool Ballots::spans_zones(const std::set<std::string>& voters) const {
   std::set<std::string> reached, here;
   for (const auto& v : state_.voters) {
@@ -219,10 +225,11 @@
       out_.write.state = state_, out_.write.forget_log = state_.position, out_.write.log.clear();
     }
   }
-  if (change.author == options_.self && change.number == offered_.number && offered_.number != 0 && !queue_.empty() &&
-      queue_.front().kind == change.kind && queue_.front().text == change.text)
+  if (change.author == options_.self && change.number == offered_.number && offered_.number != 0 &&
+      !queue_.empty() && queue_.front().kind == change.kind && queue_.front().text == change.text)
     settle(200, "");
-  if (phase_ == Phase::asking || phase_ == Phase::offering || phase_ == Phase::spreading) phase_ = Phase::idle;
+  if (phase_ == Phase::asking || phase_ == Phase::offering || phase_ == Phase::spreading)
+    phase_ = Phase::idle;
   if (confirming_ && target_ && state_.position >= *target_) end_confirm(now);
   drive(now);
 }
@@ -259,7 +266,8 @@
       out_.write.state = state_, out_.write.forget_log = state_.position, out_.write.log.clear();
       out_.write.forget_accepted = state_.position;
     }
-    if (phase_ == Phase::asking || phase_ == Phase::offering || phase_ == Phase::spreading) phase_ = Phase::idle;
+    if (phase_ == Phase::asking || phase_ == Phase::offering || phase_ == Phase::spreading)
+      phase_ = Phase::idle;
   }
   for (const auto& entry : m.entries) choose(now, entry.slot, entry.change);
   if (confirming_ && target_ && state_.position >= *target_) end_confirm(now);
@@ -303,7 +311,9 @@
   return s;
 }
 
-void Ballots::on(Time, const std::string& from, const StatusAsk& m) { out_.sends.push_back({from, status(m.round)}); }
+void Ballots::on(Time, const std::string& from, const StatusAsk& m) {
+  out_.sends.push_back({from, status(m.round)});
+}
 
 void Ballots::begin_confirm(Time now) {
   confirming_ = true, confirm_began_ = now, target_.reset();
@@ -348,9 +358,10 @@
 
 // ---- a disk that was lost ------------------------------------------------------------------------
 
-// A change that is in force was voted for by a majority; this store may have been one of it. What it forgot stands with the others
-// of that majority, so it needs the memory of so many others that one of them is among these: n - majority + 1. Where the disks of
-// a whole zone were lost there are not as many left; a majority spans zones, so then the others of that zone are passed over.
+// A change that is in force was voted for by a majority; this store may have been one of it. What it forgot
+// stands with the others of that majority, so it needs the memory of so many others that one of them is among
+// these: n - majority + 1. Where the disks of a whole zone were lost there are not as many left; a majority
+// spans zones, so then the others of that zone are passed over.
 void Ballots::recover(Time now) {
   std::vector<std::string> donors;
   bool others_answered = !state_.voters.empty(), blanks_here = true;
@@ -427,8 +438,10 @@
     }
   } else if (now >= next_confirm_ && !state_.voters.empty()) {
     next_confirm_ = now + options_.confirm_every;
-    const bool resolves = confirming_ && target_ && *target_ > state_.position && now >= confirm_began_ + kResolveAfter;
-    if (resolves && phase_ == Phase::idle && queue_.empty()) begin_ballot(now);  // of a change left half agreed
+    const bool resolves = confirming_ && target_ && *target_ > state_.position &&
+                          now >= confirm_began_ + kResolveAfter;
+    if (resolves && phase_ == Phase::idle && queue_.empty())
+      begin_ballot(now);  // of a change left half agreed
     if (!confirming_ || now >= confirm_began_ + options_.confirm_every) begin_confirm(now);
     if (!is_voter(options_.self) && options_.votes && queue_.empty() && phase_ == Phase::idle)
       queue_.push_back({0, ChangeKind::join, options_.self, now, false});
--- a/src/system/agreement/ballots.hpp
+++ b/src/system/agreement/ballots.hpp
@@ -1,10 +1,12 @@
-// One store's part in agreeing on the log of changes: acceptor, proposer and learner of single-decree ballots, one place of the log
-// after another. There is no standing leader: who has a change to propose runs a ballot for the next place.
-// Pure: time, chance (by seed) and messages go in, what is to be done comes out. Source: Lamport, "Paxos Made Simple"; what a
-// voter does that has lost its disk is ours (docs/design/core.md).
+// One store's part in agreeing on the log of changes: acceptor, proposer and learner of single-decree
+// ballots, one place of the log after another. There is no standing leader: who has a change to propose runs
+// a ballot for the next place. Pure: time, chance (by seed) and messages go in, what is to be done comes out.
+// Source: Lamport, "Paxos Made Simple"; what a voter does that has lost its disk is ours
+// (docs/design/core.md).
 //
-// Invariants: a promise or vote leaves only when it is durable; a voter without its memory neither promises nor votes; the place
-// after the last chosen one is the only one that is decided; the voters of a place follow from the changes before it.
+// Invariants: a promise or vote leaves only when it is durable; a voter without its memory neither promises
+// nor votes; the place after the last chosen one is the only one that is decided; the voters of a place
+// follow from the changes before it.
 #pragma once
 
 #include <deque>
@@ -25,9 +27,10 @@
   bool bootstrap = false;
   bool votes = true;  // may join the voters
   std::uint64_t chance = 1;
-  Duration round_limit = std::chrono::milliseconds(500);    // a ballot without an outcome is tried anew
-  Duration spread_limit = std::chrono::milliseconds(1200);  // how long a majority of one zone waits for another zone
-  Duration give_up = std::chrono::milliseconds(5000);       // a proposal without an outcome gets 503
+  Duration round_limit = std::chrono::milliseconds(500);  // a ballot without an outcome is tried anew
+  Duration spread_limit = std::chrono::milliseconds(
+      1200);  // how long a majority of one zone waits for another zone
+  Duration give_up = std::chrono::milliseconds(5000);  // a proposal without an outcome gets 503
   Duration confirm_every = std::chrono::milliseconds(500);
   Duration status_every = std::chrono::milliseconds(200);  // while blank
 };
@@ -43,7 +46,8 @@
   std::string why;
 };
 
-// To be done in this order: `write` first; `sends` and `settled` only when all that was to be written durably till now is.
+// To be done in this order: `write` first; `sends` and `settled` only when all that was to be written durably
+// till now is.
 struct Out {
   Write write;
   std::vector<Send> sends;
--- a/src/system/agreement/messages.cpp
+++ b/src/system/agreement/messages.cpp
@@ -6,11 +6,12 @@
 #include <cstring>
 
 #include "system/agreement/agreement.capnp.h"
+#include "system/fleet/frames.hpp"
 
 namespace docklift::agreement {
 namespace {
 
-kj::ArrayPtr<const kj::byte> bytes_of(const std::string& s) {
+kj::ArrayPtr<const kj::byte> data_of(const std::string& s) {
   return {reinterpret_cast<const kj::byte*>(s.data()), s.size()};
 }
 std::string text_of(capnp::Data::Reader d) { return {reinterpret_cast<const char*>(d.begin()), d.size()}; }
@@ -18,38 +19,19 @@
 void put(wire::Ballot::Builder to, const Ballot& b) { to.setRound(b.round), to.setBy(b.by); }
 Ballot get(wire::Ballot::Reader r) { return {r.getRound(), r.getBy().cStr()}; }
 void put(wire::Change::Builder to, const Change& c) {
-  to.setKind(static_cast<std::uint8_t>(c.kind)), to.setText(bytes_of(c.text));
+  to.setKind(static_cast<std::uint8_t>(c.kind)), to.setText(data_of(c.text));
   to.setAuthor(c.author), to.setNumber(c.number);
 }
 Change get(wire::Change::Reader r) {
-  const auto kind = r.getKind() <= static_cast<std::uint8_t>(ChangeKind::nothing) ? static_cast<ChangeKind>(r.getKind())
-                                                                                   : ChangeKind::nothing;
+  const auto kind = r.getKind() <= static_cast<std::uint8_t>(ChangeKind::nothing)
+                        ? static_cast<ChangeKind>(r.getKind())
+                        : ChangeKind::nothing;
   return {kind, text_of(r.getText()), r.getAuthor().cStr(), r.getNumber()};
 }
 void put(wire::Accepted::Builder to, std::uint64_t slot, const Accepted& a) {
   to.setSlot(slot), put(to.initBallot(), a.ballot), put(to.initChange(), a.change);
 }
 Accepted get(wire::Accepted::Reader r) { return {get(r.getBallot()), get(r.getChange())}; }
-void put(wire::State::Builder to, const State& s) {
-  to.setPosition(s.position);
-  if (!s.document.is_null()) to.setDocument(bytes_of(s.document.dump()));
-  auto evacuated = to.initEvacuated(static_cast<unsigned>(s.evacuated.size()));
-  for (unsigned i = 0; i < evacuated.size(); ++i) evacuated.set(i, s.evacuated[i]);
-  auto voters = to.initVoters(static_cast<unsigned>(s.voters.size()));
-  for (unsigned i = 0; i < voters.size(); ++i) voters.set(i, s.voters[i]);
-  auto taken = to.initTaken(static_cast<unsigned>(s.taken.size()));
-  for (unsigned i = 0; i < taken.size(); ++i) taken.set(i, s.taken[i]);
-}
-State get(wire::State::Reader r) {
-  State s;
-  s.position = r.getPosition();
-  if (r.getDocument().size() > 0) s.document = nlohmann::json::parse(text_of(r.getDocument()));
-  for (const auto t : r.getEvacuated()) s.evacuated.emplace_back(t.cStr());
-  for (const auto t : r.getVoters()) s.voters.emplace_back(t.cStr());
-  for (const auto t : r.getTaken()) s.taken.push_back(t);
-  return s;
-}
-
 std::string packed(capnp::MessageBuilder& m) {
   const auto words = capnp::messageToFlatArray(m);
   const auto bytes = words.asBytes();
@@ -58,7 +40,8 @@
 
 // Reads bytes as a message of type T, or none. The bytes are copied, as they may lie unaligned.
 template <class T, class Read>
-auto unpacked(std::string_view bytes, Read read) -> std::optional<decltype(read(std::declval<typename T::Reader>()))> {
+auto unpacked(std::string_view bytes, Read read)
+    -> std::optional<decltype(read(std::declval<typename T::Reader>()))> {
   if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0) return std::nullopt;
   std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
   std::memcpy(words.data(), bytes.data(), bytes.size());
@@ -84,7 +67,9 @@
 std::string encode(const Message& message) {
   capnp::MallocMessageBuilder builder;
   auto m = builder.initRoot<wire::Message>();
-  const auto head = [&](std::uint64_t slot, const Ballot& ballot) { m.setSlot(slot), put(m.initBallot(), ballot); };
+  const auto head = [&](std::uint64_t slot, const Ballot& ballot) {
+    m.setSlot(slot), put(m.initBallot(), ballot);
+  };
   std::visit(
       Each{[&](const Ask& a) { head(a.slot, a.ballot), m.setAsk(); },
            [&](const Promise& p) {
@@ -101,13 +86,14 @@
              auto to = m.initStatus();
              to.setRound(s.round), to.setChosen(s.chosen), to.setBlank(s.blank);
              auto list = to.initAccepted(static_cast<unsigned>(s.accepted.size()));
-             for (unsigned i = 0; i < list.size(); ++i) put(list[i], s.accepted[i].first, s.accepted[i].second);
+             for (unsigned i = 0; i < list.size(); ++i)
+               put(list[i], s.accepted[i].first, s.accepted[i].second);
            },
            [&](const Fetch& f) { m.setFetch(f.after); },
            [&](const Log& l) {
              auto to = m.initLog();
              to.setWhole(l.snapshot.has_value());
-             if (l.snapshot) put(to.initSnapshot(), *l.snapshot);
+             if (l.snapshot) fleet::put(to.initSnapshot(), *l.snapshot);
              auto list = to.initEntries(static_cast<unsigned>(l.entries.size()));
              for (unsigned i = 0; i < list.size(); ++i)
                list[i].setSlot(l.entries[i].slot), put(list[i].initChange(), l.entries[i].change);
@@ -140,7 +126,7 @@
       case wire::Message::LOG: break;
     }
     Log l;
-    if (m.getLog().getWhole()) l.snapshot = get(m.getLog().getSnapshot());
+    if (m.getLog().getWhole()) l.snapshot = fleet::get(m.getLog().getSnapshot());
     for (const auto e : m.getLog().getEntries()) l.entries.push_back({e.getSlot(), get(e.getChange())});
     return l;
   });
@@ -148,11 +134,11 @@
 
 std::string encode_state(const State& s) {
   capnp::MallocMessageBuilder b;
-  put(b.initRoot<wire::State>(), s);
+  fleet::put(b.initRoot<docklift::wire::Snapshot>(), s);
   return packed(b);
 }
 std::optional<State> decode_state(std::string_view bytes) {
-  return unpacked<wire::State>(bytes, [](wire::State::Reader r) { return get(r); });
+  return unpacked<docklift::wire::Snapshot>(bytes, [](docklift::wire::Snapshot::Reader r) { return fleet::get(r); });
 }
 std::string encode_accepted(const Accepted& a) {
   capnp::MallocMessageBuilder b;
--- a/src/system/base/log.hpp
+++ b/src/system/base/log.hpp
@@ -1,5 +1,6 @@
-// Logs of the system: short sentences on standard error with a fixed prefix for each part. One Log for each part, made
-// where the part is made; log4cxx behind it. Writing costs processor time: nothing is logged for each request.
+// Logs of the system: short sentences on standard error with a fixed prefix for each part. One Log for each
+// part, made where the part is made; log4cxx behind it. Writing costs processor time: nothing is logged for
+// each request.
 #pragma once
 
 #include <memory>
--- a/src/system/base/result.hpp
+++ b/src/system/base/result.hpp
@@ -1,5 +1,5 @@
-// What a step of the system gives back: a value, or a failure that names its step and the peer at which it arose.
-// Pure; nothing here throws but std::bad_alloc.
+// What a step of the system gives back: a value, or a failure that names its step and the peer at which it
+// arose. Pure; nothing here throws but std::bad_alloc.
 #pragma once
 
 #include <string>
--- a/src/system/base/settings.hpp
+++ b/src/system/base/settings.hpp
@@ -1,5 +1,5 @@
-// A process's settings file: lines of a.b=value, lists joined by commas; fields that are not known are passed over.
-// Source: the operators' page on deployment. All mistakes of a file are told together.
+// A process's settings file: lines of a.b=value, lists joined by commas; fields that are not known are passed
+// over. Source: the operators' page on deployment. All mistakes of a file are told together.
 #pragma once
 
 #include <cstdint>
@@ -13,7 +13,8 @@
 namespace docklift {
 
 struct Bounds {  // seconds and milliseconds as named; the values stand in when a field is missing
-  double seed_lag_s = 3, reuse_s = 2, sync_s = 4, grace_s = 6, retry_win_s = 10, quota_win_s = 5, recover_s = 15;
+  double seed_lag_s = 3, reuse_s = 2, sync_s = 4, grace_s = 6, retry_win_s = 10, quota_win_s = 5,
+         recover_s = 15;
   double contact_ms = 5000, ack_ms = 8000, drain_ms = 2500, lost_slack_ms = 200, apply_ms = 2500;
   double downgrade_ms = 250, skew_ms = 10000, revoke_ms = 5000, evac_ms = 5000;
   double retry_ratio = 0.2, retry_extra = 50, quota_excess = 0.1, quota_slack = 20;
--- a/src/system/base/time.hpp
+++ b/src/system/base/time.hpp
@@ -1,5 +1,6 @@
-// Time of the system's pure parts: the node's own steady clock, handed in with each event; types and arithmetic are the
-// edge node's. Nothing compares times of two machines: what crosses a link is an age or what is left.
+// Time of the system's pure parts: the node's own steady clock, handed in with each event; types and
+// arithmetic are the edge node's. Nothing compares times of two machines: what crosses a link is an age or
+// what is left.
 #pragma once
 
 #include <chrono>
--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <set>
 
-
 namespace docklift::configuration {
 namespace {
 
@@ -141,7 +140,8 @@
         one.name = text(r, "name"), one.host = host, one.kind = kind_of(r);
         if (!names.insert(one.name).second) wrong("policy", one.name + " stands there twice");
         one.prefix = text(member(r, "match"), "pfx");
-        if (one.prefix.front() != '/' || one.prefix.back() != '/') wrong("pfx", "does not begin and end with a slash");
+        if (one.prefix.front() != '/' || one.prefix.back() != '/')
+          wrong("pfx", "does not begin and end with a slash");
         const auto& open = member(r, "public");
         if (!open.is_null() && !open.is_boolean()) wrong("public", "is neither true nor false");
         one.is_public = open.is_boolean() && open.get<bool>();
@@ -206,7 +206,8 @@
   if (!parent) return refused(400, "parent is no version");
   const auto current = state.version();
   if (*parent != current)
-    return refused(412, "parent is " + shown_version(*parent) + ", the current version " + shown_version(current));
+    return refused(412,
+                   "parent is " + shown_version(*parent) + ", the current version " + shown_version(current));
   if (*version <= current) return refused(400, "gen is not above the current version");
   return {};
 }
@@ -302,7 +303,8 @@
         if (key == "routing" || key == "listeners") {
           if (next["listeners"].is_array()) drop_route(next["listeners"], name.get<std::string>());
         } else if (auto& all = next[key == "svcs" ? "clusters" : key]; all.is_array()) {
-          const auto gone = std::ranges::find_if(all, [&](const Json& o) { return named(o, name.get<std::string>()); });
+          const auto gone = std::ranges::find_if(
+              all, [&](const Json& o) { return named(o, name.get<std::string>()); });
           if (gone != all.end()) all.erase(gone);
         }
       }
@@ -358,7 +360,8 @@
     case ChangeKind::replace:
     case ChangeKind::patch: {
       Json after;
-      const auto j = kind == ChangeKind::replace ? judge_replace(state, change, &after) : judge_patch(state, change, &after);
+      const auto j = kind == ChangeKind::replace ? judge_replace(state, change, &after)
+                                                 : judge_patch(state, change, &after);
       if (j.status != 200 || j.already) return false;
       state.document = std::move(after);
       state.taken.push_back(digest_of(change));
--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -18,7 +18,7 @@
 
 enum class Kind { idempotent, mutating, download };
 
-struct Part {  // of a split
+struct Part {                 // of a split
   std::uint32_t service = 0;  // index into Configuration::services
   double weight = 1;
 };
@@ -60,7 +60,8 @@
   std::vector<Tenant> tenants;
   std::vector<Service> services;
 
-  // The route with the longest prefix of the path among the host's; null: there is none. `host` may carry a port.
+  // The route with the longest prefix of the path among the host's; null: there is none. `host` may carry a
+  // port.
   const Route* route(std::string_view host, std::string_view target) const;
   const Tenant* tenant_of(std::string_view key) const;
   bool has_tenants() const { return has_tenants_; }
@@ -78,10 +79,11 @@
 std::optional<std::uint64_t> version_of(const nlohmann::json& field);  // eight hexadecimal digits, or 0
 std::string shown_version(std::uint64_t version);
 
-// What the changes up to a position have made. The same changes in the same order give the same state everywhere.
+// What the changes up to a position have made. The same changes in the same order give the same state
+// everywhere.
 struct State {
   std::uint64_t position = 0;
-  nlohmann::json document;  // null: none yet
+  nlohmann::json document;                     // null: none yet
   std::vector<std::string> evacuated, voters;  // sorted
   std::vector<std::uint64_t> taken;            // digests of bodies, oldest first
 
@@ -93,7 +95,8 @@
   std::string why;
   bool already = false;  // 200 for what was taken before: nothing to agree on
 };
-// What a body would be answered on top of a state; on 200 and not `already`, `after` (if not null) is the document.
+// What a body would be answered on top of a state; on 200 and not `already`, `after` (if not null) is the
+// document.
 Judgement judge_replace(const State& state, std::string_view body, nlohmann::json* after);
 Judgement judge_patch(const State& state, std::string_view body, nlohmann::json* after);
 std::uint64_t digest_of(std::string_view body);
--- a/src/system/counts/counts.cpp
+++ b/src/system/counts/counts.cpp
@@ -6,11 +6,15 @@
 namespace docklift::counts {
 namespace {
 constexpr int kFewestParts = 2, kMostParts = 10;  // of the span: windows of 0.5 to 2.5 s where it is 5 s
-constexpr Duration kEdge = std::chrono::milliseconds(120);  // by which two machines may differ on where a window begins
-constexpr double kMoreThanRate = 1.08;            // of the rate that a window's limit should give
-constexpr double kMarginPart = 0.3;  // of excess and slack left alone: requests are judged when they arrive at servers
-constexpr double kPressed = 0.95;  // of the limit, that all proxies together must want for each to be kept to its part
-constexpr double kSharedFor = 0.6;  // part of a window for which that is so: then who comes first has what is left
+constexpr Duration kEdge = std::chrono::milliseconds(
+    120);                               // by which two machines may differ on where a window begins
+constexpr double kMoreThanRate = 1.08;  // of the rate that a window's limit should give
+constexpr double
+    kMarginPart = 0.3;  // of excess and slack left alone: requests are judged when they arrive at servers
+constexpr double
+    kPressed = 0.95;  // of the limit, that all proxies together must want for each to be kept to its part
+constexpr double
+    kSharedFor = 0.6;  // part of a window for which that is so: then who comes first has what is left
 constexpr Duration kShareKept = std::chrono::seconds(6);
 }  // namespace
 
@@ -21,7 +25,8 @@
   for (int parts = kFewestParts;; ++parts) {
     const double length = judged.span_s / parts;
     const double limit = std::max(1.0, std::floor(allowed / (parts + 1)));
-    if (parts == kMostParts || limit >= kMoreThanRate * q.per_s * length) return {from_seconds(length), limit};
+    if (parts == kMostParts || limit >= kMoreThanRate * q.per_s * length)
+      return {from_seconds(length), limit};
   }
 }
 
@@ -35,7 +40,8 @@
   auto& c = it.value();
   c.at = now;
   if (!fresh && c.window == present) return c;
-  // Also back in time by no more than that: the clock does not go backwards, but a quota's window may have changed.
+  // Also back in time by no more than that: the clock does not go backwards, but a quota's window may have
+  // changed.
   const auto step = fresh ? kAhead + 1 : present - c.window;
   const auto shift = [step](double(&of)[kAhead + 1]) {
     for (int i = 0; i <= kAhead; ++i) of[i] = step > 0 && i + step <= kAhead ? of[i + step] : 0;
@@ -67,7 +73,10 @@
   // Of a window that began before this holder did, others have granted; proxies see its edges a little off.
   const Time starts(w.length * (now_in + ahead));
   double limit = w.limit;
-  if (starts < begun_ + kEdge) limit = first_ ? std::floor(w.limit * std::clamp(1 - seconds(begun_ - starts) / seconds(w.length), 0.0, 1.0)) : 0;
+  if (starts < begun_ + kEdge)
+    limit = first_
+                ? std::floor(w.limit * std::clamp(1 - seconds(begun_ - starts) / seconds(w.length), 0.0, 1.0))
+                : 0;
   const double room = std::max(0.0, limit - used);
   double most = room;
   if (!proxy.empty()) {
@@ -90,12 +99,14 @@
   if (g.left == 0) {
     g.more = g.ends;
   } else if (g.units < units) {  // its part is granted: what others leave can be had later
-    g.more = std::max<Duration>(g.starts + snowknot::scaled(w.length, kSharedFor), std::chrono::milliseconds(1));
+    g.more = std::max<Duration>(g.starts + snowknot::scaled(w.length, kSharedFor),
+                                std::chrono::milliseconds(1));
   }
   return g;
 }
 
-void Counts::hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window, std::uint32_t units) {
+void Counts::hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window,
+                       std::uint32_t units) {
   const auto w = window_of(quota, judged_);
   if (w.length == Duration{}) return;
   const std::int64_t now_in = now.time_since_epoch() / w.length;
--- a/src/system/counts/counts.hpp
+++ b/src/system/counts/counts.hpp
@@ -1,11 +1,12 @@
-// The counts of units that the holder of the duty keeps: for each tenant one for the present window and for each of
-// the kAhead next ones. Pure.
-// Weighted Fair Escrow: proxies add quanta to a window's count; what passes the window's limit is handed back.
+// The counts of units that the holder of the duty keeps: for each tenant one for the present window and for
+// each of the kAhead next ones. Pure. Weighted Fair Escrow: proxies add quanta to a window's count; what
+// passes the window's limit is handed back.
 //
-// Invariant: of a window never more than its limit is granted; a holder grants nothing of windows that began before it did.
-// Windows are whole parts of the span over which quotas are judged: such a span touches `parts` + 1 of them, so with a limit of
-// what may pass in the span over parts + 1 no span is ever over. A window lasts about burst over rate: the longest one whose limit
-// gives the tenant its rate and a little more, as what is leased at one proxy and not spent there is lost to the others.
+// Invariant: of a window never more than its limit is granted; a holder grants nothing of windows that began
+// before it did. Windows are whole parts of the span over which quotas are judged: such a span touches
+// `parts` + 1 of them, so with a limit of what may pass in the span over parts + 1 no span is ever over. A
+// window lasts about burst over rate: the longest one whose limit gives the tenant its rate and a little
+// more, as what is leased at one proxy and not spent there is lost to the others.
 #pragma once
 
 #include <tsl/robin_map.h>
@@ -30,7 +31,8 @@
 // No quota (per_s 0): length 0.
 Window window_of(const Quota& q, const Judged& judged);
 
-inline constexpr int kAhead = 3;  // windows that may be leased of before they begin: they carry proxies over a change of holder
+inline constexpr int kAhead = 3;  // windows that may be leased of before they begin: they carry proxies over
+                                  // a change of holder
 
 struct Grant {
   std::int64_t window = 0;
@@ -41,14 +43,14 @@
 
 namespace count {  // complete before the table of them
 struct Share {
-  double demand = 0;               // requests a window
-  double granted[kAhead + 1] = {}; // of the present window and those after it
+  double demand = 0;                // requests a window
+  double granted[kAhead + 1] = {};  // of the present window and those after it
   Time at{};
 };
 struct Count {
   std::int64_t window = 0;  // the present one
   double used[kAhead + 1] = {};
-  double demand = 0;  // of all shares
+  double demand = 0;                          // of all shares
   tsl::robin_map<std::string, Share> shares;  // by proxy
   Time at{};
 };
@@ -57,13 +59,16 @@
 class Counts {
  public:
   explicit Counts(const Judged& judged = {}) : judged_(judged) {}
-  // Takes over at `now`. `first`: no proxy has units of another holder; of the present window it then grants the part that is left.
+  // Takes over at `now`. `first`: no proxy has units of another holder; of the present window it then grants
+  // the part that is left.
   void begin(Time now, bool first);
-  // Adds up to `units` to the count of the present window, or of the `ahead`th after it. `proxy` usually has `demand` requests a
-  // window: where all proxies together want more than the limit, each has its part, and what others leave shortly before the end.
+  // Adds up to `units` to the count of the present window, or of the `ahead`th after it. `proxy` usually has
+  // `demand` requests a window: where all proxies together want more than the limit, each has its part, and
+  // what others leave shortly before the end.
   Grant add(Time now, const std::string& tenant, const Quota& quota, int ahead, std::uint32_t units,
             const std::string& proxy = {}, double demand = 0);
-  void hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window, std::uint32_t units);
+  void hand_back(Time now, const std::string& tenant, const Quota& quota, std::int64_t window,
+                 std::uint32_t units);
   void sweep(Time now);  // forgets windows that are over
   std::size_t size() const { return counts_.size(); }
 
--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -7,11 +7,14 @@
 
 using namespace std::chrono_literals;
 // Tuned values, each with its reason.
-constexpr double kUnitsWait = 0.4;       // of the aim that a request waits for units: a round trip to another region
-constexpr double kPlaceWait = 0.2;       // of the aim that it waits for a place at a server; a refusal later than a quarter costs
-constexpr std::uint32_t kMisses = 4;     // servers that could not be connected to for one request
-constexpr Duration kRevokeMargin = 700ms;  // of the time in which a removed key must end: what is under way must arrive
-constexpr double kLeastLeft = 0.12;      // of the aim that must be left for a further try to be worth a place
+constexpr double
+    kUnitsWait = 0.4;  // of the aim that a request waits for units: a round trip to another region
+constexpr double kPlaceWait = 0.2;  // of the aim that it waits for a place at a server; a refusal later than
+                                    // a quarter costs
+constexpr std::uint32_t kMisses = 4;  // servers that could not be connected to for one request
+constexpr Duration
+    kRevokeMargin = 700ms;  // of the time in which a removed key must end: what is under way must arrive
+constexpr double kLeastLeft = 0.12;  // of the aim that must be left for a further try to be worth a place
 
 }  // namespace
 
@@ -34,7 +37,8 @@
   units_.keep_only(names);
 }
 
-void Decisions::set_evacuated(Time now, const std::vector<std::string>& zones, const std::vector<std::string>& readmitted) {
+void Decisions::set_evacuated(Time now, const std::vector<std::string>& zones,
+                              const std::vector<std::string>& readmitted) {
   servers_.set_evacuated(zones);
   if (!readmitted.empty()) servers_.readmitted(now, readmitted);
 }
@@ -80,7 +84,8 @@
   r.repeatable = route.kind != configuration::Kind::mutating;
   r.target = from_millis(route.target_ms > 0 ? route.target_ms : 1000);
   r.arrived = now;
-  const Duration held = route.timeout_ms > 0 ? std::min(a.time_left, from_millis(route.timeout_ms)) : a.time_left;
+  const Duration held = route.timeout_ms > 0 ? std::min(a.time_left, from_millis(route.timeout_ms))
+                                             : a.time_left;
   r.deadline = now + held;
   r.tries = route.tries;
   r.place_until = now + snowknot::scaled(std::min(r.target, held), kPlaceWait);
@@ -98,7 +103,8 @@
   }
   // Keys that were taken away must end here too, also where this proxy is cut off from the core.
   const bool stale = bounds_.strict_revoke && configuration_->has_tenants() &&
-                     (confirmed_at_ == Time{} || now - confirmed_at_ > from_millis(bounds_.revoke_ms) - kRevokeMargin);
+                     (confirmed_at_ == Time{} ||
+                      now - confirmed_at_ > from_millis(bounds_.revoke_ms) - kRevokeMargin);
   if (stale || homeless) {
     out_.push_back(Refuse{a.request, 503, back_off(r)});
     return done();
@@ -197,7 +203,8 @@
   }
 }
 
-// What the lease book has settled: who passes goes on, who is turned away is refused, what is to be asked is asked.
+// What the lease book has settled: who passes goes on, who is turned away is refused, what is to be asked is
+// asked.
 void Decisions::after_units(Time now) {
   auto adds = units_.adds(now);
   for (const auto id : units_.passed())
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -1,6 +1,7 @@
-// Every decision of a proxy: which server a request goes to, whether it is sent again, what is refused. Fronts carry bytes.
-// Pure: events with their time go in, actions come out; the same seed and events give the same actions. An arrived request gets
-// exactly one final action (Refuse, Fail or Relay); each Send is followed by one ended().
+// Every decision of a proxy: which server a request goes to, whether it is sent again, what is refused.
+// Fronts carry bytes. Pure: events with their time go in, actions come out; the same seed and events give the
+// same actions. An arrived request gets exactly one final action (Refuse, Fail or Relay); each Send is
+// followed by one ended().
 #pragma once
 
 #include <tsl/robin_map.h>
@@ -63,11 +64,13 @@
 
 class Decisions {
  public:
-  Decisions(Place self, std::map<std::string, std::string> regions_of_zones, const Bounds& bounds, std::uint64_t chance);
+  Decisions(Place self, std::map<std::string, std::string> regions_of_zones, const Bounds& bounds,
+            std::uint64_t chance);
 
   // ---- news
   void configure(Time now, std::shared_ptr<const configuration::Configuration> c);
-  void set_evacuated(Time now, const std::vector<std::string>& zones, const std::vector<std::string>& readmitted);
+  void set_evacuated(Time now, const std::vector<std::string>& zones,
+                     const std::vector<std::string>& readmitted);
   void servers(Time now, const std::vector<fleet::Server>& changed) { servers_.news(now, changed); }
   void proxies(const std::vector<std::string>& zone_and_id);
   Actions holder(Time now, bool reachable);
--- a/src/system/decisions/repeats.hpp
+++ b/src/system/decisions/repeats.hpp
@@ -1,5 +1,5 @@
-// The budget of further tries at servers: each service's arrivals beyond the first of each request stay below a part of its
-// requests, over all proxies. Each proxy keeps to its part. Pure.
+// The budget of further tries at servers: each service's arrivals beyond the first of each request stay below
+// a part of its requests, over all proxies. Each proxy keeps to its part. Pure.
 #pragma once
 
 #include <tsl/robin_map.h>
@@ -32,7 +32,9 @@
   static constexpr double kPart = 0.6;   // of the ratio that is earned: some repeats are not seen here
   static constexpr double kExtra = 0.5;  // of the extra that all proxies together may have saved up
   double most() const { return std::max(1.0, kExtra * extra_ / proxies_); }
-  double& tokens(const std::string& service) { return tokens_.try_emplace(service, most() / 2).first.value(); }
+  double& tokens(const std::string& service) {
+    return tokens_.try_emplace(service, most() / 2).first.value();
+  }
 
   double ratio_, extra_, proxies_ = 1;
   tsl::robin_map<std::string, double> tokens_;
--- a/src/system/decisions/servers.cpp
+++ b/src/system/decisions/servers.cpp
@@ -9,23 +9,23 @@
 
 using namespace std::chrono_literals;
 // Tuned values, each with its reason.
-constexpr double kUsualGain = 0.03;            // EWMA gain of a service's usual answer: work varies a lot
-constexpr double kSlowGain = 0.1;              // of one server against that
-constexpr double kHealthGain = 0.25;           // of success: three failures in a row eject
+constexpr double kUsualGain = 0.03;   // EWMA gain of a service's usual answer: work varies a lot
+constexpr double kSlowGain = 0.1;     // of one server against that
+constexpr double kHealthGain = 0.25;  // of success: three failures in a row eject
 constexpr double kSickBelow = 0.45;
-constexpr Duration kFirstEjection = 400ms;     // doubles while it goes on failing
+constexpr Duration kFirstEjection = 400ms;  // doubles while it goes on failing
 constexpr Duration kLongestEjection = 5s;
-constexpr double kSameRegion = 0.012;          // seconds that another zone is dearer: its price in worth, and the way
-constexpr double kOtherRegion = 0.19;          // and another region
-constexpr double kQueueFrom = 0.7;             // part of its slots from which more of the own load counts as queue
-constexpr double kFull = 2.5;                  // times its slots, as estimated, from which a server gets no more
-constexpr double kSilent = 6;                  // times the usual answer without a word, with requests out: it is avoided
+constexpr double kSameRegion = 0.012;  // seconds that another zone is dearer: its price in worth, and the way
+constexpr double kOtherRegion = 0.19;  // and another region
+constexpr double kQueueFrom = 0.7;     // part of its slots from which more of the own load counts as queue
+constexpr double kFull = 2.5;          // times its slots, as estimated, from which a server gets no more
+constexpr double kSilent = 6;  // times the usual answer without a word, with requests out: it is avoided
 constexpr Duration kSilentLeast = 700ms;
-constexpr std::size_t kColdSharers = 5;        // proxies that may use a server while it is cold
-constexpr double kColdPart = 0.85;             // of its told rate that is used
-constexpr double kConnPart = 0.9;              // of max_conns that all proxies together may hold
-constexpr Duration kUnsure = 4s;               // a taken-back zone's server that tells nothing counts as cold for so long
-constexpr double kFirstUsual = 0.1;            // seconds, before the first answer
+constexpr std::size_t kColdSharers = 5;  // proxies that may use a server while it is cold
+constexpr double kColdPart = 0.85;       // of its told rate that is used
+constexpr double kConnPart = 0.9;        // of max_conns that all proxies together may hold
+constexpr Duration kUnsure = 4s;  // a taken-back zone's server that tells nothing counts as cold for so long
+constexpr double kFirstUsual = 0.1;  // seconds, before the first answer
 
 }  // namespace
 
@@ -77,7 +77,8 @@
   const auto service = services_.find(s.known.service);
   const double all = service == services_.end() ? 0 : service->second.max_conns;
   s.known.max_conns = all <= 0 ? 0
-                               : static_cast<std::uint32_t>(std::max(1.0, kConnPart * all / static_cast<double>(proxies_.size())));
+                               : static_cast<std::uint32_t>(
+                                     std::max(1.0, kConnPart * all / static_cast<double>(proxies_.size())));
 }
 
 void Servers::set_evacuated(const std::vector<std::string>& zones) { evacuated_ = zones; }
@@ -150,7 +151,8 @@
   return now < s.cold_until || (s.unsure_since != Time{} && now < s.unsure_since + kUnsure);
 }
 
-// Guards a cold server over all proxies: of them kColdSharers have a part of its rate each, and save up one request at most.
+// Guards a cold server over all proxies: of them kColdSharers have a part of its rate each, and save up one
+// request at most.
 bool Servers::may_take_cold(Time now, Server& s, const Service& service) {
   if (service.cold_per_s <= 0) return true;
   if (!s.sharer) return false;
@@ -165,7 +167,9 @@
 double Servers::cost(Time now, const Server& s, const Service& service) {
   const double usual = service.usual > 0 ? service.usual : kFirstUsual;
   const auto in_zone = proxies_in_.find(s.known.zone);
-  const double sharers = s.known.zone == self_.zone && in_zone != proxies_in_.end() ? static_cast<double>(in_zone->second) : 1;
+  const double sharers = s.known.zone == self_.zone && in_zone != proxies_in_.end()
+                             ? static_cast<double>(in_zone->second)
+                             : 1;
   const double load = (s.in_flight + 1) * sharers / s.cap;
   double c = usual * s.slowness * (1 + 0.1 * load + std::max(0.0, load - kQueueFrom));
   c /= std::max(0.1, s.success);
@@ -237,7 +241,8 @@
   }
   // Its address belongs to another: it ended without a word. A later beat of its own would list it again.
   if (outcome == Outcome::other_instance) unlist(server);
-  if (!s.known.listed && s.in_flight == 0 && s.used) s.used = false, dropped_.push_back(server), free_.push_back(server);
+  if (!s.known.listed && s.in_flight == 0 && s.used)
+    s.used = false, dropped_.push_back(server), free_.push_back(server);
 }
 
 }  // namespace docklift::decisions
--- a/src/system/decisions/servers.hpp
+++ b/src/system/decisions/servers.hpp
@@ -1,7 +1,8 @@
 // What one proxy holds of the servers, and which of them a request goes to. Pure.
 //
-// Invariants: a server that drains, is gone or stands in an evacuated zone is never chosen; a request with homes goes to no other
-// region; over all proxies a cold server gets at most its told rate and one request more for each of kColdSharers proxies.
+// Invariants: a server that drains, is gone or stands in an evacuated zone is never chosen; a request with
+// homes goes to no other region; over all proxies a cold server gets at most its told rate and one request
+// more for each of kColdSharers proxies.
 #pragma once
 
 #include <tsl/robin_map.h>
@@ -71,7 +72,8 @@
 class Servers {
  public:
   using Known = decisions::Known;
-  Servers(Place self, std::map<std::string, std::string> regions_of_zones, const Bounds& bounds, std::uint64_t chance);
+  Servers(Place self, std::map<std::string, std::string> regions_of_zones, const Bounds& bounds,
+          std::uint64_t chance);
 
   void configure(const configuration::Configuration& c);
   // Records as registries tell them; what is older than what is known is passed over.
@@ -81,7 +83,11 @@
   // Their servers may have turned cold: they count as cold until they have told anew.
   void readmitted(Time now, const std::vector<std::string>& zones);
 
-  enum class Pick { server, full, none };  // full: all that could take it have enough; none: there is no server for it
+  enum class Pick {
+    server,
+    full,
+    none
+  };  // full: all that could take it have enough; none: there is no server for it
   // `tried`: servers that it was sent to before.
   Pick choose(Time now, const std::string& service, const std::vector<std::string>& regions,
               const std::vector<ServerHandle>& tried, ServerHandle& chosen);
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -9,20 +9,22 @@
 
 using namespace std::chrono_literals;
 // Tuned values, each with its reason.
-constexpr double kUsualGain = 0.35;         // of the last window's use in what is usual: three windows show a change
-constexpr double kAheadLess = 0.5;          // of the root of the usual use, by which less than it is leased ahead: what lies here
-                                            // unspent is lost to others, and of little use little is sure to be spent
-constexpr double kAheadFrom = 0.3;          // part of a window after which the ones to come are leased of
-constexpr double kTopUp = 0.3;              // of the usual use that must be missing of a lease for it to be added to
-constexpr double kScarce = 0.2;             // of a window's limit left at the holder: what is not needed here is handed back
-constexpr double kBackAfter = 0.5;          // part of a window after which that is done
-constexpr Duration kAheadLead = 120ms;      // and how long before a window begins, on top of a round trip
-constexpr double kFewRequests = 4;          // "a few requests' units" in one quantum
-constexpr Duration kLateCall = 1500ms;      // a call without an answer counts as refused after it
-constexpr Duration kNoHolder = 400ms;       // advice while nobody can be asked
-constexpr Duration kSweep = 20ms;           // how often tenants are looked at for time alone
-constexpr double kLeastUsual = 0.25;        // requests a window below which nothing is leased ahead
-constexpr Duration kEnds = 3ms;             // a unit is not spent so shortly before its window ends: it arrives after it
+constexpr double kUsualGain = 0.35;  // of the last window's use in what is usual: three windows show a change
+constexpr double
+    kAheadLess = 0.5;  // of the root of the usual use, by which less than it is leased ahead: what lies here
+                       // unspent is lost to others, and of little use little is sure to be spent
+constexpr double kAheadFrom = 0.3;  // part of a window after which the ones to come are leased of
+constexpr double kTopUp = 0.3;      // of the usual use that must be missing of a lease for it to be added to
+constexpr double
+    kScarce = 0.2;  // of a window's limit left at the holder: what is not needed here is handed back
+constexpr double kBackAfter = 0.5;      // part of a window after which that is done
+constexpr Duration kAheadLead = 120ms;  // and how long before a window begins, on top of a round trip
+constexpr double kFewRequests = 4;      // "a few requests' units" in one quantum
+constexpr Duration kLateCall = 1500ms;  // a call without an answer counts as refused after it
+constexpr Duration kNoHolder = 400ms;   // advice while nobody can be asked
+constexpr Duration kSweep = 20ms;       // how often tenants are looked at for time alone
+constexpr double kLeastUsual = 0.25;    // requests a window below which nothing is leased ahead
+constexpr Duration kEnds = 3ms;  // a unit is not spent so shortly before its window ends: it arrives after it
 
 }  // namespace
 
@@ -82,7 +84,8 @@
   }
 }
 
-// Forgets windows that are over. A unit is not spent so shortly before its window ends that it would arrive after it.
+// Forgets windows that are over. A unit is not spent so shortly before its window ends that it would arrive
+// after it.
 void Units::roll(Time now, Tenant& t) {
   if (!t.anchored) return;
   const auto gone = now + kEnds - t.anchor_start;
@@ -91,7 +94,8 @@
   const auto present = t.anchor + steps;
   if (present <= t.present) return;
   t.usual += kUsualGain * (t.used - t.usual);
-  if (present > t.present + 1) t.usual *= std::pow(1 - kUsualGain, std::min<double>(20, static_cast<double>(present - t.present - 1)));
+  if (present > t.present + 1)
+    t.usual *= std::pow(1 - kUsualGain, std::min<double>(20, static_cast<double>(present - t.present - 1)));
   t.used = 0;
   t.present = present;
   t.leases.erase(t.leases.begin(), t.leases.lower_bound(present));
@@ -110,8 +114,8 @@
   if (!std::exchange(t.dirty, true)) dirty_.push_back(name);
 }
 
-Units::Take Units::take(Time now, const std::string& tenant, RequestId request, Duration wait_limit, Duration& retry_after,
-                        bool& holder_lost) {
+Units::Take Units::take(Time now, const std::string& tenant, RequestId request, Duration wait_limit,
+                        Duration& retry_after, bool& holder_lost) {
   const auto found = tenants_.find(tenant);
   if (found == tenants_.end() || found->second.window.length == Duration{}) return Take::passed;
   auto& t = found.value();
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -1,10 +1,11 @@
-// Units leased under tenants' names: Weighted Fair Escrow at one proxy. A request passes if a unit is held under its tenant's name;
-// otherwise a quantum is added to that tenant's count at the holder of the counts first. Pure.
+// Units leased under tenants' names: Weighted Fair Escrow at one proxy. A request passes if a unit is held
+// under its tenant's name; otherwise a quantum is added to that tenant's count at the holder of the counts
+// first. Pure.
 //
-// Invariants: a unit is spent in the window it was leased of; at most one call is out for a tenant and window; units of an older
-// term are dropped when a newer holder grants.
-// Ours: what a proxy used in the last windows is leased of the next ones ahead of their begin, so that a holder far away costs no
-// request its round trip, and a change of holder costs few requests.
+// Invariants: a unit is spent in the window it was leased of; at most one call is out for a tenant and
+// window; units of an older term are dropped when a newer holder grants. Ours: what a proxy used in the last
+// windows is leased of the next ones ahead of their begin, so that a holder far away costs no request its
+// round trip, and a change of holder costs few requests.
 #pragma once
 
 #include <tsl/robin_map.h>
@@ -44,7 +45,7 @@
 };
 
 namespace units {  // complete before the tables of them
-struct Lease {  // of one window
+struct Lease {     // of one window
   double held = 0;
   Time shut{};          // until then the holder has no more of it for this proxy
   bool scarce = false;  // little is left of it
@@ -82,14 +83,15 @@
   void set_holder(Time now, bool reachable);  // whether the holder can be asked
 
   // `refused`: `retry_after` tells when to come back.
-  Take take(Time now, const std::string& tenant, RequestId request, Duration wait_limit, Duration& retry_after,
-            bool& holder_lost);
+  Take take(Time now, const std::string& tenant, RequestId request, Duration wait_limit,
+            Duration& retry_after, bool& holder_lost);
   void forget(const std::string& tenant, RequestId request);  // it no longer waits
   void give_back(Time now, const std::string& tenant);        // a unit that was taken and not used
 
   void granted(Time now, std::uint64_t term, const Granted& g);
   void call_failed(Time now);  // calls that are out get no answer
-  // Another one holds the counts now: what was leased ahead is granted anew by it, what is of the present window stays.
+  // Another one holds the counts now: what was leased ahead is granted anew by it, what is of the present
+  // window stays.
   void new_holder(Time now);
 
   // What is to be asked now, who passes, and who is refused. Called after each of the above and with time.
--- a/src/system/disk/disk.cpp
+++ b/src/system/disk/disk.cpp
@@ -38,7 +38,8 @@
 
 }  // namespace
 
-Disk::Disk(std::string folder, std::unique_ptr<leveldb::DB> db) : folder_(std::move(folder)), db_(std::move(db)) {}
+Disk::Disk(std::string folder, std::unique_ptr<leveldb::DB> db)
+    : folder_(std::move(folder)), db_(std::move(db)) {}
 Disk::~Disk() = default;
 
 Result<std::unique_ptr<Disk>> Disk::open(const std::string& folder) {
@@ -96,14 +97,16 @@
   const auto forget = [&](const char* kind, std::size_t prefix, std::uint64_t up_to) {
     if (up_to == 0) return;
     const std::unique_ptr<leveldb::Iterator> it(db_->NewIterator({}));
-    for (it->Seek(kind); it->Valid() && it->key().starts_with(kind) && place_of(it->key(), prefix) <= up_to; it->Next())
+    for (it->Seek(kind); it->Valid() && it->key().starts_with(kind) && place_of(it->key(), prefix) <= up_to;
+         it->Next())
       batch.Delete(it->key());
   };
   forget("accepted/", 9, w.forget_accepted);
   forget("log/", 4, w.forget_log);
   if (w.state) batch.Put("state", agreement::encode_state(*w.state));
   if (w.promised) batch.Put("promised", agreement::encode_ballot(*w.promised));
-  for (const auto& [slot, a] : w.accepted) batch.Put(key_of("accepted/", slot), agreement::encode_accepted(a));
+  for (const auto& [slot, a] : w.accepted)
+    batch.Put(key_of("accepted/", slot), agreement::encode_accepted(a));
   for (const auto& c : w.log) batch.Put(key_of("log/", c.slot), encode_change(c));
   leveldb::WriteOptions how;
   how.sync = w.durable;
--- a/src/system/disk/disk.hpp
+++ b/src/system/disk/disk.hpp
@@ -1,5 +1,5 @@
-// A store's memory on its disk, in LevelDB: `state` (a snapshot), `promised`, `accepted/PLACE`, `log/PLACE`. Writes that belong
-// together are one batch. Calls wait for the disk; DiskThread keeps them off the loop.
+// A store's memory on its disk, in LevelDB: `state` (a snapshot), `promised`, `accepted/PLACE`, `log/PLACE`.
+// Writes that belong together are one batch. Calls wait for the disk; DiskThread keeps them off the loop.
 #pragma once
 
 #include <condition_variable>
@@ -21,8 +21,8 @@
 
 class Disk {
  public:
-  // Opens, mends after a torn end, or sets aside (`*.damaged`) what can't be read and begins anew: its store then counts as
-  // one whose disk was lost.
+  // Opens, mends after a torn end, or sets aside (`*.damaged`) what can't be read and begins anew: its store
+  // then counts as one whose disk was lost.
   static Result<std::unique_ptr<Disk>> open(const std::string& folder);
   ~Disk();
   // Sets aside (`*.damaged`) what can't be read, and opens an empty one.
@@ -36,7 +36,8 @@
   std::unique_ptr<leveldb::DB> db_;
 };
 
-// Writes in order on a thread of its own. A write that fails is tried again until it succeeds: `done` is called on that thread.
+// Writes in order on a thread of its own. A write that fails is tried again until it succeeds: `done` is
+// called on that thread.
 class DiskThread {
  public:
   explicit DiskThread(std::unique_ptr<Disk> disk);
--- a/src/system/disk/shelf.hpp
+++ b/src/system/disk/shelf.hpp
@@ -1,5 +1,6 @@
-// A few named texts on a disk, in LevelDB, for what is of use after a restart and no promise to anybody. Writes are on a thread of
-// their own: only the last text of a name is written, durably; one that fails is tried again with the next.
+// A few named texts on a disk, in LevelDB, for what is of use after a restart and no promise to anybody.
+// Writes are on a thread of their own: only the last text of a name is written, durably; one that fails is
+// tried again with the next.
 #pragma once
 
 #include <condition_variable>
--- a/src/system/duty/duty.cpp
+++ b/src/system/duty/duty.cpp
@@ -6,7 +6,11 @@
 namespace docklift::duty {
 
 Duty::Duty(Terms terms, std::string self, std::uint64_t life, bool remembers, Time now)
-    : terms_(terms), self_(std::move(self)), life_(life), silent_until_(remembers ? now : now + terms.lease), granted_until_(now) {}
+    : terms_(terms),
+      self_(std::move(self)),
+      life_(life),
+      silent_until_(remembers ? now : now + terms.lease),
+      granted_until_(now) {}
 
 Answer Duty::asked(Time now, const Ask& ask) {
   if (ask.holds) seen_term_ = std::max(seen_term_, ask.term);
@@ -38,7 +42,8 @@
 }
 
 void Duty::grant(Time now, const Ask& ask) {
-  granted_term_ = ask.term, granted_to_ = ask.holder, granted_life_ = ask.life, granted_until_ = now + terms_.lease;
+  granted_term_ = ask.term, granted_to_ = ask.holder, granted_life_ = ask.life,
+  granted_until_ = now + terms_.lease;
 }
 
 std::optional<Ask> Duty::tick(Time now, std::uint64_t wall_ms, const std::vector<std::string>& voters,
@@ -50,7 +55,8 @@
   enough_since_ = enough ? std::min(enough_since_, now) : Time::max();
   if (now < next_ask_ || std::ranges::find(voters, self_) == voters.end()) return std::nullopt;
   if (held_term_ == 0) {
-    // Claims that cross would hold each other up: who has got no majority gives back what it was granted, and waits by rank.
+    // Claims that cross would hold each other up: who has got no majority gives back what it was granted, and
+    // waits by rank.
     if (asking_term_ != 0 && granted_to_ == self_ && granted_term_ == asking_term_ && !named_) {
       next_ask_ = now + terms_.stagger * static_cast<int>(rank + 1);
       const Ask back{asking_term_, self_, "", true, false, life_};
--- a/src/system/duty/duty.hpp
+++ b/src/system/duty/duty.hpp
@@ -1,7 +1,8 @@
-// A duty that one of several does at a time: who holds it has been granted it by a majority for a while, and renews. The holder
-// names its successor when it ends in order; a majority does when it can't. Pure. Terms rise with each holder.
-// Safe while clocks run at the same speed to within `margin` of `lease`: a grantor that has lost its memory grants nothing for a lease,
-// unless all voters have: then whoever held it has restarted as well, as it is one of them.
+// A duty that one of several does at a time: who holds it has been granted it by a majority for a while, and
+// renews. The holder names its successor when it ends in order; a majority does when it can't. Pure. Terms
+// rise with each holder. Safe while clocks run at the same speed to within `margin` of `lease`: a grantor
+// that has lost its memory grants nothing for a lease, unless all voters have: then whoever held it has
+// restarted as well, as it is one of them.
 #pragma once
 
 #include <optional>
@@ -17,7 +18,8 @@
   Duration lease = std::chrono::milliseconds(1200);
   Duration margin = std::chrono::milliseconds(150);
   Duration renew = std::chrono::milliseconds(250);
-  Duration hearing = std::chrono::milliseconds(300);  // after a start without memory: members tell the terms that they know
+  Duration hearing = std::chrono::milliseconds(
+      300);  // after a start without memory: members tell the terms that they know
   Duration stagger = std::chrono::milliseconds(120);  // between those that may claim it, by rank
 };
 
@@ -25,7 +27,7 @@
   std::uint64_t term = 0;
   std::string holder, successor;
   bool release = false;
-  bool holds = false;  // granted by a majority before, and renewed now
+  bool holds = false;      // granted by a majority before, and renewed now
   std::uint64_t life = 0;  // of the holder: a restarted one has forgotten what it held, and renews nothing
 };
 struct Answer {
@@ -40,9 +42,9 @@
   // `remembers`: false where this process may have granted it in an earlier life.
   Duty(Terms terms, std::string self, std::uint64_t life, bool remembers, Time now);
 
-  // Asks to be sent to every voter but this one; called at least each 100 ms. `linked`: the voters in reach, this one among them;
-  // those that come first by name claim first.
-  // A first term is drawn from `wall_ms` (the time of day), so that terms of two starts of everything are not the same.
+  // Asks to be sent to every voter but this one; called at least each 100 ms. `linked`: the voters in reach,
+  // this one among them; those that come first by name claim first. A first term is drawn from `wall_ms` (the
+  // time of day), so that terms of two starts of everything are not the same.
   std::optional<Ask> tick(Time now, std::uint64_t wall_ms, const std::vector<std::string>& voters,
                           const std::vector<std::string>& linked);
   Answer asked(Time now, const Ask& ask);
@@ -56,7 +58,8 @@
   std::uint64_t held_term() const { return held_term_; }
   // Nobody knew of an earlier holder when it was claimed.
   bool held_first() const { return held_first_; }
-  // Who was last known to hold it, with its term: by its own word, as a claim that was granted here alone is no duty.
+  // Who was last known to hold it, with its term: by its own word, as a claim that was granted here alone is
+  // no duty.
   const std::string& holder() const { return known_holder_; }
   std::uint64_t term() const { return known_term_; }
 
@@ -79,7 +82,8 @@
   bool named_ = false;  // by who held it before
   bool held_first_ = false, asking_first_ = false;
   std::uint64_t asking_term_ = 0, held_term_ = 0, seen_term_ = 0;
-  Time asked_at_{}, held_until_{}, next_ask_{}, enough_since_ = Time::max();  // voters in reach for a claim to succeed
+  Time asked_at_{}, held_until_{}, next_ask_{},
+      enough_since_ = Time::max();  // voters in reach for a claim to succeed
   std::set<std::string> grants_, blanks_;
   std::size_t majority_ = 1, voters_ = 1;
 };
--- a/src/system/fleet/change_log.hpp
+++ b/src/system/fleet/change_log.hpp
@@ -1,4 +1,5 @@
-// The configuration as a follower of the log of changes has it: a state, and the last changes for who follows this one. Pure.
+// The configuration as a follower of the log of changes has it: a state, and the last changes for who follows
+// this one. Pure.
 #pragma once
 
 #include <algorithm>
@@ -12,7 +13,11 @@
 
 class ChangeLog {
  public:
-  enum class News { none, taken, gap };  // gap: a change is missing between; ask for what comes after position()
+  enum class News {
+    none,
+    taken,
+    gap
+  };  // gap: a change is missing between; ask for what comes after position()
 
   News take(wire::Snapshot::Reader snapshot);
   News take(capnp::List<wire::Entry>::Reader entries);
--- a/src/system/fleet/records.cpp
+++ b/src/system/fleet/records.cpp
@@ -26,7 +26,8 @@
   if (fresh) return Merged::changed;
   auto& known = it->second;
   if (known.phase == Phase::GONE) return Merged::nothing;
-  if (s.phase != Phase::GONE && (s.calls < known.calls || (s.calls == known.calls && s.phase <= known.phase))) {
+  if (s.phase != Phase::GONE &&
+      (s.calls < known.calls || (s.calls == known.calls && s.phase <= known.phase))) {
     if (s.calls == known.calls && s.heard > known.heard) return known.heard = s.heard, Merged::heard;
     return Merged::nothing;
   }
@@ -73,7 +74,8 @@
 }
 
 Merged Nodes::merge(const Node& n) {
-  if (const auto ended = ended_.find(n.id); ended != ended_.end() && !all_.contains(n.id) && n.life < ended->second)
+  if (const auto ended = ended_.find(n.id);
+      ended != ended_.end() && !all_.contains(n.id) && n.life < ended->second)
     return Merged::nothing;
   const auto [it, fresh] = all_.try_emplace(n.id, n);
   if (fresh) return Merged::changed;
@@ -118,7 +120,8 @@
 
 void put(wire::Node::Builder to, const Node& n, Time now) {
   to.setId(n.id), to.setLife(n.life), to.setStamp(n.stamp), to.setRole(n.role), to.setZone(n.zone);
-  to.setAddress(n.address), to.setReady(n.ready), to.setLeaving(n.leaving), to.setAgeMs(millis(now - n.heard)), to.setTerm(n.term);
+  to.setAddress(n.address), to.setReady(n.ready), to.setLeaving(n.leaving),
+      to.setAgeMs(millis(now - n.heard)), to.setTerm(n.term);
 }
 
 Node get(wire::Node::Reader r, Time now) {
--- a/src/system/fleet/records.hpp
+++ b/src/system/fleet/records.hpp
@@ -1,4 +1,5 @@
-// Which servers and members there are: records that any registry may write and that merge the same way in any order. Pure.
+// Which servers and members there are: records that any registry may write and that merge the same way in any
+// order. Pure.
 #pragma once
 
 #include <tsl/robin_map.h>
@@ -38,10 +39,12 @@
 
 class Servers {
  public:
-  // The record with the higher `calls` holds, of equal ones the later phase; a server that is gone never comes back under its id.
+  // The record with the higher `calls` holds, of equal ones the later phase; a server that is gone never
+  // comes back under its id.
   Merged merge(const Server& s);
   const Server* find(const std::string& id) const;
-  // Forgets servers that were gone for `kept`, and calls gone those not heard of for `silence` (0: none); these are returned.
+  // Forgets servers that were gone for `kept`, and calls gone those not heard of for `silence` (0: none);
+  // these are returned.
   std::vector<Server> expire(Time now, Duration silence, Duration kept);
   const std::map<std::string, Server>& all() const { return all_; }
   // Digests over `ranges` ranges of ids, of id, calls' phase and address; equal where the records are.
@@ -61,7 +64,8 @@
 
  private:
   std::map<std::string, Node> all_;
-  std::map<std::string, std::uint64_t> ended_;  // the last life of who was dropped, to tell a late word from a new one
+  std::map<std::string, std::uint64_t>
+      ended_;  // the last life of who was dropped, to tell a late word from a new one
 };
 
 void put(wire::Server::Builder to, const Server& s, Time now);
--- a/src/system/http/head.cpp
+++ b/src/system/http/head.cpp
@@ -52,8 +52,7 @@
 // The end of a head in the text, or how reading it stands.
 ReadHead find_end(std::string_view text, std::size_t skipped, std::size_t limit) {
   const auto end = text.find("\r\n\r\n", skipped);
-  if (end == std::string_view::npos)
-    return {text.size() - skipped > limit ? Read::too_long : Read::more, 0};
+  if (end == std::string_view::npos) return {text.size() - skipped > limit ? Read::too_long : Read::more, 0};
   if (end + 4 - skipped > limit) return {Read::too_long, 0};
   return {Read::done, end + 4};
 }
@@ -116,7 +115,8 @@
   head = {};
   head.method = line.substr(0, first), head.target = line.substr(first + 1, last - first - 1);
   const auto minor = minor_of(line.substr(last + 1));
-  if (!minor || !is_token(head.method) || !visible(head.target) || head.target.front() != '/') return {Read::bad, 0};
+  if (!minor || !is_token(head.method) || !visible(head.target) || head.target.front() != '/')
+    return {Read::bad, 0};
   head.minor = *minor;
   if (!read_fields(all.substr(line_end + 2), head)) return {Read::bad, 0};
   return found;
@@ -174,14 +174,16 @@
 std::optional<double> number(std::string_view text) {
   double n = 0;
   if (text.empty() || text.find_first_not_of("0123456789.") != std::string_view::npos) return std::nullopt;
-  const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), n, std::chars_format::fixed);
+  const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), n,
+                                             std::chars_format::fixed);
   if (failed != std::errc{} || end != text.data() + text.size()) return std::nullopt;
   return n;
 }
 
 bool is_hop(std::string_view name, const Head& head) {
-  static constexpr std::string_view hops[] = {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
-                                              "TE", "Trailer", "Upgrade", "Content-Length", "Expect"};
+  static constexpr std::string_view hops[] = {
+      "Connection",     "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade",
+      "Content-Length", "Expect"};
   for (const auto h : hops)
     if (same(name, h)) return true;
   return head.lists("Connection", name);
--- a/src/system/http/head.hpp
+++ b/src/system/http/head.hpp
@@ -1,5 +1,5 @@
-// Heads of HTTP/1.1 messages (RFC 9112), read strictly: what is in doubt is bad, as it could hide another message.
-// Pure. Views point into the text that was given.
+// Heads of HTTP/1.1 messages (RFC 9112), read strictly: what is in doubt is bad, as it could hide another
+// message. Pure. Views point into the text that was given.
 #pragma once
 
 #include <cstddef>
--- a/src/system/http/server.cpp
+++ b/src/system/http/server.cpp
@@ -64,11 +64,12 @@
     if (!keep) out += "Connection: close\r\n";
     out += "Content-Length: " + std::to_string(a.body.size()) + "\r\n\r\n" + a.body;
     arm(server->limits_.whole);
-    asio::async_write(socket, asio::buffer(out), [self = shared_from_this(), keep](error_code failed, std::size_t) {
-      if (failed || !keep || !self->server) return self->end();
-      if (self->in.empty()) return self->read();
-      self->take();
-    });
+    asio::async_write(socket, asio::buffer(out),
+                      [self = shared_from_this(), keep](error_code failed, std::size_t) {
+                        if (failed || !keep || !self->server) return self->end();
+                        if (self->in.empty()) return self->read();
+                        self->take();
+                      });
   }
 
   void arm(Duration limit) {
--- a/src/system/http/server.hpp
+++ b/src/system/http/server.hpp
@@ -1,5 +1,5 @@
-// A small HTTP/1.1 server for the system's own interfaces: whole bodies, one answer at a time on a connection, answers in order.
-// Callbacks run on the io_context's thread.
+// A small HTTP/1.1 server for the system's own interfaces: whole bodies, one answer at a time on a
+// connection, answers in order. Callbacks run on the io_context's thread.
 #pragma once
 
 #include <functional>
@@ -14,8 +14,8 @@
 
 struct Answer {
   int status = 200;
-  std::string body;             // JSON; may be empty
-  double retry_after_s = 0;     // told where above 0
+  std::string body;          // JSON; may be empty
+  double retry_after_s = 0;  // told where above 0
 };
 struct Call {
   std::string method, target, body;
--- a/src/system/net/link.cpp
+++ b/src/system/net/link.cpp
@@ -74,14 +74,16 @@
 }
 
 void Link::read_length() {
-  asio::async_read(socket_, asio::buffer(length_), [self = shared_from_this()](error_code failed, std::size_t) {
-    if (failed) return self->fail("read", failed.message());
-    std::uint32_t n = 0;
-    for (std::size_t i = 0; i < 4; ++i) n |= static_cast<std::uint32_t>(self->length_[i]) << (8 * i);
-    if (n == 0 || n % sizeof(capnp::word) != 0 || n > self->limits_.frame_bytes)
-      return self->fail("read", "no length of a frame");
-    self->read_body(n);
-  });
+  asio::async_read(socket_, asio::buffer(length_),
+                   [self = shared_from_this()](error_code failed, std::size_t) {
+                     if (failed) return self->fail("read", failed.message());
+                     std::uint32_t n = 0;
+                     for (std::size_t i = 0; i < 4; ++i)
+                       n |= static_cast<std::uint32_t>(self->length_[i]) << (8 * i);
+                     if (n == 0 || n % sizeof(capnp::word) != 0 || n > self->limits_.frame_bytes)
+                       return self->fail("read", "no length of a frame");
+                     self->read_body(n);
+                   });
 }
 
 void Link::read_body(std::uint32_t bytes) {
@@ -141,8 +143,8 @@
   });
 }
 
-Dialer::Dialer(asio::io_context& io, Tcp::endpoint to, LinkLimits limits, Link::OnFrame on_frame, OnOpen on_open,
-               Link::OnClosed on_closed)
+Dialer::Dialer(asio::io_context& io, Tcp::endpoint to, LinkLimits limits, Link::OnFrame on_frame,
+               OnOpen on_open, Link::OnClosed on_closed)
     : io_(io),
       to_(std::move(to)),
       limits_(limits),
--- a/src/system/net/link.hpp
+++ b/src/system/net/link.hpp
@@ -1,6 +1,7 @@
-// A connection between two of the system's processes: frames of Cap'n Proto with a length ahead of each (4 bytes, little
-// endian). A link says `alive` when it has nothing else to say, and ends when it has heard nothing for `silence`.
-// All calls and callbacks are on one io_context's thread. Callbacks are not called after close().
+// A connection between two of the system's processes: frames of Cap'n Proto with a length ahead of each (4
+// bytes, little endian). A link says `alive` when it has nothing else to say, and ends when it has heard
+// nothing for `silence`. All calls and callbacks are on one io_context's thread. Callbacks are not called
+// after close().
 #pragma once
 
 #include <capnp/message.h>
@@ -24,8 +25,8 @@
 
 using snowknot::Socket;
 using snowknot::Tcp;
-using Timer = boost::asio::basic_waitable_timer<std::chrono::steady_clock,
-                                                boost::asio::wait_traits<std::chrono::steady_clock>, snowknot::Executor>;
+using Timer = boost::asio::basic_waitable_timer<
+    std::chrono::steady_clock, boost::asio::wait_traits<std::chrono::steady_clock>, snowknot::Executor>;
 using Acceptor = boost::asio::basic_socket_acceptor<Tcp, snowknot::Executor>;
 
 // ip:port as endpoint; a failure names the text.
@@ -81,8 +82,8 @@
 class Dialer : public std::enable_shared_from_this<Dialer> {
  public:
   using OnOpen = std::function<void(const std::shared_ptr<Link>&)>;  // its start() has not been called
-  Dialer(boost::asio::io_context& io, Tcp::endpoint to, LinkLimits limits, Link::OnFrame on_frame, OnOpen on_open,
-         Link::OnClosed on_closed);
+  Dialer(boost::asio::io_context& io, Tcp::endpoint to, LinkLimits limits, Link::OnFrame on_frame,
+         OnOpen on_open, Link::OnClosed on_closed);
   void start();
   void stop();
   const std::shared_ptr<Link>& link() const { return link_; }  // null or closed while there is none
--- a/src/system/program/program.cpp
+++ b/src/system/program/program.cpp
@@ -12,14 +12,16 @@
 namespace docklift {
 
 std::uint64_t draw_life() {
-  return static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::nanoseconds(1));
+  return static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() /
+                                    std::chrono::nanoseconds(1));
 }
 
 int run_program(const Program& program, int argc, char** argv,
                 const std::function<int(boost::asio::io_context&, const SystemSettings&)>& run) {
   cxxopts::Options options(program.name, program.what);
-  options.add_options()("s,settings", "the settings file ($DOCKLIFT_SETTINGS)", cxxopts::value<std::string>())(
-      "l,log-level", "debug, info, warn or error", cxxopts::value<std::string>()->default_value("info"))(
+  options.add_options()("s,settings", "the settings file ($DOCKLIFT_SETTINGS)",
+                        cxxopts::value<std::string>())("l,log-level", "debug, info, warn or error",
+                                                       cxxopts::value<std::string>()->default_value("info"))(
       "c,check", "read the settings, tell mistakes, end")("h,help", "this text")("v,version", "the version");
   std::string path, level;
   bool check = false;
--- a/src/system/program/program.hpp
+++ b/src/system/program/program.hpp
@@ -16,14 +16,16 @@
   std::string name, what;  // for --help
 };
 
-// Reads command line and settings, and calls `run`; returns the exit code. `check` (--check) ends after the settings are read.
+// Reads command line and settings, and calls `run`; returns the exit code. `check` (--check) ends after the
+// settings are read.
 int run_program(const Program& program, int argc, char** argv,
                 const std::function<int(boost::asio::io_context&, const SystemSettings&)>& run);
 
 // SIGTERM and SIGINT: `stop`; SIGHUP: `reload` with the settings as they are now (only if they can be read).
 class Signals {
  public:
-  Signals(boost::asio::io_context& io, std::function<void()> stop, std::function<void(const SystemSettings&)> reload);
+  Signals(boost::asio::io_context& io, std::function<void()> stop,
+          std::function<void(const SystemSettings&)> reload);
 
  private:
   void wait();
--- a/src/system/proxy/main.cpp
+++ b/src/system/proxy/main.cpp
@@ -3,12 +3,14 @@
 
 int main(int argc, char** argv) {
   using namespace docklift;
-  return run_program({"docklift-proxy", "Takes clients' requests to the servers that can answer them."}, argc, argv,
-                     [](boost::asio::io_context& io, const SystemSettings& settings) {
+  return run_program({"docklift-proxy", "Takes clients' requests to the servers that can answer them."}, argc,
+                     argv, [](boost::asio::io_context& io, const SystemSettings& settings) {
                        const Log log("proxy");
                        proxy::Proxy proxy(io, settings);
-                       if (const auto started = proxy.start(); failed(started)) return log.error(failure(started).shown()), 2;
-                       const Signals signals(io, [&] { proxy.drain([&] { io.stop(); }); }, [](const SystemSettings&) {});
+                       if (const auto started = proxy.start(); failed(started))
+                         return log.error(failure(started).shown()), 2;
+                       const Signals signals(
+                           io, [&] { proxy.drain([&] { io.stop(); }); }, [](const SystemSettings&) {});
                        io.run();
                        return 0;
                      });
--- a/src/system/proxy/news.cpp
+++ b/src/system/proxy/news.cpp
@@ -11,11 +11,18 @@
 constexpr std::size_t kLinks = 3;  // registries that one proxy is linked to
 }  // namespace
 
-News::News(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock, Listener& listener)
-    : io_(io), settings_(settings), clock_(clock), listener_(listener), log_("news"), timer_(io.get_executor()) {
+News::News(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock,
+           Listener& listener)
+    : io_(io),
+      settings_(settings),
+      clock_(clock),
+      listener_(listener),
+      log_("news"),
+      timer_(io.get_executor()) {
   self_.id = settings.hostname, self_.zone = settings.zone, self_.role = fleet::Role::PROXY;
   self_.life = draw_life();
-  if (const auto http = settings.listen.find("http"); http != settings.listen.end()) self_.address = http->second;
+  if (const auto http = settings.listen.find("http"); http != settings.listen.end())
+    self_.address = http->second;
 }
 
 void News::start() {
@@ -135,8 +142,9 @@
       std::vector<decisions::Granted> grants;
       for (const auto i : g.getItems())
         if (i.getEndsMs() > 0)
-          grants.push_back({i.getTenant().cStr(), i.getWindow(), i.getUnits(), i.getLeft(), from_millis(i.getStartsMs()),
-                            from_millis(i.getEndsMs()), from_millis(i.getMoreMs())});
+          grants.push_back({i.getTenant().cStr(), i.getWindow(), i.getUnits(), i.getLeft(),
+                            from_millis(i.getStartsMs()), from_millis(i.getEndsMs()),
+                            from_millis(i.getMoreMs())});
       listener_.on_grants(g.getTerm(), grants);
       break;
     }
--- a/src/system/proxy/news.hpp
+++ b/src/system/proxy/news.hpp
@@ -1,5 +1,6 @@
-// A proxy's links to registries: it renews its lease there, follows the log of changes, hears of servers and members, and asks the
-// holder of the counts for units. News goes to one listener; what comes twice or late is told apart there by its place.
+// A proxy's links to registries: it renews its lease there, follows the log of changes, hears of servers and
+// members, and asks the holder of the counts for units. News goes to one listener; what comes twice or late
+// is told apart there by its place.
 #pragma once
 
 #include <functional>
@@ -28,7 +29,8 @@
     virtual void on_grants(std::uint64_t term, const std::vector<decisions::Granted>& grants) = 0;
     virtual void on_grants_failed() = 0;
   };
-  News(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock, Listener& listener);
+  News(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock,
+       Listener& listener);
   void start();
   void stop();
   // What the registries are told of this proxy, at once and with each renewal.
@@ -54,7 +56,7 @@
   fleet::ChangeLog changes_;
   fleet::Node self_;
   std::map<std::string, std::shared_ptr<Dialer>> links_;  // by ip
-  std::vector<std::string> registries_;                   // as they have told, those first that were linked first
+  std::vector<std::string> registries_;  // as they have told, those first that were linked first
   std::vector<std::string> proxies_;
   std::string holder_;
   std::uint64_t term_ = 0, calls_ = 0;
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -5,11 +5,11 @@
 namespace docklift::proxy {
 namespace {
 using namespace std::chrono_literals;
-constexpr Duration kTick = 20ms;          // while requests are open
+constexpr Duration kTick = 20ms;  // while requests are open
 constexpr Duration kNoConfiguration = 300ms;
 constexpr Duration kLastAnswers = 700ms;  // before the grace ends: what is still open gets its last answer
 constexpr Duration kStopsAccepting = 1600ms;
-constexpr double kClientPart = 0.6;       // of the descriptors
+constexpr double kClientPart = 0.6;  // of the descriptors
 std::uint64_t drawn() { return (std::uint64_t(std::random_device{}()) << 32) | std::random_device{}(); }
 }  // namespace
 
@@ -18,7 +18,8 @@
       settings_(settings),
       timers_(io, clock_),
       log_("proxy"),
-      decisions_({settings.hostname, settings.zone, settings.region}, settings.zones, settings.bounds, drawn()),
+      decisions_({settings.hostname, settings.zone, settings.region}, settings.zones, settings.bounds,
+                 drawn()),
       upstream_(io, timers_),
       news_(io, settings_, clock_, *this),
       acceptor_(io.get_executor()) {}
@@ -38,12 +39,13 @@
   if (ready != settings_.listen.end()) {
     auto where = endpoint_of(ready->second);
     if (failed(where)) return failure(where);
-    readyz_ = std::make_unique<http::Server>(io_, value(where), http::ServerLimits{},
-                                             [this](const http::Call& call, const http::Server::Respond& respond) {
-                                               if (call.path() != "/readyz") return respond({404, ""});
-                                               const bool serves = configuration_ && heard_servers_ && !draining_;
-                                               respond({serves ? 200 : 503, ""});
-                                             });
+    readyz_ = std::make_unique<http::Server>(
+        io_, value(where), http::ServerLimits{},
+        [this](const http::Call& call, const http::Server::Respond& respond) {
+          if (call.path() != "/readyz") return respond({404, ""});
+          const bool serves = configuration_ && heard_servers_ && !draining_;
+          respond({serves ? 200 : 503, ""});
+        });
   }
   news_.start();
   return std::monostate{};
@@ -56,7 +58,8 @@
 void Proxy::accept() {
   acceptor_.async_accept([this](boost::system::error_code failed_accept, Socket socket) {
     if (failed_accept == boost::asio::error::operation_aborted) return;
-    if (!failed_accept && static_cast<double>(sessions_.size()) < kClientPart * static_cast<double>(settings_.descriptors)) {
+    if (!failed_accept &&
+        static_cast<double>(sessions_.size()) < kClientPart * static_cast<double>(settings_.descriptors)) {
       snowknot::set_no_delay(socket);
       const auto session = std::make_shared<Session>(*this, timers_, std::move(socket));
       sessions_.insert(session);
@@ -81,7 +84,8 @@
   const auto* tenant = request.key.empty() ? nullptr : configuration_->tenant_of(request.key);
   if (configuration_->has_tenants() && !route->is_public && !tenant) return session->answer(number, 401, {});
   const auto id = ++last_id_;
-  const Duration left = from_millis(request.deadline_ms.value_or(route->timeout_ms > 0 ? route->timeout_ms : 10000));
+  const Duration left = from_millis(
+      request.deadline_ms.value_or(route->timeout_ms > 0 ? route->timeout_ms : 10000));
   auto& x = exchanges_[id];
   x.session = session, x.number = number, x.request = std::move(request), x.deadline = now + left;
   if (tenant) x.tenant = tenant->name;
@@ -96,12 +100,15 @@
     } else if (const auto* ask = std::get_if<decisions::Ask>(&action)) {
       news_.ask(ask->adds);
     } else if (const auto* r = std::get_if<decisions::Refuse>(&action)) {
-      if (const auto x = exchanges_.extract(r->request)) x.mapped().session->answer(x.mapped().number, r->status, r->retry_after);
+      if (const auto x = exchanges_.extract(r->request))
+        x.mapped().session->answer(x.mapped().number, r->status, r->retry_after);
     } else if (const auto* f = std::get_if<decisions::Fail>(&action)) {
-      if (const auto x = exchanges_.extract(f->request)) x.mapped().session->answer(x.mapped().number, f->status, {});
+      if (const auto x = exchanges_.extract(f->request))
+        x.mapped().session->answer(x.mapped().number, f->status, {});
     } else if (const auto* relay = std::get_if<decisions::Relay>(&action)) {
       if (auto x = exchanges_.extract(relay->request))
-        x.mapped().session->answer(x.mapped().number, std::move(x.mapped().last.reply), x.mapped().last.body_at);
+        x.mapped().session->answer(x.mapped().number, std::move(x.mapped().last.reply),
+                                   x.mapped().last.body_at);
     }
   }
 }
@@ -112,11 +119,13 @@
   if (it == exchanges_.end() || !server) return;
   auto& x = it->second;
   Attempt a;
-  a.server = s.server, a.address = server->address, a.method = x.request.method, a.attempt_id = x.request.attempt_id;
+  a.server = s.server, a.address = server->address, a.method = x.request.method,
+  a.attempt_id = x.request.attempt_id;
   a.body = x.request.body;
   a.deadline = clock_.now() + s.timeout;
   a.head = x.request.head;
-  a.head += "Deadline: " + std::to_string(std::max(1u, millis(s.timeout))) + "\r\nWant-Instance: " + server->id + "\r\n";
+  a.head += "Deadline: " + std::to_string(std::max(1u, millis(s.timeout))) +
+            "\r\nWant-Instance: " + server->id + "\r\n";
   if (!x.tenant.empty()) a.head += "Tenant: " + x.tenant + "\r\n";
   upstream_.start(std::move(a), [this, id = s.request](Answered answered) {
     const auto open = exchanges_.find(id);
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -42,7 +42,8 @@
                             self->in_.append(self->chunk_.data(), n);
                             if (failed) {
                               self->ended_ = true;
-                              // What is under way is still answered: the client may have closed its half only.
+                              // What is under way is still answered: the client may have closed its half
+                              // only.
                               if (self->slots_.empty()) self->close();
                               return;
                             }
@@ -90,7 +91,8 @@
   if (!kind || !host || !id || id->empty()) return refuse(400), false;
   if (kind->coding == stream::Coding::length && kind->length > limits.body_bytes) return refuse(413), false;
   request_ = {};
-  request_.method = head.method, request_.target = head.target, request_.host = *host, request_.attempt_id = *id;
+  request_.method = head.method, request_.target = head.target, request_.host = *host,
+  request_.attempt_id = *id;
   if (const auto key = head.only("Key")) request_.key = *key;
   if (const auto ms = head.only("Deadline")) request_.deadline_ms = http::number(*ms);
   auto& to = request_.head;
@@ -175,28 +177,29 @@
   writing_ = true;
   timers_.cancel(limit_);
   limit_ = timers_.after(kWrite, [self = shared_from_this()] { self->limit_.reset(), self->close(); });
-  asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this(), last](error_code failed, std::size_t) {
-    self->writing_ = false;
-    if (self->closed_) return;
-    self->timers_.cancel(self->limit_);
-    self->slots_.pop_front();
-    self->out_ = {};
-    if (failed || last) {
-      error_code ignored;
-      self->socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-      return self->close();
-    }
-    if (self->whole_) self->begin();
-    self->take();
-    if (self->closed_) return;
-    if (self->slots_.empty()) {
-      if (self->ended_) return self->close();
-      const bool idle = self->in_.empty() && !self->in_body_;
-      self->wait_for(idle ? self->host_->limits().idle_ms : self->host_->limits().header_ms, idle);
-    }
-    self->write_next();
-    self->read();
-  });
+  asio::async_write(
+      socket_, asio::buffer(out_), [self = shared_from_this(), last](error_code failed, std::size_t) {
+        self->writing_ = false;
+        if (self->closed_) return;
+        self->timers_.cancel(self->limit_);
+        self->slots_.pop_front();
+        self->out_ = {};
+        if (failed || last) {
+          error_code ignored;
+          self->socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+          return self->close();
+        }
+        if (self->whole_) self->begin();
+        self->take();
+        if (self->closed_) return;
+        if (self->slots_.empty()) {
+          if (self->ended_) return self->close();
+          const bool idle = self->in_.empty() && !self->in_body_;
+          self->wait_for(idle ? self->host_->limits().idle_ms : self->host_->limits().header_ms, idle);
+        }
+        self->write_next();
+        self->read();
+      });
 }
 
 void Session::drain() {
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -1,6 +1,6 @@
-// A client's connection: whole requests are read and handed over in order; answers go out in that order. Repeatable requests that
-// are sent behind each other are under way together; any other one waits until it is alone, as a client sends again, whatever its
-// kind, what stands behind an answer that closes the connection.
+// A client's connection: whole requests are read and handed over in order; answers go out in that order.
+// Repeatable requests that are sent behind each other are under way together; any other one waits until it is
+// alone, as a client sends again, whatever its kind, what stands behind an answer that closes the connection.
 #pragma once
 
 #include <array>
@@ -17,8 +17,9 @@
 namespace docklift::proxy {
 
 struct Request {
-  std::string method, target, host, attempt_id, key, head;  // `head`: what goes on to a server, without what is the proxy's to say
-  std::shared_ptr<const std::string> body;                  // null: none
+  std::string method, target, host, attempt_id, key,
+      head;  // `head`: what goes on to a server, without what is the proxy's to say
+  std::shared_ptr<const std::string> body;  // null: none
   bool has_body = false;
   std::optional<double> deadline_ms;
 };
@@ -29,7 +30,8 @@
     virtual ~Host() = default;
     virtual configuration::Limits limits() const = 0;
     virtual bool draining() const = 0;
-    virtual void on_request(const std::shared_ptr<Session>& session, std::uint64_t number, Request request) = 0;
+    virtual void on_request(const std::shared_ptr<Session>& session, std::uint64_t number,
+                            Request request) = 0;
     virtual bool is_repeatable(const Request& request) const = 0;
     virtual void on_ended(const std::shared_ptr<Session>& session) = 0;
   };
@@ -70,7 +72,8 @@
   bool whole_ = false;  // request_ is read, and waits to be alone
   stream::BodyDecoder decoder_;
   std::string body_;
-  bool reading_ = false, in_body_ = false, repeatable_ = true, keep_ = true, closed_ = false, ended_ = false, writing_ = false;
+  bool reading_ = false, in_body_ = false, repeatable_ = true, keep_ = true, closed_ = false, ended_ = false,
+       writing_ = false;
   snowknot::Timers::Handle limit_;
 };
 
--- a/src/system/proxy/upstream.cpp
+++ b/src/system/proxy/upstream.cpp
@@ -11,12 +11,12 @@
 using stream::BodyDecoder;
 
 namespace {
-constexpr Duration kConnect = 450ms;      // twice the way to another region and back, and a full queue's patience
-constexpr Duration kPeerTimeout = 1500ms; // sent bytes without a word from the other machine
-constexpr Duration kIdle = 4s;            // an idle connection is kept so long where the server tells nothing
-constexpr Duration kIdleMargin = 1s;      // less than the server tells: a request must not cross its close
+constexpr Duration kConnect = 450ms;  // twice the way to another region and back, and a full queue's patience
+constexpr Duration kPeerTimeout = 1500ms;  // sent bytes without a word from the other machine
+constexpr Duration kIdle = 4s;        // an idle connection is kept so long where the server tells nothing
+constexpr Duration kIdleMargin = 1s;  // less than the server tells: a request must not cross its close
 constexpr std::size_t kHead = 16384, kBody = 8u << 20;  // bytes of an answer that are held
-constexpr std::size_t kSurplus = 4;       // answers to other requests that are passed over
+constexpr std::size_t kSurplus = 4;                     // answers to other requests that are passed over
 }  // namespace
 
 struct Upstream::Connection : std::enable_shared_from_this<Connection> {
@@ -24,12 +24,15 @@
 
   void connect(const std::string& address) {
     const auto at = snowknot::endpoint_of(address);
-    if (!at) return asio::post(socket.get_executor(), [self = shared_from_this()] { self->end(Outcome::connect_failed); });
-    limit = up->timers_.after(std::min(kConnect, std::max<Duration>(attempt.deadline - up->timers_.now(), 1ms)),
-                              [self = shared_from_this()] {
-                                self->limit.reset();
-                                self->end(Outcome::connect_failed);
-                              });
+    if (!at)
+      return asio::post(socket.get_executor(),
+                        [self = shared_from_this()] { self->end(Outcome::connect_failed); });
+    limit = up->timers_.after(
+        std::min(kConnect, std::max<Duration>(attempt.deadline - up->timers_.now(), 1ms)),
+        [self = shared_from_this()] {
+          self->limit.reset();
+          self->end(Outcome::connect_failed);
+        });
     socket.async_connect(*at, [self = shared_from_this()](error_code failed) {
       if (self->closed) return;
       self->up->timers_.cancel(self->limit);
@@ -121,8 +124,10 @@
     Answered a;
     a.status = head.status;
     a.outcome = judge(head);
-    if (const auto cold = head.only("Cold-Ms")) a.cold_ms = static_cast<std::uint32_t>(http::number(*cold).value_or(0));
-    a.reply = "HTTP/1.1 " + std::to_string(head.status) + " " + std::string(http::reason(head.status)) + "\r\n";
+    if (const auto cold = head.only("Cold-Ms"))
+      a.cold_ms = static_cast<std::uint32_t>(http::number(*cold).value_or(0));
+    a.reply = "HTTP/1.1 " + std::to_string(head.status) + " " + std::string(http::reason(head.status)) +
+              "\r\n";
     for (const auto& f : head.fields) {
       if (http::is_hop(f.name, head)) continue;
       a.reply.append(f.name).append(": ").append(f.value).append("\r\n");
@@ -137,9 +142,11 @@
       const auto at = told->find("timeout=");
       std::string_view digits = at == std::string_view::npos ? *told : told->substr(at + 8);
       digits = digits.substr(0, digits.find_first_not_of("0123456789"));
-      if (const auto s = http::number(digits)) keep_for = std::max(Duration{}, from_seconds(*s) - kIdleMargin);
+      if (const auto s = http::number(digits))
+        keep_for = std::max(Duration{}, from_seconds(*s) - kIdleMargin);
     }
-    const bool reusable = head.keeps_alive() && !more && !surplus && !writing && !write_failed && keep_for > Duration{};
+    const bool reusable = head.keeps_alive() && !more && !surplus && !writing && !write_failed &&
+                          keep_for > Duration{};
     done_with(std::move(a), reusable);
   }
 
@@ -147,7 +154,8 @@
     if (head.status == 421) return Outcome::other_instance;
     if (head.has("Not-Run")) return Outcome::not_run;
     if (head.status >= 200 && head.status < 300) {
-      const bool whole = head.has("Seal") && head.only("Attempt-Id") == attempt.attempt_id && !head.has("Content-Encoding");
+      const bool whole = head.has("Seal") && head.only("Attempt-Id") == attempt.attempt_id &&
+                         !head.has("Content-Encoding");
       return whole ? Outcome::ok : Outcome::garbled;
     }
     if (head.status >= 500 || head.status == 429 || head.status == 408) return Outcome::error;
--- a/src/system/proxy/upstream.hpp
+++ b/src/system/proxy/upstream.hpp
@@ -1,5 +1,5 @@
-// Connections to servers: pools, one attempt at a time on each, and what an answer must show to be the one to this request.
-// Callbacks run on the io_context's thread, never from within start().
+// Connections to servers: pools, one attempt at a time on each, and what an answer must show to be the one to
+// this request. Callbacks run on the io_context's thread, never from within start().
 #pragma once
 
 #include <functional>
@@ -31,7 +31,8 @@
   Outcome outcome = Outcome::reset;
   Duration took{};
   int status = 0;     // of a whole answer
-  std::string reply;  // it, ready for the client: status line, fields, body; without the end of the head where `body_at` is
+  std::string reply;  // it, ready for the client: status line, fields, body; without the end of the head
+                      // where `body_at` is
   std::size_t body_at = 0;  // where the fields end: Connection may be put in there
   std::uint32_t cold_ms = 0;
 };
--- a/src/system/registry/handlers.cpp
+++ b/src/system/registry/handlers.cpp
@@ -55,21 +55,24 @@
   const auto path = call.path();
   if (path == "/Config.Read") {
     // The newest that a majority knows of, also where this machine was cut off until now.
-    registry_.propose(configuration::ChangeKind::nothing, "", [this, respond](int status, const std::string& why, std::uint64_t at) {
-      if (status != 200) return respond({503, body_of_error(why), 0.2});
-      registry_.when_at(at, [this, respond](bool in_time) {
-        const auto& document = registry_.changes().state().document;
-        if (!in_time) return respond({503, body_of_error("the changes have not come here yet"), 0.2});
-        if (document.is_null()) return respond({404, body_of_error("there is no configuration yet")});
-        respond({200, document.dump()});
-      });
-    });
+    registry_.propose(configuration::ChangeKind::nothing, "",
+                      [this, respond](int status, const std::string& why, std::uint64_t at) {
+                        if (status != 200) return respond({503, body_of_error(why), 0.2});
+                        registry_.when_at(at, [this, respond](bool in_time) {
+                          const auto& document = registry_.changes().state().document;
+                          if (!in_time)
+                            return respond({503, body_of_error("the changes have not come here yet"), 0.2});
+                          if (document.is_null())
+                            return respond({404, body_of_error("there is no configuration yet")});
+                          respond({200, document.dump()});
+                        });
+                      });
     return true;
   }
   const bool replace = path == "/Config.Replace";
   if (!replace && path != "/Config.Patch") return false;
-  registry_.propose(replace ? configuration::ChangeKind::replace : configuration::ChangeKind::patch, call.body,
-                    [respond](int status, const std::string& why, std::uint64_t) {
+  registry_.propose(replace ? configuration::ChangeKind::replace : configuration::ChangeKind::patch,
+                    call.body, [respond](int status, const std::string& why, std::uint64_t) {
                       respond({status, status == 200 ? "{}" : body_of_error(why), status == 503 ? 0.2 : 0});
                     });
   return true;
--- a/src/system/registry/main.cpp
+++ b/src/system/registry/main.cpp
@@ -4,7 +4,8 @@
 int main(int argc, char** argv) {
   using namespace docklift;
   return run_program(
-      {"docklift-registry", "Knows which servers and nodes there are; takes the calls of servers, clients and the operator."},
+      {"docklift-registry",
+       "Knows which servers and nodes there are; takes the calls of servers, clients and the operator."},
       argc, argv, [](boost::asio::io_context& io, const SystemSettings& settings) {
         const Log log("registry");
         std::unique_ptr<Shelf> shelf;
@@ -23,13 +24,16 @@
           if (at == settings.listen.end()) return std::unique_ptr<http::Server>();
           auto where = endpoint_of(at->second);
           if (failed(where)) throw std::runtime_error(failure(where).shown());
-          return std::make_unique<http::Server>(io, value(where), http::ServerLimits{}, dispatch(std::move(handlers)));
+          return std::make_unique<http::Server>(io, value(where), http::ServerLimits{},
+                                                dispatch(std::move(handlers)));
         };
-        const auto ctl = serve("ctl", {std::make_shared<Instances>(registry), std::make_shared<Configurations>(registry),
-                                       std::make_shared<Evacuations>(registry)});
+        const auto ctl = serve(
+            "ctl", {std::make_shared<Instances>(registry), std::make_shared<Configurations>(registry),
+                    std::make_shared<Evacuations>(registry)});
         const auto dir = serve("dir", {std::make_shared<Directory>(registry)});
         if (!ctl && !dir) return log.error("read settings: neither listen.ctl nor listen.dir is told"), 2;
-        const Signals signals(io, [&] { registry.stop([&] { io.stop(); }); }, [](const SystemSettings&) {});
+        const Signals signals(
+            io, [&] { registry.stop([&] { io.stop(); }); }, [](const SystemSettings&) {});
         io.run();
         return 0;
       });
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -12,14 +12,14 @@
 using fleet::Merged;
 
 constexpr Duration kTick = 100ms;
-constexpr std::uint64_t kFlushTicks = 4;      // what was heard again is told to the others so often
-constexpr std::uint64_t kShelveTicks = 10;    // and changed records are put on the disk
-constexpr std::uint64_t kDigestTicks = 50;    // and digests of all records
-constexpr Duration kLease = 2500ms;           // a member that has not renewed for so long is none
-constexpr double kSilentBeats = 4;            // beats that a server may miss
-constexpr Duration kKept = 60s;               // that a server is gone is remembered
-constexpr Duration kProposal = 5500ms;        // a change without a verdict
-constexpr std::size_t kRanges = 64;           // of ids, for digests
+constexpr std::uint64_t kFlushTicks = 4;    // what was heard again is told to the others so often
+constexpr std::uint64_t kShelveTicks = 10;  // and changed records are put on the disk
+constexpr std::uint64_t kDigestTicks = 50;  // and digests of all records
+constexpr Duration kLease = 2500ms;         // a member that has not renewed for so long is none
+constexpr double kSilentBeats = 4;          // beats that a server may miss
+constexpr Duration kKept = 60s;             // that a server is gone is remembered
+constexpr Duration kProposal = 5500ms;      // a change without a verdict
+constexpr std::size_t kRanges = 64;         // of ids, for digests
 
 }  // namespace
 
@@ -67,7 +67,9 @@
 
 void Registry::dial(const std::string& ip) {
   const auto address = boost::asio::ip::make_address(ip);
-  const auto port = [&](std::uint16_t offset) { return static_cast<std::uint16_t>(settings_.first_port + offset); };
+  const auto port = [&](std::uint16_t offset) {
+    return static_cast<std::uint16_t>(settings_.first_port + offset);
+  };
   const auto hello = [this](const std::shared_ptr<Link>& link) {
     fleet::Outgoing out;
     self_.heard = clock_.now();
@@ -162,11 +164,12 @@
     case wire::Frame::GOSSIP: on_gossip(frame.getGossip(), link); break;
     case wire::Frame::DUTY_ASK: {
       const auto a = frame.getDutyAsk();
-      const auto answer =
-          duty_.asked(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(), a.getRelease(), a.getHolds(), a.getLife()});
+      const auto answer = duty_.asked(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(),
+                                            a.getRelease(), a.getHolds(), a.getLife()});
       fleet::Outgoing out;
       auto to = out.frame().initDutyAnswer();
-      to.setTerm(answer.term), to.setGranted(answer.granted), to.setBlank(answer.blank), to.setHolder(answer.holder);
+      to.setTerm(answer.term), to.setGranted(answer.granted), to.setBlank(answer.blank),
+          to.setHolder(answer.holder);
       link->send(out.message());
       check_duty();
       break;
@@ -266,7 +269,8 @@
   if (to == stores_.end()) return;
   fleet::Outgoing out;
   auto proposal = out.frame().initProposal();
-  proposal.setCall(call), proposal.setChange(fleet::change_of(p.kind)), proposal.setText(fleet::data_of(p.text));
+  proposal.setCall(call), proposal.setChange(fleet::change_of(p.kind)),
+      proposal.setText(fleet::data_of(p.text));
   p.store = to->first;
   to->second->link()->send(out.message());
 }
@@ -307,7 +311,8 @@
     const auto own = servers_.digests(kRanges);
     std::vector<const fleet::Server*> differ;
     for (const auto& [id, s] : servers_.all())
-      if (const auto range = servers_.range_of(id, kRanges); own[range] != digests[static_cast<unsigned>(range)])
+      if (const auto range = servers_.range_of(id, kRanges);
+          own[range] != digests[static_cast<unsigned>(range)])
         differ.push_back(&s);
     if (differ.empty()) return;
     fleet::Outgoing out;
@@ -375,7 +380,8 @@
   std::vector<std::string> proxies, registries{settings_.bind_ip};
   for (const auto& [id, n] : nodes_.all()) {
     if (n.role == fleet::Role::PROXY) proxies.push_back(n.zone + "/" + id);
-    if (n.role == fleet::Role::REGISTRY && !n.leaving && n.address != settings_.bind_ip) registries.push_back(n.address);
+    if (n.role == fleet::Role::REGISTRY && !n.leaving && n.address != settings_.bind_ip)
+      registries.push_back(n.address);
   }
   auto p = f.initProxies(static_cast<unsigned>(proxies.size()));
   for (unsigned i = 0; i < p.size(); ++i) p.set(i, proxies[i]);
@@ -404,16 +410,18 @@
     const auto a = items[i];
     const std::string tenant = a.getTenant().cStr();
     const auto known = std::ranges::find(c->tenants, tenant, &configuration::Tenant::name);
-    const counts::Quota quota = known == c->tenants.end() ? counts::Quota{} : counts::Quota{known->per_s, known->burst};
+    const counts::Quota quota = known == c->tenants.end() ? counts::Quota{}
+                                                          : counts::Quota{known->per_s, known->burst};
     list[i].setTenant(tenant);
     if (a.getUnits() < 0) {
       counts_.hand_back(now, tenant, quota, a.getWindow(), static_cast<std::uint32_t>(-a.getUnits()));
       continue;
     }
-    const auto g = counts_.add(now, tenant, quota, a.getAhead(), static_cast<std::uint32_t>(a.getUnits()), p.id,
-                               std::clamp<double>(a.getDemand(), 0, 1e6));
+    const auto g = counts_.add(now, tenant, quota, a.getAhead(), static_cast<std::uint32_t>(a.getUnits()),
+                               p.id, std::clamp<double>(a.getDemand(), 0, 1e6));
     list[i].setWindow(g.window), list[i].setUnits(g.units), list[i].setLeft(g.left);
-    list[i].setStartsMs(static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(g.starts).count()));
+    list[i].setStartsMs(
+        static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(g.starts).count()));
     list[i].setEndsMs(millis(g.ends)), list[i].setMoreMs(millis(g.more + std::chrono::microseconds(999)));
   }
   p.link->send(out.message());
@@ -444,7 +452,8 @@
 
 // ---- time ----------------------------------------------------------------------------------------
 
-// Servers as they are known now, for this registry's next life. Their beats come anew within seconds; until then these are tried.
+// Servers as they are known now, for this registry's next life. Their beats come anew within seconds; until
+// then these are tried.
 void Registry::shelve() {
   if (!shelf_ || !std::exchange(servers_changed_, false)) return;
   fleet::Outgoing out;
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -1,5 +1,5 @@
-// A registry on sockets: what it knows of servers, members and the configuration, and whom it tells. The calls from outside
-// are the handlers' (handlers.hpp).
+// A registry on sockets: what it knows of servers, members and the configuration, and whom it tells. The
+// calls from outside are the handlers' (handlers.hpp).
 #pragma once
 
 #include <deque>
--- a/src/system/store/main.cpp
+++ b/src/system/store/main.cpp
@@ -4,8 +4,8 @@
 int main(int argc, char** argv) {
   using namespace docklift;
   return run_program(
-      {"docklift-store", "Agrees on the configuration with the other stores and keeps it on disk."}, argc, argv,
-      [](boost::asio::io_context& io, const SystemSettings& settings) {
+      {"docklift-store", "Agrees on the configuration with the other stores and keeps it on disk."}, argc,
+      argv, [](boost::asio::io_context& io, const SystemSettings& settings) {
         const Log log("store");
         if (settings.data_dir.empty()) return log.error("read settings: datadir is missing"), 2;
         const auto folder = settings.data_dir + "/changes";
@@ -19,12 +19,13 @@
           if (failed(disk)) return log.error(failure(disk).shown()), 1;
           kept = agreement::Kept{};
         }
-        log.info(value(kept).any ? "the disk holds change " + std::to_string(value(kept).state.position) + " and " +
-                                       std::to_string(value(kept).log.size()) + " after it"
+        log.info(value(kept).any ? "the disk holds change " + std::to_string(value(kept).state.position) +
+                                       " and " + std::to_string(value(kept).log.size()) + " after it"
                                  : "the disk is empty");
         Store store(io, settings, std::move(value(disk)), std::move(value(kept)));
         store.start();
-        const Signals signals(io, [&] { store.stop(), io.stop(); }, [](const SystemSettings&) {});
+        const Signals signals(
+            io, [&] { store.stop(), io.stop(); }, [](const SystemSettings&) {});
         io.run();
         return 0;
       });
--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -20,7 +20,8 @@
 
 }  // namespace
 
-Store::Store(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Disk> disk, agreement::Kept kept)
+Store::Store(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Disk> disk,
+             agreement::Kept kept)
     : io_(io),
       settings_(settings),
       ballots_(options_of(settings), std::move(kept)),
@@ -55,7 +56,8 @@
   others.erase(settings_.bind_ip);
   for (const auto& ip : others) {
     if (stores_.contains(ip)) continue;
-    const Tcp::endpoint to(boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(settings_.first_port + kStorePort));
+    const Tcp::endpoint to(boost::asio::ip::make_address(ip),
+                           static_cast<std::uint16_t>(settings_.first_port + kStorePort));
     const auto dialer = std::make_shared<Dialer>(
         io_, to, LinkLimits{},
         [this, ip](wire::Frame::Reader frame) {  // answers may come back on the same link
@@ -107,7 +109,8 @@
         peers_[link.get()] = ip;
         zones_[ip] = node.getZone().cStr();
         dial_others();
-        if (const auto d = stores_.find(ip); d != stores_.end() && d->second->up()) ballots_.linked(ip, zones_[ip]);
+        if (const auto d = stores_.find(ip); d != stores_.end() && d->second->up())
+          ballots_.linked(ip, zones_[ip]);
       } else {
         registries_[link.get()] = {link, false, 0};
       }
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -1,4 +1,5 @@
-// The store on sockets and its disk: carries the agreement's messages, time and writes, and serves registries.
+// The store on sockets and its disk: carries the agreement's messages, time and writes, and serves
+// registries.
 #pragma once
 
 #include <map>
@@ -17,7 +18,8 @@
 
 class Store {
  public:
-  Store(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Disk> disk, agreement::Kept kept);
+  Store(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Disk> disk,
+        agreement::Kept kept);
   void start();
   void stop();  // ends all links; what is queued for the disk may be lost, as nothing was said of it
 
@@ -45,9 +47,9 @@
   DiskThread disk_;
   Log log_;
   std::unique_ptr<LinkListener> listener_;
-  std::map<std::string, std::shared_ptr<Dialer>> stores_;     // by ip
-  std::map<Link*, std::string> peers_;                        // stores that dialled, by link
-  std::map<std::string, std::string> zones_;                  // of stores, as they have told
+  std::map<std::string, std::shared_ptr<Dialer>> stores_;  // by ip
+  std::map<Link*, std::string> peers_;                     // stores that dialled, by link
+  std::map<std::string, std::string> zones_;               // of stores, as they have told
   std::map<Link*, Registry> registries_;
   std::map<std::uint64_t, std::pair<std::weak_ptr<Link>, std::uint64_t>> calls_;  // proposals -> who asked
   std::uint64_t proposals_ = 0, writes_out_ = 0;
--- a/standins/system/server.hpp
+++ b/standins/system/server.hpp
@@ -1,4 +1,5 @@
-// A stand-in for a server of a service, from the operators' protocol page: it answers with what a script says, raw. One io_context.
+// A stand-in for a server of a service, from the operators' protocol page: it answers with what a script
+// says, raw. One io_context.
 #pragma once
 
 #include <boost/asio/buffer.hpp>
@@ -35,8 +36,8 @@
 
 // A 200 with stamp and id, as a server sends it.
 inline Reply good(const Seen& seen, const std::string& body) {
-  return {"HTTP/1.1 200 OK\r\nAttempt-Id: " + seen.field("Attempt-Id") + "\r\nSeal: s1\r\nContent-Length: " +
-              std::to_string(body.size()) + "\r\n\r\n" + body,
+  return {"HTTP/1.1 200 OK\r\nAttempt-Id: " + seen.field("Attempt-Id") +
+              "\r\nSeal: s1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
           false, false};
 }
 
@@ -60,7 +61,8 @@
  private:
   using Held = std::vector<std::function<void()>>;
   struct Session : std::enable_shared_from_this<Session> {
-    Session(Socket s, std::shared_ptr<Script> says, std::shared_ptr<std::vector<Seen>> into, std::shared_ptr<Held> holds)
+    Session(Socket s, std::shared_ptr<Script> says, std::shared_ptr<std::vector<Seen>> into,
+            std::shared_ptr<Held> holds)
         : socket(std::move(s)), script(std::move(says)), seen(std::move(into)), held(std::move(holds)) {}
     void read() {
       socket.async_read_some(boost::asio::buffer(chunk),
@@ -74,7 +76,8 @@
       http::Head h;
       const auto r = http::read_request(in, 65536, h);
       if (r.read != http::Read::done) return read();
-      const auto length = static_cast<std::size_t>(http::number(h.only("Content-Length").value_or("0")).value_or(0));
+      const auto length = static_cast<std::size_t>(
+          http::number(h.only("Content-Length").value_or("0")).value_or(0));
       if (in.size() < r.used + length) return read();
       seen->push_back({in.substr(0, r.used), in.substr(r.used, length)});
       in.erase(0, r.used + length);
@@ -84,12 +87,13 @@
     }
     void write(const Reply& reply) {
       out = reply.bytes;
-      boost::asio::async_write(socket, boost::asio::buffer(out),
-                               [self = shared_from_this(), reply](boost::system::error_code failed, std::size_t) {
-                                 if (failed || reply.close) return snowknot::close_now(self->socket);
-                                 if (self->in.empty()) return self->read();
-                                 self->take();
-                               });
+      boost::asio::async_write(
+          socket, boost::asio::buffer(out),
+          [self = shared_from_this(), reply](boost::system::error_code failed, std::size_t) {
+            if (failed || reply.close) return snowknot::close_now(self->socket);
+            if (self->in.empty()) return self->read();
+            self->take();
+          });
     }
     Socket socket;
     std::shared_ptr<Script> script;
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -1,5 +1,5 @@
-// Stores that agree: stories over a core in memory, and plays of random faults by seed whose history is held against what operators
-// were told.
+// Stores that agree: stories over a core in memory, and plays of random faults by seed whose history is held
+// against what operators were told.
 #include <boost/test/unit_test.hpp>
 
 #include "core_fleet.hpp"
@@ -25,11 +25,13 @@
     const auto a = core.propose(0, ChangeKind::replace, config_body(7, 5, "one"));
     const auto b = core.propose(2, ChangeKind::replace, config_body(8, 5, "two"));
     const int first = core.settled(a), second = core.settled(b);
-    BOOST_TEST(((first == 200 && second == 412) || (first == 412 && second == 200)), "seed " << seed << ": " << first << ' ' << second);
+    BOOST_TEST(((first == 200 && second == 412) || (first == 412 && second == 200)),
+               "seed " << seed << ": " << first << ' ' << second);
   }
 }
 
-BOOST_AUTO_TEST_CASE(given_a_taken_configuration_when_it_is_sent_again_elsewhere_then_it_is_acknowledged_once_more) {
+BOOST_AUTO_TEST_CASE(
+    given_a_taken_configuration_when_it_is_sent_again_elsewhere_then_it_is_acknowledged_once_more) {
   CoreFleet core(kTwoZones, 3);
   BOOST_TEST(core.put(0, 5, 0) == 200);
   BOOST_TEST(core.put(0, 9, 5) == 200);
@@ -41,7 +43,8 @@
   BOOST_TEST(core.put(1, 9, 9) == 400);
 }
 
-BOOST_AUTO_TEST_CASE(given_a_store_that_is_behind_when_it_is_sent_what_builds_on_the_newest_then_it_does_not_refuse) {
+BOOST_AUTO_TEST_CASE(
+    given_a_store_that_is_behind_when_it_is_sent_what_builds_on_the_newest_then_it_does_not_refuse) {
   CoreFleet core(kTwoZones, 4);
   BOOST_TEST(core.put(0, 5, 0) == 200);
   core.run(1s);
@@ -77,7 +80,8 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(given_an_acknowledged_change_when_a_whole_zone_loses_its_disks_then_it_is_in_force_after) {
+BOOST_AUTO_TEST_CASE(
+    given_an_acknowledged_change_when_a_whole_zone_loses_its_disks_then_it_is_in_force_after) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     CoreFleet core(kTwoZones, seed);
     BOOST_TEST(core.put(seed % 3, 5, 0) == 200);
@@ -123,7 +127,8 @@
   BOOST_TEST((kept.state.position + kept.log.size() >= 1 || !kept.accepted.empty()));
 }
 
-BOOST_AUTO_TEST_CASE(given_a_change_left_half_agreed_when_a_store_confirms_then_it_is_completed_or_never_was) {
+BOOST_AUTO_TEST_CASE(
+    given_a_change_left_half_agreed_when_a_store_confirms_then_it_is_completed_or_never_was) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     CoreFleet core(kTwoZones, seed);
     BOOST_TEST(core.put(0, 5, 0) == 200);
@@ -136,7 +141,8 @@
   }
 }
 
-// Random faults within what must be borne. Every acknowledged configuration must be in the history, on its parent; places agree.
+// Random faults within what must be borne. Every acknowledged configuration must be in the history, on its
+// parent; places agree.
 struct Play {
   std::vector<std::string> wrongs;
   std::uint64_t acknowledged = 0;
@@ -155,7 +161,8 @@
     if (core.is_up(at)) {
       const auto parent = core.state(at).version();
       version += 1 + core.random() % 3;
-      sent[core.propose(at, ChangeKind::replace, config_body(version, parent, "s" + std::to_string(version)))] = {version, parent};
+      sent[core.propose(at, ChangeKind::replace,
+                        config_body(version, parent, "s" + std::to_string(version)))] = {version, parent};
     }
     core.run(Duration(static_cast<Duration::rep>(core.random() % 400) * 1000000));
     const auto down = [&] {
@@ -191,7 +198,8 @@
   core.run(12s);
   Play p;
   p.wrongs = core.wrongs;
-  if (core.settled(core.propose(0, ChangeKind::nothing, "")) != 200) p.wrongs.push_back("the core does not come back");
+  if (core.settled(core.propose(0, ChangeKind::nothing, "")) != 200)
+    p.wrongs.push_back("the core does not come back");
   std::map<std::uint64_t, std::uint64_t> in_force;  // parent -> version
   for (const auto& [place, text] : core.history) {
     if (text.front() != '0') continue;
@@ -202,7 +210,8 @@
     if (core.answers[call].status != 200) continue;
     ++p.acknowledged;
     const auto it = in_force.find(vp.second);
-    if (it == in_force.end() || it->second != vp.first) p.wrongs.push_back("acknowledged version " + std::to_string(vp.first) + " is not in force");
+    if (it == in_force.end() || it->second != vp.first)
+      p.wrongs.push_back("acknowledged version " + std::to_string(vp.first) + " is not in force");
   }
   for (std::size_t i = 1; i < 3; ++i)
     if (core.state(i).version() != core.state(0).version()) p.wrongs.push_back("stores differ at the end");
--- a/tests/system/core_fleet.hpp
+++ b/tests/system/core_fleet.hpp
@@ -1,5 +1,5 @@
-// Stores in memory: virtual time, links that delay, lose and are cut, disks that lose power or are lost. What operators were told is
-// held against what is in force. By seed; nothing here sleeps.
+// Stores in memory: virtual time, links that delay, lose and are cut, disks that lose power or are lost. What
+// operators were told is held against what is in force. By seed; nothing here sleeps.
 #pragma once
 
 #include <functional>
@@ -19,9 +19,13 @@
 using agreement::Chosen;
 using configuration::ChangeKind;
 
-inline std::string config_body(std::uint64_t version, std::uint64_t parent, const std::string& service = "alpha") {
-  return R"({"gen":")" + configuration::shown_version(version) + R"(","parent":")" + configuration::shown_version(parent) +
-         R"(","limits":{"hdr_bytes":16384},"accts":[{"name":"t1","apikeys":["k1"],"per_s":10,"burst":10}],"listeners":[{"vhost":"h.example","policy":[{"name":"r1","kind":"idempotent","target_ms":500,"match":{"pfx":"/a/"},"action":{"svc":")" +
+inline std::string config_body(std::uint64_t version, std::uint64_t parent,
+                               const std::string& service = "alpha") {
+  return R"({"gen":")" + configuration::shown_version(version) + R"(","parent":")" +
+         configuration::shown_version(parent) +
+         R"(","limits":{"hdr_bytes":16384},"accts":[{"name":"t1","apikeys":["k1"],"per_s":10,)"
+             R"("burst":10}],"listeners":[{"vhost":"h.example","policy":[{"name":"r1",)"
+             R"("kind":"idempotent","target_ms":500,"match":{"pfx":"/a/"},"action":{"svc":")" +
          service + R"(","tmo_ms":1000,"tries":2}}]}],"clusters":[{"name":")" + service +
          R"(","hc_path":"/healthz","max_conns":100,"warmup_s":3.0,"cold_per_s":5}]})";
 }
@@ -84,7 +88,8 @@
 
   // Zones of the members, in order; their ips are 10.0.0.1, 10.0.0.2, ...
   CoreFleet(std::vector<std::string> zones, std::uint64_t seed) : random(seed) {
-    for (std::size_t i = 0; i < zones.size(); ++i) members.push_back({"10.0.0." + std::to_string(i + 1), zones[i], {}, nullptr, 0});
+    for (std::size_t i = 0; i < zones.size(); ++i)
+      members.push_back({"10.0.0." + std::to_string(i + 1), zones[i], {}, nullptr, 0});
     for (auto& m : members) up(m, true);
   }
 
@@ -135,7 +140,7 @@
   std::vector<Member> members;
   std::mt19937_64 random;
   Time now{1h};
-  double loss = 0;            // of messages
+  double loss = 0;  // of messages
   Duration least = 1ms, most = 3ms;
   std::map<std::uint64_t, Answer> answers;
   std::map<std::uint64_t, std::string> history;  // place -> what is in force there, as any store has told
@@ -155,7 +160,9 @@
       if (members[i].ip == ip) return i;
     return members.size();
   }
-  bool reaches(std::size_t a, std::size_t b) const { return !cuts_.contains({std::min(a, b), std::max(a, b)}); }
+  bool reaches(std::size_t a, std::size_t b) const {
+    return !cuts_.contains({std::min(a, b), std::max(a, b)});
+  }
 
   void end(std::size_t i) {
     members[i].ballots.reset();
@@ -166,7 +173,8 @@
   void up(Member& m, bool bootstrap) {
     agreement::Options o;
     o.self = m.ip, o.zone = m.zone, o.bootstrap = bootstrap, o.chance = random();
-    for (std::size_t i = 0; i < std::min<std::size_t>(3, members.size()); ++i) o.seeds.push_back(members[i].ip);
+    for (std::size_t i = 0; i < std::min<std::size_t>(3, members.size()); ++i)
+      o.seeds.push_back(members[i].ip);
     m.ballots = std::make_unique<Ballots>(o, m.disk.read());
     carry_out(m, m.ballots->start(now));
     relink();
@@ -197,7 +205,8 @@
     for (const auto& c : out.chosen) {
       const auto text = std::to_string(static_cast<int>(c.change.kind)) + c.change.text;
       const auto [it, fresh] = history.try_emplace(c.slot, text);
-      if (!fresh && it->second != text) wrongs.push_back("place " + std::to_string(c.slot) + " holds two changes");
+      if (!fresh && it->second != text)
+        wrongs.push_back("place " + std::to_string(c.slot) + " holds two changes");
     }
     for (const auto& s : out.settled) answers[s.id] = {s.status, s.why};
     const auto from = index(m.ip);
@@ -207,7 +216,10 @@
       if (to >= members.size()) continue;
       const bool own = to == from;
       if (!own && (!reaches(from, to) || static_cast<double>(random() % 10000) < loss * 10000)) continue;
-      const Duration d = own ? Duration(1us) : least + Duration(static_cast<Duration::rep>(random() % static_cast<std::uint64_t>((most - least).count() + 1)));
+      const Duration d = own ? Duration(1us)
+                             : least +
+                                   Duration(static_cast<Duration::rep>(
+                                       random() % static_cast<std::uint64_t>((most - least).count() + 1)));
       // Through the encoding, as on the wire.
       later(d, [this, to, from, life, own, bytes = agreement::encode(s.message)] {
         if (!members[to].ballots || (own && members[to].life != life) || !reaches(from, to)) return;
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -23,11 +23,12 @@
 };
 
 std::shared_ptr<const Configuration> configured(const Setup& s) {
-  const auto text = R"({"gen":"00000001","accts":[{"name":"t","apikeys":["k"],"per_s":)" + std::to_string(s.per_s) +
-                    R"(,"burst":10,"pin_regions":)" + s.tenant_homes +
+  const auto text = R"({"gen":"00000001","accts":[{"name":"t","apikeys":["k"],"per_s":)" +
+                    std::to_string(s.per_s) + R"(,"burst":10,"pin_regions":)" + s.tenant_homes +
                     R"(}],"listeners":[{"vhost":"h","policy":[{"name":"r","kind":")" + s.kind +
-                    R"(","target_ms":500,"match":{"pfx":"/a/"},"action":{"svc":"s","tmo_ms":2000,"tries":)" + std::to_string(s.tries) +
-                    R"(,"pin_regions":)" + s.homes + R"(}}]}],"clusters":[{"name":"s","max_conns":80,"warmup_s":3,"cold_per_s":)" +
+                    R"(","target_ms":500,"match":{"pfx":"/a/"},"action":{"svc":"s","tmo_ms":2000,"tries":)" +
+                    std::to_string(s.tries) + R"(,"pin_regions":)" + s.homes +
+                    R"(}}]}],"clusters":[{"name":"s","max_conns":80,"warmup_s":3,"cold_per_s":)" +
                     std::to_string(s.cold_per_s) + "}]}";
   auto read = configuration::read(nlohmann::json::parse(text));
   BOOST_REQUIRE(!failed(read));
@@ -35,7 +36,8 @@
 }
 
 struct World {
-  explicit World(const Setup& s = {}, std::uint64_t seed = 1, const std::string& name = "p1", const std::string& zone = "a1")
+  explicit World(const Setup& s = {}, std::uint64_t seed = 1, const std::string& name = "p1",
+                 const std::string& zone = "a1")
       : c(configured(s)), d({name, zone, kZones.at(zone)}, kZones, bounds(s), seed) {
     d.configure(now, c);
     d.proxies({"a1/p1", "a1/p2", "a2/p3", "b1/p4", "b1/p5", "b1/p6", "b1/p7"});
@@ -46,9 +48,11 @@
     b.strict_revoke = s.strict;
     return b;
   }
-  void list(const std::string& server, const std::string& zone, fleet::Phase phase = fleet::Phase::READY, Duration cold = {}) {
+  void list(const std::string& server, const std::string& zone, fleet::Phase phase = fleet::Phase::READY,
+            Duration cold = {}) {
     fleet::Server r;
-    r.id = server, r.service = "s", r.address = "10.0.0.1:80", r.zone = zone, r.cap = 4, r.phase = phase, r.calls = ++calls, r.heard = now;
+    r.id = server, r.service = "s", r.address = "10.0.0.1:80", r.zone = zone, r.cap = 4, r.phase = phase,
+    r.calls = ++calls, r.heard = now;
     r.cold_until = cold > Duration{} ? now + cold : Time{};
     d.servers(now, {r});
   }
@@ -121,7 +125,8 @@
   World w;
   w.list("one", "a1");
   fleet::Server late;
-  late.id = "one", late.service = "s", late.address = "10.0.0.9:80", late.zone = "a1", late.calls = 0, late.phase = fleet::Phase::GONE;
+  late.id = "one", late.service = "s", late.address = "10.0.0.9:80", late.zone = "a1", late.calls = 0,
+  late.phase = fleet::Phase::GONE;
   w.d.servers(w.now, {late});
   BOOST_TEST(w.server_of(w.one(w.ask())) == "one");
 }
@@ -137,7 +142,8 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(given_a_request_that_may_not_repeat_when_it_has_not_run_then_it_goes_elsewhere_or_is_refused) {
+BOOST_AUTO_TEST_CASE(
+    given_a_request_that_may_not_repeat_when_it_has_not_run_then_it_goes_elsewhere_or_is_refused) {
   for (const auto o : {Outcome::not_run, Outcome::other_instance, Outcome::connect_failed}) {
     World w({.kind = "mutating"});
     w.list("one", "a1"), w.list("two", "a1");
@@ -175,7 +181,8 @@
   BOOST_TEST(repeats < 0.2 * 1000 + 50.0 / 7);
 }
 
-BOOST_AUTO_TEST_CASE(given_a_server_that_cannot_be_reached_when_others_are_there_then_it_is_left_out_for_a_while) {
+BOOST_AUTO_TEST_CASE(
+    given_a_server_that_cannot_be_reached_when_others_are_there_then_it_is_left_out_for_a_while) {
   World w;
   w.list("one", "a1"), w.list("two", "a1");
   w.ask();
@@ -201,7 +208,11 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     std::vector<std::unique_ptr<World>> proxies;
     for (int p = 1; p <= 7; ++p) {
-      proxies.push_back(std::make_unique<World>(Setup{.cold_per_s = 4}, seed * 100 + static_cast<std::uint64_t>(p), "p" + std::to_string(p), p < 3 ? "a1" : p == 3 ? "a2" : "b1"));
+      proxies.push_back(std::make_unique<World>(
+          Setup{.cold_per_s = 4}, seed * 100 + static_cast<std::uint64_t>(p), "p" + std::to_string(p),
+          p < 3    ? "a1"
+          : p == 3 ? "a2"
+                   : "b1"));
       proxies.back()->list("cold", "b1", fleet::Phase::READY, 60s);
     }
     std::deque<Time> sent;
@@ -237,14 +248,16 @@
   w.d.set_evacuated(w.now, {}, {"a1"});
   int sent = 0;
   for (int i = 0; i < 10; ++i)
-    if (const auto a = w.ask(); a.size() == 1 && std::holds_alternative<Send>(a[0])) ++sent, w.end(Outcome::ok);
+    if (const auto a = w.ask(); a.size() == 1 && std::holds_alternative<Send>(a[0]))
+      ++sent, w.end(Outcome::ok);
   BOOST_TEST(sent <= 1);
   w.now += 10ms;
   w.list("one", "a1");  // it has told that it is warm
   BOOST_TEST(w.server_of(w.one(w.ask())) == "one");
 }
 
-BOOST_AUTO_TEST_CASE(given_keys_that_must_end_when_no_majority_has_confirmed_for_long_then_requests_are_refused) {
+BOOST_AUTO_TEST_CASE(
+    given_keys_that_must_end_when_no_majority_has_confirmed_for_long_then_requests_are_refused) {
   World w({.strict = true});
   w.list("one", "a1");
   BOOST_TEST(std::holds_alternative<Send>(w.one(w.ask())));
@@ -258,7 +271,8 @@
   BOOST_TEST(std::holds_alternative<Send>(w.one(w.ask())));
 }
 
-BOOST_AUTO_TEST_CASE(given_servers_that_are_all_full_when_a_request_waits_then_it_is_refused_within_a_quarter_of_its_aim) {
+BOOST_AUTO_TEST_CASE(
+    given_servers_that_are_all_full_when_a_request_waits_then_it_is_refused_within_a_quarter_of_its_aim) {
   World w;
   w.list("one", "a1");
   for (int i = 0; i < 10; ++i) w.server_of(w.one(w.ask()));  // 2.5 times its slots
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -17,8 +17,10 @@
 BOOST_AUTO_TEST_SUITE(parts)
 
 const char* const kSettings =
-    "hostname=edge-1\nrole=proxy\nbind_ip=10.1.0.23\naz=z1\nrgn=r1\nazs.z1=r1\nazs.z2=r2\nlisten.http=10.1.0.23:80\n"
-    "port_range=7460,7475\nseeds=10.1.0.25:83,10.4.0.41:83\nbootstrap=true\nlimits.cpu=0.2\nbounds.drain_ms=2500\n"
+    "hostname=edge-1\nrole=proxy\nbind_ip=10.1.0.23\naz=z1\nrgn=r1\nazs.z1=r1\nazs.z2=r2\nlisten.http=10.1.0."
+    "23:80\n"
+    "port_range=7460,7475\nseeds=10.1.0.25:83,10.4.0.41:83\nbootstrap=true\nlimits.cpu=0.2\nbounds.drain_ms="
+    "2500\n"
     "bounds.strict_revoke=true\nnot.known=7\ninvariants=base,drain\n";
 
 BOOST_AUTO_TEST_CASE(given_a_settings_file_when_it_is_read_then_all_that_is_known_is_taken) {
@@ -45,9 +47,10 @@
 
 BOOST_AUTO_TEST_CASE(given_heads_that_could_hide_another_request_when_they_are_read_then_they_are_bad) {
   http::Head h;
-  for (const auto* text : {"GET /a HTTP/1.1\r\nHost : x\r\n\r\n", "GET /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n", "GET  /a HTTP/1.1\r\n\r\n",
-                           "GET /a HTTP/1.1\nHost: x\r\n\r\n", "GET a HTTP/1.1\r\n\r\n", "GET /a HTTP/2.0\r\n\r\n",
-                           "G\x01T /a HTTP/1.1\r\n\r\n", "GET /a HTTP/1.1\r\nA: b\rc\r\n\r\n"})
+  for (const auto* text :
+       {"GET /a HTTP/1.1\r\nHost : x\r\n\r\n", "GET /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n",
+        "GET  /a HTTP/1.1\r\n\r\n", "GET /a HTTP/1.1\nHost: x\r\n\r\n", "GET a HTTP/1.1\r\n\r\n",
+        "GET /a HTTP/2.0\r\n\r\n", "G\x01T /a HTTP/1.1\r\n\r\n", "GET /a HTTP/1.1\r\nA: b\rc\r\n\r\n"})
     BOOST_TEST((http::read_request(text, 1000, h).read == http::Read::bad), text);
   BOOST_TEST((http::read_request("GET /a HTTP/1.1\r\nHost: x\r\n", 1000, h).read == http::Read::more));
   BOOST_TEST((http::read_request(std::string(2000, 'a'), 1000, h).read == http::Read::too_long));
@@ -81,9 +84,10 @@
   };
   for (const auto& body :
        {with("}]}", "}"), with(R"("svc":"alpha")", R"("svc":"beta")"), with(R"("tries":2)", R"("tries":0)"),
-        with(R"("svc":"alpha")", R"("split":[{"svc":"alpha","wt":0}])"), with(R"("svc":"alpha")", R"("split":[{"svc":"alpha","wt":-1},{"svc":"alpha","wt":2}])"),
-        with(R"("accts":[)", R"("accts":[{"name":"t0","apikeys":["k1"]},)"), with(R"("gen":"00000001")", R"("gen":"00000000")"),
-        with(R"("pfx":"/a/")", R"("pfx":"/a")")})
+        with(R"("svc":"alpha")", R"("split":[{"svc":"alpha","wt":0}])"),
+        with(R"("svc":"alpha")", R"("split":[{"svc":"alpha","wt":-1},{"svc":"alpha","wt":2}])"),
+        with(R"("accts":[)", R"("accts":[{"name":"t0","apikeys":["k1"]},)"),
+        with(R"("gen":"00000001")", R"("gen":"00000000")"), with(R"("pfx":"/a/")", R"("pfx":"/a")")})
     BOOST_TEST(configuration::judge_replace(s, body, nullptr).status == 400, body);
   BOOST_TEST(configuration::judge_replace(s, config_body(4, 2), nullptr).status == 412);
 }
@@ -92,7 +96,11 @@
   State s;
   BOOST_REQUIRE(configuration::apply(s, configuration::ChangeKind::replace, config_body(1, 0)));
   const std::string patch =
-      R"({"gen":"00000003","parent":"00000001","upsert":{"listeners":[{"vhost":"other.example","policy":[{"name":"r1","kind":"mutating","match":{"pfx":"/b/"},"action":{"svc":"beta","tries":1,"tmo_ms":9}},{"name":"r2","kind":"idempotent","match":{"pfx":"/a/c/"},"action":{"svc":"alpha","tries":1}}]}],"clusters":[{"name":"beta","max_conns":5}],"accts":[{"name":"t2","apikeys":["k2"]}]},"remove":{"routing":["gone"]}})";
+      R"({"gen":"00000003","parent":"00000001","upsert":{"listeners":[{"vhost":"other.example",)"
+          R"("policy":[{"name":"r1","kind":"mutating","match":{"pfx":"/b/"},"action":{"svc":"beta",)"
+          R"("tries":1,"tmo_ms":9}},{"name":"r2","kind":"idempotent","match":{"pfx":"/a/c/"},)"
+          R"("action":{"svc":"alpha","tries":1}}]}],"clusters":[{"name":"beta","max_conns":5}],)"
+          R"("accts":[{"name":"t2","apikeys":["k2"]}]},"remove":{"routing":["gone"]}})";
   BOOST_REQUIRE(configuration::apply(s, configuration::ChangeKind::patch, patch));
   BOOST_TEST(s.version() == 3u);
   BOOST_TEST(s.document["listeners"].size() == 1u);  // r1 went to the other host, and its old one is empty
@@ -104,13 +112,16 @@
   BOOST_TEST((c.route("other.example:80", "/b/x?y=1")->kind == configuration::Kind::mutating));
   BOOST_TEST(c.route("h.example", "/a/x") == nullptr);
   BOOST_TEST(c.tenant_of("k2")->name == "t2");
-  const std::string removal = R"({"gen":"00000004","parent":"00000003","remove":{"routing":["r1"],"accts":["t2"],"svcs":["beta"]}})";
+  const std::string removal =
+      R"({"gen":"00000004","parent":"00000003","remove":{"routing":["r1"],"accts":["t2"],"svcs":["beta"]}})";
   BOOST_REQUIRE(configuration::apply(s, configuration::ChangeKind::patch, removal));
   BOOST_TEST(s.document["clusters"].size() == 1u);
   BOOST_TEST(s.document["accts"].size() == 1u);
   // The same once more changes nothing; one that leaves a route without its service is refused.
   BOOST_TEST(!configuration::apply(s, configuration::ChangeKind::patch, removal));
-  BOOST_TEST(configuration::judge_patch(s, R"({"gen":"00000009","parent":"00000004","remove":{"svcs":["alpha"]}})", nullptr).status == 400);
+  BOOST_TEST(configuration::judge_patch(
+                 s, R"({"gen":"00000009","parent":"00000004","remove":{"svcs":["alpha"]}})", nullptr)
+                 .status == 400);
 }
 
 BOOST_AUTO_TEST_CASE(given_routes_that_overlap_when_a_path_is_looked_up_then_the_longest_prefix_wins) {
@@ -130,7 +141,8 @@
 
 fleet::Server server(const std::string& id, std::uint64_t calls, fleet::Phase phase = fleet::Phase::READY) {
   fleet::Server s;
-  s.id = id, s.service = "s", s.address = "10.0.0.1:1", s.zone = "z", s.calls = calls, s.phase = phase, s.heard = Time{1h} + 1s * static_cast<int>(calls);
+  s.id = id, s.service = "s", s.address = "10.0.0.1:1", s.zone = "z", s.calls = calls, s.phase = phase,
+  s.heard = Time{1h} + 1s * static_cast<int>(calls);
   return s;
 }
 
@@ -139,7 +151,8 @@
   std::vector<fleet::Server> told;
   for (int i = 0; i < 8; ++i)
     for (std::uint64_t c = 1; c < 6; ++c) {
-      auto s = server("i" + std::to_string(i), c, c >= 4 && i % 2 == 0 ? fleet::Phase::DRAINING : fleet::Phase::READY);
+      auto s = server("i" + std::to_string(i), c,
+                      c >= 4 && i % 2 == 0 ? fleet::Phase::DRAINING : fleet::Phase::READY);
       if (c == 5 && i % 4 == 0) s.phase = fleet::Phase::GONE;
       told.push_back(s);
     }
@@ -156,17 +169,20 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(given_a_silent_server_when_the_registry_hears_all_others_then_it_is_lost_until_it_beats_again) {
+BOOST_AUTO_TEST_CASE(
+    given_a_silent_server_when_the_registry_hears_all_others_then_it_is_lost_until_it_beats_again) {
   fleet::Servers table;
   table.merge(server("a", 1));
-  BOOST_TEST(table.expire(Time{1h} + 60s, Duration{}, 60s).empty());  // a registry that is alone calls nobody lost
+  BOOST_TEST(
+      table.expire(Time{1h} + 60s, Duration{}, 60s).empty());  // a registry that is alone calls nobody lost
   BOOST_TEST(table.expire(Time{1h} + 60s, 6s, 60s).size() == 1u);
   BOOST_TEST((table.merge(server("a", 2)) == fleet::Merged::changed));
   table.merge(server("a", 0, fleet::Phase::GONE));
   BOOST_TEST((table.merge(server("a", 9)) == fleet::Merged::nothing));  // who has left stays gone
 }
 
-BOOST_AUTO_TEST_CASE(given_a_member_that_restarted_when_a_word_of_its_earlier_life_comes_late_then_it_is_passed_over) {
+BOOST_AUTO_TEST_CASE(
+    given_a_member_that_restarted_when_a_word_of_its_earlier_life_comes_late_then_it_is_passed_over) {
   fleet::Nodes nodes;
   fleet::Node n;
   n.id = "p", n.life = 5, n.stamp = 1, n.heard = Time{1h};
@@ -191,7 +207,8 @@
     for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], entries[i]);
     return to.take(out.frame().asReader().getEntries());
   };
-  const fleet::Entry one{1, wire::Change::REPLACE, config_body(1, 0)}, two{2, wire::Change::EVACUATE, "z"}, three{3, wire::Change::READMIT, "z"};
+  const fleet::Entry one{1, wire::Change::REPLACE, config_body(1, 0)}, two{2, wire::Change::EVACUATE, "z"},
+      three{3, wire::Change::READMIT, "z"};
   BOOST_TEST((feed(source, {one, two}) == fleet::ChangeLog::News::taken));
   BOOST_TEST((feed(follower, {two}) == fleet::ChangeLog::News::gap));
   BOOST_TEST((feed(follower, {one, three}) == fleet::ChangeLog::News::gap));
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -1,5 +1,5 @@
-// The whole path on loopback sockets in one loop: three stores, three registries, two proxies and a stand-in for a server. What is
-// waited for is an event, with a limit; nothing sleeps.
+// The whole path on loopback sockets in one loop: three stores, three registries, two proxies and a stand-in
+// for a server. What is waited for is an event, with a limit; nothing sleeps.
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 
@@ -15,7 +15,9 @@
 namespace asio = boost::asio;
 
 // Addresses of one test's machines; tests may run side by side.
-std::string ip(int machine) { return "127.61." + std::to_string(::getpid() % 200 + 20) + "." + std::to_string(machine); }
+std::string ip(int machine) {
+  return "127.61." + std::to_string(::getpid() % 200 + 20) + "." + std::to_string(machine);
+}
 
 // With a quota that the polling of these tests stays inside.
 std::string wide_body(std::uint64_t version, std::uint64_t parent) {
@@ -59,7 +61,8 @@
   }
 
   // Until `answers` whole answers have come; status and body are those of the last.
-  Call call(const std::string& address, const std::string& request, std::size_t answers = 1, const std::function<void()>& meanwhile = {}) {
+  Call call(const std::string& address, const std::string& request, std::size_t answers = 1,
+            const std::function<void()>& meanwhile = {}) {
     Socket socket(io.get_executor());
     Call c;
     bool ended = false;
@@ -73,7 +76,8 @@
           const auto rest = std::string_view(c.text).substr(taken);
           const auto r = http::read_answer(rest, 65536, h);
           if (r.read != http::Read::done) break;
-          const auto length = static_cast<std::size_t>(http::number(h.only("Content-Length").value_or("0")).value_or(0));
+          const auto length = static_cast<std::size_t>(
+              http::number(h.only("Content-Length").value_or("0")).value_or(0));
           if (rest.size() < r.used + length) break;
           c.status = h.status;
           c.body = rest.substr(r.used, length);
@@ -86,30 +90,34 @@
     };
     socket.async_connect(*snowknot::endpoint_of(address), [&](boost::system::error_code failed) {
       if (failed) return void(ended = true);
-      asio::async_write(socket, asio::buffer(request), [&](boost::system::error_code, std::size_t) { read(); });
+      asio::async_write(socket, asio::buffer(request),
+                        [&](boost::system::error_code, std::size_t) { read(); });
     });
     BOOST_TEST(until([&] {
-      if (meanwhile) meanwhile();
-      return ended;
-    }), "no answer to " << request.substr(0, 40));
+                 if (meanwhile) meanwhile();
+                 return ended;
+               }),
+               "no answer to " << request.substr(0, 40));
     snowknot::close_now(socket);
     io.poll();
     return c;
   }
   Call post(const std::string& address, const std::string& path, const std::string& body) {
-    return call(address, "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    return call(address, "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body);
   }
   Call get(const std::string& address, const std::string& path) {
     return call(address, "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
   }
   Call ask(int proxy, const std::string& path, const std::string& key = "k1", const std::string& more = "") {
-    return call(http(proxy), "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id" + std::to_string(++ids_) +
-                                 "\r\nDeadline: 3000\r\nTenant: forged\r\nKey: " + key + "\r\n" + more + "\r\n");
+    return call(http(proxy),
+                "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id" + std::to_string(++ids_) +
+                    "\r\nDeadline: 3000\r\nTenant: forged\r\nKey: " + key + "\r\n" + more + "\r\n");
   }
   Call beat(const std::string& id, int n, const std::string& phase = "ready") {
     return post(ctl(1 + n % 3), "/Instances.Heartbeat/" + id,
-                R"({"svc":"alpha","addr":")" + server(n) + R"(","az":"z1","gen":"v1","cap":4,"phase":")" + phase +
-                    R"(","warm_left_ms":0,"calls":)" + std::to_string(++beats_) + "}");
+                R"({"svc":"alpha","addr":")" + server(n) + R"(","az":"z1","gen":"v1","cap":4,"phase":")" +
+                    phase + R"(","warm_left_ms":0,"calls":)" + std::to_string(++beats_) + "}");
   }
 
   asio::io_context io{1};
@@ -121,10 +129,11 @@
  private:
   SystemSettings settings(int machine) {
     const auto p = [&](int offset) { return std::to_string(port_ + offset); };
-    auto text = "hostname=m" + std::to_string(machine) + "\nbind_ip=" + ip(machine) + "\naz=z1\nrgn=r1\nazs.z1=r1\nport_range=" +
-                p(0) + "," + p(5) + "\nseeds=" + ctl(1) + "," + ctl(2) + "," + ctl(3) + "\nbootstrap=true\nvoting=true\nhb_ms=1500\n" +
-                "listen.ctl=" + ctl(machine) + "\nlisten.dir=" + dir(machine) + "\nlisten.http=" + http(machine) +
-                "\nlimits.nofile=1024\nbounds.strict_revoke=true\n";
+    auto text = "hostname=m" + std::to_string(machine) + "\nbind_ip=" + ip(machine) +
+                "\naz=z1\nrgn=r1\nazs.z1=r1\nport_range=" + p(0) + "," + p(5) + "\nseeds=" + ctl(1) + "," +
+                ctl(2) + "," + ctl(3) + "\nbootstrap=true\nvoting=true\nhb_ms=1500\n" +
+                "listen.ctl=" + ctl(machine) + "\nlisten.dir=" + dir(machine) +
+                "\nlisten.http=" + http(machine) + "\nlimits.nofile=1024\nbounds.strict_revoke=true\n";
     auto read = parse_settings(text, "test");
     BOOST_REQUIRE(!failed(read));
     return value(read);
@@ -141,8 +150,10 @@
     r.start();
     doors.push_back(std::make_unique<http::Server>(
         io, *snowknot::endpoint_of(ctl(machine)), http::ServerLimits{},
-        dispatch({std::make_shared<Instances>(r), std::make_shared<Configurations>(r), std::make_shared<Evacuations>(r)})));
-    doors.push_back(std::make_unique<http::Server>(io, *snowknot::endpoint_of(dir(machine)), http::ServerLimits{},
+        dispatch({std::make_shared<Instances>(r), std::make_shared<Configurations>(r),
+                  std::make_shared<Evacuations>(r)})));
+    doors.push_back(std::make_unique<http::Server>(io, *snowknot::endpoint_of(dir(machine)),
+                                                   http::ServerLimits{},
                                                    dispatch({std::make_shared<Directory>(r)})));
   }
   void start_proxy(int machine) {
@@ -175,12 +186,18 @@
     }
     if (seen.target() == "/a/other" && !odd) {
       odd = true;
-      return {"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwrong" + standin::good(seen, "right").bytes, false, false};
+      return {"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwrong" +
+                  standin::good(seen, "right").bytes,
+              false, false};
     }
     if (seen.target() == "/a/encoded")
-      return {"HTTP/1.1 200 OK\r\nAttempt-Id: " + seen.field("Attempt-Id") + "\r\nSeal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nzz", false, false};
+      return {"HTTP/1.1 200 OK\r\nAttempt-Id: " + seen.field("Attempt-Id") +
+                  "\r\nSeal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nzz",
+              false, false};
     if (seen.target() == "/a/short")
-      return {"HTTP/1.1 200 OK\r\nAttempt-Id: " + seen.field("Attempt-Id") + "\r\nSeal: s\r\nContent-Length: 20\r\n\r\ncut", true, false};
+      return {"HTTP/1.1 200 OK\r\nAttempt-Id: " + seen.field("Attempt-Id") +
+                  "\r\nSeal: s\r\nContent-Length: 20\r\n\r\ncut",
+              true, false};
     auto r = standin::good(seen, "hello");
     r.hold = seen.target() == "/a/hold";
     return r;
@@ -200,7 +217,9 @@
   // What configurations allow.
   BOOST_TEST(f.ask(4, "/a/x", "nobody").status == 401);
   BOOST_TEST(f.ask(4, "/b/x").status == 404);
-  BOOST_TEST(f.call(f.http(4), "GET /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n").status == 400);
+  BOOST_TEST(f.call(f.http(4),
+                    "GET /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n")
+                 .status == 400);
 
   // What is no answer to the request.
   BOOST_TEST(f.ask(4, "/a/extra").body == "whole");
@@ -211,7 +230,8 @@
 
   // Requests sent behind each other are answered in order.
   const auto one = [&](const char* id, const char* more) {
-    return std::string("GET /a/hold HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: ") + id + "\r\nDeadline: 3000\r\nKey: k1\r\n" + more + "\r\n";
+    return std::string("GET /a/hold HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: ") + id +
+           "\r\nDeadline: 3000\r\nKey: k1\r\n" + more + "\r\n";
   };
   const auto before = server.seen().size();
   bool together = false;
@@ -230,7 +250,9 @@
   }));
 
   // A key is taken away; then the zone's servers, then the server drains.
-  const std::string patch = R"({"gen":"00000009","parent":"00000003","upsert":{"accts":[{"name":"t1","apikeys":["k2"],"per_s":5000,"burst":5000}]}})";
+  const std::string patch =
+      R"({"gen":"00000009","parent":"00000003","upsert":{"accts":[{"name":"t1","apikeys":["k2"],)"
+          R"("per_s":5000,"burst":5000}]}})";
   BOOST_TEST(f.post(f.ctl(2), "/Config.Patch", patch).status == 200);
   BOOST_TEST(f.post(f.ctl(1), "/Config.Patch", patch).status == 200);  // the same once more
   BOOST_TEST(f.until([&] { return f.ask(4, "/a/x").status == 401; }));
@@ -246,10 +268,12 @@
   BOOST_TEST(f.post(f.ctl(1), "/Instances.Leave/i-1", "").status == 200);
 }
 
-BOOST_AUTO_TEST_CASE(given_a_proxy_that_is_told_to_end_when_a_request_is_under_way_then_it_is_answered_before_it_leaves) {
+BOOST_AUTO_TEST_CASE(
+    given_a_proxy_that_is_told_to_end_when_a_request_is_under_way_then_it_is_answered_before_it_leaves) {
   Fleet f;
   BOOST_TEST(f.until([&] { return f.post(f.ctl(1), "/Config.Replace", wide_body(3, 0)).status == 200; }));
-  standin::Server server(f.io, f.server(0), [&](const standin::Seen& seen) { return standin::good(seen, "last"); });
+  standin::Server server(f.io, f.server(0),
+                         [&](const standin::Seen& seen) { return standin::good(seen, "last"); });
   f.beat("i-1", 0);
   BOOST_TEST(f.until([&] { return f.ask(5, "/a/x").status == 200; }));
   bool ended = false;
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -1,5 +1,6 @@
-// Units: the counts, the duty of holding them, and proxies that lease. A fleet of proxies and a holder in memory, under virtual time;
-// what passes is judged as the operators judge quotas: any span, all proxies together.
+// Units: the counts, the duty of holding them, and proxies that lease. A fleet of proxies and a holder in
+// memory, under virtual time; what passes is judged as the operators judge quotas: any span, all proxies
+// together.
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <functional>
@@ -66,7 +67,8 @@
   BOOST_TEST(c.add(began + length + 1ms, "t", q, 0, 5).units == 5u);
   counts::Counts first(kJudged);  // nobody held them before: what is left of the window
   first.begin(began + length / 2, true);
-  BOOST_TEST(first.add(began + length / 2 + 1ms, "t", q, 0, 1000).units == std::floor(counts::window_of(q, kJudged).limit / 2));
+  BOOST_TEST(first.add(began + length / 2 + 1ms, "t", q, 0, 1000).units ==
+             std::floor(counts::window_of(q, kJudged).limit / 2));
 }
 
 // ---- the duty
@@ -98,9 +100,11 @@
       wire.push_back({now + Duration(1ms) * static_cast<int>(random() % 60), [this, from, to, ask] {
                         if (!duties[to] || !reaches(from, to)) return;
                         const auto answer = duties[to]->asked(now, ask);
-                        wire.push_back({now + Duration(1ms) * static_cast<int>(random() % 60), [this, from, to, answer] {
-                                          if (duties[from] && reaches(from, to)) duties[from]->answered(now, ips[to], answer);
-                                        }});
+                        wire.push_back(
+                            {now + Duration(1ms) * static_cast<int>(random() % 60), [this, from, to, answer] {
+                               if (duties[from] && reaches(from, to))
+                                 duties[from]->answered(now, ips[to], answer);
+                             }});
                       }});
     }
   }
@@ -134,7 +138,8 @@
   std::uint64_t highest = 0, lives = 0, wall = 1000;
 };
 
-BOOST_AUTO_TEST_CASE(given_three_registries_that_start_at_once_when_they_claim_then_one_holds_within_a_second) {
+BOOST_AUTO_TEST_CASE(
+    given_three_registries_that_start_at_once_when_they_claim_then_one_holds_within_a_second) {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     DutyFleet f(3, seed);
     f.run(1s);
@@ -166,7 +171,8 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(given_a_holder_that_ends_in_order_when_it_names_a_successor_then_that_one_holds_at_once) {
+BOOST_AUTO_TEST_CASE(
+    given_a_holder_that_ends_in_order_when_it_names_a_successor_then_that_one_holds_at_once) {
   DutyFleet f(3, 11);
   f.run(2s);
   const auto first = f.holders().at(0), next = (first + 1) % 3;
@@ -177,7 +183,8 @@
   BOOST_TEST(f.most_holders == 1u);
 }
 
-BOOST_AUTO_TEST_CASE(given_registries_that_all_restart_when_a_proxy_knows_an_older_term_then_the_next_one_is_higher) {
+BOOST_AUTO_TEST_CASE(
+    given_registries_that_all_restart_when_a_proxy_knows_an_older_term_then_the_next_one_is_higher) {
   DutyFleet f(3, 12, false);
   f.duties[0]->saw(4100), f.duties[1]->saw(4100), f.duties[2]->saw(4100);
   f.run(4s);
@@ -191,7 +198,8 @@
   BOOST_TEST(f.most_holders == 1u);
 }
 
-BOOST_AUTO_TEST_CASE(given_registries_that_all_restart_when_all_answer_then_one_holds_before_a_lease_is_over) {
+BOOST_AUTO_TEST_CASE(
+    given_registries_that_all_restart_when_all_answer_then_one_holds_before_a_lease_is_over) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     DutyFleet f(3, seed, false);
     f.run(900ms);
@@ -199,7 +207,8 @@
     const auto term = f.duties[f.holders()[0]]->held_term();
     f.run(4s);
     BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
-    BOOST_TEST(f.duties[f.holders()[0]]->held_term() == term, "seed " << seed);  // it renews while they are silent
+    BOOST_TEST(f.duties[f.holders()[0]]->held_term() == term,
+               "seed " << seed);  // it renews while they are silent
     BOOST_TEST(f.most_holders == 1u, "seed " << seed);
     BOOST_TEST(f.duties[f.holders()[0]]->held_first());
   }
@@ -224,14 +233,16 @@
     const auto first = f.holders().at(0);
     f.cut[first] = true;
     for (std::size_t i = 0; i < 3; ++i)
-      if (i != first) f.duties[i] = std::make_unique<duty::Duty>(duty::Terms{}, f.ips[i], ++f.lives, false, f.now);
+      if (i != first)
+        f.duties[i] = std::make_unique<duty::Duty>(duty::Terms{}, f.ips[i], ++f.lives, false, f.now);
     f.run(4s);
     BOOST_TEST(f.most_holders == 1u, "seed " << seed);
     BOOST_TEST(f.holders().size() == 1u, "seed " << seed);
   }
 }
 
-BOOST_AUTO_TEST_CASE(given_a_holder_that_restarts_within_its_lease_when_it_claims_then_its_term_is_a_new_one) {
+BOOST_AUTO_TEST_CASE(
+    given_a_holder_that_restarts_within_its_lease_when_it_claims_then_its_term_is_a_new_one) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     DutyFleet f(3, seed);
     f.run(2s);
@@ -247,7 +258,8 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(given_a_voter_without_memory_when_it_has_just_started_then_it_grants_nothing_for_a_lease) {
+BOOST_AUTO_TEST_CASE(
+    given_a_voter_without_memory_when_it_has_just_started_then_it_grants_nothing_for_a_lease) {
   duty::Duty d({}, "a", 1, false, Time{1h});
   const auto b = d.asked(Time{1h} + 1s, {1, "b", "", false, false, 1});
   BOOST_TEST((!b.granted && b.blank));
@@ -285,7 +297,8 @@
                      holder.hand_back(now, a.tenant, quota, a.back, a.units);
                      continue;
                    }
-                   const auto g = holder.add(now, a.tenant, quota, a.ahead, a.units, std::to_string(i), a.demand);
+                   const auto g = holder.add(now, a.tenant, quota, a.ahead, a.units, std::to_string(i),
+                                             a.demand);
                    grants.push_back({a.tenant, g.window, g.units, g.left, g.starts, g.ends, g.more});
                  }
                  (void)at;
@@ -371,19 +384,23 @@
   std::map<std::size_t, std::uint64_t> passed_at;
 };
 
-BOOST_AUTO_TEST_CASE(given_a_tenant_inside_its_quota_when_it_comes_through_many_proxies_then_nearly_all_pass_at_once) {
+BOOST_AUTO_TEST_CASE(
+    given_a_tenant_inside_its_quota_when_it_comes_through_many_proxies_then_nearly_all_pass_at_once) {
   for (const auto& [n, per_s] : {std::pair<std::size_t, double>{8, 100}, {11, 17}, {8, 43}}) {
     UnitsFleet f(n, {per_s, per_s}, n);
     f.run(5s, per_s / 1.6);
     f.asked = f.passed = f.at_once = f.refused = f.calls = 0;
     f.trip = 110ms;
     f.run(60s, per_s / 1.6);
-    BOOST_TEST(static_cast<double>(f.refused) < 0.02 * static_cast<double>(f.asked), n << " proxies, " << f.refused << " of " << f.asked);
-    BOOST_TEST(static_cast<double>(f.at_once) > 0.6 * static_cast<double>(f.asked), n << " proxies, " << f.at_once << " of " << f.asked);
+    BOOST_TEST(static_cast<double>(f.refused) < 0.02 * static_cast<double>(f.asked),
+               n << " proxies, " << f.refused << " of " << f.asked);
+    BOOST_TEST(static_cast<double>(f.at_once) > 0.6 * static_cast<double>(f.asked),
+               n << " proxies, " << f.at_once << " of " << f.asked);
   }
 }
 
-BOOST_AUTO_TEST_CASE(given_a_tenant_far_over_its_quota_when_it_floods_then_no_span_is_over_and_most_of_it_is_used) {
+BOOST_AUTO_TEST_CASE(
+    given_a_tenant_far_over_its_quota_when_it_floods_then_no_span_is_over_and_most_of_it_is_used) {
   for (const double per_s : {10.0, 43.0, 200.0}) {
     UnitsFleet f(8, {per_s, per_s}, 5);
     f.run(30s, per_s * 8);
@@ -406,14 +423,16 @@
   BOOST_TEST(static_cast<double>(f.worst) <= (80 * 5 + 80) * 1.1 + 20);
 }
 
-BOOST_AUTO_TEST_CASE(given_a_holder_that_is_lost_when_another_takes_over_then_leases_bridge_it_and_no_span_is_over) {
+BOOST_AUTO_TEST_CASE(
+    given_a_holder_that_is_lost_when_another_takes_over_then_leases_bridge_it_and_no_span_is_over) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     UnitsFleet f(8, {60, 60}, seed);
     f.rate = 60 / 1.6;
     f.run(8s, f.rate);
     f.refused = f.asked = 0;
     f.change_holder(1500ms);
-    BOOST_TEST(static_cast<double>(f.refused) < 0.45 * static_cast<double>(f.asked), "seed " << seed << ": " << f.refused << " of " << f.asked);
+    BOOST_TEST(static_cast<double>(f.refused) < 0.45 * static_cast<double>(f.asked),
+               "seed " << seed << ": " << f.refused << " of " << f.asked);
     f.run(3s, 60 * 8);
     f.rate = 60 * 8;
     f.change_holder(1500ms);
