Read once more: a bound that was not so, words without code behind them, what nothing used

A unit that was waited for too long got 429 where the operators' page says 503; its story now asks for that. Nothing used Cold-Ms of answers, Fleet.whole, the registry's confirmed place and start, Link::queued, Units::next.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -50,7 +50,7 @@
 }
 
 Actions Decisions::holder(Time now, bool reachable) {
-  units_.set_holder(now, reachable);
+  units_.set_holder(reachable);
   after_units(now);
   return done();
 }
@@ -221,7 +221,7 @@
 }
 
 Actions Decisions::grants_failed(Time now) {
-  units_.call_failed(now);
+  units_.call_failed();
   after_units(now);
   return done();
 }
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -47,13 +47,13 @@
   }
 }
 
-void Units::set_holder(Time now, bool reachable) {
+void Units::set_holder(bool reachable) {
   if (reachable_ == reachable) return;
   reachable_ = reachable;
-  call_failed(now);
+  call_failed();
 }
 
-void Units::call_failed(Time now) {
+void Units::call_failed() {
   for (auto it = tenants_.begin(); it != tenants_.end(); ++it) {
     auto& t = it.value();
     t.call_out = false;
@@ -65,7 +65,6 @@
     for (const auto& w : t.waiting) turned_.push_back({w.request, kNoHolder, true});
     t.waiting.clear();
   }
-  next_ = now;
 }
 
 Time Units::start_of(const Tenant& t, std::int64_t window) const {
@@ -234,7 +233,7 @@
       roll(now, t);
       if (t.call_out && now >= t.called_at + kLateCall) t.call_out = false;
       while (!t.waiting.empty() && now >= t.waiting.front().until) {
-        turned_.push_back({t.waiting.front().request, std::max<Duration>(trip_, 50ms), false});
+        turned_.push_back({t.waiting.front().request, std::max<Duration>(trip_, 50ms), true});
         t.waiting.pop_front();
       }
       settle(now, t);
@@ -260,7 +259,6 @@
     out.push_back({name, 0, static_cast<std::uint32_t>(units), -1, std::max(t.usual, t.used)});
     t.call_out = true, t.called_at = now;
   }
-  next_ = now + kSweep;
   return out;
 }
 
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -80,7 +80,7 @@
   void set_quota(const std::string& tenant, const counts::Quota& quota);
   void keep_only(const std::vector<std::string>& tenants);
   void set_proxies(std::size_t n) { proxies_ = n > 0 ? n : 1; }
-  void set_holder(Time now, bool reachable);  // whether the holder can be asked
+  void set_holder(bool reachable);  // whether the holder can be asked
 
   // `refused`: `retry_after` tells when to come back.
   Take take(Time now, const std::string& tenant, RequestId request, Duration wait_limit,
@@ -89,7 +89,7 @@
   void give_back(Time now, const std::string& tenant);        // a unit that was taken and not used
 
   void granted(Time now, std::uint64_t term, const Granted& g);
-  void call_failed(Time now);  // calls that are out get no answer
+  void call_failed();  // calls that are out get no answer
   // Another one holds the counts now: what was leased ahead is granted anew by it, what is of the present
   // window stays.
   void new_holder(Time now);
@@ -98,8 +98,6 @@
   std::vector<Add> adds(Time now);
   std::vector<RequestId> passed() { return std::exchange(passed_, {}); }
   std::vector<Turned> turned(Time now);
-  // Before this nothing changes by time alone.
-  Time next() const { return next_; }
 
  private:
   using Lease = units::Lease;
@@ -122,7 +120,7 @@
   bool reachable_ = false;
   std::uint64_t term_ = 0;
   Duration trip_ = std::chrono::milliseconds(20);  // EWMA of a call's round trip
-  Time next_{}, swept_{};
+  Time swept_{};
 };
 
 }  // namespace docklift::decisions
--- a/src/system/net/link.hpp
+++ b/src/system/net/link.hpp
@@ -54,7 +54,6 @@
   void close();
   bool open() const { return open_; }
   const std::string& peer() const { return peer_; }  // its ip
-  std::size_t queued() const { return queued_; }
 
  private:
   void read_length();
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -196,11 +196,11 @@
   timers_.after(grace - kLastAnswers, [this, ended = std::move(ended)] { say_last(ended); });
 }
 
-// What waits for units or a place is refused; what a server works on is left to the end.
+// Ends when nothing is open: what waits for units or a place is refused by its own limits, what a server works on is left to the end.
 void Proxy::say_last(std::function<void()> ended) {
   const auto all = sessions_;
   for (const auto& s : all) s->drain();
-  if (exchanges_.empty() || clock_.now() == Time{}) {
+  if (exchanges_.empty()) {
     timers_.after(100ms, [this, ended = std::move(ended)] {
       news_.stop();
       ended();
--- a/src/system/proxy/upstream.cpp
+++ b/src/system/proxy/upstream.cpp
@@ -124,8 +124,6 @@
     Answered a;
     a.status = head.status;
     a.outcome = judge(head);
-    if (const auto cold = head.only("Cold-Ms"))
-      a.cold_ms = static_cast<std::uint32_t>(http::number(*cold).value_or(0));
     a.reply = "HTTP/1.1 " + std::to_string(head.status) + " " + std::string(http::reason(head.status)) +
               "\r\n";
     for (const auto& f : head.fields) {
--- a/src/system/proxy/upstream.hpp
+++ b/src/system/proxy/upstream.hpp
@@ -34,7 +34,6 @@
   std::string reply;  // it, ready for the client: status line, fields, body; without the end of the head
                       // where `body_at` is
   std::size_t body_at = 0;  // where the fields end: Connection may be put in there
-  std::uint32_t cold_ms = 0;
 };
 
 class Upstream {
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -27,7 +27,6 @@
     : io_(io),
       settings_(settings),
       log_("registry"),
-      started_(clock_.now()),
       duty_(duty::Terms{}, settings.bind_ip, draw_life(), settings.bootstrap, clock_.now()),
       counts_({settings.bounds.quota_win_s, settings.bounds.quota_excess, settings.bounds.quota_slack}),
       shelf_(std::move(shelf)),
@@ -218,7 +217,7 @@
       const auto at = clock_.now() - from_millis(c.getAgeMs());
       // What is confirmed at a place that has not come here yet says nothing of what is here.
       if (c.getPosition() > changes_.position() || at <= confirmed_at_) break;
-      confirmed_position_ = c.getPosition(), confirmed_at_ = at;
+      confirmed_at_ = at;
       fleet::Outgoing out;
       fill(out.frame().initFleet());
       for (auto& [link, p] : proxies_) p.link->send(out.message());
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -35,7 +35,6 @@
   const fleet::Servers& servers() const { return servers_; }
   const fleet::Nodes& nodes() const { return nodes_; }
   Time now() const { return clock_.now(); }
-  Duration up_for() const { return clock_.now() - started_; }
   void heard(const fleet::Server& server);  // a beat or a leave
   // `done` with the verdict's status, its reason and position; 503 where no store answers in time.
   using Done = std::function<void(int status, const std::string& why, std::uint64_t position)>;
@@ -87,7 +86,7 @@
   SystemSettings settings_;
   snowknot::Clock clock_;
   Log log_;
-  Time started_{}, alone_since_{};
+  Time alone_since_{};
   std::unique_ptr<LinkListener> listener_;
   std::map<std::string, std::shared_ptr<Dialer>> registries_, stores_;  // by ip
   std::map<Link*, std::string> peers_;                                  // registries that dialled
@@ -98,7 +97,6 @@
   std::map<std::string, fleet::Node> heard_nodes_;
   std::set<std::string> retold_;  // servers whose next beat proxies must know, as their zone was taken back
   fleet::ChangeLog changes_;
-  std::uint64_t confirmed_position_ = 0;
   Time confirmed_at_{};
   duty::Duty duty_;
   counts::Counts counts_;
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -85,14 +85,13 @@
 
 # What a registry knows, to a proxy: changed records, or all.
 struct Fleet {
-  whole @0 :Bool;             # these are all servers: what is not among them is gone
-  servers @1 :List(Server);
-  proxies @2 :List(Text);     # ids of the live proxies of the fleet; empty: as told before
-  registries @3 :List(Text);  # ips of registries that are up
-  holder @4 :Text;            # ip of the registry that holds the counts; empty: none is known
-  term @5 :UInt64;            # of that duty; rises with each holder
-  position @6 :UInt64;        # of the newest change that the registry has
-  confirmedMs @7 :UInt32;     # so long ago a majority knew of none beyond it; all ones: not known
+  servers @0 :List(Server);
+  proxies @1 :List(Text);     # ids of the live proxies of the fleet; empty: as told before
+  registries @2 :List(Text);  # ips of registries that are up
+  holder @3 :Text;            # ip of the registry that holds the counts; empty: none is known
+  term @4 :UInt64;            # of that duty; rises with each holder
+  position @5 :UInt64;        # of the newest change that the registry has
+  confirmedMs @6 :UInt32;     # so long ago a majority knew of none beyond it; all ones: not known
 }
 
 # Between registries: records merged both ways; a digest of ranges asks for what differs.
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -277,7 +277,7 @@
       proxies.emplace_back(kJudged, seed * 100 + i);
       proxies.back().set_proxies(n);
       proxies.back().set_quota("t", q);
-      proxies.back().set_holder(now, true);
+      proxies.back().set_holder(true);
     }
   }
   void settle(std::size_t i) {
@@ -291,7 +291,6 @@
     wire.push({now + way, order++, [this, i, adds, way, its_term = term] {
                  if (its_term != term || !reachable) return;
                  std::vector<decisions::Granted> grants;
-                 const Time at = now;
                  for (const auto& a : adds) {
                    if (a.back >= 0) {
                      holder.hand_back(now, a.tenant, quota, a.back, a.units);
@@ -301,7 +300,6 @@
                                              a.demand);
                    grants.push_back({a.tenant, g.window, g.units, g.left, g.starts, g.ends, g.more});
                  }
-                 (void)at;
                  wire.push({now + way, order++, [this, i, grants, its_term] {
                               if (its_term != term) return;
                               for (const auto& g : grants) proxies[i].granted(now, its_term, g);
@@ -354,11 +352,11 @@
   }
   void change_holder(Duration gone) {
     reachable = false, ++term;
-    for (auto& p : proxies) p.set_holder(now, false);
+    for (auto& p : proxies) p.set_holder(false);
     run(gone, rate);
     reachable = true;
     holder.begin(now, false);
-    for (auto& p : proxies) p.new_holder(now), p.set_holder(now, true);
+    for (auto& p : proxies) p.new_holder(now), p.set_holder(true);
   }
 
   struct Event {
@@ -456,7 +454,7 @@
   Units u(kJudged, 1);
   u.set_quota("t", {10, 10});
   Time now{1h};
-  u.set_holder(now, true);
+  u.set_holder(true);
   Duration retry{};
   bool lost = false;
   BOOST_TEST((u.take(now, "t", 1, 200ms, retry, lost) == Units::Take::waits));
@@ -465,6 +463,7 @@
   const auto turned = u.turned(now + 210ms);
   BOOST_REQUIRE(turned.size() == 1);
   BOOST_TEST(turned[0].request == 1u);
+  BOOST_TEST(turned[0].holder_lost);  // not for its quota
 }
 
 BOOST_AUTO_TEST_SUITE_END()
