--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,6 +8,7 @@
 
 cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DSNOWKNOT_TESTS=ON -DDOCKLIFT_SYSTEM=ON -DDOCKLIFT_RIGS=ON -DCMAKE_COMPILE_WARNING_AS_ERROR=ON
 cmake --build build-test -j "$jobs"
+sh scripts/check-packages.sh build-test
 ctest --test-dir build-test --output-on-failure -j "$jobs"
 build-test/rigs/fleet --short
 build-test/rigs/redis --short
