--- a/src/system/agreement/agreement.capnp
+++ b/src/system/agreement/agreement.capnp
@@ -4,25 +4,35 @@
 using Fleet = import "/system/wire/fleet.capnp";
 $Cxx.namespace("docklift::agreement::wire");
 
-struct Ballot { round @0 :UInt64; by @1 :Text; }
+# Proposers never share a ballot: `disk` tells two lives at one address apart.
+struct Ballot { round @0 :UInt64; address @1 :Text; disk @2 :UInt64; }
 struct Change { kind @0 :UInt8; text @1 :Data; author @2 :Text; number @3 :UInt64; }
-struct Accepted { slot @0 :UInt64; ballot @1 :Ballot; change @2 :Change; }
+struct AcceptedChange { slot @0 :UInt64; ballot @1 :Ballot; change @2 :Change; }
 struct Message {
-  slot @0 :UInt64;       # of ask, promise, offer, vote, chosen
-  ballot @1 :Ballot;
-  promised @2 :Ballot;
+  disk @0 :UInt64;         # the sender's disk identity
+  membership @1 :UInt64;   # the membership number that the sender knows
+  slot @2 :UInt64;         # of prepare, promise, accept, accepted, learn
+  ballot @3 :Ballot;
+  promised @4 :Ballot;
   union {
-    ask @3 :Void;
-    promise @4 :List(Accepted);
-    offer @5 :Change;
-    vote @6 :Void;
-    chosen @7 :Change;
-    statusAsk @8 :UInt64;
-    status @9 :Status;
-    fetch @10 :UInt64;
-    log @11 :Log;
+    prepare @5 :Void;
+    promise @6 :List(AcceptedChange);
+    accept @7 :Change;
+    accepted @8 :Void;
+    learn @9 :Change;
+    statusRequest @10 :UInt64;
+    status @11 :Status;
+    fetch @12 :UInt64;
+    log @13 :Log;
   }
 }
-struct Status { round @0 :UInt64; chosen @1 :UInt64; blank @2 :Bool; accepted @3 :List(Accepted); }
+struct Status {
+  round @0 :UInt64;
+  position @1 :UInt64;
+  hasState @2 :Bool;       # false: its disk was empty and it has not read the others yet
+  eligible @3 :Bool;       # may be made a voter
+  leaving @4 :Bool;
+  accepted @5 :List(AcceptedChange);
+}
 struct Log { snapshot @0 :Fleet.Snapshot; entries @1 :List(Entry); whole @2 :Bool; }
 struct Entry { slot @0 :UInt64; change @1 :Change; }
--- a/src/system/agreement/messages.cpp
+++ b/src/system/agreement/messages.cpp
@@ -16,11 +16,17 @@
 }
 std::string text_of(capnp::Data::Reader d) { return {reinterpret_cast<const char*>(d.begin()), d.size()}; }
 
-void put(wire::Ballot::Builder to, const Ballot& b) { to.setRound(b.round), to.setBy(b.by); }
-Ballot get(wire::Ballot::Reader r) { return {r.getRound(), r.getBy().cStr()}; }
-void put(wire::Change::Builder to, const Change& c) {
-  to.setKind(static_cast<std::uint8_t>(c.kind)), to.setText(data_of(c.text));
-  to.setAuthor(c.author), to.setNumber(c.number);
+void put(wire::Ballot::Builder to, const Ballot& ballot) {
+  to.setRound(ballot.round);
+  to.setAddress(ballot.address);
+  to.setDisk(ballot.disk);
+}
+Ballot get(wire::Ballot::Reader r) { return {r.getRound(), r.getAddress().cStr(), r.getDisk()}; }
+void put(wire::Change::Builder to, const Change& change) {
+  to.setKind(static_cast<std::uint8_t>(change.kind));
+  to.setText(data_of(change.text));
+  to.setAuthor(change.author);
+  to.setNumber(change.number);
 }
 Change get(wire::Change::Reader r) {
   const auto kind = r.getKind() <= static_cast<std::uint8_t>(ChangeKind::nothing)
@@ -28,10 +34,17 @@
                         : ChangeKind::nothing;
   return {kind, text_of(r.getText()), r.getAuthor().cStr(), r.getNumber()};
 }
-void put(wire::Accepted::Builder to, std::uint64_t slot, const Accepted& a) {
-  to.setSlot(slot), put(to.initBallot(), a.ballot), put(to.initChange(), a.change);
+void put(wire::AcceptedChange::Builder to, std::uint64_t slot, const AcceptedChange& accepted) {
+  to.setSlot(slot);
+  put(to.initBallot(), accepted.ballot);
+  put(to.initChange(), accepted.change);
+}
+AcceptedChange get(wire::AcceptedChange::Reader r) { return {get(r.getBallot()), get(r.getChange())}; }
+void put(wire::Entry::Builder to, const LogEntry& entry) {
+  to.setSlot(entry.slot);
+  put(to.initChange(), entry.change);
 }
-Accepted get(wire::Accepted::Reader r) { return {get(r.getBallot()), get(r.getChange())}; }
+LogEntry get(wire::Entry::Reader r) { return {r.getSlot(), get(r.getChange())}; }
 std::string packed(capnp::MessageBuilder& m) {
   const auto words = capnp::messageToFlatArray(m);
   const auto bytes = words.asBytes();
@@ -57,104 +70,145 @@
   }
 }
 
-template <class... F>
-struct Each : F... {
-  using F::operator()...;
+// Writes each kind of message into its part of the frame.
+class Encoder {
+ public:
+  explicit Encoder(wire::Message::Builder frame) : frame_(frame) {}
+
+  void operator()(const Prepare& m) {
+    head(m.slot, m.ballot);
+    frame_.setPrepare();
+  }
+  void operator()(const Promise& m) {
+    head(m.slot, m.ballot);
+    put(frame_.initPromised(), m.promised);
+    auto list = frame_.initPromise(m.accepted ? 1 : 0);
+    if (m.accepted) put(list[0], m.slot, *m.accepted);
+  }
+  void operator()(const Accept& m) {
+    head(m.slot, m.ballot);
+    put(frame_.initAccept(), m.change);
+  }
+  void operator()(const Accepted& m) {
+    head(m.slot, m.ballot);
+    put(frame_.initPromised(), m.promised);
+    frame_.setAccepted();
+  }
+  void operator()(const LogEntry& m) {
+    frame_.setSlot(m.slot);
+    put(frame_.initLearn(), m.change);
+  }
+  void operator()(const StatusRequest& m) { frame_.setStatusRequest(m.round); }
+  void operator()(const Status& m) {
+    auto to = frame_.initStatus();
+    to.setRound(m.round);
+    to.setPosition(m.position);
+    to.setHasState(m.has_state);
+    to.setEligible(m.eligible);
+    to.setLeaving(m.leaving);
+    auto list = to.initAccepted(static_cast<unsigned>(m.accepted.size()));
+    for (unsigned i = 0; i < list.size(); ++i) put(list[i], m.accepted[i].first, m.accepted[i].second);
+  }
+  void operator()(const Fetch& m) { frame_.setFetch(m.after); }
+  void operator()(const Log& m) {
+    auto to = frame_.initLog();
+    to.setWhole(m.snapshot.has_value());
+    if (m.snapshot) fleet::put(to.initSnapshot(), *m.snapshot);
+    auto list = to.initEntries(static_cast<unsigned>(m.entries.size()));
+    for (unsigned i = 0; i < list.size(); ++i) put(list[i], m.entries[i]);
+  }
+
+ private:
+  void head(std::uint64_t slot, const Ballot& ballot) {
+    frame_.setSlot(slot);
+    put(frame_.initBallot(), ballot);
+  }
+  wire::Message::Builder frame_;
 };
 
+Promise promise_of(wire::Message::Reader m) {
+  Promise promise{m.getSlot(), get(m.getBallot()), get(m.getPromised()), std::nullopt};
+  if (m.getPromise().size() > 0) promise.accepted = get(m.getPromise()[0]);
+  return promise;
+}
+
+Status status_of(wire::Status::Reader r) {
+  Status status{r.getRound(), r.getPosition(), r.getHasState(), r.getEligible(), r.getLeaving(), {}};
+  for (const auto accepted : r.getAccepted()) status.accepted.emplace_back(accepted.getSlot(), get(accepted));
+  return status;
+}
+
+Log log_of(wire::Log::Reader r) {
+  Log log;
+  if (r.getWhole()) log.snapshot = fleet::get(r.getSnapshot());
+  for (const auto entry : r.getEntries()) log.entries.push_back(get(entry));
+  return log;
+}
+
+Message message_of(wire::Message::Reader m) {
+  switch (m.which()) {
+    case wire::Message::PREPARE: return Prepare{m.getSlot(), get(m.getBallot())};
+    case wire::Message::PROMISE: return promise_of(m);
+    case wire::Message::ACCEPT: return Accept{m.getSlot(), get(m.getBallot()), get(m.getAccept())};
+    case wire::Message::ACCEPTED: return Accepted{m.getSlot(), get(m.getBallot()), get(m.getPromised())};
+    case wire::Message::LEARN: return LogEntry{m.getSlot(), get(m.getLearn())};
+    case wire::Message::STATUS_REQUEST: return StatusRequest{m.getStatusRequest()};
+    case wire::Message::STATUS: return status_of(m.getStatus());
+    case wire::Message::FETCH: return Fetch{m.getFetch()};
+    case wire::Message::LOG: break;
+  }
+  return log_of(m.getLog());
+}
+
 }  // namespace
 
-std::string encode(const Message& message) {
+std::string encode(const Envelope& envelope) {
   capnp::MallocMessageBuilder builder;
-  auto m = builder.initRoot<wire::Message>();
-  const auto head = [&](std::uint64_t slot, const Ballot& ballot) {
-    m.setSlot(slot), put(m.initBallot(), ballot);
-  };
-  std::visit(
-      Each{[&](const Ask& a) { head(a.slot, a.ballot), m.setAsk(); },
-           [&](const Promise& p) {
-             head(p.slot, p.ballot), put(m.initPromised(), p.promised);
-             auto list = m.initPromise(p.accepted ? 1 : 0);
-             if (p.accepted) put(list[0], p.slot, *p.accepted);
-           },
-           [&](const Offer& o) { head(o.slot, o.ballot), put(m.initOffer(), o.change); },
-           [&](const Vote& v) { head(v.slot, v.ballot), put(m.initPromised(), v.promised), m.setVote(); },
-           [&](const Chosen& c) { m.setSlot(c.slot), put(m.initChosen(), c.change); },
-           [&](const StatusAsk& a) { m.setStatusAsk(a.round); },
-           [&](const Status& s) {
-             put(m.initPromised(), s.promised);
-             auto to = m.initStatus();
-             to.setRound(s.round), to.setChosen(s.chosen), to.setBlank(s.blank);
-             auto list = to.initAccepted(static_cast<unsigned>(s.accepted.size()));
-             for (unsigned i = 0; i < list.size(); ++i)
-               put(list[i], s.accepted[i].first, s.accepted[i].second);
-           },
-           [&](const Fetch& f) { m.setFetch(f.after); },
-           [&](const Log& l) {
-             auto to = m.initLog();
-             to.setWhole(l.snapshot.has_value());
-             if (l.snapshot) fleet::put(to.initSnapshot(), *l.snapshot);
-             auto list = to.initEntries(static_cast<unsigned>(l.entries.size()));
-             for (unsigned i = 0; i < list.size(); ++i)
-               list[i].setSlot(l.entries[i].slot), put(list[i].initChange(), l.entries[i].change);
-           }},
-      message);
+  auto frame = builder.initRoot<wire::Message>();
+  frame.setDisk(envelope.sender.disk);
+  frame.setMembership(envelope.sender.membership);
+  std::visit(Encoder(frame), envelope.message);
   return packed(builder);
 }
 
-std::optional<Message> decode(std::string_view bytes) {
-  return unpacked<wire::Message>(bytes, [](wire::Message::Reader m) -> Message {
-    const auto ballot = [&] { return get(m.getBallot()); };
-    switch (m.which()) {
-      case wire::Message::ASK: return Ask{m.getSlot(), ballot()};
-      case wire::Message::PROMISE: {
-        Promise p{m.getSlot(), ballot(), get(m.getPromised()), std::nullopt};
-        if (m.getPromise().size() > 0) p.accepted = get(m.getPromise()[0]);
-        return p;
-      }
-      case wire::Message::OFFER: return Offer{m.getSlot(), ballot(), get(m.getOffer())};
-      case wire::Message::VOTE: return Vote{m.getSlot(), ballot(), get(m.getPromised())};
-      case wire::Message::CHOSEN: return Chosen{m.getSlot(), get(m.getChosen())};
-      case wire::Message::STATUS_ASK: return StatusAsk{m.getStatusAsk()};
-      case wire::Message::STATUS: {
-        const auto from = m.getStatus();
-        Status s{from.getRound(), from.getChosen(), from.getBlank(), get(m.getPromised()), {}};
-        for (const auto a : from.getAccepted()) s.accepted.emplace_back(a.getSlot(), get(a));
-        return s;
-      }
-      case wire::Message::FETCH: return Fetch{m.getFetch()};
-      case wire::Message::LOG: break;
-    }
-    Log l;
-    if (m.getLog().getWhole()) l.snapshot = fleet::get(m.getLog().getSnapshot());
-    for (const auto e : m.getLog().getEntries()) l.entries.push_back({e.getSlot(), get(e.getChange())});
-    return l;
+std::optional<Envelope> decode(std::string_view bytes) {
+  return unpacked<wire::Message>(bytes, [](wire::Message::Reader m) -> Envelope {
+    return {{m.getDisk(), m.getMembership()}, message_of(m)};
   });
 }
 
-std::string encode_state(const State& s) {
-  capnp::MallocMessageBuilder b;
-  fleet::put(b.initRoot<docklift::wire::Snapshot>(), s);
-  return packed(b);
+std::string encode_state(const State& state) {
+  capnp::MallocMessageBuilder builder;
+  fleet::put(builder.initRoot<docklift::wire::Snapshot>(), state);
+  return packed(builder);
 }
 std::optional<State> decode_state(std::string_view bytes) {
-  return unpacked<docklift::wire::Snapshot>(bytes, [](docklift::wire::Snapshot::Reader r) { return fleet::get(r); });
+  return unpacked<docklift::wire::Snapshot>(bytes,
+                                            [](docklift::wire::Snapshot::Reader r) { return fleet::get(r); });
 }
-std::string encode_accepted(const Accepted& a) {
-  capnp::MallocMessageBuilder b;
-  put(b.initRoot<wire::Accepted>(), 0, a);
-  return packed(b);
+std::string encode_accepted(const AcceptedChange& accepted) {
+  capnp::MallocMessageBuilder builder;
+  put(builder.initRoot<wire::AcceptedChange>(), 0, accepted);
+  return packed(builder);
 }
-std::optional<Accepted> decode_accepted(std::string_view bytes) {
-  return unpacked<wire::Accepted>(bytes, [](wire::Accepted::Reader r) { return get(r); });
+std::optional<AcceptedChange> decode_accepted(std::string_view bytes) {
+  return unpacked<wire::AcceptedChange>(bytes, [](wire::AcceptedChange::Reader r) { return get(r); });
 }
-std::string encode_ballot(const Ballot& x) {
-  capnp::MallocMessageBuilder b;
-  put(b.initRoot<wire::Ballot>(), x);
-  return packed(b);
+std::string encode_ballot(const Ballot& ballot) {
+  capnp::MallocMessageBuilder builder;
+  put(builder.initRoot<wire::Ballot>(), ballot);
+  return packed(builder);
 }
 std::optional<Ballot> decode_ballot(std::string_view bytes) {
   return unpacked<wire::Ballot>(bytes, [](wire::Ballot::Reader r) { return get(r); });
 }
+std::string encode_entry(const LogEntry& entry) {
+  capnp::MallocMessageBuilder builder;
+  put(builder.initRoot<wire::Entry>(), entry);
+  return packed(builder);
+}
+std::optional<LogEntry> decode_entry(std::string_view bytes) {
+  return unpacked<wire::Entry>(bytes, [](wire::Entry::Reader r) { return get(r); });
+}
 
 }  // namespace docklift::agreement
--- a/src/system/agreement/messages.hpp
+++ b/src/system/agreement/messages.hpp
@@ -13,17 +13,19 @@
 
 namespace docklift::agreement {
 
+using configuration::ChangeKind;
 using configuration::State;
+using configuration::Voter;
 
-// Ordered by round; two proposers never share a ballot.
+// Ordered by round. Two proposers never share a ballot, as it names address and disk; the first ballot of a
+// disk is durable before it is sent.
 struct Ballot {
   std::uint64_t round = 0;
-  std::string by;  // ip of the proposer
+  std::string address;  // ip of the proposer
+  std::uint64_t disk = 0;
   auto operator<=>(const Ballot&) const = default;
 };
 
-using configuration::ChangeKind;
-
 // What a place in the log of changes holds. `author` and `number` tell a proposer its own.
 struct Change {
   ChangeKind kind = ChangeKind::nothing;
@@ -32,12 +34,18 @@
   bool operator==(const Change&) const = default;
 };
 
-struct Accepted {
+struct AcceptedChange {
   Ballot ballot;
   Change change;
 };
 
-struct Ask {  // phase 1
+// A change that is decided.
+struct LogEntry {
+  std::uint64_t slot = 0;
+  Change change;
+};
+
+struct Prepare {  // phase 1
   std::uint64_t slot = 0;
   Ballot ballot;
 };
@@ -45,70 +53,85 @@
   std::uint64_t slot = 0;
   Ballot ballot;    // that was asked with
   Ballot promised;  // granted if it is the one asked with
-  std::optional<Accepted> accepted;
+  std::optional<AcceptedChange> accepted;
 };
-struct Offer {  // phase 2
+struct Accept {  // phase 2
   std::uint64_t slot = 0;
   Ballot ballot;
   Change change;
 };
-struct Vote {
-  std::uint64_t slot = 0;
-  Ballot ballot, promised;
-};
-struct Chosen {
+struct Accepted {
   std::uint64_t slot = 0;
-  Change change;
+  Ballot ballot;
+  Ballot promised;  // accepted if it is the one asked with
 };
-struct StatusAsk {
+struct StatusRequest {
   std::uint64_t round = 0;
 };
 struct Status {
-  std::uint64_t round = 0, chosen = 0;
-  bool blank = false;  // its disk was lost and it has not caught up: it has no say
-  Ballot promised;
-  std::vector<std::pair<std::uint64_t, Accepted>> accepted;  // of places beyond `chosen`
+  std::uint64_t round = 0;
+  std::uint64_t position = 0;
+  bool has_state = false;  // false: its disk was empty and it has not read the others yet
+  bool eligible = false;   // may be made a voter
+  bool leaving = false;    // asked to end: it hands its vote over
+  std::vector<std::pair<std::uint64_t, AcceptedChange>> accepted;  // at places beyond `position`
 };
 struct Fetch {
   std::uint64_t after = 0;
 };
 struct Log {
   std::optional<State> snapshot;
-  std::vector<Chosen> entries;
+  std::vector<LogEntry> entries;
 };
 
-using Message = std::variant<Ask, Promise, Offer, Vote, Chosen, StatusAsk, Status, Fetch, Log>;
+using Message = std::variant<Prepare, Promise, Accept, Accepted, LogEntry, StatusRequest, Status, Fetch, Log>;
+
+// Who says something: with the address of the connection it tells which voter speaks, if any.
+struct Sender {
+  std::uint64_t disk = 0;
+  std::uint64_t membership = 0;  // the membership number that the sender knows
+};
+struct Envelope {
+  Sender sender;
+  Message message;
+};
 
-std::string encode(const Message& m);
-std::optional<Message> decode(std::string_view bytes);  // none: not of ours
+std::string encode(const Envelope& envelope);
+std::optional<Envelope> decode(std::string_view bytes);  // none: not a message of this protocol
 
 // What is on disk.
 struct Kept {
-  bool any = false;  // the disk holds a voter's memory
-  State state;       // a snapshot, with `log` applied on top by who reads it
+  std::uint64_t disk = 0;  // the disk's identity; 0: the disk is empty
+  bool any = false;        // the disk holds a state
+  State state;             // a snapshot, with `log` applied on top by who reads it
   Ballot promised;
-  std::vector<std::pair<std::uint64_t, Accepted>> accepted;
-  std::vector<Chosen> log;  // after state.position, in order
+  std::vector<std::pair<std::uint64_t, AcceptedChange>> accepted;
+  std::vector<LogEntry> log;  // after state.position, in order
 };
 
 // Records to write together; `durable`: what follows waits until they are on the disk.
 struct Write {
+  std::optional<std::uint64_t> disk;
   std::optional<State> state;
   std::optional<Ballot> promised;
-  std::vector<std::pair<std::uint64_t, Accepted>> accepted;
-  std::vector<Chosen> log;
-  std::uint64_t forget_accepted = 0, forget_log = 0;  // places up to here
+  std::vector<std::pair<std::uint64_t, AcceptedChange>> accepted;
+  std::vector<LogEntry> log;
+  std::uint64_t forget_accepted = 0;  // places up to here
+  std::uint64_t forget_log = 0;       // places up to here
   bool durable = false;
   bool empty() const {
-    return !state && !promised && accepted.empty() && log.empty() && forget_accepted == 0 && forget_log == 0;
+    return !disk && !state && !promised && accepted.empty() && log.empty() && forget_accepted == 0 &&
+           forget_log == 0;
   }
 };
 
-std::string encode_state(const State& s);
+std::string encode_state(const State& state);
 std::optional<State> decode_state(std::string_view bytes);
-std::string encode_accepted(const Accepted& a);
-std::optional<Accepted> decode_accepted(std::string_view bytes);
-std::string encode_ballot(const Ballot& b);
+std::string encode_accepted(const AcceptedChange& accepted);
+std::optional<AcceptedChange> decode_accepted(std::string_view bytes);
+std::string encode_ballot(const Ballot& ballot);
 std::optional<Ballot> decode_ballot(std::string_view bytes);
+std::string encode_entry(const LogEntry& entry);
+std::optional<LogEntry> decode_entry(std::string_view bytes);
 
 }  // namespace docklift::agreement
--- /dev/null
+++ b/src/system/agreement/replica.cpp
@@ -0,0 +1,426 @@
+#include "system/agreement/replica.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace docklift::agreement {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kKeptChanges = 64;     // for stores and registries that are behind a little
+constexpr std::uint64_t kSnapshotEach = 32;  // changes from one snapshot on disk to the next
+constexpr std::size_t kQueued = 256;         // proposals that wait; more get 503 at once
+constexpr Duration kFetchGap = 100ms;        // a log that was asked for is waited for so long
+constexpr Duration kResolveAfter = 150ms;    // a proposer of a half decided change is left so long to end it
+constexpr Duration kLeastPause = 10ms, kMostPause = 120ms;  // after ballots that crossed
+constexpr Duration kStoodStill = 400ms;  // a tick that is late by this: the process was stopped
+constexpr std::uint64_t kWhole = std::numeric_limits<std::uint64_t>::max();  // Fetch::after: a snapshot
+
+std::vector<Voter> bootstrap_voters(std::vector<std::string> seeds) {
+  std::ranges::sort(seeds);
+  seeds.erase(std::ranges::unique(seeds).begin(), seeds.end());
+  std::vector<Voter> voters;
+  for (auto& seed : seeds) voters.push_back({std::move(seed), configuration::kBootstrapDisk});
+  return voters;
+}
+
+}  // namespace
+
+Replica::Replica(Options options, Kept kept)
+    : options_(std::move(options)), state_(std::move(kept.state)), rng_(options_.chance) {
+  disk_ = kept.disk;
+  promised_ = kept.promised;
+  snapshot_at_ = state_.position;
+  for (auto& [slot, accepted] : kept.accepted) accepted_[slot] = std::move(accepted);
+  for (const auto& entry : kept.log) {
+    if (entry.slot != state_.position + 1) continue;
+    configuration::apply(state_, entry.change.kind, entry.change.text);
+    log_.push_back(entry);
+  }
+  std::erase_if(accepted_, [&](const auto& accepted) { return accepted.first <= state_.position; });
+  round_ = promised_.round;
+  numbers_ = rng_();
+  if (kept.any) return;
+  if (options_.bootstrap) state_.voters = bootstrap_voters(options_.seeds);
+  const bool is_seed = std::ranges::find(options_.seeds, options_.self) != options_.seeds.end();
+  // Also where an identity is left without a state: what this disk promised is lost.
+  disk_ = options_.bootstrap && is_seed ? configuration::kBootstrapDisk : options_.new_disk;
+  out_.write.disk = disk_;
+  out_.write.durable = true;
+  if (has_state()) {
+    out_.write.state = state_;
+  } else {
+    out_.notes.push_back("the disk is empty: a learner without a vote until it has the others' state");
+  }
+}
+
+Out Replica::start(Time now) {
+  next_confirm_ = now;
+  now_ = now;
+  contact_since_ = now;
+  return std::exchange(out_, {});
+}
+
+Sender Replica::identity() const { return {disk_, std::max(state_.membership, seen_membership_)}; }
+
+void Replica::send(const std::string& to, Message message) {
+  out_.sends.push_back({to, {identity(), std::move(message)}});
+}
+
+void Replica::send_at_once(const std::string& to, Message message) {
+  out_.immediate.push_back({to, {identity(), std::move(message)}});
+}
+
+void Replica::to_voters(const Message& message) {
+  for (const auto& voter : state_.voters) send(voter.address, message);
+}
+
+Duration Replica::chance(Duration least, Duration most) {
+  const auto span = static_cast<std::uint64_t>((most - least).count() + 1);
+  return least + Duration(static_cast<Duration::rep>(rng_() % span));
+}
+
+std::optional<std::vector<LogEntry>> Replica::after(std::uint64_t place) const {
+  if (place >= state_.position) return std::vector<LogEntry>{};
+  if (log_.empty() || log_.front().slot > place + 1) return std::nullopt;
+  std::vector<LogEntry> entries;
+  for (const auto& entry : log_)
+    if (entry.slot > place) entries.push_back(entry);
+  return entries;
+}
+
+// ---- proposer ------------------------------------------------------------------------------------
+
+Out Replica::propose(Time now, std::uint64_t id, ChangeKind kind, std::string text) {
+  notice_time(now);
+  if (kind == ChangeKind::nothing && reads_.size() < kQueued) {
+    reads_.push_back({id, now});
+    if (has_state() && !confirming_) begin_confirm(now);
+  } else if (kind == ChangeKind::nothing || queue_.size() >= kQueued) {
+    out_.settled.push_back({id, 503, "too many calls wait"});
+  } else {
+    queue_.push_back({id, kind, std::move(text), now, false});
+    drive(now);
+  }
+  return std::exchange(out_, {});
+}
+
+void Replica::settle(int status, std::string why) {
+  if (queue_.empty()) return;
+  out_.settled.push_back({queue_.front().id, status, std::move(why)});
+  queue_.pop_front();
+}
+
+// The next proposals: what can be answered is answered, what changes something gets a ballot.
+void Replica::drive(Time now) {
+  while (phase_ == Phase::idle && !queue_.empty() && has_state())
+    if (!settle_first(now)) return;
+}
+
+// Answers the first proposal if that needs no ballot. A refusal because of the present state, and an
+// acknowledgement of what holds already, are given only after a read barrier.
+bool Replica::settle_first(Time now) {
+  auto& proposal = queue_.front();
+  bool changes = true;
+  bool needs_barrier = true;
+  configuration::Judgement judgement;
+  const auto evacuated = [&] { return std::ranges::binary_search(state_.evacuated, proposal.text); };
+  switch (proposal.kind) {
+    case ChangeKind::replace: judgement = configuration::judge_replace(state_, proposal.text, nullptr); break;
+    case ChangeKind::patch: judgement = configuration::judge_patch(state_, proposal.text, nullptr); break;
+    case ChangeKind::evacuate: changes = !evacuated(); break;
+    case ChangeKind::readmit: changes = evacuated(); break;
+    case ChangeKind::membership: {
+      const auto change = configuration::decode_membership(proposal.text);
+      changes = change && change->number == state_.membership;
+      needs_barrier = false;
+      break;
+    }
+    case ChangeKind::nothing: changes = false; break;
+  }
+  if (judgement.already) {
+    changes = false;
+    needs_barrier = false;
+  }
+  if (judgement.status == 400) needs_barrier = false;  // a newer state would refuse it as well
+  if (judgement.status == 200 && changes) {
+    begin_ballot(now);
+    return false;
+  }
+  if (needs_barrier && !proposal.sure) {
+    if (!confirming_) begin_confirm(now);
+    return false;
+  }
+  settle(judgement.status, judgement.why);
+  return true;
+}
+
+void Replica::begin_ballot(Time now) {
+  slot_ = state_.position + 1;
+  round_ = std::max(round_, promised_.round) + 1;
+  ballot_ = {round_, options_.self, disk_};
+  promises_.clear();
+  acceptances_.clear();
+  refusals_.clear();
+  highest_.reset();
+  // Its own promise first, durably: else a store that fails and comes back could offer two changes under one
+  // ballot.
+  promised_ = ballot_;
+  out_.write.promised = promised_;
+  out_.write.durable = true;
+  phase_ = Phase::preparing;
+  phase_since_ = now;
+  to_voters(Prepare{slot_, ballot_});
+}
+
+void Replica::on(Time now, const std::string& from, const Sender& sender, const Promise& m) {
+  const Voter voter{from, sender.disk};
+  if (phase_ != Phase::preparing || m.slot != slot_ || m.ballot != ballot_ || !is_voter(voter)) return;
+  if (m.promised != ballot_) {
+    round_ = std::max(round_, m.promised.round);
+    refusals_.insert(voter);
+    if (refusals_.size() * 2 >= state_.voters.size()) pause(now);
+    return;
+  }
+  promises_.insert(voter);
+  if (m.accepted && (!highest_ || highest_->ballot < m.accepted->ballot)) highest_ = m.accepted;
+  if (is_quorum(promises_)) begin_accept(now);
+}
+
+void Replica::begin_accept(Time now) {
+  if (highest_) {
+    offered_ = highest_->change;
+  } else if (queue_.empty()) {
+    offered_ = {ChangeKind::nothing, "", options_.self, ++numbers_};
+  } else {
+    const auto& proposal = queue_.front();
+    offered_ = {proposal.kind, proposal.text, options_.self, ++numbers_};
+  }
+  phase_ = Phase::accepting;
+  phase_since_ = now;
+  accept_sent_at_ = now;
+  to_voters(Accept{slot_, ballot_, offered_});
+}
+
+void Replica::on(Time now, const std::string& from, const Sender& sender, const Accepted& m) {
+  const Voter voter{from, sender.disk};
+  if (phase_ != Phase::accepting || m.slot != slot_ || m.ballot != ballot_ || !is_voter(voter)) return;
+  if (m.promised != ballot_) {
+    round_ = std::max(round_, m.promised.round);
+    refusals_.insert(voter);
+    if (!is_quorum(acceptances_) && refusals_.size() * 2 >= state_.voters.size()) pause(now);
+    return;
+  }
+  acceptances_.insert(voter);
+  try_decide(now);
+}
+
+void Replica::try_decide(Time now) {
+  if (phase_ != Phase::accepting || !is_quorum(acceptances_)) return;
+  if (!outlives_a_zone(now, acceptances_)) return;
+  const auto decided = offered_;
+  const auto slot = slot_;
+  for (const auto& [address, peer] : peers_)
+    if (peer.linked) send(address, LogEntry{slot, decided});
+  phase_ = Phase::idle;
+  choose(now, slot, decided);
+}
+
+// To voters that have said nothing yet: their link may have been reset with the message on it.
+void Replica::resend_accept() {
+  for (const auto& voter : state_.voters)
+    if (!acceptances_.contains(voter) && !refusals_.contains(voter))
+      send(voter.address, Accept{slot_, ballot_, offered_});
+}
+
+void Replica::pause(Time now) {
+  phase_ = Phase::pausing;
+  resume_at_ = now + chance(kLeastPause, kMostPause);
+}
+
+// A ballot under way goes on without the call that it was begun for.
+void Replica::give_up_late(Time now) {
+  while (!queue_.empty() && now >= queue_.front().since + options_.give_up)
+    settle(503, "no majority in time");
+  std::erase_if(reads_, [&](const Read& read) {
+    if (now < read.since + options_.give_up) return false;
+    out_.settled.push_back({read.id, 503, "no majority in time"});
+    return true;
+  });
+}
+
+// ---- learner -------------------------------------------------------------------------------------
+
+void Replica::choose(Time now, std::uint64_t slot, const Change& change) {
+  if (!has_state() || slot != state_.position + 1) return;
+  const auto accepted = accepted_.find(slot);
+  const bool durable_here = accepted != accepted_.end() && accepted->second.change == change;
+  const auto membership = state_.membership;
+  configuration::apply(state_, change.kind, change.text);
+  log_.push_back({slot, change});
+  if (log_.size() > kKeptChanges) log_.pop_front();
+  std::erase_if(accepted_, [&](const auto& entry) { return entry.first <= slot; });
+  out_.chosen.push_back({slot, change});
+  out_.write.log.push_back({slot, change});
+  out_.write.forget_accepted = slot;
+  if (!durable_here) out_.write.durable = true;
+  if (state_.position >= snapshot_at_ + kSnapshotEach) {
+    snapshot_at_ = state_.position;
+    out_.write.state = state_;
+    out_.write.forget_log = state_.position;
+    out_.write.log.clear();
+  }
+  if (state_.membership != membership)
+    out_.notes.push_back("membership " + std::to_string(state_.membership) + ": " +
+                         std::to_string(state_.voters.size()) + " voters, " +
+                         (votes() ? "this store is one" : "this store is a learner"));
+  const bool own = change.author == options_.self && change.number == offered_.number && offered_.number != 0;
+  if (own && !queue_.empty() && queue_.front().kind == change.kind && queue_.front().text == change.text)
+    settle(200, "");
+  if (ballot_runs()) phase_ = Phase::idle;
+  if (confirming_ && target_ && state_.position >= *target_) end_confirm(now);
+  drive(now);
+}
+
+void Replica::fetch_from(Time now, const std::string& address) {
+  if (now < fetched_at_ + kFetchGap) return;
+  fetched_at_ = now;
+  send(address, Fetch{has_state() ? state_.position : kWhole});
+}
+
+void Replica::on(Time now, const std::string& from, const Sender&, const LogEntry& m) {
+  if (m.slot > state_.position + 1) fetch_from(now, from);
+  choose(now, m.slot, m.change);
+}
+
+void Replica::on(Time, const std::string& from, const Sender&, const Fetch& m) {
+  if (!has_state()) return;
+  Log answer;
+  if (auto entries = m.after == kWhole ? std::nullopt : after(m.after)) {
+    answer.entries = std::move(*entries);
+  } else {
+    answer.snapshot = state_;
+  }
+  send(from, std::move(answer));
+}
+
+void Replica::take_snapshot(const State& snapshot) {
+  const bool first = !has_state();
+  if (snapshot.voters.empty() || (snapshot.position <= state_.position && !first)) return;
+  state_ = snapshot;
+  log_.clear();
+  std::erase_if(accepted_, [&](const auto& entry) { return entry.first <= state_.position; });
+  out_.snapshot = true;
+  snapshot_at_ = state_.position;
+  out_.write.state = state_;
+  out_.write.forget_log = state_.position;
+  out_.write.log.clear();
+  out_.write.forget_accepted = state_.position;
+  out_.write.durable = true;
+  if (first)
+    out_.notes.push_back("the others' state is here up to change " + std::to_string(state_.position));
+  if (ballot_runs()) phase_ = Phase::idle;
+}
+
+void Replica::on(Time now, const std::string&, const Sender&, const Log& m) {
+  fetched_at_ = {};
+  if (m.snapshot) take_snapshot(*m.snapshot);
+  for (const auto& entry : m.entries) choose(now, entry.slot, entry.change);
+  if (confirming_ && target_ && state_.position >= *target_) end_confirm(now);
+  drive(now);
+}
+
+// ---- acceptor ------------------------------------------------------------------------------------
+
+// A proposer whose membership is older than this one's stands at a place that is decided; a frame that says
+// otherwise is not of this history.
+void Replica::on(Time now, const std::string& from, const Sender& sender, const Prepare& m) {
+  if (!has_state()) return;
+  if (m.slot <= state_.position) return on(now, from, sender, Fetch{m.slot - 1});
+  if (sender.membership < state_.membership) return;
+  if (m.ballot > promised_) {
+    promised_ = m.ballot;
+    out_.write.promised = promised_;
+    out_.write.durable = true;
+  }
+  Promise answer{m.slot, m.ballot, promised_, std::nullopt};
+  if (const auto it = accepted_.find(m.slot); it != accepted_.end()) answer.accepted = it->second;
+  send(from, std::move(answer));
+}
+
+void Replica::on(Time now, const std::string& from, const Sender& sender, const Accept& m) {
+  if (!has_state()) return;
+  if (m.slot <= state_.position) return on(now, from, sender, Fetch{m.slot - 1});
+  if (sender.membership < state_.membership) return;
+  if (m.ballot >= promised_) {
+    promised_ = m.ballot;
+    accepted_[m.slot] = {m.ballot, m.change};
+    out_.write.promised = promised_;
+    out_.write.durable = true;
+    std::erase_if(out_.write.accepted, [&](const auto& entry) { return entry.first == m.slot; });
+    out_.write.accepted.emplace_back(m.slot, accepted_[m.slot]);
+  }
+  send(from, Accepted{m.slot, m.ballot, promised_});
+}
+
+// ---- time and messages ---------------------------------------------------------------------------
+
+Out Replica::receive(Time now, const std::string& from, const Envelope& envelope) {
+  notice_time(now);
+  peers_[from].heard = now;
+  seen_membership_ = std::max(seen_membership_, envelope.sender.membership);
+  std::visit([&](const auto& message) { on(now, from, envelope.sender, message); }, envelope.message);
+  return std::exchange(out_, {});
+}
+
+// Ticks come often: where none came for long the process was stopped, and what it did not hear meanwhile says
+// nothing of the others.
+void Replica::notice_time(Time now) {
+  if (now - now_ > kStoodStill) contact_since_ = now;
+  now_ = now;
+}
+
+Out Replica::tick(Time now) {
+  notice_time(now);
+  watch_contact(now);
+  if (now >= next_confirm_) {
+    next_confirm_ = now + options_.confirm_every;
+    if (!has_state()) {
+      request_statuses();
+    } else {
+      const bool resolve = half_decided() && now >= confirm_began_ + kResolveAfter;
+      if (resolve && phase_ == Phase::idle && queue_.empty()) begin_ballot(now);
+      if (!confirming_ || now >= confirm_began_ + options_.confirm_every) begin_confirm(now);
+    }
+  }
+  if (phase_ == Phase::preparing && now >= phase_since_ + options_.round_limit) pause(now);
+  const bool stuck = !is_quorum(acceptances_) || !refusals_.empty();
+  if (phase_ == Phase::accepting && now >= phase_since_ + options_.round_limit && stuck) pause(now);
+  if (phase_ == Phase::accepting && now >= accept_sent_at_ + options_.round_limit) {
+    accept_sent_at_ = now;
+    resend_accept();
+  }
+  try_decide(now);
+  if (phase_ == Phase::pausing && now >= resume_at_) {
+    phase_ = Phase::idle;
+    if (queue_.empty() && half_decided()) begin_ballot(now);
+  }
+  give_up_late(now);
+  propose_membership(now);
+  drive(now);
+  return std::exchange(out_, {});
+}
+
+Out Replica::leave(Time now) {
+  notice_time(now);
+  if (!leaving_) {
+    leaving_ = true;
+    leaving_since_ = now;
+    propose_membership(now);
+    drive(now);
+  }
+  return std::exchange(out_, {});
+}
+
+}  // namespace docklift::agreement
--- /dev/null
+++ b/src/system/agreement/replica_quorum.cpp
@@ -0,0 +1,270 @@
+// Read barriers, quorums and the change of voters.
+#include <algorithm>
+
+#include "system/agreement/replica.hpp"
+
+namespace docklift::agreement {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kRecently = 1200ms;  // two rounds of statuses: heard within it, a store is in contact
+constexpr Duration kHearsay = 1500ms;   // a store with a new disk has heard the others' membership by then
+constexpr Duration kTurn = 400ms;       // between the voters that may propose a change of voters, by rank
+
+}  // namespace
+
+// ---- peers ---------------------------------------------------------------------------------------
+
+void Replica::linked(const std::string& address, const std::string& zone) {
+  auto& peer = peers_[address];
+  peer.zone = zone;
+  peer.linked = true;
+}
+
+void Replica::unlinked(const std::string& address) {
+  if (const auto peer = peers_.find(address); peer != peers_.end()) peer->second.linked = false;
+}
+
+std::string Replica::zone_of(const std::string& address) const {
+  if (address == options_.self) return options_.zone;
+  const auto peer = peers_.find(address);
+  return peer == peers_.end() ? std::string() : peer->second.zone;
+}
+
+// Silence counts only while this store was running and in contact with a majority itself.
+bool Replica::lost_for(Time now, const std::string& address, Duration limit) const {
+  if (address == options_.self) return false;
+  const auto peer = peers_.find(address);
+  const auto heard = peer == peers_.end() ? Time{} : peer->second.heard;
+  return now - std::max(heard, contact_since_) > limit;
+}
+
+void Replica::watch_contact(Time now) {
+  std::size_t alive = 0;
+  std::size_t in_contact = 0;
+  for (const auto& voter : state_.voters) {
+    if (is_destroyed(voter)) continue;
+    ++alive;
+    const auto peer = peers_.find(voter.address);
+    const bool heard = peer != peers_.end() && now - peer->second.heard <= kRecently;
+    if (voter.address == options_.self || heard) ++in_contact;
+  }
+  const bool majority = in_contact * 2 > state_.voters.size();
+  const bool all_survivors = alive < state_.voters.size() && in_contact == alive;
+  if (!majority && !all_survivors) contact_since_ = now;
+}
+
+// ---- read barriers -------------------------------------------------------------------------------
+
+Status Replica::status(std::uint64_t round) const {
+  Status status;
+  status.round = round;
+  status.position = state_.position;
+  status.has_state = has_state();
+  status.eligible = options_.votes;
+  status.leaving = leaving_;
+  for (const auto& [slot, accepted] : accepted_)
+    if (slot > state_.position) status.accepted.emplace_back(slot, accepted);
+  return status;
+}
+
+// What a voter says of its memory holds without its disk: a change that it forgets by a loss of power was not
+// acknowledged on its word. A learner's position is believed to be durable, so its word waits for the disk.
+void Replica::on(Time, const std::string& from, const Sender&, const StatusRequest& m) {
+  if (votes()) {
+    send_at_once(from, status(m.round));
+  } else {
+    send(from, status(m.round));
+  }
+}
+
+void Replica::request_statuses() {
+  ++status_round_;
+  statuses_.clear();
+  std::set<std::string> asked(options_.seeds.begin(), options_.seeds.end());
+  for (const auto& voter : state_.voters) asked.insert(voter.address);
+  for (const auto& [address, peer] : peers_)
+    if (peer.linked) asked.insert(address);
+  for (const auto& address : asked) send_at_once(address, StatusRequest{status_round_});
+}
+
+void Replica::begin_confirm(Time now) {
+  confirming_ = true;
+  confirm_began_ = now;
+  confirm_membership_ = state_.membership;
+  target_.reset();
+  request_statuses();
+}
+
+void Replica::on(Time now, const std::string& from, const Sender& sender, const Status& m) {
+  auto& peer = peers_[from];
+  if (!peer.told || peer.disk != sender.disk) peer.disk_since = now;
+  peer.told = true;
+  peer.disk = sender.disk;
+  peer.status = m;
+  peer.status.accepted.clear();
+  if (m.round != status_round_) return;
+  if (!has_state()) {
+    if (m.has_state) fetch_from(now, from);
+    return;
+  }
+  if (!confirming_) return;
+  if (is_voter({from, sender.disk})) statuses_[from] = m;
+  count_statuses(now);
+  if (confirming_ && m.has_state && m.position > state_.position) fetch_from(now, from);
+}
+
+void Replica::count_statuses(Time now) {
+  if (!target_) {
+    std::set<Voter> answered;
+    std::uint64_t target = 0;
+    for (const auto& voter : state_.voters) {
+      const auto it = statuses_.find(voter.address);
+      if (it == statuses_.end()) continue;
+      answered.insert(voter);
+      target = std::max(target, it->second.position);
+      for (const auto& [slot, accepted] : it->second.accepted) target = std::max(target, slot);
+    }
+    if (!is_quorum(answered)) return;
+    target_ = target;
+  }
+  if (state_.position >= *target_) end_confirm(now);
+}
+
+// The voters of the place after this one must be those that were asked: where they have changed meanwhile,
+// the former ones may know nothing of what the present ones have decided.
+void Replica::end_confirm(Time now) {
+  confirming_ = false;
+  if (state_.membership != confirm_membership_) {
+    begin_confirm(now);
+    return;
+  }
+  const auto began = confirm_began_;
+  for (auto& proposal : queue_)
+    if (proposal.since <= began) proposal.sure = true;
+  std::erase_if(reads_, [&](const Read& read) {
+    if (read.since > began) return false;
+    out_.settled.push_back({read.id, 200, ""});
+    return true;
+  });
+  if (!reads_.empty()) begin_confirm(now);
+  drive(now);
+}
+
+// ---- quorums -------------------------------------------------------------------------------------
+
+bool Replica::is_voter(const Voter& voter) const { return std::ranges::binary_search(state_.voters, voter); }
+
+// Its address answers with another disk: this one will never answer again.
+bool Replica::is_destroyed(const Voter& voter) const {
+  if (voter.address == options_.self) return voter.disk != disk_;
+  const auto peer = peers_.find(voter.address);
+  return peer != peers_.end() && peer->second.told && peer->second.disk != voter.disk;
+}
+
+bool Replica::is_quorum(const std::set<Voter>& voters) const {
+  return voters.size() * 2 > state_.voters.size() || is_survivor_quorum(voters);
+}
+
+// Where all other voters are destroyed and lie in one zone: everyone who is left, with one of another zone
+// among them. Not for a store that somebody knows to be behind the present membership: the others may have
+// been replaced without it. Those at the destroyed voters' addresses are given time to hear of such a one.
+bool Replica::is_survivor_quorum(const std::set<Voter>& voters) const {
+  if (seen_membership_ > state_.membership) return false;
+  std::set<std::string> lost_zones;
+  for (const auto& voter : state_.voters) {
+    if (voters.contains(voter)) continue;
+    if (!is_destroyed(voter) || voter.address == options_.self) return false;
+    if (now_ < peers_.at(voter.address).disk_since + kHearsay) return false;
+    lost_zones.insert(zone_of(voter.address));
+  }
+  if (lost_zones.size() != 1 || lost_zones.contains("")) return false;
+  return std::ranges::any_of(voters, [&](const Voter& voter) {
+    const auto zone = zone_of(voter.address);
+    return !zone.empty() && !lost_zones.contains(zone);
+  });
+}
+
+// Whether the loss of one zone's disks would leave the change on another disk. A zone in which no voter has
+// been heard for long is lost already.
+bool Replica::outlives_a_zone(Time now, const std::set<Voter>& acceptors) const {
+  std::set<std::string> zones;
+  for (const auto& voter : acceptors) zones.insert(zone_of(voter.address));
+  if (zones.size() > 1) return true;
+  return std::ranges::all_of(state_.voters, [&](const Voter& voter) {
+    if (acceptors.contains(voter) || is_destroyed(voter)) return true;
+    const auto zone = zone_of(voter.address);
+    if (!zone.empty() && zones.contains(zone)) return true;
+    return lost_for(now, voter.address, options_.silence);
+  });
+}
+
+// ---- membership ----------------------------------------------------------------------------------
+
+VoterHealth Replica::health_of(Time now, const Voter& voter) const {
+  if (is_destroyed(voter)) return VoterHealth::destroyed;
+  if (voter.address == options_.self) return leaving_ ? VoterHealth::leaving : VoterHealth::well;
+  if (lost_for(now, voter.address, options_.gone)) return VoterHealth::gone;
+  if (lost_for(now, voter.address, options_.silence)) return VoterHealth::silent;
+  const auto peer = peers_.find(voter.address);
+  const bool leaving = peer != peers_.end() && peer->second.told && peer->second.status.leaving;
+  return leaving ? VoterHealth::leaving : VoterHealth::well;
+}
+
+std::vector<VoterReport> Replica::voter_reports(Time now) const {
+  std::vector<VoterReport> reports;
+  for (const auto& voter : state_.voters)
+    reports.push_back({voter, zone_of(voter.address), health_of(now, voter)});
+  return reports;
+}
+
+std::vector<ReadyLearner> Replica::ready_learners(Time now) const {
+  std::vector<ReadyLearner> ready;
+  const auto add = [&](const Voter& voter, const std::string& zone) {
+    if (!is_voter(voter)) ready.push_back({voter, zone});
+  };
+  for (const auto& [address, peer] : peers_) {
+    if (address == options_.self || !peer.told || now - peer.heard > kRecently) continue;
+    const auto& status = peer.status;
+    const bool stands_ready = status.has_state && status.position >= state_.position;
+    if (stands_ready && status.eligible && !status.leaving) add({address, peer.disk}, peer.zone);
+  }
+  return ready;
+}
+
+// Among the voters in contact, by address; who leaves looks after itself first.
+std::size_t Replica::rank(Time now) const {
+  if (leaving_) return 0;
+  return static_cast<std::size_t>(std::ranges::count_if(state_.voters, [&](const Voter& voter) {
+    return voter.address < options_.self && health_of(now, voter) == VoterHealth::well;
+  }));
+}
+
+void Replica::propose_membership(Time now) {
+  if (!votes()) return;
+  const auto next = next_voters(voter_reports(now), ready_learners(now), 2 * options_.tolerated + 1);
+  if (!next) {
+    change_needed_since_.reset();
+    return;
+  }
+  if (!change_needed_since_) change_needed_since_ = now;
+  if (now < *change_needed_since_ + kTurn * static_cast<int>(rank(now))) return;
+  const bool waits = std::ranges::any_of(
+      queue_, [](const Proposal& proposal) { return proposal.kind == ChangeKind::membership; });
+  if (waits) return;
+  out_.notes.push_back("proposes membership " + std::to_string(state_.membership + 1));
+  const auto text = configuration::encode(configuration::MembershipChange{state_.membership, *next});
+  queue_.push_front({0, ChangeKind::membership, text, now, false});
+}
+
+bool Replica::may_end(Time now) const {
+  if (!votes() || now >= leaving_since_ + options_.leave_limit) return true;
+  return std::ranges::none_of(peers_, [&](const auto& entry) {
+    const auto& [address, peer] = entry;
+    if (address == options_.self || !peer.told || now - peer.heard > kRecently) return false;
+    return peer.status.eligible && !peer.status.leaving && !is_voter({address, peer.disk});
+  });
+}
+
+}  // namespace docklift::agreement
--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -347,6 +347,44 @@
   }
 }
 
+std::string encode(const MembershipChange& change) {
+  auto voters = Json::array();
+  for (const auto& voter : change.voters)
+    voters.push_back({{"address", voter.address}, {"disk", voter.disk}});
+  return Json{{"number", change.number}, {"voters", std::move(voters)}}.dump();
+}
+
+std::optional<MembershipChange> decode_membership(std::string_view text) {
+  const auto json = Json::parse(text, nullptr, false);
+  if (json.is_discarded()) return std::nullopt;
+  try {
+    MembershipChange change;
+    change.number = json.at("number").get<std::uint64_t>();
+    for (const auto& voter : json.at("voters"))
+      change.voters.push_back(
+          {voter.at("address").get<std::string>(), voter.at("disk").get<std::uint64_t>()});
+    if (change.voters.empty()) return std::nullopt;
+    std::ranges::sort(change.voters);
+    const auto same_address = std::ranges::adjacent_find(change.voters, {}, &Voter::address);
+    if (same_address != change.voters.end()) return std::nullopt;
+    return change;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+namespace {
+
+bool apply_membership(State& state, const std::string& text) {
+  auto change = decode_membership(text);
+  if (!change || change->number != state.membership) return false;
+  state.voters = std::move(change->voters);
+  ++state.membership;
+  return true;
+}
+
+}  // namespace
+
 bool apply(State& state, ChangeKind kind, const std::string& change) {
   constexpr std::size_t kTaken = 64;  // bodies that may still be sent again unchanged
   ++state.position;
@@ -370,7 +408,7 @@
     }
     case ChangeKind::evacuate: return insert(state.evacuated);
     case ChangeKind::readmit: return std::erase(state.evacuated, change) > 0;
-    case ChangeKind::join: return insert(state.voters);
+    case ChangeKind::membership: return apply_membership(state, change);
     case ChangeKind::nothing: break;
   }
   return false;
--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -79,13 +79,32 @@
 std::optional<std::uint64_t> version_of(const nlohmann::json& field);  // eight hexadecimal digits, or 0
 std::string shown_version(std::uint64_t version);
 
+// A store with a vote: its address together with the identity of its disk. Another disk at the same address is
+// another voter.
+struct Voter {
+  std::string address;     // ip
+  std::uint64_t disk = 0;  // drawn when a store first used its disk; kBootstrapDisk for a seed's first disk
+  auto operator<=>(const Voter&) const = default;
+};
+inline constexpr std::uint64_t kBootstrapDisk = 1;
+
+// The whole next set of voters; takes effect only on the membership number that it was made on.
+struct MembershipChange {
+  std::uint64_t number = 0;
+  std::vector<Voter> voters;  // sorted, at least one
+};
+std::string encode(const MembershipChange& change);
+std::optional<MembershipChange> decode_membership(std::string_view text);
+
 // What the changes up to a position have made. The same changes in the same order give the same state
 // everywhere.
 struct State {
   std::uint64_t position = 0;
-  nlohmann::json document;                     // null: none yet
-  std::vector<std::string> evacuated, voters;  // sorted
-  std::vector<std::uint64_t> taken;            // digests of bodies, oldest first
+  nlohmann::json document;             // null: none yet
+  std::vector<std::string> evacuated;  // sorted
+  std::vector<Voter> voters;           // sorted
+  std::uint64_t membership = 0;        // how often the voters have changed
+  std::vector<std::uint64_t> taken;    // digests of bodies, oldest first
 
   std::uint64_t version() const;
 };
@@ -101,7 +120,7 @@
 Judgement judge_patch(const State& state, std::string_view body, nlohmann::json* after);
 std::uint64_t digest_of(std::string_view body);
 
-enum class ChangeKind : std::uint8_t { replace, patch, evacuate, readmit, join, nothing };
+enum class ChangeKind : std::uint8_t { replace, patch, evacuate, readmit, membership, nothing };
 // Puts a change at the next place of the log into force. False: it changed nothing that is in force.
 bool apply(State& state, ChangeKind kind, const std::string& text);
 
--- a/src/system/disk/disk.cpp
+++ b/src/system/disk/disk.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using agreement::Accepted;
 
 // Big endian, so that keys stand in the order of places.
 std::string key_of(const char* kind, std::uint64_t place) {
@@ -24,8 +23,6 @@
   return place;
 }
 
-std::string encode_change(const agreement::Chosen& c) { return agreement::encode(agreement::Message(c)); }
-
 leveldb::Options options() {
   leveldb::Options o;
   o.create_if_missing = true;
@@ -72,7 +69,10 @@
     const auto key = it->key();
     const std::string_view value(it->value().data(), it->value().size());
     bool read = true;
-    if (key == "state") {
+    if (key == "identity") {
+      kept.disk = place_of(it->value(), 0);
+      read = it->value().size() == sizeof kept.disk;
+    } else if (key == "state") {
       auto state = agreement::decode_state(value);
       if ((read = state.has_value())) kept.state = std::move(*state), kept.any = true;
     } else if (key == "promised") {
@@ -82,9 +82,8 @@
       auto a = agreement::decode_accepted(value);
       if ((read = a.has_value())) kept.accepted.emplace_back(place_of(key, 9), std::move(*a));
     } else if (key.starts_with("log/")) {
-      const auto m = agreement::decode(value);
-      read = m && std::holds_alternative<agreement::Chosen>(*m);
-      if (read) kept.log.push_back(std::get<agreement::Chosen>(*m));
+      auto entry = agreement::decode_entry(value);
+      if ((read = entry.has_value())) kept.log.push_back(std::move(*entry));
     }
     if (!read) return Failure{"read the disk", folder_, "a record is damaged: " + key.ToString()};
   }
@@ -103,11 +102,12 @@
   };
   forget("accepted/", 9, w.forget_accepted);
   forget("log/", 4, w.forget_log);
+  if (w.disk) batch.Put("identity", key_of("", *w.disk));
   if (w.state) batch.Put("state", agreement::encode_state(*w.state));
   if (w.promised) batch.Put("promised", agreement::encode_ballot(*w.promised));
   for (const auto& [slot, a] : w.accepted)
     batch.Put(key_of("accepted/", slot), agreement::encode_accepted(a));
-  for (const auto& c : w.log) batch.Put(key_of("log/", c.slot), encode_change(c));
+  for (const auto& c : w.log) batch.Put(key_of("log/", c.slot), agreement::encode_entry(c));
   leveldb::WriteOptions how;
   how.sync = w.durable;
   const auto status = db_->Write(how, &batch);
--- a/src/system/disk/disk.hpp
+++ b/src/system/disk/disk.hpp
@@ -1,4 +1,4 @@
-// A store's memory on its disk, in LevelDB: `state` (a snapshot), `promised`, `accepted/PLACE`, `log/PLACE`.
+// A store's memory on its disk, in LevelDB: `identity` (of the disk), `state` (a snapshot), `promised`, `accepted/PLACE`, `log/PLACE`.
 // Writes that belong together are one batch. Calls wait for the disk; DiskThread keeps them off the loop.
 #pragma once
 
--- a/src/system/fleet/frames.cpp
+++ b/src/system/fleet/frames.cpp
@@ -10,7 +10,11 @@
   auto evacuated = to.initEvacuated(static_cast<unsigned>(s.evacuated.size()));
   for (unsigned i = 0; i < evacuated.size(); ++i) evacuated.set(i, s.evacuated[i]);
   auto voters = to.initVoters(static_cast<unsigned>(s.voters.size()));
-  for (unsigned i = 0; i < voters.size(); ++i) voters.set(i, s.voters[i]);
+  for (unsigned i = 0; i < voters.size(); ++i) {
+    voters[i].setAddress(s.voters[i].address);
+    voters[i].setDisk(s.voters[i].disk);
+  }
+  to.setMembership(s.membership);
   auto taken = to.initTaken(static_cast<unsigned>(s.taken.size()));
   for (unsigned i = 0; i < taken.size(); ++i) taken.set(i, s.taken[i]);
 }
@@ -20,7 +24,8 @@
   s.position = r.getPosition();
   if (r.getDocument().size() > 0) s.document = nlohmann::json::parse(text_of(r.getDocument()));
   for (const auto t : r.getEvacuated()) s.evacuated.emplace_back(t.cStr());
-  for (const auto t : r.getVoters()) s.voters.emplace_back(t.cStr());
+  for (const auto voter : r.getVoters()) s.voters.push_back({voter.getAddress().cStr(), voter.getDisk()});
+  s.membership = r.getMembership();
   for (const auto t : r.getTaken()) s.taken.push_back(t);
   return s;
 }
@@ -42,7 +47,7 @@
     case wire::Change::PATCH: return configuration::ChangeKind::patch;
     case wire::Change::EVACUATE: return configuration::ChangeKind::evacuate;
     case wire::Change::READMIT: return configuration::ChangeKind::readmit;
-    case wire::Change::JOIN: return configuration::ChangeKind::join;
+    case wire::Change::MEMBERSHIP: return configuration::ChangeKind::membership;
     case wire::Change::NOTHING: break;
   }
   return configuration::ChangeKind::nothing;
@@ -54,7 +59,7 @@
     case configuration::ChangeKind::patch: return wire::Change::PATCH;
     case configuration::ChangeKind::evacuate: return wire::Change::EVACUATE;
     case configuration::ChangeKind::readmit: return wire::Change::READMIT;
-    case configuration::ChangeKind::join: return wire::Change::JOIN;
+    case configuration::ChangeKind::membership: return wire::Change::MEMBERSHIP;
     case configuration::ChangeKind::nothing: break;
   }
   return wire::Change::NOTHING;
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -12,6 +12,7 @@
 using fleet::Merged;
 
 constexpr Duration kTick = 100ms;
+constexpr std::uint64_t kConfirmTicks = 5;  // from one read barrier to the next
 constexpr std::uint64_t kFlushTicks = 4;    // what was heard again is told to the others so often
 constexpr std::uint64_t kShelveTicks = 10;  // and changed records are put on the disk
 constexpr std::uint64_t kDigestTicks = 50;  // and digests of all records
@@ -42,7 +43,10 @@
 }
 
 std::vector<std::string> Registry::voter_ips() const {
-  return changes_.state().voters.empty() ? settings_.seed_ips() : changes_.state().voters;
+  if (changes_.state().voters.empty()) return settings_.seed_ips();
+  std::vector<std::string> addresses;
+  for (const auto& voter : changes_.state().voters) addresses.push_back(voter.address);
+  return addresses;
 }
 
 // Every core machine that is known: voters, seeds, and registries that have told of themselves.
@@ -212,17 +216,6 @@
       after_news(news);
       break;
     }
-    case wire::Frame::CONFIRMED: {
-      const auto c = frame.getConfirmed();
-      const auto at = clock_.now() - from_millis(c.getAgeMs());
-      // What is confirmed at a place that has not come here yet says nothing of what is here.
-      if (c.getPosition() > changes_.position() || at <= confirmed_at_) break;
-      confirmed_at_ = at;
-      fleet::Outgoing out;
-      fill(out.frame().initFleet());
-      for (auto& [link, p] : proxies_) p.link->send(out.message());
-      break;
-    }
     case wire::Frame::VERDICT: {
       const auto v = frame.getVerdict();
       auto call = pending_.extract(v.getCall());
@@ -266,6 +259,19 @@
   send_pending(call, p);
 }
 
+// A read barrier at a store: what is here is the newest as of the moment at which it was asked for.
+void Registry::confirm() {
+  const Time asked = clock_.now();
+  propose(configuration::ChangeKind::nothing, "",
+          [this, asked](int status, const std::string&, std::uint64_t position) {
+            if (status != 200 || position > changes_.position() || asked <= confirmed_at_) return;
+            confirmed_at_ = asked;
+            fleet::Outgoing out;
+            fill(out.frame().initFleet());
+            for (auto& [link, p] : proxies_) p.link->send(out.message());
+          });
+}
+
 // To the store on this machine, or to another one while that is not up.
 void Registry::send_pending(std::uint64_t call, Pending& p) {
   auto to = stores_.find(settings_.bind_ip);
@@ -514,6 +520,7 @@
     }
     if (const auto ask = duty_.tick(now, draw_life() / 1'000'000, voters, linked)) send_duty(*ask);
     check_duty();
+    if (ticks_ % kConfirmTicks == 0) confirm();
     if (ticks_ % kFlushTicks == 0) flush();
     if (ticks_ % kShelveTicks == 0) shelve();
     if (ticks_ % kDigestTicks == 0) {
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -65,6 +65,7 @@
   void after_news(fleet::ChangeLog::News news);
   void dial(const std::string& ip);
   void dial_all();
+  void confirm();
   void send_pending(std::uint64_t call, Pending& p);
   void tell_servers(const std::vector<fleet::Server>& changed);
   void tell_all_servers(Proxy& p);
--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -2,19 +2,27 @@
 
 #include <random>
 
+#include "system/program/program.hpp"
+
 namespace docklift {
 namespace {
 
 using namespace std::chrono_literals;
 constexpr Duration kTick = 50ms;
+constexpr Duration kLastWords = 100ms;      // what was sent is out of the process by then
 constexpr std::size_t kWritesWaiting = 64;  // behind a disk that hangs; then nothing more is taken in
 
+std::uint64_t drawn() { return (std::uint64_t(std::random_device{}()) << 32) | std::random_device{}(); }
+
 agreement::Options options_of(const SystemSettings& s) {
   agreement::Options o;
   o.self = s.bind_ip, o.zone = s.zone;
   o.seeds = s.seed_ips();
   o.bootstrap = s.bootstrap, o.votes = s.voting;
-  o.chance = (std::uint64_t(std::random_device{}()) << 32) | std::random_device{}();
+  o.tolerated = s.tolerate_nodes;
+  o.chance = drawn();
+  // With the time of day: no earlier disk of this machine has the same.
+  o.new_disk = std::max<std::uint64_t>(mix(drawn() ^ draw_life()), configuration::kBootstrapDisk + 1);
   return o;
 }
 
@@ -24,17 +32,18 @@
              agreement::Kept kept)
     : io_(io),
       settings_(settings),
-      ballots_(options_of(settings), std::move(kept)),
+      replica_(options_of(settings), std::move(kept)),
       disk_(std::move(disk)),
       log_("store"),
-      timer_(io.get_executor()) {}
+      timer_(io.get_executor()),
+      leave_timer_(io.get_executor()) {}
 
 void Store::start() {
   const auto ip = boost::asio::ip::make_address(settings_.bind_ip);
   const auto port = static_cast<std::uint16_t>(settings_.first_port + kStorePort);
   listener_ = std::make_unique<LinkListener>(io_, Tcp::endpoint(ip, port), LinkLimits{},
                                              [this](const std::shared_ptr<Link>& link) { accepted(link); });
-  carry_out(ballots_.start(clock_.now()));
+  carry_out(replica_.start(clock_.now()));
   dial_others();
   tick();
 }
@@ -44,13 +53,15 @@
 void Store::stop() {
   if (std::exchange(stopped_, true)) return;
   timer_.cancel();
+  leave_timer_.cancel();
   if (listener_) listener_->close();
   for (auto& [ip, dialer] : stores_) dialer->stop();
 }
 
 // Every store dials every other one; what it says goes out on that link.
 void Store::dial_others() {
-  std::set<std::string> others(ballots_.state().voters.begin(), ballots_.state().voters.end());
+  std::set<std::string> others;
+  for (const auto& voter : replica_.state().voters) others.insert(voter.address);
   for (const auto& ip : settings_.seed_ips()) others.insert(ip);
   for (const auto& [ip, zone] : zones_) others.insert(ip);
   others.erase(settings_.bind_ip);
@@ -62,8 +73,8 @@
         io_, to, LinkLimits{},
         [this, ip](wire::Frame::Reader frame) {  // answers may come back on the same link
           if (!frame.isAgreement() || stopped_) return;
-          if (const auto m = agreement::decode(fleet::text_of(frame.getAgreement())))
-            carry_out(ballots_.receive(clock_.now(), ip, *m));
+          if (const auto envelope = agreement::decode(fleet::text_of(frame.getAgreement())))
+            carry_out(replica_.receive(clock_.now(), ip, *envelope));
         },
         [this, ip](const std::shared_ptr<Link>& link) {
           fleet::Outgoing hello;
@@ -71,10 +82,10 @@
           node.setId(settings_.hostname), node.setRole(wire::Role::STORE), node.setZone(settings_.zone);
           node.setAddress(settings_.bind_ip);
           link->send(hello.message());
-          if (const auto zone = zones_.find(ip); zone != zones_.end()) ballots_.linked(ip, zone->second);
+          if (const auto zone = zones_.find(ip); zone != zones_.end()) replica_.linked(ip, zone->second);
         },
         [this, ip](const Failure& why) {
-          ballots_.unlinked(ip);
+          replica_.unlinked(ip);
           log_.debug(why.shown());
         });
     stores_[ip] = dialer;
@@ -110,7 +121,7 @@
         zones_[ip] = node.getZone().cStr();
         dial_others();
         if (const auto d = stores_.find(ip); d != stores_.end() && d->second->up())
-          ballots_.linked(ip, zones_[ip]);
+          replica_.linked(ip, zones_[ip]);
       } else {
         registries_[link.get()] = {link, false, 0};
       }
@@ -119,8 +130,8 @@
     case wire::Frame::AGREEMENT: {
       const auto from = peers_.find(link.get());
       if (from == peers_.end() || disk_.waiting() > kWritesWaiting) break;
-      if (const auto m = agreement::decode(fleet::text_of(frame.getAgreement())))
-        carry_out(ballots_.receive(now, from->second, *m));
+      if (const auto envelope = agreement::decode(fleet::text_of(frame.getAgreement())))
+        carry_out(replica_.receive(now, from->second, *envelope));
       break;
     }
     case wire::Frame::FOLLOW: {
@@ -128,14 +139,13 @@
       if (r == registries_.end()) break;
       r->second.follows = true, r->second.position = frame.getFollow();
       bring_up_to_date(r->second);
-      tell_confirmed(r->second);
       break;
     }
     case wire::Frame::PROPOSAL: {
       const auto p = frame.getProposal();
       const auto id = ++proposals_;
       calls_[id] = {link, p.getCall()};
-      carry_out(ballots_.propose(now, id, fleet::kind_of(p.getChange()), fleet::text_of(p.getText())));
+      carry_out(replica_.propose(now, id, fleet::kind_of(p.getChange()), fleet::text_of(p.getText())));
       break;
     }
     default: break;
@@ -145,15 +155,14 @@
 // Everything that is said waits until all that was to be durable before it is.
 void Store::carry_out(agreement::Out out) {
   for (const auto& note : out.notes) log_.info(note);
+  for (const auto& send_now : std::exchange(out.immediate, {})) send(send_now.to, send_now.envelope);
   if (!out.chosen.empty() || out.snapshot) {
     for (const auto& c : out.chosen)
       log_.info("change " + std::to_string(c.slot) + " is in force, version " +
-                configuration::shown_version(ballots_.state().version()));
+                configuration::shown_version(replica_.state().version()));
     for (auto& [link, r] : registries_) bring_up_to_date(r);
     dial_others();
   }
-  if (out.confirmed)
-    for (auto& [link, r] : registries_) tell_confirmed(r);
   const bool waits = out.write.durable || writes_out_ > 0;
   if (out.write.empty() && !waits) return release(std::move(out));
   auto write = std::move(out.write);
@@ -180,31 +189,31 @@
     fleet::Outgoing answer;
     auto v = answer.frame().initVerdict();
     v.setCall(call.mapped().second), v.setStatus(static_cast<std::uint16_t>(s.status)), v.setWhy(s.why);
-    v.setPosition(ballots_.state().position);
+    v.setPosition(replica_.state().position);
     link->send(answer.message());
   }
-  for (const auto& s : out.sends) send(s.to, s.message);
+  for (const auto& later : out.sends) send(later.to, later.envelope);
 }
 
-void Store::send(const std::string& to, const agreement::Message& message) {
+void Store::send(const std::string& to, const agreement::Envelope& envelope) {
   if (to == settings_.bind_ip) {  // in a turn of its own: the agreement's calls must not nest
-    boost::asio::post(io_, [this, message] {
-      if (!stopped_) carry_out(ballots_.receive(clock_.now(), settings_.bind_ip, message));
+    boost::asio::post(io_, [this, envelope] {
+      if (!stopped_) carry_out(replica_.receive(clock_.now(), settings_.bind_ip, envelope));
     });
     return;
   }
   const auto it = stores_.find(to);
   if (it == stores_.end() || !it->second->up()) return;
   fleet::Outgoing frame;
-  frame.frame().setAgreement(fleet::data_of(agreement::encode(message)));
+  frame.frame().setAgreement(fleet::data_of(agreement::encode(envelope)));
   it->second->link()->send(frame.message());
 }
 
 void Store::bring_up_to_date(Registry& r) {
-  const auto& state = ballots_.state();
-  if (!r.follows || !r.link->open() || r.position >= state.position || ballots_.blank()) return;
+  const auto& state = replica_.state();
+  if (!r.follows || !r.link->open() || r.position >= state.position || !replica_.has_state()) return;
   fleet::Outgoing frame;
-  const auto entries = r.position == 0 ? std::nullopt : ballots_.after(r.position);
+  const auto entries = r.position == 0 ? std::nullopt : replica_.after(r.position);
   if (entries) {
     auto list = frame.frame().initEntries(static_cast<unsigned>(entries->size()));
     for (unsigned i = 0; i < list.size(); ++i) {
@@ -218,20 +227,27 @@
   r.link->send(frame.message());
 }
 
-void Store::tell_confirmed(Registry& r) {
-  if (!r.follows || !r.link->open() || ballots_.confirmed_at() == Time{}) return;
-  fleet::Outgoing frame;
-  auto c = frame.frame().initConfirmed();
-  c.setPosition(ballots_.confirmed_position());
-  c.setAgeMs(millis(clock_.now() - ballots_.confirmed_at()));
-  r.link->send(frame.message());
+// Hands the vote over where a learner can take it, then ends.
+void Store::leave(std::function<void()> ended) {
+  if (!leaving_) log_.info("leaves");
+  leaving_ = true;
+  carry_out(replica_.leave(clock_.now()));
+  leave_timer_.expires_after(replica_.may_end(clock_.now()) ? kLastWords : kTick);
+  const bool ends = replica_.may_end(clock_.now());
+  leave_timer_.async_wait(
+      [this, ends, ended = std::move(ended)](boost::system::error_code cancelled) mutable {
+        if (cancelled) return;
+        if (!ends) return leave(std::move(ended));
+        stop();
+        ended();
+      });
 }
 
 void Store::tick() {
   timer_.expires_after(kTick);
   timer_.async_wait([this](boost::system::error_code failed_wait) {
     if (failed_wait || stopped_) return;
-    if (disk_.waiting() <= kWritesWaiting) carry_out(ballots_.tick(clock_.now()));
+    if (disk_.waiting() <= kWritesWaiting) carry_out(replica_.tick(clock_.now()));
     tick();
   });
 }
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -2,12 +2,13 @@
 // registries.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 
-#include "system/agreement/ballots.hpp"
+#include "system/agreement/replica.hpp"
 #include "system/base/log.hpp"
 #include "system/base/settings.hpp"
 #include "system/disk/disk.hpp"
@@ -22,6 +23,8 @@
         agreement::Kept kept);
   ~Store();
   void start();
+  // Hands its vote to a learner, if one stands ready, and calls `ended` when nothing is left to do.
+  void leave(std::function<void()> ended);
   void stop();  // ends all links; what is queued for the disk may be lost, as nothing was said of it
 
  private:
@@ -35,16 +38,15 @@
   void ended(const std::shared_ptr<Link>& link);
   void carry_out(agreement::Out out);
   void release(agreement::Out out);
-  void send(const std::string& to, const agreement::Message& message);
+  void send(const std::string& to, const agreement::Envelope& envelope);
   void dial_others();
   void tick();
   void bring_up_to_date(Registry& r);
-  void tell_confirmed(Registry& r);
 
   boost::asio::io_context& io_;
   SystemSettings settings_;
   snowknot::Clock clock_;
-  agreement::Ballots ballots_;
+  agreement::Replica replica_;
   DiskThread disk_;
   Log log_;
   std::unique_ptr<LinkListener> listener_;
@@ -54,8 +56,9 @@
   std::map<Link*, Registry> registries_;
   std::map<std::uint64_t, std::pair<std::weak_ptr<Link>, std::uint64_t>> calls_;  // proposals -> who asked
   std::uint64_t proposals_ = 0, writes_out_ = 0;
-  Timer timer_;
+  Timer timer_, leave_timer_;
   bool stopped_ = false;
+  bool leaving_ = false;
 };
 
 }  // namespace docklift
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -35,19 +35,22 @@
   ageMs @8 :UInt32;   # since the beat was heard
 }
 
-enum Change { replace @0; patch @1; evacuate @2; readmit @3; join @4; nothing @5; }
+enum Change { replace @0; patch @1; evacuate @2; readmit @3; membership @4; nothing @5; }
 # One agreed change, at its place in the log of changes.
 struct Entry {
   position @0 :UInt64;   # 1, 2, 3, ...
   change @1 :Change;
-  text @2 :Data;         # replace, patch: the body as it was sent; evacuate, readmit: the zone; join: the voter's ip
+  text @2 :Data;         # replace, patch: the body as it was sent; evacuate, readmit: the zone; membership: the next voters
 }
+# A store with a vote: an address and the identity of its disk.
+struct Voter { address @0 :Text; disk @1 :UInt64; }
 struct Snapshot {
   position @0 :UInt64;   # of the last change in it
   document @1 :Data;     # the whole configuration as JSON; empty: none yet
   evacuated @2 :List(Text);
-  voters @3 :List(Text); # ips
+  voters @3 :List(Voter);
   taken @4 :List(UInt64);  # digests of the bodies that were taken, oldest first: the same one again is acknowledged
+  membership @5 :UInt64;   # how often the voters have changed
 }
 
 struct Proposal {
