--- a/src/system/net/link.cpp
+++ b/src/system/net/link.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
@@ -89,10 +90,14 @@
 void Link::read_body(std::uint32_t bytes) {
   if (!open_) return;
   body_.resize(bytes / sizeof(capnp::word));
-  asio::async_read(socket_, asio::buffer(body_), [self = shared_from_this()](error_code failed, std::size_t) {
+  // Each piece that arrives counts as heard: on a slow path one frame takes longer than `silence`.
+  const auto note_arrival = [this](const error_code& failed, std::size_t arrived) {
+    if (arrived > 0) heard_ = std::chrono::steady_clock::now();
+    return asio::transfer_all()(failed, arrived);
+  };
+  const auto on_body = [self = shared_from_this()](error_code failed, std::size_t) {
     if (failed) return self->fail("read", failed.message());
     if (!self->open_) return;
-    self->heard_ = std::chrono::steady_clock::now();
     try {
       capnp::ReaderOptions options;
       options.traversalLimitInWords = 64u << 20;
@@ -104,7 +109,8 @@
     }
     if (self->body_.capacity() > (1u << 16)) std::vector<capnp::word>().swap(self->body_);
     if (self->open_) self->read_length();
-  });
+  };
+  asio::async_read(socket_, asio::buffer(body_), note_arrival, on_body);
 }
 
 void Link::tick() {
--- a/src/system/net/link.hpp
+++ b/src/system/net/link.hpp
@@ -1,6 +1,6 @@
 // A connection between two of the system's processes: frames of Cap'n Proto with a length ahead of each (4
-// bytes, little endian). A link says `alive` when it has nothing else to say, and ends when it has heard
-// nothing for `silence`. All calls and callbacks are on one io_context's thread. Callbacks are not called
+// bytes, little endian). A link says `alive` when it has nothing else to say, and ends when no byte has
+// arrived for `silence`. All calls and callbacks are on one io_context's thread. Callbacks are not called
 // after close().
 #pragma once
 
@@ -37,7 +37,7 @@
 struct LinkLimits {
   Duration connect = std::chrono::milliseconds(1000);
   Duration alive = std::chrono::milliseconds(500);     // how often it says something
-  Duration silence = std::chrono::milliseconds(2000);  // without a word before it ends
+  Duration silence = std::chrono::milliseconds(2000);  // without a byte before it ends
   std::size_t frame_bytes = 96u << 20, queued_bytes = 128u << 20;
 };
 
