--- a/src/system/counts/counts.hpp
+++ b/src/system/counts/counts.hpp
@@ -1,4 +1,4 @@
-// The counts of units that the holder of the duty keeps: for each tenant one for the present window and for
+// The counts of units that the holder of the lease keeps: for each tenant one for the present window and for
 // each of the kAhead next ones. Pure. Weighted Fair Escrow: proxies add quanta to a window's count; what
 // passes the window's limit is handed back.
 //
--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -206,15 +206,15 @@
 // What the lease book has settled: who passes goes on, who is turned away is refused, what is to be asked is
 // asked.
 void Decisions::after_units(Time now) {
-  auto adds = units_.adds(now);
+  auto orders = units_.orders(now);
   for (const auto id : units_.passed())
     if (const auto found = requests_.find(id); found != requests_.end()) send_on(now, id, found.value());
   for (const auto& t : units_.turned(now))
     if (requests_.contains(t.request)) refuse(t.request, t.holder_lost ? 503 : 429, t.retry_after);
-  if (!adds.empty()) out_.push_back(Ask{std::move(adds)});
+  if (!orders.empty()) out_.push_back(RequestUnits{std::move(orders)});
 }
 
-Actions Decisions::granted(Time now, std::uint64_t term, const std::vector<Granted>& grants) {
+Actions Decisions::granted(Time now, std::uint64_t term, const std::vector<UnitGrant>& grants) {
   for (const auto& g : grants) units_.granted(now, term, g);
   after_units(now);
   return done();
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -42,10 +42,10 @@
 struct Relay {  // the last answer of a server, as it is
   RequestId request{};
 };
-struct Ask {  // units, of the holder of the counts
-  std::vector<Add> adds;
+struct RequestUnits {  // units, of the holder of the counts
+  std::vector<UnitOrder> orders;
 };
-using Action = std::variant<Send, Refuse, Fail, Relay, Ask>;
+using Action = std::variant<Send, Refuse, Fail, Relay, RequestUnits>;
 using Actions = std::vector<Action>;
 
 namespace flow {  // complete before the tables of them
@@ -82,7 +82,7 @@
   Actions arrive(Time now, const Arrival& a);
   // `whole`: an answer of the server is at hand that can be relayed.
   Actions ended(Time now, RequestId request, Outcome outcome, Duration took, bool whole);
-  Actions granted(Time now, std::uint64_t term, const std::vector<Granted>& grants);
+  Actions granted(Time now, std::uint64_t term, const std::vector<UnitGrant>& grants);
   Actions grants_failed(Time now);
   Actions tick(Time now);  // at least each 20 ms while something is open
 
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -153,7 +153,7 @@
   settle(now, t);
 }
 
-void Units::granted(Time now, std::uint64_t term, const Granted& g) {
+void Units::granted(Time now, std::uint64_t term, const UnitGrant& g) {
   if (term < term_) return;
   term_ = term;
   const auto found = tenants_.find(g.tenant);
@@ -192,7 +192,7 @@
   t.waiting.clear();
 }
 
-void Units::lease_ahead(Time now, const std::string& name, Tenant& t, std::vector<Add>& out) {
+void Units::lease_ahead(Time now, const std::string& name, Tenant& t, std::vector<UnitOrder>& out) {
   const auto starts = start_of(t, t.present), ends = start_of(t, t.present + 1);
   const double gone = seconds(now - starts) / seconds(t.window.length);
   const bool begins_soon = now + kAheadLead + trip_ >= ends;
@@ -223,8 +223,8 @@
   }
 }
 
-std::vector<Add> Units::adds(Time now) {
-  std::vector<Add> out;
+std::vector<UnitOrder> Units::orders(Time now) {
+  std::vector<UnitOrder> out;
   if (now >= swept_ + kSweep) {
     swept_ = now;
     for (auto it = tenants_.begin(); it != tenants_.end(); ++it) {
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -24,14 +24,14 @@
 
 using RequestId = std::uint64_t;
 
-struct Add {  // to be sent to the holder
+struct UnitOrder {  // to be sent to the holder
   std::string tenant;
   int ahead = 0;  // of which window: 0 the present one, 1 the next, ...
   std::uint32_t units = 0;
   std::int64_t back = -1;  // at least 0: they are handed back, to the count of this window
   double demand = 0;       // requests a window that this proxy has of the tenant
 };
-struct Granted {
+struct UnitGrant {
   std::string tenant;
   std::int64_t window = 0;
   std::uint32_t units = 0, left = 0;
@@ -88,14 +88,14 @@
   void forget(const std::string& tenant, RequestId request);  // it no longer waits
   void give_back(Time now, const std::string& tenant);        // a unit that was taken and not used
 
-  void granted(Time now, std::uint64_t term, const Granted& g);
+  void granted(Time now, std::uint64_t term, const UnitGrant& g);
   void call_failed();  // calls that are out get no answer
   // Another one holds the counts now: what was leased ahead is granted anew by it, what is of the present
   // window stays.
   void new_holder(Time now);
 
   // What is to be asked now, who passes, and who is refused. Called after each of the above and with time.
-  std::vector<Add> adds(Time now);
+  std::vector<UnitOrder> orders(Time now);
   std::vector<RequestId> passed() { return std::exchange(passed_, {}); }
   std::vector<Turned> turned(Time now);
 
@@ -106,7 +106,7 @@
   void roll(Time now, Tenant& t);
   bool spend(Time now, Tenant& t);
   Time start_of(const Tenant& t, std::int64_t window) const;
-  void lease_ahead(Time now, const std::string& name, Tenant& t, std::vector<Add>& out);
+  void lease_ahead(Time now, const std::string& name, Tenant& t, std::vector<UnitOrder>& out);
   void mark(const std::string& name, Tenant& t);
   void settle(Time now, Tenant& t);
 
--- a/src/system/disk/shelf.cpp
+++ b/src/system/disk/record_cache.cpp
@@ -1,10 +1,10 @@
-#include "system/disk/shelf.hpp"
+#include "system/disk/record_cache.hpp"
 
 #include <leveldb/db.h>
 
 namespace docklift {
 
-Result<std::unique_ptr<Shelf>> Shelf::open(const std::string& folder) {
+Result<std::unique_ptr<RecordCache>> RecordCache::open(const std::string& folder) {
   leveldb::Options options;
   options.create_if_missing = true;
   options.write_buffer_size = 512u << 10;
@@ -16,13 +16,13 @@
     leveldb::DestroyDB(folder, options);
     status = leveldb::DB::Open(options, folder, &db);
   }
-  if (!status.ok()) return Failure{"open the shelf", folder, status.ToString()};
-  return std::unique_ptr<Shelf>(new Shelf(std::unique_ptr<leveldb::DB>(db)));
+  if (!status.ok()) return Failure{"open the record cache", folder, status.ToString()};
+  return std::unique_ptr<RecordCache>(new RecordCache(std::unique_ptr<leveldb::DB>(db)));
 }
 
-Shelf::Shelf(std::unique_ptr<leveldb::DB> db) : db_(std::move(db)), thread_([this] { run(); }) {}
+RecordCache::RecordCache(std::unique_ptr<leveldb::DB> db) : db_(std::move(db)), thread_([this] { run(); }) {}
 
-Shelf::~Shelf() {
+RecordCache::~RecordCache() {
   {
     const std::lock_guard held(lock_);
     ends_ = true;
@@ -31,13 +31,13 @@
   thread_.join();
 }
 
-std::optional<std::string> Shelf::get(const std::string& name) const {
+std::optional<std::string> RecordCache::get(const std::string& name) const {
   std::string text;
   if (!db_->Get({}, name, &text).ok()) return std::nullopt;
   return text;
 }
 
-void Shelf::put(const std::string& name, std::string text) {
+void RecordCache::put(const std::string& name, std::string text) {
   {
     const std::lock_guard held(lock_);
     waiting_[name] = std::move(text);
@@ -45,7 +45,7 @@
   news_.notify_one();
 }
 
-void Shelf::run() {
+void RecordCache::run() {
   std::unique_lock held(lock_);
   while (true) {
     news_.wait(held, [this] { return ends_ || !waiting_.empty(); });
--- a/src/system/disk/shelf.hpp
+++ b/src/system/disk/record_cache.hpp
@@ -19,16 +19,16 @@
 
 namespace docklift {
 
-class Shelf {
+class RecordCache {
  public:
   // What can't be read is begun anew: nobody counts on it.
-  static Result<std::unique_ptr<Shelf>> open(const std::string& folder);
-  ~Shelf();  // what waits is dropped
+  static Result<std::unique_ptr<RecordCache>> open(const std::string& folder);
+  ~RecordCache();  // what waits is dropped
   std::optional<std::string> get(const std::string& name) const;
   void put(const std::string& name, std::string text);
 
  private:
-  explicit Shelf(std::unique_ptr<leveldb::DB> db);
+  explicit RecordCache(std::unique_ptr<leveldb::DB> db);
   void run();
   std::unique_ptr<leveldb::DB> db_;
   std::mutex lock_;
--- a/src/system/proxy/news.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -1,4 +1,4 @@
-#include "system/proxy/news.hpp"
+#include "system/proxy/control_client.hpp"
 
 #include <algorithm>
 
@@ -11,13 +11,13 @@
 constexpr std::size_t kLinks = 3;  // registries that one proxy is linked to
 }  // namespace
 
-News::News(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock,
-           Listener& listener)
+ControlClient::ControlClient(boost::asio::io_context& io, const SystemSettings& settings,
+                             const snowknot::Clock& clock, Listener& listener)
     : io_(io),
       settings_(settings),
       clock_(clock),
       listener_(listener),
-      log_("news"),
+      log_("control"),
       timer_(io.get_executor()) {
   self_.id = settings.hostname, self_.zone = settings.zone, self_.role = fleet::Role::PROXY;
   self_.life = draw_life();
@@ -25,28 +25,28 @@
     self_.address = http->second;
 }
 
-News::~News() { stop(); }
+ControlClient::~ControlClient() { stop(); }
 
-void News::start() {
+void ControlClient::start() {
   registries_ = settings_.seed_ips();
   choose_registries();
   tick();
 }
 
-void News::stop() {
+void ControlClient::stop() {
   stopped_ = true;
   timer_.cancel();
   for (auto& [ip, d] : links_) d->stop();
 }
 
 // Links stay where they are; missing ones are made up for, the holder of the counts is always linked.
-void News::choose_registries() {
+void ControlClient::choose_registries() {
   for (const auto& ip : registries_)
     if (links_.size() < kLinks) dial(ip);
   if (!holder_.empty()) dial(holder_);
 }
 
-void News::dial(const std::string& ip) {
+void ControlClient::dial(const std::string& ip) {
   if (links_.contains(ip) || stopped_) return;
   const Tcp::endpoint to(boost::asio::ip::make_address(ip),
                          static_cast<std::uint16_t>(settings_.first_port + kRegistryPort));
@@ -68,7 +68,7 @@
   dialer->start();
 }
 
-void News::follow(const std::string& ip) {
+void ControlClient::follow(const std::string& ip) {
   const auto d = links_.find(ip);
   if (d == links_.end() || !d->second->up()) return;
   fleet::Outgoing out;
@@ -76,13 +76,13 @@
   d->second->link()->send(out.message());
 }
 
-void News::set_state(bool ready, bool leaving) {
+void ControlClient::set_state(bool ready, bool leaving) {
   if (self_.ready == ready && self_.leaving == leaving) return;
   self_.ready = ready, self_.leaving = leaving;
   renew();
 }
 
-void News::renew() {
+void ControlClient::renew() {
   fleet::Outgoing out;
   self_.stamp++, self_.heard = clock_.now();
   fleet::put(out.frame().initHello(), self_, clock_.now());
@@ -90,7 +90,7 @@
     if (d->up()) d->link()->send(out.message());
 }
 
-void News::tick() {
+void ControlClient::tick() {
   timer_.expires_after(kRenew);
   timer_.async_wait([this](boost::system::error_code failed_wait) {
     if (failed_wait || stopped_) return;
@@ -100,29 +100,29 @@
   });
 }
 
-void News::check_holder() {
+void ControlClient::check_holder() {
   const auto d = links_.find(holder_);
   const bool reachable = !holder_.empty() && d != links_.end() && d->second->up();
   if (std::exchange(reachable_, reachable) != reachable) listener_.on_holder(reachable);
 }
 
-void News::ask(const std::vector<decisions::Add>& adds) {
+void ControlClient::request_units(const std::vector<decisions::UnitOrder>& orders) {
   const auto d = links_.find(holder_);
   if (d == links_.end() || !d->second->up()) return listener_.on_grants_failed();
   fleet::Outgoing out;
-  auto to = out.frame().initAdds();
+  auto to = out.frame().initUnitRequest();
   to.setCall(++calls_);
-  auto list = to.initItems(static_cast<unsigned>(adds.size()));
+  auto list = to.initOrders(static_cast<unsigned>(orders.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
-    list[i].setTenant(adds[i].tenant), list[i].setAhead(static_cast<std::uint8_t>(adds[i].ahead));
-    const auto units = static_cast<std::int32_t>(adds[i].units);
-    list[i].setUnits(adds[i].back < 0 ? units : -units), list[i].setWindow(adds[i].back);
-    list[i].setDemand(static_cast<float>(adds[i].demand));
+    list[i].setTenant(orders[i].tenant), list[i].setAhead(static_cast<std::uint8_t>(orders[i].ahead));
+    const auto units = static_cast<std::int32_t>(orders[i].units);
+    list[i].setUnits(orders[i].back < 0 ? units : -units), list[i].setWindow(orders[i].back);
+    list[i].setDemand(static_cast<float>(orders[i].demand));
   }
   d->second->link()->send(out.message());
 }
 
-void News::on_frame(const std::string& ip, wire::Frame::Reader frame) {
+void ControlClient::on_frame(const std::string& ip, wire::Frame::Reader frame) {
   if (stopped_) return;
   switch (frame.which()) {
     case wire::Frame::SNAPSHOT:
@@ -135,14 +135,14 @@
       break;
     }
     case wire::Frame::FLEET: on_fleet(ip, frame.getFleet()); break;
-    case wire::Frame::GRANTS: {
-      const auto g = frame.getGrants();
+    case wire::Frame::UNIT_GRANTS: {
+      const auto g = frame.getUnitGrants();
       if (g.getRefused()) {
         if (ip == holder_) listener_.on_grants_failed();
         break;
       }
-      std::vector<decisions::Granted> grants;
-      for (const auto i : g.getItems())
+      std::vector<decisions::UnitGrant> grants;
+      for (const auto i : g.getGrants())
         if (i.getEndsMs() > 0)
           grants.push_back({i.getTenant().cStr(), i.getWindow(), i.getUnits(), i.getLeft(),
                             from_millis(i.getStartsMs()), from_millis(i.getEndsMs()),
@@ -154,7 +154,7 @@
   }
 }
 
-void News::on_fleet(const std::string& ip, wire::Fleet::Reader f) {
+void ControlClient::on_fleet(const std::string& ip, wire::Fleet::Reader f) {
   const Time now = clock_.now();
   if (f.getServers().size() > 0) {
     std::vector<fleet::Server> changed;
--- a/src/system/proxy/news.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -16,7 +16,7 @@
 
 namespace docklift::proxy {
 
-class News {
+class ControlClient {
  public:
   struct Listener {
     virtual ~Listener() = default;
@@ -26,17 +26,17 @@
     virtual void on_confirmed(Time at) = 0;
     virtual void on_holder(bool reachable) = 0;
     virtual void on_new_holder() = 0;
-    virtual void on_grants(std::uint64_t term, const std::vector<decisions::Granted>& grants) = 0;
+    virtual void on_grants(std::uint64_t term, const std::vector<decisions::UnitGrant>& grants) = 0;
     virtual void on_grants_failed() = 0;
   };
-  News(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock,
-       Listener& listener);
-  ~News();
+  ControlClient(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock,
+                Listener& listener);
+  ~ControlClient();
   void start();
   void stop();
   // What the registries are told of this proxy, at once and with each renewal.
   void set_state(bool ready, bool leaving);
-  void ask(const std::vector<decisions::Add>& adds);
+  void request_units(const std::vector<decisions::UnitOrder>& orders);
   const fleet::ChangeLog& changes() const { return changes_; }
 
  private:
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -21,7 +21,7 @@
       decisions_({settings.hostname, settings.zone, settings.region}, settings.zones, settings.bounds,
                  drawn()),
       upstream_(io, timers_),
-      news_(io, settings_, clock_, *this),
+      control_client_(io, settings_, clock_, *this),
       acceptor_(io.get_executor()) {}
 
 Proxy::~Proxy() {
@@ -50,7 +50,7 @@
           respond({serves ? 200 : 503, ""});
         });
   }
-  news_.start();
+  control_client_.start();
   return std::monostate{};
 }
 
@@ -100,8 +100,8 @@
   for (auto& action : actions) {
     if (const auto* s = std::get_if<decisions::Send>(&action)) {
       send(*s);
-    } else if (const auto* ask = std::get_if<decisions::Ask>(&action)) {
-      news_.ask(ask->adds);
+    } else if (const auto* request = std::get_if<decisions::RequestUnits>(&action)) {
+      control_client_.request_units(request->orders);
     } else if (const auto* r = std::get_if<decisions::Refuse>(&action)) {
       if (const auto x = exchanges_.extract(r->request))
         x.mapped().session->answer(x.mapped().number, r->status, r->retry_after);
@@ -151,7 +151,9 @@
   });
 }
 
-void Proxy::check_ready() { news_.set_state(configuration_ && heard_servers_ && !draining_, draining_); }
+void Proxy::check_ready() {
+  control_client_.set_state(configuration_ && heard_servers_ && !draining_, draining_);
+}
 
 void Proxy::on_changes(const fleet::ChangeLog& changes) {
   const Time now = clock_.now();
@@ -177,7 +179,7 @@
 
 void Proxy::on_new_holder() { carry_out(decisions_.new_holder(clock_.now())); }
 
-void Proxy::on_grants(std::uint64_t term, const std::vector<decisions::Granted>& grants) {
+void Proxy::on_grants(std::uint64_t term, const std::vector<decisions::UnitGrant>& grants) {
   carry_out(decisions_.granted(clock_.now(), term, grants));
 }
 
@@ -202,7 +204,7 @@
   for (const auto& s : all) s->drain();
   if (exchanges_.empty()) {
     timers_.after(100ms, [this, ended = std::move(ended)] {
-      news_.stop();
+      control_client_.stop();
       ended();
     });
     return;
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -8,13 +8,13 @@
 
 #include "system/decisions/decisions.hpp"
 #include "system/http/server.hpp"
-#include "system/proxy/news.hpp"
+#include "system/proxy/control_client.hpp"
 #include "system/proxy/session.hpp"
 #include "system/proxy/upstream.hpp"
 
 namespace docklift::proxy {
 
-class Proxy : public Session::Host, public News::Listener {
+class Proxy : public Session::Host, public ControlClient::Listener {
  public:
   Proxy(boost::asio::io_context& io, const SystemSettings& settings);
   ~Proxy() override;
@@ -34,7 +34,7 @@
   void on_confirmed(Time at) override { decisions_.confirmed(at); }
   void on_holder(bool reachable) override;
   void on_new_holder() override;
-  void on_grants(std::uint64_t term, const std::vector<decisions::Granted>& grants) override;
+  void on_grants(std::uint64_t term, const std::vector<decisions::UnitGrant>& grants) override;
   void on_grants_failed() override;
 
  private:
@@ -60,7 +60,7 @@
   Log log_;
   decisions::Decisions decisions_;
   Upstream upstream_;
-  News news_;
+  ControlClient control_client_;
   Acceptor acceptor_;
   std::unique_ptr<http::Server> readyz_;
   std::shared_ptr<const configuration::Configuration> configuration_;
--- a/src/system/registry/main.cpp
+++ b/src/system/registry/main.cpp
@@ -8,16 +8,16 @@
        "Knows which servers and nodes there are; takes the calls of servers, clients and the operator."},
       argc, argv, [](boost::asio::io_context& io, const SystemSettings& settings) {
         const Log log("registry");
-        std::unique_ptr<Shelf> shelf;
+        std::unique_ptr<RecordCache> record_cache;
         if (!settings.data_dir.empty()) {
-          auto opened = Shelf::open(settings.data_dir + "/records");
+          auto opened = RecordCache::open(settings.data_dir + "/records");
           if (failed(opened)) {
             log.warn(failure(opened).shown());
           } else {
-            shelf = std::move(value(opened));
+            record_cache = std::move(value(opened));
           }
         }
-        Registry registry(io, settings, std::move(shelf));
+        Registry registry(io, settings, std::move(record_cache));
         registry.start();
         const auto serve = [&](const char* name, std::vector<std::shared_ptr<Handler>> handlers) {
           const auto at = settings.listen.find(name);
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kTick = 100ms;
 constexpr std::uint64_t kConfirmTicks = 5;  // from one read barrier to the next
 constexpr std::uint64_t kFlushTicks = 4;    // what was heard again is told to the others so often
-constexpr std::uint64_t kShelveTicks = 10;  // and changed records are put on the disk
+constexpr std::uint64_t kSaveTicks = 10;    // and changed records are put on the disk
 constexpr std::uint64_t kDigestTicks = 50;  // and digests of all records
 constexpr Duration kLease = 2500ms;         // a member that has not renewed for so long is none
 constexpr double kSilentBeats = 4;          // beats that a server may miss
@@ -24,13 +24,14 @@
 
 }  // namespace
 
-Registry::Registry(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Shelf> shelf)
+Registry::Registry(boost::asio::io_context& io, const SystemSettings& settings,
+                   std::unique_ptr<RecordCache> record_cache)
     : io_(io),
       settings_(settings),
       log_("registry"),
-      duty_(duty::Terms{}, settings.bind_ip, draw_life(), settings.bootstrap, clock_.now()),
+      lease_(lease::Terms{}, settings.bind_ip, draw_life(), settings.bootstrap, clock_.now()),
       counts_({settings.bounds.quota_win_s, settings.bounds.quota_excess, settings.bounds.quota_slack}),
-      shelf_(std::move(shelf)),
+      record_cache_(std::move(record_cache)),
       timer_(io.get_executor()) {
   self_.id = settings.hostname, self_.zone = settings.zone, self_.address = settings.bind_ip;
   self_.role = fleet::Role::REGISTRY, self_.life = draw_life(), self_.ready = true;
@@ -65,7 +66,7 @@
   listener_ = std::make_unique<LinkListener>(
       io_, Tcp::endpoint(ip, static_cast<std::uint16_t>(settings_.first_port + kRegistryPort)), LinkLimits{},
       [this](const std::shared_ptr<Link>& link) { accepted(link); });
-  unshelve();
+  load_records();
   dial_all();
   tick();
 }
@@ -144,7 +145,7 @@
     case wire::Frame::HELLO: {
       auto node = fleet::get(frame.getHello(), now);
       node.heard = now;
-      duty_.saw(node.term);
+      lease_.observe_term(node.term);
       if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
         auto& p = proxies_[link.get()] = {link, node.id, false, 0};
         tell_all_servers(p);
@@ -166,21 +167,22 @@
         p->second.position = changes_.position(), link->send(out.message());
       break;
     }
-    case wire::Frame::ADDS: {
-      if (const auto p = proxies_.find(link.get()); p != proxies_.end()) on_adds(p->second, frame.getAdds());
+    case wire::Frame::UNIT_REQUEST: {
+      if (const auto p = proxies_.find(link.get()); p != proxies_.end())
+        on_unit_request(p->second, frame.getUnitRequest());
       break;
     }
     case wire::Frame::GOSSIP: on_gossip(frame.getGossip(), link); break;
-    case wire::Frame::DUTY_ASK: {
-      const auto a = frame.getDutyAsk();
-      const auto answer = duty_.asked(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(),
-                                            a.getRelease(), a.getHolds(), a.getLife()});
+    case wire::Frame::LEASE_REQUEST: {
+      const auto a = frame.getLeaseRequest();
+      const auto reply = lease_.on_request(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(),
+                                                 a.getRelease(), a.getHolds(), a.getLife()});
       fleet::Outgoing out;
-      auto to = out.frame().initDutyAnswer();
-      to.setTerm(answer.term), to.setGranted(answer.granted), to.setBlank(answer.blank),
-          to.setHolder(answer.holder);
+      auto to = out.frame().initLeaseReply();
+      to.setTerm(reply.term), to.setGranted(reply.granted), to.setBlank(reply.blank),
+          to.setHolder(reply.holder);
       link->send(out.message());
-      check_duty();
+      check_lease();
       break;
     }
     default: break;
@@ -189,10 +191,10 @@
 
 void Registry::on_peer_frame(const std::string& ip, wire::Frame::Reader frame) {
   if (stopped_) return;
-  if (frame.isDutyAnswer()) {
-    const auto a = frame.getDutyAnswer();
-    duty_.answered(clock_.now(), ip, {a.getTerm(), a.getGranted(), a.getBlank(), a.getHolder().cStr()});
-    check_duty();
+  if (frame.isLeaseReply()) {
+    const auto a = frame.getLeaseReply();
+    lease_.on_reply(clock_.now(), ip, {a.getTerm(), a.getGranted(), a.getBlank(), a.getHolder().cStr()});
+    check_lease();
   } else if (frame.isGossip()) {
     on_gossip(frame.getGossip(), nullptr);
   }
@@ -356,8 +358,8 @@
 
 void Registry::fill(wire::Fleet::Builder to) {
   const Time now = clock_.now();
-  to.setHolder(duty_.holder());
-  to.setTerm(duty_.term());
+  to.setHolder(lease_.holder());
+  to.setTerm(lease_.term());
   to.setPosition(changes_.position());
   to.setConfirmedMs(confirmed_at_ == Time{} ? 0xffffffffU : millis(now - confirmed_at_));
 }
@@ -403,20 +405,20 @@
 
 // ---- the counts ----------------------------------------------------------------------------------
 
-void Registry::on_adds(Proxy& p, wire::Adds::Reader adds) {
+void Registry::on_unit_request(Proxy& p, wire::UnitRequest::Reader request) {
   const Time now = clock_.now();
-  check_duty();
+  check_lease();
   fleet::Outgoing out;
-  auto to = out.frame().initGrants();
-  to.setCall(adds.getCall());
+  auto to = out.frame().initUnitGrants();
+  to.setCall(request.getCall());
   const auto& c = changes_.configuration();
-  if (!duty_.holds(now) || !c) {
+  if (!lease_.holds(now) || !c) {
     to.setRefused(true);
     return p.link->send(out.message());
   }
-  to.setTerm(duty_.held_term());
-  const auto items = adds.getItems();
-  auto list = to.initItems(items.size());
+  to.setTerm(lease_.held_term());
+  const auto items = request.getOrders();
+  auto list = to.initGrants(items.size());
   for (unsigned i = 0; i < items.size(); ++i) {
     const auto a = items[i];
     const std::string tenant = a.getTenant().cStr();
@@ -438,24 +440,25 @@
   p.link->send(out.message());
 }
 
-void Registry::send_duty(const duty::Ask& ask) {
+void Registry::send_lease_request(const lease::Request& request) {
   to_registries([&](wire::Frame::Builder& frame) {
-    auto a = frame.initDutyAsk();
-    a.setTerm(ask.term), a.setHolder(ask.holder), a.setSuccessor(ask.successor), a.setRelease(ask.release);
-    a.setHolds(ask.holds), a.setLife(ask.life);
+    auto a = frame.initLeaseRequest();
+    a.setTerm(request.term), a.setHolder(request.holder), a.setSuccessor(request.successor),
+        a.setRelease(request.release);
+    a.setHolds(request.holds), a.setLife(request.life);
   });
 }
 
-// Takes up or lays down the counts as the duty comes and goes, and tells proxies who holds them.
-void Registry::check_duty() {
+// Takes up or lays down the counts as the lease comes and goes, and tells proxies who holds them.
+void Registry::check_lease() {
   const Time now = clock_.now();
-  if (duty_.holds(now) && counting_term_ != duty_.held_term()) {
-    counting_term_ = duty_.held_term();
-    counts_.begin(now, duty_.held_first());
+  if (lease_.holds(now) && counting_term_ != lease_.held_term()) {
+    counting_term_ = lease_.held_term();
+    counts_.begin(now, lease_.held_first());
     log_.info("holds the counts, term " + std::to_string(counting_term_));
   }
-  if (duty_.term() == told_term_) return;
-  told_term_ = duty_.term();
+  if (lease_.term() == told_term_) return;
+  told_term_ = lease_.term();
   fleet::Outgoing out;
   fill(out.frame().initFleet());
   for (auto& [link, p] : proxies_) p.link->send(out.message());
@@ -465,19 +468,19 @@
 
 // Servers as they are known now, for this registry's next life. Their beats come anew within seconds; until
 // then these are tried.
-void Registry::shelve() {
-  if (!shelf_ || !std::exchange(servers_changed_, false)) return;
+void Registry::save_records() {
+  if (!record_cache_ || !std::exchange(servers_changed_, false)) return;
   fleet::Outgoing out;
   auto list = out.frame().initGossip().initServers(static_cast<unsigned>(servers_.all().size()));
   unsigned i = 0;
   for (const auto& [id, s] : servers_.all()) fleet::put(list[i++], s, clock_.now());
   const auto words = capnp::messageToFlatArray(out.message());
   const auto bytes = words.asBytes();
-  shelf_->put("servers", std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size()));
+  record_cache_->put("servers", std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size()));
 }
 
-void Registry::unshelve() {
-  const auto text = shelf_ ? shelf_->get("servers") : std::nullopt;
+void Registry::load_records() {
+  const auto text = record_cache_ ? record_cache_->get("servers") : std::nullopt;
   if (!text || text->empty() || text->size() % sizeof(capnp::word) != 0) return;
   std::vector<capnp::word> words(text->size() / sizeof(capnp::word));
   std::memcpy(words.data(), text->data(), text->size());
@@ -489,7 +492,7 @@
       servers_.merge(s);
     }
   } catch (const kj::Exception& x) {
-    log_.warn(std::string("the shelf is passed over: ") + x.getDescription().cStr());
+    log_.warn(std::string("the record cache is passed over: ") + x.getDescription().cStr());
   }
   log_.info(std::to_string(servers_.all().size()) + " servers are known from before");
 }
@@ -518,11 +521,12 @@
       const auto d = registries_.find(ip);
       if (ip == settings_.bind_ip || (d != registries_.end() && d->second->up())) linked.push_back(ip);
     }
-    if (const auto ask = duty_.tick(now, draw_life() / 1'000'000, voters, linked)) send_duty(*ask);
-    check_duty();
+    if (const auto request = lease_.tick(now, draw_life() / 1'000'000, voters, linked))
+      send_lease_request(*request);
+    check_lease();
     if (ticks_ % kConfirmTicks == 0) confirm();
     if (ticks_ % kFlushTicks == 0) flush();
-    if (ticks_ % kShelveTicks == 0) shelve();
+    if (ticks_ % kSaveTicks == 0) save_records();
     if (ticks_ % kDigestTicks == 0) {
       to_registries([&](wire::Frame::Builder& frame) {
         const auto digests = servers_.digests(kRanges);
@@ -570,7 +574,7 @@
   std::string successor;
   for (const auto& [ip, d] : registries_)
     if (successor.empty() && d->up()) successor = ip;
-  if (const auto ask = duty_.release(now, successor)) send_duty(*ask);
+  if (const auto request = lease_.release(now, successor)) send_lease_request(*request);
   self_.leaving = true, self_.ready = false;
   flush();
   stopped_ = true;
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -12,18 +12,19 @@
 #include "system/base/log.hpp"
 #include "system/base/settings.hpp"
 #include "system/counts/counts.hpp"
-#include "system/disk/shelf.hpp"
-#include "system/duty/duty.hpp"
+#include "system/disk/record_cache.hpp"
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/records.hpp"
+#include "system/lease/holder_lease.hpp"
 #include "system/net/link.hpp"
 
 namespace docklift {
 
 class Registry {
  public:
-  // `shelf`: where records outlive a restart; may be null.
-  Registry(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Shelf> shelf);
+  // `record_cache`: where records outlive a restart; may be null.
+  Registry(boost::asio::io_context& io, const SystemSettings& settings,
+           std::unique_ptr<RecordCache> record_cache);
   ~Registry();  // ends all links
   void start();
   // Names a successor for the counts, tells others, and calls `ended` when that is out.
@@ -61,7 +62,7 @@
   void on_store_frame(const std::string& ip, wire::Frame::Reader frame);
   void on_peer_frame(const std::string& ip, wire::Frame::Reader frame);
   void on_gossip(wire::Gossip::Reader g, const std::shared_ptr<Link>& answer_on);
-  void on_adds(Proxy& p, wire::Adds::Reader adds);
+  void on_unit_request(Proxy& p, wire::UnitRequest::Reader request);
   void after_news(fleet::ChangeLog::News news);
   void dial(const std::string& ip);
   void dial_all();
@@ -72,12 +73,12 @@
   void tell_members();
   void fill(wire::Fleet::Builder to);
   void gossip(const std::vector<fleet::Server>& servers, const std::vector<fleet::Node>& nodes);
-  void send_duty(const duty::Ask& ask);
-  void check_duty();
+  void send_lease_request(const lease::Request& request);
+  void check_lease();
   void tick();
   void flush();
-  void shelve();
-  void unshelve();
+  void save_records();
+  void load_records();
   std::vector<std::string> core_ips() const;
   std::vector<std::string> voter_ips() const;
   template <class Fill>
@@ -99,12 +100,12 @@
   std::set<std::string> retold_;  // servers whose next beat proxies must know, as their zone was taken back
   fleet::ChangeLog changes_;
   Time confirmed_at_{};
-  duty::Duty duty_;
+  lease::HolderLease lease_;
   counts::Counts counts_;
   std::uint64_t counting_term_ = 0;
   std::uint64_t told_term_ = 0;
   bool members_changed_ = false, servers_changed_ = false;
-  std::unique_ptr<Shelf> shelf_;
+  std::unique_ptr<RecordCache> record_cache_;
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t calls_ = 0;
   std::vector<std::tuple<std::uint64_t, Time, std::function<void(bool)>>> waiting_;
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -19,7 +19,7 @@
   ready @6 :Bool;     # may be given to clients
   leaving @7 :Bool;
   ageMs @8 :UInt32;   # since its last renewal was heard by whom it renewed at
-  term @9 :UInt64;    # the highest term of the duty of the counts that it knows of
+  term @9 :UInt64;    # the highest term of the lease on the unit counts that it knows of
 }
 
 # A server's record. Mergeable by id: the higher `calls`; `gone` wins over all.
@@ -66,15 +66,15 @@
 }
 
 # Quotas. A proxy asks the holder of the counts to add units to a tenant's count in a window.
-struct Add {
+struct UnitOrder {
   tenant @0 :Text;
   ahead @1 :UInt8;       # of which window: 0 the present one, 1 the next, ...
   units @2 :Int32;       # below 0: handed back
   window @3 :Int64;      # only where units < 0: the window they were leased of
   demand @4 :Float32;    # requests a window that this proxy usually has of the tenant
 }
-struct Adds { call @0 :UInt64; items @1 :List(Add); }
-struct Grant {
+struct UnitRequest { call @0 :UInt64; orders @1 :List(UnitOrder); }
+struct UnitGrant {
   tenant @0 :Text;
   window @1 :Int64;
   units @2 :UInt32;
@@ -84,7 +84,7 @@
   moreMs @6 :UInt32;     # no more of it can be had for so long; 0: more may be asked for
 }
 # refused: this registry does not hold the counts
-struct Grants { call @0 :UInt64; term @1 :UInt64; refused @2 :Bool; items @3 :List(Grant); }
+struct UnitGrants { call @0 :UInt64; term @1 :UInt64; refused @2 :Bool; grants @3 :List(UnitGrant); }
 
 # What a registry knows, to a proxy: changed records, or all.
 struct Fleet {
@@ -92,7 +92,7 @@
   proxies @1 :List(Text);     # ids of the live proxies of the fleet; empty: as told before
   registries @2 :List(Text);  # ips of registries that are up
   holder @3 :Text;            # ip of the registry that holds the counts; empty: none is known
-  term @4 :UInt64;            # of that duty; rises with each holder
+  term @4 :UInt64;            # of its lease; rises with each holder
   position @5 :UInt64;        # of the newest change that the registry has
   confirmedMs @6 :UInt32;     # so long ago a majority knew of none beyond it; all ones: not known
 }
@@ -103,11 +103,11 @@
   nodes @1 :List(Node);
   digests @2 :List(UInt64);   # over ranges of the servers' ids; empty: none asked for
 }
-# The duty of holding the counts: a holder needs a majority of the voters, each of which grants it to one at a time.
-# `holds`: it has been granted this term by a majority and renews. Only that is told to proxies: a claim is no duty.
-struct DutyAsk { term @0 :UInt64; holder @1 :Text; successor @2 :Text; release @3 :Bool; holds @4 :Bool; life @5 :UInt64; }
+# The lease on the unit counts: a holder needs a majority of the voters, each of which grants it to one at a time.
+# `holds`: it has been granted this term by a majority and renews. Only that is told to proxies: a claim is no lease.
+struct LeaseRequest { term @0 :UInt64; holder @1 :Text; successor @2 :Text; release @3 :Bool; holds @4 :Bool; life @5 :UInt64; }
 # `blank`: the voter has no memory of whom it granted it to, and has promised it to nobody else since it started.
-struct DutyAnswer { term @0 :UInt64; granted @1 :Bool; blank @2 :Bool; holder @3 :Text; }
+struct LeaseReply { term @0 :UInt64; granted @1 :Bool; blank @2 :Bool; holder @3 :Text; }
 
 struct Confirmed { position @0 :UInt64; ageMs @1 :UInt32; }
 
@@ -118,13 +118,13 @@
     snapshot @2 :Snapshot;
     entries @3 :List(Entry);
     fleet @4 :Fleet;
-    adds @5 :Adds;
-    grants @6 :Grants;
+    unitRequest @5 :UnitRequest;
+    unitGrants @6 :UnitGrants;
     proposal @7 :Proposal;
     verdict @8 :Verdict;
     gossip @9 :Gossip;
-    dutyAsk @10 :DutyAsk;
-    dutyAnswer @11 :DutyAnswer;
+    leaseRequest @10 :LeaseRequest;
+    leaseReply @11 :LeaseReply;
     agreement @12 :Data;      # store to store: bytes of the room `agreement`
     alive @13 :Void;
     confirmed @14 :Confirmed; # store to registry
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -1,4 +1,4 @@
-// Units: the counts, the duty of holding them, and proxies that lease. A fleet of proxies and a holder in
+// Units: the counts, the lease on them, and proxies that lease. A fleet of proxies and a holder in
 // memory, under virtual time; what passes is judged as the operators judge quotas: any span, all proxies
 // together.
 #include <boost/test/unit_test.hpp>
@@ -12,7 +12,7 @@
 
 #include "system/counts/counts.hpp"
 #include "system/decisions/units.hpp"
-#include "system/duty/duty.hpp"
+#include "system/lease/holder_lease.hpp"
 
 namespace docklift::test {
 namespace {
@@ -71,39 +71,40 @@
              std::floor(counts::window_of(q, kJudged).limit / 2));
 }
 
-// ---- the duty
+// ---- the lease
 
-struct DutyFleet {
-  explicit DutyFleet(std::size_t n, std::uint64_t seed, bool remembers = true) : random(seed) {
+struct LeaseFleet {
+  explicit LeaseFleet(std::size_t n, std::uint64_t seed, bool remembers = true) : random(seed) {
     for (std::size_t i = 0; i < n; ++i) {
       ips.push_back(std::to_string(i));
-      duties.push_back(std::make_unique<duty::Duty>(duty::Terms{}, ips.back(), ++lives, remembers, now));
+      leases.push_back(
+          std::make_unique<lease::HolderLease>(lease::Terms{}, ips.back(), ++lives, remembers, now));
     }
     cut.assign(n, false);
   }
   std::vector<std::size_t> holders() const {
     std::vector<std::size_t> h;
-    for (std::size_t i = 0; i < duties.size(); ++i)
-      if (duties[i] && duties[i]->holds(now)) h.push_back(i);
+    for (std::size_t i = 0; i < leases.size(); ++i)
+      if (leases[i] && leases[i]->holds(now)) h.push_back(i);
     return h;
   }
   bool reaches(std::size_t a, std::size_t b) const { return !cut[a] && !cut[b]; }
   std::vector<std::string> linked(std::size_t i) const {
     std::vector<std::string> all;
     for (std::size_t j = 0; j < ips.size(); ++j)
-      if (j == i || (duties[j] && reaches(i, j))) all.push_back(ips[j]);
+      if (j == i || (leases[j] && reaches(i, j))) all.push_back(ips[j]);
     return all;
   }
-  void tell(std::size_t from, const duty::Ask& ask) {
-    for (std::size_t to = 0; to < duties.size(); ++to) {
+  void tell(std::size_t from, const lease::Request& request) {
+    for (std::size_t to = 0; to < leases.size(); ++to) {
       if (to == from) continue;
-      wire.push_back({now + Duration(1ms) * static_cast<int>(random() % 60), [this, from, to, ask] {
-                        if (!duties[to] || !reaches(from, to)) return;
-                        const auto answer = duties[to]->asked(now, ask);
+      wire.push_back({now + Duration(1ms) * static_cast<int>(random() % 60), [this, from, to, request] {
+                        if (!leases[to] || !reaches(from, to)) return;
+                        const auto reply = leases[to]->on_request(now, request);
                         wire.push_back(
-                            {now + Duration(1ms) * static_cast<int>(random() % 60), [this, from, to, answer] {
-                               if (duties[from] && reaches(from, to))
-                                 duties[from]->answered(now, ips[to], answer);
+                            {now + Duration(1ms) * static_cast<int>(random() % 60), [this, from, to, reply] {
+                               if (leases[from] && reaches(from, to))
+                                 leases[from]->on_reply(now, ips[to], reply);
                              }});
                       }});
     }
@@ -121,17 +122,17 @@
         what();
       }
       if (now.time_since_epoch() % 100ms == Duration{})
-        for (std::size_t i = 0; i < duties.size(); ++i)
-          if (duties[i])
-            if (const auto ask = duties[i]->tick(now, wall, ips, linked(i))) tell(i, *ask);
+        for (std::size_t i = 0; i < leases.size(); ++i)
+          if (leases[i])
+            if (const auto request = leases[i]->tick(now, wall, ips, linked(i))) tell(i, *request);
       most_holders = std::max(most_holders, holders().size());
-      for (const auto h : holders()) highest = std::max(highest, duties[h]->held_term());
+      for (const auto h : holders()) highest = std::max(highest, leases[h]->held_term());
     }
   }
   std::mt19937_64 random;
   Time now{1h};
   std::vector<std::string> ips;
-  std::vector<std::unique_ptr<duty::Duty>> duties;
+  std::vector<std::unique_ptr<lease::HolderLease>> leases;
   std::vector<bool> cut;
   std::deque<std::pair<Time, std::function<void()>>> wire;
   std::size_t most_holders = 0;
@@ -141,7 +142,7 @@
 BOOST_AUTO_TEST_CASE(
     given_three_registries_that_start_at_once_when_they_claim_then_one_holds_within_a_second) {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
-    DutyFleet f(3, seed);
+    LeaseFleet f(3, seed);
     f.run(1s);
     BOOST_TEST(f.holders().size() == 1u, "seed " << seed);
     f.run(5s);
@@ -152,18 +153,18 @@
 
 BOOST_AUTO_TEST_CASE(given_a_holder_when_it_is_cut_off_then_another_holds_and_never_two) {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
-    DutyFleet f(3, seed);
+    LeaseFleet f(3, seed);
     f.run(2s);
     const auto first = f.holders().at(0);
-    const auto term = f.duties[first]->held_term();
+    const auto term = f.leases[first]->held_term();
     f.cut[first] = true;
     f.run(2500ms);
     BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
     BOOST_TEST(f.holders()[0] != first);
-    BOOST_TEST(f.duties[f.holders()[0]]->held_term() > term);
-    // What the one that is cut off claims for itself is no duty: nobody is told of it.
-    BOOST_TEST(f.duties[first]->holder() == f.ips[first]);
-    BOOST_TEST(f.duties[first]->term() == term);
+    BOOST_TEST(f.leases[f.holders()[0]]->held_term() > term);
+    // What the one that is cut off claims for itself is no lease: nobody is told of it.
+    BOOST_TEST(f.leases[first]->holder() == f.ips[first]);
+    BOOST_TEST(f.leases[first]->term() == term);
     f.cut[first] = false;
     f.run(4s);
     BOOST_TEST(f.holders().size() == 1u, "seed " << seed);
@@ -173,10 +174,10 @@
 
 BOOST_AUTO_TEST_CASE(
     given_a_holder_that_ends_in_order_when_it_names_a_successor_then_that_one_holds_at_once) {
-  DutyFleet f(3, 11);
+  LeaseFleet f(3, 11);
   f.run(2s);
   const auto first = f.holders().at(0), next = (first + 1) % 3;
-  f.tell(first, *f.duties[first]->release(f.now, f.ips[next]));
+  f.tell(first, *f.leases[first]->release(f.now, f.ips[next]));
   f.run(400ms);
   BOOST_REQUIRE(f.holders().size() == 1);
   BOOST_TEST(f.holders()[0] == next);
@@ -185,56 +186,56 @@
 
 BOOST_AUTO_TEST_CASE(
     given_registries_that_all_restart_when_a_proxy_knows_an_older_term_then_the_next_one_is_higher) {
-  DutyFleet f(3, 12, false);
-  f.duties[0]->saw(4100), f.duties[1]->saw(4100), f.duties[2]->saw(4100);
+  LeaseFleet f(3, 12, false);
+  f.leases[0]->observe_term(4100), f.leases[1]->observe_term(4100), f.leases[2]->observe_term(4100);
   f.run(4s);
   BOOST_REQUIRE(f.holders().size() == 1);
-  BOOST_TEST(f.duties[f.holders()[0]]->held_term() > 4100u);
-  BOOST_TEST(!f.duties[f.holders()[0]]->held_first());
-  f.duties[f.holders()[0]]->saw(9000);
+  BOOST_TEST(f.leases[f.holders()[0]]->held_term() > 4100u);
+  BOOST_TEST(!f.leases[f.holders()[0]]->held_first());
+  f.leases[f.holders()[0]]->observe_term(9000);
   f.run(4s);
   BOOST_REQUIRE(f.holders().size() == 1);
-  BOOST_TEST(f.duties[f.holders()[0]]->held_term() > 9000u);
+  BOOST_TEST(f.leases[f.holders()[0]]->held_term() > 9000u);
   BOOST_TEST(f.most_holders == 1u);
 }
 
 BOOST_AUTO_TEST_CASE(
     given_registries_that_all_restart_when_all_answer_then_one_holds_before_a_lease_is_over) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    DutyFleet f(3, seed, false);
+    LeaseFleet f(3, seed, false);
     f.run(900ms);
     BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
-    const auto term = f.duties[f.holders()[0]]->held_term();
+    const auto term = f.leases[f.holders()[0]]->held_term();
     f.run(4s);
     BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
-    BOOST_TEST(f.duties[f.holders()[0]]->held_term() == term,
+    BOOST_TEST(f.leases[f.holders()[0]]->held_term() == term,
                "seed " << seed);  // it renews while they are silent
     BOOST_TEST(f.most_holders == 1u, "seed " << seed);
-    BOOST_TEST(f.duties[f.holders()[0]]->held_first());
+    BOOST_TEST(f.leases[f.holders()[0]]->held_first());
   }
 }
 
-BOOST_AUTO_TEST_CASE(given_everything_restarted_twice_when_the_duty_is_claimed_then_the_terms_differ) {
+BOOST_AUTO_TEST_CASE(given_everything_restarted_twice_when_the_lease_is_claimed_then_the_terms_differ) {
   std::set<std::uint64_t> terms;
   for (int start = 0; start < 3; ++start) {
-    DutyFleet f(3, 5, false);
+    LeaseFleet f(3, 5, false);
     f.wall = 1000 + static_cast<std::uint64_t>(start) * 700;
     f.run(1s);
     BOOST_REQUIRE(f.holders().size() == 1);
-    terms.insert(f.duties[f.holders()[0]]->held_term());
+    terms.insert(f.leases[f.holders()[0]]->held_term());
   }
   BOOST_TEST(terms.size() == 3u);
 }
 
 BOOST_AUTO_TEST_CASE(given_a_holder_that_lives_when_the_others_restart_then_no_other_holds_beside_it) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    DutyFleet f(3, seed);
+    LeaseFleet f(3, seed);
     f.run(2s);
     const auto first = f.holders().at(0);
     f.cut[first] = true;
     for (std::size_t i = 0; i < 3; ++i)
       if (i != first)
-        f.duties[i] = std::make_unique<duty::Duty>(duty::Terms{}, f.ips[i], ++f.lives, false, f.now);
+        f.leases[i] = std::make_unique<lease::HolderLease>(lease::Terms{}, f.ips[i], ++f.lives, false, f.now);
     f.run(4s);
     BOOST_TEST(f.most_holders == 1u, "seed " << seed);
     BOOST_TEST(f.holders().size() == 1u, "seed " << seed);
@@ -244,38 +245,39 @@
 BOOST_AUTO_TEST_CASE(
     given_a_holder_that_restarts_within_its_lease_when_it_claims_then_its_term_is_a_new_one) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    DutyFleet f(3, seed);
+    LeaseFleet f(3, seed);
     f.run(2s);
     const auto first = f.holders().at(0);
-    const auto term = f.duties[first]->held_term();
-    f.duties[first].reset();
+    const auto term = f.leases[first]->held_term();
+    f.leases[first].reset();
     f.run(300ms);
-    f.duties[first] = std::make_unique<duty::Duty>(duty::Terms{}, f.ips[first], ++f.lives, false, f.now);
+    f.leases[first] = std::make_unique<lease::HolderLease>(lease::Terms{}, f.ips[first], ++f.lives, false,
+                                                           f.now);
     f.run(3s);
     BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
-    BOOST_TEST(f.duties[f.holders()[0]]->held_term() > term, "seed " << seed);
+    BOOST_TEST(f.leases[f.holders()[0]]->held_term() > term, "seed " << seed);
     BOOST_TEST(f.most_holders == 1u);
   }
 }
 
 BOOST_AUTO_TEST_CASE(given_registries_that_all_restart_when_they_have_just_met_then_they_hear_members_first) {
-  DutyFleet f(3, 6, false);
+  LeaseFleet f(3, 6, false);
   f.run(250ms);
   BOOST_TEST(f.holders().empty());  // proxies come back now, and tell of the term before
-  for (auto& d : f.duties) d->saw(4100);
+  for (auto& d : f.leases) d->observe_term(4100);
   f.run(900ms);
   BOOST_REQUIRE(f.holders().size() == 1);
-  BOOST_TEST(!f.duties[f.holders()[0]]->held_first());
+  BOOST_TEST(!f.leases[f.holders()[0]]->held_first());
 }
 
 BOOST_AUTO_TEST_CASE(
     given_a_voter_without_memory_when_it_has_just_started_then_it_grants_nothing_for_a_lease) {
-  duty::Duty d({}, "a", 1, false, Time{1h});
-  const auto b = d.asked(Time{1h} + 1s, {1, "b", "", false, false, 1});
+  lease::HolderLease d({}, "a", 1, false, Time{1h});
+  const auto b = d.on_request(Time{1h} + 1s, {1, "b", "", false, false, 1});
   BOOST_TEST((!b.granted && b.blank));
-  const auto c = d.asked(Time{1h} + 1100ms, {2, "c", "", false, false, 1});
+  const auto c = d.on_request(Time{1h} + 1100ms, {2, "c", "", false, false, 1});
   BOOST_TEST((!c.granted && !c.blank));  // it is promised to one at a time
-  BOOST_TEST(d.asked(Time{1h} + 1300ms, {3, "b", "", false, false, 1}).granted);
+  BOOST_TEST(d.on_request(Time{1h} + 1300ms, {3, "b", "", false, false, 1}).granted);
 }
 
 // ---- proxies that lease
@@ -292,16 +294,16 @@
   }
   void settle(std::size_t i) {
     auto& p = proxies[i];
-    const auto adds = p.adds(now);
+    const auto orders = p.orders(now);
     for (const auto id : p.passed()) pass(id);
     for (const auto& t : p.turned(now)) refused += waiting.erase(t.request);
-    if (adds.empty() || !reachable) return;
+    if (orders.empty() || !reachable) return;
     ++calls;
     const Duration way = i < near ? Duration(500us) : trip / 2;
-    wire.push({now + way, order++, [this, i, adds, way, its_term = term] {
+    wire.push({now + way, order++, [this, i, orders, way, its_term = term] {
                  if (its_term != term || !reachable) return;
-                 std::vector<decisions::Granted> grants;
-                 for (const auto& a : adds) {
+                 std::vector<decisions::UnitGrant> grants;
+                 for (const auto& a : orders) {
                    if (a.back >= 0) {
                      holder.hand_back(now, a.tenant, quota, a.back, a.units);
                      continue;
@@ -458,9 +460,9 @@
     Time now{1h};
     u.set_holder(true);
     u.granted(now, 1, {"t", 7, 20, left, Duration{}, length, left == 0 ? length : Duration{}});
-    u.adds(now + length / 4);
+    u.orders(now + length / 4);
     std::uint32_t back = 0;
-    for (const auto& a : u.adds(now + length * 2 / 3)) back += a.back == 7 ? a.units : 0;
+    for (const auto& a : u.orders(now + length * 2 / 3)) back += a.back == 7 ? a.units : 0;
     BOOST_TEST(back == (left == 0 ? 20u : 0u));
   }
 }
@@ -484,8 +486,8 @@
   Duration retry{};
   bool lost = false;
   BOOST_TEST((u.take(now, "t", 1, 200ms, retry, lost) == Units::Take::waits));
-  BOOST_TEST(u.adds(now).size() == 1u);
-  u.adds(now + 210ms);
+  BOOST_TEST(u.orders(now).size() == 1u);
+  u.orders(now + 210ms);
   const auto turned = u.turned(now + 210ms);
   BOOST_REQUIRE(turned.size() == 1);
   BOOST_TEST(turned[0].request == 1u);
