--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -75,6 +75,7 @@
   // The store is asked to end: its vote is handed over first where a learner can take it.
   Out leave(Time now);
   bool may_end(Time now) const;
+  void set_seeds(std::vector<std::string> addresses) { options_.seeds = std::move(addresses); }
   void linked(const std::string& address, const std::string& zone);
   void unlinked(const std::string& address);
 
@@ -141,6 +142,7 @@
   bool outlives_a_zone(Time now, const std::set<Voter>& acceptors) const;
   bool lost_for(Time now, const std::string& address, Duration limit) const;
   void watch_contact(Time now);
+  bool all_of_other_zones_heard(Time now) const;
   void propose_membership(Time now);
   std::size_t rank(Time now) const;
   VoterHealth health_of(Time now, const Voter& voter) const;
--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -51,8 +51,21 @@
     if (voter.address == options_.self || heard) ++in_contact;
   }
   const bool majority = in_contact * 2 > state_.voters.size();
-  const bool all_survivors = alive < state_.voters.size() && in_contact == alive;
-  if (!majority && !all_survivors) contact_since_ = now;
+  // A zone that has lost disks may leave less than a majority: then those of the other zones count.
+  const bool survivors = alive < state_.voters.size() && in_contact > 0 && all_of_other_zones_heard(now);
+  if (!majority && !survivors) contact_since_ = now;
+}
+
+bool Replica::all_of_other_zones_heard(Time now) const {
+  std::set<std::string> zones_with_lost_disks;
+  for (const auto& voter : state_.voters)
+    if (is_destroyed(voter)) zones_with_lost_disks.insert(zone_of(voter.address));
+  return std::ranges::all_of(state_.voters, [&](const Voter& voter) {
+    if (zones_with_lost_disks.contains(zone_of(voter.address))) return true;
+    if (voter.address == options_.self) return true;
+    const auto peer = peers_.find(voter.address);
+    return peer != peers_.end() && now - peer->second.heard <= kRecently;
+  });
 }
 
 // ---- read barriers -------------------------------------------------------------------------------
@@ -167,23 +180,33 @@
   return voters.size() * 2 > state_.voters.size() || is_survivor_quorum(voters);
 }
 
-// Where all other voters are destroyed and lie in one zone: everyone who is left, with one of another zone
-// among them. Not for a store that somebody knows to be behind the present membership: the others may have
-// been replaced without it. Those at the destroyed voters' addresses are given time to hear of such a one.
+// Where a zone has lost disks: all voters of the other zones, if no majority is left without them. Those of
+// the zone that have not answered are destroyed or silent. Not for a store that somebody knows to be behind
+// the present membership: the others may have been replaced without it. Those at the destroyed voters'
+// addresses are given time to hear of such a one.
 bool Replica::is_survivor_quorum(const std::set<Voter>& voters) const {
   if (seen_membership_ > state_.membership) return false;
-  std::set<std::string> lost_zones;
+  std::string lost_zone;
   for (const auto& voter : state_.voters) {
     if (voters.contains(voter)) continue;
-    if (!is_destroyed(voter) || voter.address == options_.self) return false;
-    if (now_ < peers_.at(voter.address).disk_since + kHearsay) return false;
-    lost_zones.insert(zone_of(voter.address));
-  }
-  if (lost_zones.size() != 1 || lost_zones.contains("")) return false;
-  return std::ranges::any_of(voters, [&](const Voter& voter) {
     const auto zone = zone_of(voter.address);
-    return !zone.empty() && !lost_zones.contains(zone);
-  });
+    if (zone.empty() || (!lost_zone.empty() && zone != lost_zone)) return false;
+    if (!is_destroyed(voter) && !lost_for(now_, voter.address, options_.silence)) return false;
+    lost_zone = zone;
+  }
+  std::size_t destroyed = 0;
+  std::size_t left_in_zone = 0;
+  for (const auto& voter : state_.voters) {
+    if (zone_of(voter.address) != lost_zone) continue;
+    if (!is_destroyed(voter)) {
+      ++left_in_zone;
+      continue;
+    }
+    if (voter.address == options_.self || now_ < peers_.at(voter.address).disk_since + kHearsay) return false;
+    ++destroyed;
+  }
+  const bool others_exist = destroyed + left_in_zone < state_.voters.size();
+  return destroyed > 0 && others_exist && left_in_zone * 2 <= state_.voters.size();
 }
 
 // Whether the loss of one zone's disks would leave the change on another disk. A zone in which no voter has
--- a/src/system/store/main.cpp
+++ b/src/system/store/main.cpp
@@ -25,7 +25,8 @@
         Store store(io, settings, std::move(value(disk)), std::move(value(kept)));
         store.start();
         const Signals signals(
-            io, [&] { store.leave([&] { io.stop(); }); }, [](const SystemSettings&) {});
+            io, [&] { store.leave([&] { io.stop(); }); },
+            [&](const SystemSettings& changed) { store.set_seeds(changed.seeds); });
         io.run();
         return 0;
       });
--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -58,14 +58,21 @@
   for (auto& [ip, dialer] : stores_) dialer->stop();
 }
 
+void Store::set_seeds(const std::vector<std::string>& seeds) {
+  settings_.seeds = seeds;
+  replica_.set_seeds(settings_.seed_ips());
+  dial_others();
+}
+
 // Every store dials every other one; what it says goes out on that link.
 void Store::dial_others() {
-  std::set<std::string> others;
-  for (const auto& voter : replica_.state().voters) others.insert(voter.address);
-  for (const auto& ip : settings_.seed_ips()) others.insert(ip);
-  for (const auto& [ip, zone] : zones_) others.insert(ip);
-  others.erase(settings_.bind_ip);
-  for (const auto& ip : others) {
+  std::set<std::string> needed;
+  for (const auto& voter : replica_.state().voters) needed.insert(voter.address);
+  for (const auto& ip : settings_.seed_ips()) needed.insert(ip);
+  for (const auto& [link, ip] : peers_) needed.insert(ip);
+  drop_unreachable(needed);
+  needed.erase(settings_.bind_ip);
+  for (const auto& ip : needed) {
     if (stores_.contains(ip)) continue;
     const Tcp::endpoint to(boost::asio::ip::make_address(ip),
                            static_cast<std::uint16_t>(settings_.first_port + kStorePort));
@@ -93,6 +100,18 @@
   }
 }
 
+// A machine that was replaced is not dialled for ever; it dials on its own if it comes back.
+void Store::drop_unreachable(const std::set<std::string>& needed) {
+  for (auto it = stores_.begin(); it != stores_.end();) {
+    if (needed.contains(it->first) || it->second->up()) {
+      ++it;
+      continue;
+    }
+    it->second->stop();
+    it = stores_.erase(it);
+  }
+}
+
 void Store::accepted(const std::shared_ptr<Link>& link) {
   const std::weak_ptr<Link> weak = link;
   link->start(
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -23,6 +23,8 @@
         agreement::Kept kept);
   ~Store();
   void start();
+  // The settings have changed: whom a store asks that knows no other.
+  void set_seeds(const std::vector<std::string>& seeds);
   // Hands its vote to a learner, if one stands ready, and calls `ended` when nothing is left to do.
   void leave(std::function<void()> ended);
   void stop();  // ends all links; what is queued for the disk may be lost, as nothing was said of it
@@ -40,6 +42,7 @@
   void release(agreement::Out out);
   void send(const std::string& to, const agreement::Envelope& envelope);
   void dial_others();
+  void drop_unreachable(const std::set<std::string>& needed);
   void tick();
   void bring_up_to_date(Registry& r);
 
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -233,6 +233,25 @@
   }
 }
 
+// One machine of a zone is gone for good and, before another has taken its vote, the other one loses its disk:
+// still the loss of one zone.
+BOOST_AUTO_TEST_CASE(given_a_machine_gone_when_the_rest_of_its_zone_loses_its_disk_then_orders_go_on) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CoreFleet core(kTwoZones, seed);
+    BOOST_TEST(core.put(0, 5, 0) == 200);
+    core.run(1s);
+    core.lose_disk(1);
+    core.run(1s);
+    core.add("a");
+    core.lose_disk(0);
+    core.run(500ms);
+    core.start(0);
+    BOOST_TEST(core.run_until([&] { return core.votes(0); }, 8s), "seed " << seed);
+    BOOST_TEST(core.put(0, 6, 5) == 200, "seed " << seed);
+    for (const auto& wrong : core.wrongs) BOOST_TEST(false, "seed " << seed << ": " << wrong);
+  }
+}
+
 // A reset connection is no loss of a machine, so the disks of the near zone may still be lost.
 BOOST_AUTO_TEST_CASE(given_a_zone_whose_link_is_reset_when_a_change_is_decided_then_its_vote_is_waited_for) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
