--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -247,6 +247,7 @@
   const auto add = [&](const Voter& voter, const std::string& zone) {
     if (!is_voter(voter)) ready.push_back({voter, zone});
   };
+  if (options_.votes && !leaving_) add({options_.self, disk_}, options_.zone);
   for (const auto& [address, peer] : peers_) {
     if (address == options_.self || !peer.told || now - peer.heard > kRecently) continue;
     const auto& status = peer.status;
@@ -256,16 +257,22 @@
   return ready;
 }
 
-// Among the voters in contact, by address; who leaves looks after itself first.
+// Whose turn it is to propose a change of voters: the voters in contact by address, then the learners, which
+// may be the only ones to have seen that a disk is destroyed. Who leaves looks after itself first.
 std::size_t Replica::rank(Time now) const {
   if (leaving_) return 0;
-  return static_cast<std::size_t>(std::ranges::count_if(state_.voters, [&](const Voter& voter) {
-    return voter.address < options_.self && health_of(now, voter) == VoterHealth::well;
-  }));
+  const auto well_voters = std::ranges::count_if(state_.voters, [&](const Voter& voter) {
+    return (!votes() || voter.address < options_.self) && health_of(now, voter) == VoterHealth::well;
+  });
+  if (votes()) return static_cast<std::size_t>(well_voters);
+  const auto learners = ready_learners(now);
+  const auto earlier_learners = std::ranges::count_if(
+      learners, [&](const ReadyLearner& learner) { return learner.voter.address < options_.self; });
+  return static_cast<std::size_t>(well_voters + earlier_learners);
 }
 
 void Replica::propose_membership(Time now) {
-  if (!votes()) return;
+  if (!has_state()) return;
   const auto next = next_voters(voter_reports(now), ready_learners(now), 2 * options_.tolerated + 1);
   if (!next) {
     change_needed_since_.reset();
