--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <set>
+#include <utility>
 
 namespace docklift::configuration {
 namespace {
@@ -37,6 +39,12 @@
   return n;
 }
 
+std::uint32_t count(const Json& of, const char* key, std::uint32_t otherwise) {
+  const double number = amount(of, key, otherwise);
+  if (number > std::numeric_limits<std::uint32_t>::max()) wrong(key, "is too large");
+  return static_cast<std::uint32_t>(number);
+}
+
 const Json& list(const Json& of, const char* key) {
   static const Json empty = Json::array();
   const auto& v = member(of, key);
@@ -80,12 +88,6 @@
   return out;
 }
 
-std::uint64_t digest_of(std::string_view body) {  // FNV-1a; bodies are compared among a few of one operator
-  std::uint64_t h = 0xcbf29ce484222325ULL;
-  for (const char c : body) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return h;
-}
-
 std::uint64_t State::version() const {
   return document.is_object() ? version_of(member(document, "gen")).value_or(0) : 0;
 }
@@ -107,7 +109,7 @@
       Service one;
       one.name = text(s, "name");
       if (member(s, "hc_path").is_string()) one.health_path = text(s, "hc_path");
-      one.max_conns = static_cast<std::uint32_t>(amount(s, "max_conns", 0));
+      one.max_conns = count(s, "max_conns", 0);
       one.warmup_s = amount(s, "warmup_s", 0), one.cold_per_s = amount(s, "cold_per_s", 0);
       if (!services.emplace(one.name, static_cast<std::uint32_t>(c->services.size())).second)
         wrong("clusters", one.name + " stands there twice");
@@ -122,7 +124,7 @@
     for (const auto& t : list(document, "accts")) {
       Tenant one;
       one.name = text(t, "name");
-      if (!member(t, "prio").is_null()) one.priority = static_cast<std::uint32_t>(amount(t, "prio", 0));
+      if (!member(t, "prio").is_null()) one.priority = count(t, "prio", 0);
       one.per_s = amount(t, "per_s", 0), one.burst = amount(t, "burst", 0);
       one.regions = texts(t, "pin_regions");
       const auto index = static_cast<std::uint32_t>(c->tenants.size());
@@ -133,6 +135,7 @@
       c->tenants.push_back(std::move(one));
     }
     std::set<std::string> names;
+    std::set<std::pair<std::string, std::string>> places;  // host and prefix
     for (const auto& l : list(document, "listeners")) {
       const auto host = text(l, "vhost");
       for (const auto& r : list(l, "policy")) {
@@ -145,12 +148,13 @@
         const auto& open = member(r, "public");
         if (!open.is_null() && !open.is_boolean()) wrong("public", "is neither true nor false");
         one.is_public = open.is_boolean() && open.get<bool>();
-        one.priority = static_cast<std::uint32_t>(amount(r, "prio", 0));
+        one.priority = count(r, "prio", 0);
         one.target_ms = amount(r, "target_ms", 0);
         const auto& action = member(r, "action");
         if (!action.is_object()) wrong("action", "is missing for " + one.name);
         one.timeout_ms = amount(action, "tmo_ms", 0);
-        one.tries = static_cast<std::uint32_t>(amount(action, "tries", 1));
+        if (one.timeout_ms <= 0) wrong("tmo_ms", "is missing or 0 for " + one.name);
+        one.tries = count(action, "tries", 1);
         if (one.tries == 0) wrong("tries", "is 0 for " + one.name);
         one.regions = texts(action, "pin_regions");
         if (const auto& split = member(action, "split"); !split.is_null()) {
@@ -163,6 +167,8 @@
           one.parts.push_back({service(action), 1});
           one.weights = 1;
         }
+        if (!places.emplace(host, one.prefix).second)
+          wrong("pfx", "of " + one.name + " is another route's of the same host too");
         c->by_host_[host].push_back(static_cast<std::uint32_t>(c->routes.size()));
         c->routes.push_back(std::move(one));
       }
@@ -198,17 +204,20 @@
 
 Judgement refused(int status, std::string why) { return {status, std::move(why), false}; }
 
-// The version and base of a body against the state; 200 if they fit.
-Judgement judge_base(const State& state, const Json& body) {
+// The version and base of a body against the state: 200 and `already` for a body that was taken, 200 if it can
+// be taken now.
+Judgement judge_version(const State& state, BodyCall call, std::string_view bytes, const Json& body) {
   if (!body.is_object()) return refused(400, "the body is no object");
-  const auto version = version_of(member(body, "gen")), parent = version_of(member(body, "parent"));
+  const auto version = version_of(member(body, "gen"));
   if (!version) return refused(400, "gen is no version");
+  const auto parent = version_of(member(body, "parent"));
   if (!parent) return refused(400, "parent is no version");
+  if (*version <= *parent) return refused(400, "gen is not above the version that it builds on");
   const auto current = state.version();
+  if (*version <= current && state.history.holds(*version, digest_of(call, bytes))) return {200, "", true};
   if (*parent != current)
     return refused(412,
                    "parent is " + shown_version(*parent) + ", the current version " + shown_version(current));
-  if (*version <= current) return refused(400, "gen is not above the current version");
   return {};
 }
 
@@ -218,10 +227,6 @@
   return json;
 }
 
-bool was_taken(const State& state, std::string_view body) {
-  return std::ranges::find(state.taken, digest_of(body)) != state.taken.end();
-}
-
 bool named(const Json& item, const std::string& name) {
   return item.is_object() && member(item, "name") == name;
 }
@@ -325,18 +330,18 @@
 }  // namespace
 
 Judgement judge_replace(const State& state, std::string_view body, Json* after) {
-  if (was_taken(state, body)) return {200, "", true};
   auto json = parsed(body);
   if (!json) return refused(400, "the body is not whole");
-  if (const auto base = judge_base(state, *json); base.status != 200) return base;
+  const auto judged = judge_version(state, BodyCall::replace, body, *json);
+  if (judged.status != 200 || judged.already) return judged;
   return judge_document(std::move(*json), after);
 }
 
 Judgement judge_patch(const State& state, std::string_view body, Json* after) {
-  if (was_taken(state, body)) return {200, "", true};
   const auto json = parsed(body);
   if (!json) return refused(400, "the body is not whole");
-  if (const auto base = judge_base(state, *json); base.status != 200) return base;
+  const auto judged = judge_version(state, BodyCall::patch, body, *json);
+  if (judged.status != 200 || judged.already) return judged;
   if (!state.document.is_object()) return refused(412, "there is no configuration to change");
   try {
     return judge_document(patched(state.document, *json), after);
@@ -386,7 +391,6 @@
 }  // namespace
 
 bool apply(State& state, ChangeKind kind, const std::string& change) {
-  constexpr std::size_t kTaken = 64;  // bodies that may still be sent again unchanged
   ++state.position;
   const auto insert = [&](std::vector<std::string>& into) {
     const auto at = std::ranges::lower_bound(into, change);
@@ -398,12 +402,12 @@
     case ChangeKind::replace:
     case ChangeKind::patch: {
       Json after;
-      const auto j = kind == ChangeKind::replace ? judge_replace(state, change, &after)
-                                                 : judge_patch(state, change, &after);
-      if (j.status != 200 || j.already) return false;
+      const auto call = kind == ChangeKind::replace ? BodyCall::replace : BodyCall::patch;
+      const auto judged = kind == ChangeKind::replace ? judge_replace(state, change, &after)
+                                                      : judge_patch(state, change, &after);
+      if (judged.status != 200 || judged.already) return false;
       state.document = std::move(after);
-      state.taken.push_back(digest_of(change));
-      if (state.taken.size() > kTaken) state.taken.erase(state.taken.begin());
+      state.history.record(state.version(), digest_of(call, change));
       return true;
     }
     case ChangeKind::evacuate: return insert(state.evacuated);
--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "system/base/result.hpp"
+#include "system/configuration/version_history.hpp"
 
 namespace docklift::configuration {
 
@@ -104,7 +105,7 @@
   std::vector<std::string> evacuated;  // sorted
   std::vector<Voter> voters;           // sorted
   std::uint64_t membership = 0;        // how often the voters have changed
-  std::vector<std::uint64_t> taken;    // digests of bodies, oldest first
+  VersionHistory history;              // the bodies that were taken
 
   std::uint64_t version() const;
 };
@@ -116,9 +117,12 @@
 };
 // What a body would be answered on top of a state; on 200 and not `already`, `after` (if not null) is the
 // document.
+//
+// A 400 is final on any store, also on one that is behind: it depends on the body alone (its `gen` is not above
+// its own `parent`) or on the document of the version that it builds on, which is the same wherever it is
+// current. A 412 depends on which version is current, so it may be given only after a majority was asked.
 Judgement judge_replace(const State& state, std::string_view body, nlohmann::json* after);
 Judgement judge_patch(const State& state, std::string_view body, nlohmann::json* after);
-std::uint64_t digest_of(std::string_view body);
 
 enum class ChangeKind : std::uint8_t { replace, patch, evacuate, readmit, membership, nothing };
 // Puts a change at the next place of the log into force. False: it changed nothing that is in force.
--- a/src/system/fleet/frames.cpp
+++ b/src/system/fleet/frames.cpp
@@ -1,5 +1,7 @@
 #include "system/fleet/frames.hpp"
 
+#include <kj/debug.h>
+
 #include <algorithm>
 
 namespace docklift::fleet {
@@ -15,8 +17,7 @@
     voters[i].setDisk(s.voters[i].disk);
   }
   to.setMembership(s.membership);
-  auto taken = to.initTaken(static_cast<unsigned>(s.taken.size()));
-  for (unsigned i = 0; i < taken.size(); ++i) taken.set(i, s.taken[i]);
+  to.setHistory(data_of(s.history.encode()));
 }
 
 configuration::State get(wire::Snapshot::Reader r) {
@@ -26,7 +27,9 @@
   for (const auto t : r.getEvacuated()) s.evacuated.emplace_back(t.cStr());
   for (const auto voter : r.getVoters()) s.voters.push_back({voter.getAddress().cStr(), voter.getDisk()});
   s.membership = r.getMembership();
-  for (const auto t : r.getTaken()) s.taken.push_back(t);
+  auto history = configuration::VersionHistory::decode(text_of(r.getHistory()));
+  KJ_REQUIRE(history.has_value(), "the version history can't be read");
+  s.history = std::move(*history);
   return s;
 }
 
--- a/src/system/fleet/frames.hpp
+++ b/src/system/fleet/frames.hpp
@@ -38,8 +38,8 @@
 };
 
 void put(wire::Snapshot::Builder to, const configuration::State& s);
-configuration::State get(
-    wire::Snapshot::Reader r);  // throws nlohmann::json::exception for a document that is none
+// Throws nlohmann::json::exception for a document that is none, kj::Exception for a history that is none.
+configuration::State get(wire::Snapshot::Reader r);
 void put(wire::Entry::Builder to, const Entry& e);
 Entry get(wire::Entry::Reader r);
 configuration::ChangeKind kind_of(wire::Change c);
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -49,8 +49,8 @@
   document @1 :Data;     # the whole configuration as JSON; empty: none yet
   evacuated @2 :List(Text);
   voters @3 :List(Voter);
-  taken @4 :List(UInt64);  # digests of the bodies that were taken, oldest first: the same one again is acknowledged
-  membership @5 :UInt64;   # how often the voters have changed
+  history @4 :Data;      # the versions that were taken, oldest first, with the digests of their bodies: 24 bytes each
+  membership @5 :UInt64; # how often the voters have changed
 }
 
 struct Proposal {
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -87,7 +87,11 @@
         with(R"("svc":"alpha")", R"("split":[{"svc":"alpha","wt":0}])"),
         with(R"("svc":"alpha")", R"("split":[{"svc":"alpha","wt":-1},{"svc":"alpha","wt":2}])"),
         with(R"("accts":[)", R"("accts":[{"name":"t0","apikeys":["k1"]},)"),
-        with(R"("gen":"00000001")", R"("gen":"00000000")"), with(R"("pfx":"/a/")", R"("pfx":"/a")")})
+        with(R"("gen":"00000001")", R"("gen":"00000000")"), with(R"("pfx":"/a/")", R"("pfx":"/a")"),
+        with(R"("tmo_ms":1000,)", ""), with(R"("tmo_ms":1000)", R"("tmo_ms":0)"),
+        with(R"("tries":2)", R"("tries":0.5)"), with(R"("tries":2)", R"("tries":1e300)"),
+        with(R"("policy":[)", R"("policy":[{"name":"r0","kind":"mutating","match":{"pfx":"/a/"},)"
+                              R"("action":{"svc":"alpha","tmo_ms":9,"tries":1}},)")})
     BOOST_TEST(configuration::judge_replace(s, body, nullptr).status == 400, body);
   BOOST_TEST(configuration::judge_replace(s, config_body(4, 2), nullptr).status == 412);
 }
@@ -97,10 +101,10 @@
   BOOST_REQUIRE(configuration::apply(s, configuration::ChangeKind::replace, config_body(1, 0)));
   const std::string patch =
       R"({"gen":"00000003","parent":"00000001","upsert":{"listeners":[{"vhost":"other.example",)"
-          R"("policy":[{"name":"r1","kind":"mutating","match":{"pfx":"/b/"},"action":{"svc":"beta",)"
-          R"("tries":1,"tmo_ms":9}},{"name":"r2","kind":"idempotent","match":{"pfx":"/a/c/"},)"
-          R"("action":{"svc":"alpha","tries":1}}]}],"clusters":[{"name":"beta","max_conns":5}],)"
-          R"("accts":[{"name":"t2","apikeys":["k2"]}]},"remove":{"routing":["gone"]}})";
+      R"("policy":[{"name":"r1","kind":"mutating","match":{"pfx":"/b/"},"action":{"svc":"beta",)"
+      R"("tries":1,"tmo_ms":9}},{"name":"r2","kind":"idempotent","match":{"pfx":"/a/c/"},)"
+      R"("action":{"svc":"alpha","tmo_ms":9,"tries":1}}]}],"clusters":[{"name":"beta","max_conns":5}],)"
+      R"("accts":[{"name":"t2","apikeys":["k2"]}]},"remove":{"routing":["gone"]}})";
   BOOST_REQUIRE(configuration::apply(s, configuration::ChangeKind::patch, patch));
   BOOST_TEST(s.version() == 3u);
   BOOST_TEST(s.document["listeners"].size() == 1u);  // r1 went to the other host, and its old one is empty
@@ -137,6 +141,38 @@
   BOOST_TEST(value(read)->route("x.example", "/a/") == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(given_many_changes_when_an_early_body_is_sent_again_then_it_is_known_and_no_other_is) {
+  State s;
+  constexpr std::uint64_t kVersions = 300;  // what a day may hold
+  for (std::uint64_t version = 1; version <= kVersions; ++version)
+    BOOST_REQUIRE(
+        configuration::apply(s, configuration::ChangeKind::replace, config_body(version, version - 1)));
+  const auto again = configuration::judge_replace(s, config_body(3, 2), nullptr);
+  BOOST_TEST(again.status == 200);
+  BOOST_TEST(again.already);
+  // The loser of a race has the same number; the same bytes as a patch are another order.
+  BOOST_TEST(configuration::judge_replace(s, config_body(3, 2, "beta"), nullptr).status == 412);
+  BOOST_TEST(configuration::judge_patch(s, config_body(3, 2), nullptr).status == 412);
+  // Never to be taken, whatever is current.
+  BOOST_TEST(configuration::judge_replace(s, config_body(kVersions, kVersions), nullptr).status == 400);
+}
+
+BOOST_AUTO_TEST_CASE(
+    given_a_version_history_when_it_is_full_or_read_back_then_the_newest_versions_are_known) {
+  configuration::VersionHistory history;
+  const auto most = configuration::VersionHistory::kMostVersions;
+  for (std::uint64_t version = 1; version <= most + 1; ++version)
+    history.record(2 * version, {version, ~version});
+  BOOST_TEST(history.size() == most);
+  BOOST_TEST(!history.holds(2, {1, ~std::uint64_t{1}}));
+  BOOST_TEST(history.holds(4, {2, ~std::uint64_t{2}}));
+  BOOST_TEST(!history.holds(4, {2, 2}));
+  BOOST_TEST(!history.holds(5, {2, ~std::uint64_t{2}}));
+  const auto bytes = history.encode();
+  BOOST_TEST((configuration::VersionHistory::decode(bytes) == history));
+  BOOST_TEST(!configuration::VersionHistory::decode(std::string_view(bytes).substr(1)).has_value());
+}
+
 // ---- records
 
 fleet::Server server(const std::string& id, std::uint64_t calls, fleet::Phase phase = fleet::Phase::READY) {
@@ -244,7 +280,8 @@
     BOOST_REQUIRE(!failed(disk));
     BOOST_TEST(!std::get<agreement::Kept>(value(disk)->read()).any);
     agreement::Write w;
-    w.state = State{4, nlohmann::json::parse(config_body(1, 0)), {"z"}, {{"10.0.0.1", 1}}, 2, {77}};
+    w.state = State{4, nlohmann::json::parse(config_body(1, 0)), {"z"}, {{"10.0.0.1", 1}}, 2, {}};
+    w.state->history.record(1, {7, 70});
     w.disk = 77;
     w.promised = agreement::Ballot{9, "10.0.0.2", 7};
     w.accepted.emplace_back(6, agreement::AcceptedChange{{8, "x", 7}, {ChangeKind::evacuate, "z2", "x", 3}});
@@ -262,6 +299,7 @@
   BOOST_TEST(k.state.version() == 1u);
   BOOST_TEST(k.disk == 77u);
   BOOST_TEST(k.state.membership == 2u);
+  BOOST_TEST(k.state.history.holds(1, {7, 70}));
   BOOST_TEST(k.promised.round == 9u);
   BOOST_REQUIRE(k.accepted.size() == 1);
   BOOST_TEST(k.accepted[0].first == 6u);
