--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -257,7 +257,7 @@
   const auto accepted = accepted_.find(slot);
   const bool durable_here = accepted != accepted_.end() && accepted->second.change == change;
   const auto membership = state_.membership;
-  configuration::apply(state_, change.kind, change.text);
+  const bool took_effect = configuration::apply(state_, change.kind, change.text);
   log_.push_back({slot, change});
   if (log_.size() > kKeptChanges) log_.pop_front();
   std::erase_if(accepted_, [&](const auto& entry) { return entry.first <= slot; });
@@ -276,8 +276,10 @@
                          std::to_string(state_.voters.size()) + " voters, " +
                          (votes() ? "this store is one" : "this store is a learner"));
   const bool own = change.author == options_.self && change.number == offered_.number && offered_.number != 0;
-  if (own && !queue_.empty() && queue_.front().kind == change.kind && queue_.front().text == change.text)
-    settle(200, "");
+  // What was decided without effect was begun for another call and not judged on this state: drive() judges it.
+  const bool answers_first = own && !queue_.empty() && queue_.front().kind == change.kind &&
+                             queue_.front().text == change.text;
+  if (answers_first && took_effect) settle(200, "");
   if (ballot_runs()) phase_ = Phase::idle;
   if (confirming_ && target_ && state_.position >= *target_) end_confirm(now);
   drive(now);
