--- a/src/system/counts/counts.hpp
+++ b/src/system/counts/counts.hpp
@@ -31,6 +31,11 @@
 // No quota (per_s 0): length 0.
 Window window_of(const Quota& q, const Judged& judged);
 
+// An answer that came later than this after its call is void. The window that it tells began at some moment
+// between the two, so no proxy sees an edge later than this. The margin left of excess and slack pays for units
+// that are spent so late after their window's end.
+inline constexpr Duration kLatestGrant = std::chrono::milliseconds(400);
+
 inline constexpr int kAhead = 3;  // windows that may be leased of before they begin: they carry proxies over
                                   // a change of holder
 
--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -55,11 +55,22 @@
   return done();
 }
 
-Actions Decisions::new_holder(Time now) {
-  units_.new_holder(now);
+Actions Decisions::new_holder(Time now, std::uint64_t term) {
+  units_.new_holder(now, term);
   return done();
 }
 
+void Decisions::confirmed(Time at) {
+  if (!confirmed_at_ || at > *confirmed_at_) confirmed_at_ = at;
+}
+
+// Until then no acknowledged change can have taken a key away for so long that its requests must not run.
+Time Decisions::keys_valid_until() const {
+  if (!bounds_.strict_revoke || !configuration_ || !configuration_->has_tenants()) return Time::max();
+  if (!confirmed_at_) return Time::min();
+  return *confirmed_at_ + from_millis(bounds_.revoke_ms) - kRevokeMargin;
+}
+
 Duration Decisions::back_off(const Request& r) {
   const double part = 0.1 + 0.2 * static_cast<double>(rng_() >> 11) * 0x1.0p-53;
   return snowknot::scaled(std::max<Duration>(r.target, 200ms), part);
@@ -102,10 +113,7 @@
     }
   }
   // Keys that were taken away must end here too, also where this proxy is cut off from the core.
-  const bool stale = bounds_.strict_revoke && configuration_->has_tenants() &&
-                     (confirmed_at_ == Time{} ||
-                      now - confirmed_at_ > from_millis(bounds_.revoke_ms) - kRevokeMargin);
-  if (stale || homeless) {
+  if (now >= keys_valid_until() || homeless) {
     out_.push_back(Refuse{a.request, 503, back_off(r)});
     return done();
   }
@@ -117,7 +125,10 @@
     bool holder_lost = false;
     const auto wait = snowknot::scaled(std::min(kept.target, held), kUnitsWait);
     switch (units_.take(now, kept.tenant, a.request, wait, retry_after, holder_lost)) {
-      case Units::Take::passed: send_on(now, a.request, kept); break;
+      case Units::Take::passed:
+        kept.unit_taken = now;
+        send_on(now, a.request, kept);
+        break;
       case Units::Take::waits: break;
       case Units::Take::refused: refuse(a.request, holder_lost ? 503 : 429, retry_after); break;
     }
@@ -129,17 +140,21 @@
 }
 
 void Decisions::send_on(Time now, RequestId id, Request& r) {
+  if (now >= keys_valid_until()) {
+    if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
+    return refuse(id, 503, back_off(r));
+  }
   ServerHandle server = kNoServer;
   switch (servers_.choose(now, r.service, r.regions, r.tried, server)) {
     case Servers::Pick::server: return send(now, id, r, server);
     case Servers::Pick::none: {
-      if (!r.tenant.empty()) units_.give_back(now, r.tenant);
+      if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
       return refuse(id, 503, back_off(r));
     }
     case Servers::Pick::full: break;
   }
   if (now >= r.place_until) {
-    if (!r.tenant.empty()) units_.give_back(now, r.tenant);
+    if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
     return refuse(id, 503, back_off(r));
   }
   if (!std::exchange(r.parked, true)) parked_.push_back(id);
@@ -150,7 +165,7 @@
   ++r.sends;
   r.at = server;
   r.tried.push_back(server);
-  out_.push_back(Send{id, server, std::max<Duration>(r.deadline - now, 1ms)});
+  out_.push_back(Send{id, server, std::max<Duration>(r.deadline - now, 1ms), keys_valid_until()});
 }
 
 Actions Decisions::ended(Time now, RequestId id, Outcome outcome, Duration took, bool whole) {
@@ -166,7 +181,8 @@
     const bool missed = outcome == Outcome::connect_failed;
     if (missed) --r.sends, ++r.misses;
     if (!proves_not_run(outcome)) r.may_have_run = true;
-    const bool in_time = now + snowknot::scaled(r.target, kLeastLeft) < r.deadline;
+    const bool in_time = now + snowknot::scaled(r.target, kLeastLeft) < r.deadline &&
+                         now < keys_valid_until();
     bool again = in_time && (!r.may_have_run || r.repeatable) && r.sends < r.tries && r.misses < kMisses;
     // Whom nobody was reached for has arrived nowhere, and needs none of the budget.
     ServerHandle server = kNoServer;
@@ -175,7 +191,7 @@
     if (again) {
       send(now, id, r, server);
     } else if (!r.may_have_run) {
-      if (!r.tenant.empty()) units_.give_back(now, r.tenant);
+      if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
       refuse(id, 503, back_off(r));
     } else {
       if (whole && outcome == Outcome::error) {
@@ -208,14 +224,17 @@
 void Decisions::after_units(Time now) {
   auto orders = units_.orders(now);
   for (const auto id : units_.passed())
-    if (const auto found = requests_.find(id); found != requests_.end()) send_on(now, id, found.value());
+    if (const auto found = requests_.find(id); found != requests_.end()) {
+      found.value().unit_taken = now;
+      send_on(now, id, found.value());
+    }
   for (const auto& t : units_.turned(now))
     if (requests_.contains(t.request)) refuse(t.request, t.holder_lost ? 503 : 429, t.retry_after);
   if (!orders.empty()) out_.push_back(RequestUnits{std::move(orders)});
 }
 
-Actions Decisions::granted(Time now, std::uint64_t term, const std::vector<UnitGrant>& grants) {
-  for (const auto& g : grants) units_.granted(now, term, g);
+Actions Decisions::granted(Time now, const UnitAnswer& answer) {
+  units_.granted(now, answer);
   after_units(now);
   return done();
 }
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -7,6 +7,7 @@
 #include <tsl/robin_map.h>
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -29,6 +30,7 @@
   RequestId request{};
   ServerHandle server = kNoServer;
   Duration timeout{};
+  Time valid_until = Time::max();  // not to be written later: its key may have been taken away
 };
 struct Refuse {  // it has not run and never will
   RequestId request{};
@@ -54,7 +56,7 @@
   std::vector<std::string> regions;
   bool repeatable = false, may_have_run = false;
   Duration target{};
-  Time arrived{}, deadline{}, place_until{};
+  Time arrived{}, deadline{}, place_until{}, unit_taken{};
   std::uint32_t tries = 1, sends = 0, misses = 0;
   bool parked = false;
   std::vector<ServerHandle> tried;
@@ -74,15 +76,15 @@
   void servers(Time now, const std::vector<fleet::Server>& changed) { servers_.news(now, changed); }
   void proxies(const std::vector<std::string>& zone_and_id);
   Actions holder(Time now, bool reachable);
-  Actions new_holder(Time now);
+  Actions new_holder(Time now, std::uint64_t term);
   // As of `at`, a majority of the core knew of no configuration that is not here.
-  void confirmed(Time at) { confirmed_at_ = std::max(confirmed_at_, at); }
+  void confirmed(Time at);
 
   // ---- requests
   Actions arrive(Time now, const Arrival& a);
   // `whole`: an answer of the server is at hand that can be relayed.
   Actions ended(Time now, RequestId request, Outcome outcome, Duration took, bool whole);
-  Actions granted(Time now, std::uint64_t term, const std::vector<UnitGrant>& grants);
+  Actions granted(Time now, const UnitAnswer& answer);
   Actions grants_failed(Time now);
   Actions tick(Time now);  // at least each 20 ms while something is open
 
@@ -97,6 +99,7 @@
   void refuse(RequestId id, int status, Duration retry_after);
   void after_units(Time now);
   void serve_parked(Time now);
+  Time keys_valid_until() const;
   Duration back_off(const Request& r);
   Actions done() { return std::exchange(out_, {}); }
 
@@ -108,7 +111,7 @@
   std::mt19937_64 rng_;
   tsl::robin_map<RequestId, Request> requests_;
   std::vector<RequestId> parked_;
-  Time confirmed_at_{};
+  std::optional<Time> confirmed_at_;
   Actions out_;
 };
 
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -71,7 +71,9 @@
   return t.anchor_start + t.window.length * (window - t.anchor);
 }
 
-void Units::new_holder(Time now) {
+void Units::new_holder(Time now, std::uint64_t term) {
+  if (term <= term_) return;
+  term_ = term;
   for (auto it = tenants_.begin(); it != tenants_.end(); ++it) {
     auto& t = it.value();
     roll(now, t);
@@ -144,18 +146,42 @@
     std::erase_if(found.value().waiting, [&](const Waiting& w) { return w.request == request; });
 }
 
-void Units::give_back(Time now, const std::string& tenant) {
+void Units::give_back(Time now, const std::string& tenant, Time taken) {
   const auto found = tenants_.find(tenant);
   if (found == tenants_.end()) return;
   auto& t = found.value();
   roll(now, t);
-  if (t.anchored) t.leases[t.present].held += 1;
+  if (t.anchored && taken >= start_of(t, t.present)) t.leases[t.present].held += 1;
   settle(now, t);
 }
 
-void Units::granted(Time now, std::uint64_t term, const UnitGrant& g) {
-  if (term < term_) return;
-  term_ = term;
+void Units::granted(Time now, const UnitAnswer& answer) {
+  if (answer.term < term_) return;
+  new_holder(now, answer.term);
+  const bool late = now - answer.sent > counts::kLatestGrant;
+  for (const auto& grant : answer.grants) {
+    if (late) {
+      drop_grant(grant);
+    } else {
+      take_grant(now, grant);
+    }
+  }
+}
+
+// The units are lost to their window; whoever waits is asked for again.
+void Units::drop_grant(const UnitGrant& g) {
+  const auto found = tenants_.find(g.tenant);
+  if (found == tenants_.end()) return;
+  auto& t = found.value();
+  if (g.starts <= Duration{}) {
+    t.call_out = false;
+  } else if (const auto lease = t.leases.find(g.window); lease != t.leases.end()) {
+    lease->second.asked_at = {};
+  }
+  if (!t.waiting.empty()) mark(g.tenant, t);
+}
+
+void Units::take_grant(Time now, const UnitGrant& g) {
   const auto found = tenants_.find(g.tenant);
   if (found == tenants_.end()) return;
   auto& t = found.value();
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -38,6 +38,11 @@
   Duration starts{}, ends{};  // from now
   Duration more{};            // no more of it can be had for so long
 };
+struct UnitAnswer {  // of the holder, to one call
+  std::uint64_t term = 0;
+  Time sent{};  // when the call was sent, by the clock of this process
+  std::vector<UnitGrant> grants;
+};
 struct Turned {  // a request that waited is refused
   RequestId request{};
   Duration retry_after{};
@@ -86,13 +91,15 @@
   Take take(Time now, const std::string& tenant, RequestId request, Duration wait_limit,
             Duration& retry_after, bool& holder_lost);
   void forget(const std::string& tenant, RequestId request);  // it no longer waits
-  void give_back(Time now, const std::string& tenant);        // a unit that was taken and not used
+  // A unit that was taken at `taken` was not used: it is of use until its window ends.
+  void give_back(Time now, const std::string& tenant, Time taken);
 
-  void granted(Time now, std::uint64_t term, const UnitGrant& g);
+  // An answer that came too late after its call, or of an older term, brings no units and moves no window.
+  void granted(Time now, const UnitAnswer& answer);
   void call_failed();  // calls that are out get no answer
   // Another one holds the counts now: what was leased ahead is granted anew by it, what is of the present
   // window stays.
-  void new_holder(Time now);
+  void new_holder(Time now, std::uint64_t term);
 
   // What is to be asked now, who passes, and who is refused. Called after each of the above and with time.
   std::vector<UnitOrder> orders(Time now);
@@ -103,6 +110,8 @@
   using Lease = units::Lease;
   using Waiting = units::Waiting;
   using Tenant = units::Tenant;
+  void take_grant(Time now, const UnitGrant& g);
+  void drop_grant(const UnitGrant& g);
   void roll(Time now, Tenant& t);
   bool spend(Time now, Tenant& t);
   Time start_of(const Tenant& t, std::int64_t window) const;
--- /dev/null
+++ b/src/system/fleet/confirmation.cpp
@@ -0,0 +1,42 @@
+#include "system/fleet/confirmation.hpp"
+
+#include <algorithm>
+
+namespace docklift::fleet {
+namespace {
+constexpr std::size_t kMostPending = 16;   // answers that wait for the copy; the oldest are met first
+constexpr std::size_t kMostRequests = 16;  // of one proxy; the newest are worth most
+}  // namespace
+
+void Confirmation::answered(Time sent, std::uint64_t position, std::uint64_t own_position) {
+  if (at_ && sent <= *at_) return;
+  if (position <= own_position) {
+    at_ = sent;
+  } else if (pending_.size() < kMostPending) {
+    pending_.push_back({sent, position});
+  }
+}
+
+void Confirmation::advanced(std::uint64_t own_position) {
+  std::erase_if(pending_, [&](const Pending& pending) {
+    if (pending.position > own_position) return false;
+    at_ = std::max(at_.value_or(pending.sent), pending.sent);
+    return true;
+  });
+}
+
+void ConfirmRequests::received(Time now, std::uint64_t token) {
+  if (requests_.size() == kMostRequests) requests_.pop_front();
+  requests_.push_back({now, token});
+}
+
+std::optional<std::uint64_t> ConfirmRequests::answerable(Time begun) {
+  std::optional<std::uint64_t> token;
+  while (!requests_.empty() && requests_.front().received <= begun) {
+    token = requests_.front().token;
+    requests_.pop_front();
+  }
+  return token;
+}
+
+}  // namespace docklift::fleet
--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -8,7 +8,9 @@
 namespace {
 using namespace std::chrono_literals;
 constexpr Duration kRenew = 600ms;
-constexpr std::size_t kLinks = 3;  // registries that one proxy is linked to
+constexpr std::size_t kTokens = 64;      // that may still be answered: some half a minute's
+constexpr std::size_t kUnitCalls = 256;  // at once; an answer to an older one is void
+constexpr std::size_t kLinks = 3;        // registries that one proxy is linked to
 }  // namespace
 
 ControlClient::ControlClient(boost::asio::io_context& io, const SystemSettings& settings,
@@ -18,6 +20,8 @@
       clock_(clock),
       listener_(listener),
       log_("control"),
+      confirm_tokens_(kTokens),
+      unit_calls_(kUnitCalls),
       timer_(io.get_executor()) {
   self_.id = settings.hostname, self_.zone = settings.zone, self_.role = fleet::Role::PROXY;
   self_.life = draw_life();
@@ -58,6 +62,7 @@
         fleet::put(out.frame().initHello(), self_, clock_.now());
         link->send(out.message());
         follow(ip);
+        request_confirmation(*link, confirm_tokens_.sent(clock_.now()));
         check_holder();
       },
       [this](const Failure& why) {
@@ -86,8 +91,36 @@
   fleet::Outgoing out;
   self_.stamp++, self_.heard = clock_.now();
   fleet::put(out.frame().initHello(), self_, clock_.now());
-  for (auto& [ip, d] : links_)
-    if (d->up()) d->link()->send(out.message());
+  const auto token = confirm_tokens_.sent(clock_.now());
+  for (auto& [ip, d] : links_) {
+    if (!d->up()) continue;
+    d->link()->send(out.message());
+    request_confirmation(*d->link(), token);
+  }
+}
+
+void ControlClient::request_confirmation(Link& link, std::uint64_t token) {
+  fleet::Outgoing out;
+  out.frame().setConfirm(token);
+  link.send(out.message());
+}
+
+// As of the moment at which the token was sent, what is here was the newest.
+void ControlClient::on_confirmed(wire::Confirmed::Reader confirmed) {
+  const auto sent = confirm_tokens_.of(confirmed.getToken());
+  if (!sent) return;
+  confirmation_.answered(*sent, confirmed.getPosition(), changes_.position());
+  tell_confirmed();
+}
+
+void ControlClient::on_log_advanced() {
+  confirmation_.advanced(changes_.position());
+  listener_.on_changes(changes_);
+  tell_confirmed();
+}
+
+void ControlClient::tell_confirmed() {
+  if (const auto at = confirmation_.at()) listener_.on_confirmed(*at);
 }
 
 void ControlClient::tick() {
@@ -111,7 +144,7 @@
   if (d == links_.end() || !d->second->up()) return listener_.on_grants_failed();
   fleet::Outgoing out;
   auto to = out.frame().initUnitRequest();
-  to.setCall(++calls_);
+  to.setCall(unit_calls_.sent(clock_.now())), to.setTerm(term_);
   auto list = to.initOrders(static_cast<unsigned>(orders.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
     list[i].setTenant(orders[i].tenant), list[i].setAhead(static_cast<std::uint8_t>(orders[i].ahead));
@@ -126,34 +159,36 @@
   if (stopped_) return;
   switch (frame.which()) {
     case wire::Frame::SNAPSHOT:
-      if (changes_.take(frame.getSnapshot()) == fleet::ChangeLog::News::taken) listener_.on_changes(changes_);
+      if (changes_.take(frame.getSnapshot()) == fleet::ChangeLog::News::taken) on_log_advanced();
       break;
     case wire::Frame::ENTRIES: {
       const auto news = changes_.take(frame.getEntries());
       if (news == fleet::ChangeLog::News::gap) follow(ip);
-      if (news == fleet::ChangeLog::News::taken) listener_.on_changes(changes_);
+      if (news == fleet::ChangeLog::News::taken) on_log_advanced();
       break;
     }
+    case wire::Frame::CONFIRMED: on_confirmed(frame.getConfirmed()); break;
     case wire::Frame::FLEET: on_fleet(ip, frame.getFleet()); break;
-    case wire::Frame::UNIT_GRANTS: {
-      const auto g = frame.getUnitGrants();
-      if (g.getRefused()) {
-        if (ip == holder_) listener_.on_grants_failed();
-        break;
-      }
-      std::vector<decisions::UnitGrant> grants;
-      for (const auto i : g.getGrants())
-        if (i.getEndsMs() > 0)
-          grants.push_back({i.getTenant().cStr(), i.getWindow(), i.getUnits(), i.getLeft(),
-                            from_millis(i.getStartsMs()), from_millis(i.getEndsMs()),
-                            from_millis(i.getMoreMs())});
-      listener_.on_grants(g.getTerm(), grants);
-      break;
-    }
+    case wire::Frame::UNIT_GRANTS: on_unit_grants(ip, frame.getUnitGrants()); break;
     default: break;
   }
 }
 
+void ControlClient::on_unit_grants(const std::string& ip, wire::UnitGrants::Reader answer) {
+  const auto sent = unit_calls_.of(answer.getCall());
+  if (!sent || ip != holder_) return;
+  if (answer.getRefused()) return listener_.on_grants_failed();
+  decisions::UnitAnswer grants;
+  grants.term = answer.getTerm(), grants.sent = *sent;
+  for (const auto g : answer.getGrants()) {
+    if (g.getEndsMs() == 0) continue;  // a hand-back has no answer
+    grants.grants.push_back({g.getTenant().cStr(), g.getWindow(), g.getUnits(), g.getLeft(),
+                             from_millis(g.getStartsMs()), from_millis(g.getEndsMs()),
+                             from_millis(g.getMoreMs())});
+  }
+  listener_.on_grants(grants);
+}
+
 void ControlClient::on_fleet(const std::string& ip, wire::Fleet::Reader f) {
   const Time now = clock_.now();
   if (f.getServers().size() > 0) {
@@ -174,11 +209,9 @@
     choose_registries();
     // What was asked of the one before gets no answer that counts.
     if (std::exchange(reachable_, false)) listener_.on_holder(false);
-    listener_.on_new_holder();
+    listener_.on_new_holder(term_);
     check_holder();
   }
-  if (f.getConfirmedMs() != 0xffffffffU && f.getPosition() <= changes_.position())
-    listener_.on_confirmed(now - from_millis(f.getConfirmedMs()));
   if (f.getPosition() > changes_.position() + 1) follow(ip);
 }
 
--- a/src/system/proxy/control_client.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -9,9 +9,11 @@
 #include <string>
 
 #include "system/base/log.hpp"
+#include "system/base/send_times.hpp"
 #include "system/base/settings.hpp"
 #include "system/decisions/units.hpp"
 #include "system/fleet/change_log.hpp"
+#include "system/fleet/confirmation.hpp"
 #include "system/net/link.hpp"
 
 namespace docklift::proxy {
@@ -23,10 +25,11 @@
     virtual void on_changes(const fleet::ChangeLog& changes) = 0;
     virtual void on_servers(const std::vector<fleet::Server>& changed) = 0;
     virtual void on_proxies(const std::vector<std::string>& zone_and_id) = 0;
+    // As of `at` the configuration here was the newest.
     virtual void on_confirmed(Time at) = 0;
     virtual void on_holder(bool reachable) = 0;
-    virtual void on_new_holder() = 0;
-    virtual void on_grants(std::uint64_t term, const std::vector<decisions::UnitGrant>& grants) = 0;
+    virtual void on_new_holder(std::uint64_t term) = 0;
+    virtual void on_grants(const decisions::UnitAnswer& answer) = 0;
     virtual void on_grants_failed() = 0;
   };
   ControlClient(boost::asio::io_context& io, const SystemSettings& settings, const snowknot::Clock& clock,
@@ -44,6 +47,11 @@
   void choose_registries();
   void on_frame(const std::string& ip, wire::Frame::Reader frame);
   void on_fleet(const std::string& ip, wire::Fleet::Reader f);
+  void on_unit_grants(const std::string& ip, wire::UnitGrants::Reader answer);
+  void on_confirmed(wire::Confirmed::Reader confirmed);
+  void on_log_advanced();
+  void tell_confirmed();
+  void request_confirmation(Link& link, std::uint64_t token);
   void follow(const std::string& ip);
   void renew();
   void tick();
@@ -60,7 +68,9 @@
   std::vector<std::string> registries_;  // as they have told, those first that were linked first
   std::vector<std::string> proxies_;
   std::string holder_;
-  std::uint64_t term_ = 0, calls_ = 0;
+  std::uint64_t term_ = 0;
+  SendTimes confirm_tokens_, unit_calls_;
+  fleet::Confirmation confirmation_;
   bool reachable_ = false;
   Timer timer_;
   bool stopped_ = false;
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -126,6 +126,7 @@
   a.attempt_id = x.request.attempt_id;
   a.body = x.request.body;
   a.deadline = clock_.now() + s.timeout;
+  a.valid_until = s.valid_until;
   a.head = x.request.head;
   a.head += "Deadline: " + std::to_string(std::max(1u, millis(s.timeout))) +
             "\r\nWant-Instance: " + server->id + "\r\n";
@@ -177,10 +178,10 @@
 
 void Proxy::on_holder(bool reachable) { carry_out(decisions_.holder(clock_.now(), reachable)); }
 
-void Proxy::on_new_holder() { carry_out(decisions_.new_holder(clock_.now())); }
+void Proxy::on_new_holder(std::uint64_t term) { carry_out(decisions_.new_holder(clock_.now(), term)); }
 
-void Proxy::on_grants(std::uint64_t term, const std::vector<decisions::UnitGrant>& grants) {
-  carry_out(decisions_.granted(clock_.now(), term, grants));
+void Proxy::on_grants(const decisions::UnitAnswer& answer) {
+  carry_out(decisions_.granted(clock_.now(), answer));
 }
 
 void Proxy::on_grants_failed() { carry_out(decisions_.grants_failed(clock_.now())); }
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -33,8 +33,8 @@
   void on_proxies(const std::vector<std::string>& zone_and_id) override;
   void on_confirmed(Time at) override { decisions_.confirmed(at); }
   void on_holder(bool reachable) override;
-  void on_new_holder() override;
-  void on_grants(std::uint64_t term, const std::vector<decisions::UnitGrant>& grants) override;
+  void on_new_holder(std::uint64_t term) override;
+  void on_grants(const decisions::UnitAnswer& answer) override;
   void on_grants_failed() override;
 
  private:
--- a/src/system/proxy/upstream.cpp
+++ b/src/system/proxy/upstream.cpp
@@ -45,8 +45,9 @@
   }
 
   void send() {
-    if (attempt.deadline <= up->timers_.now()) return end(Outcome::connect_failed);
-    sent_at = up->timers_.now();
+    const Time now = up->timers_.now();
+    if (now >= attempt.deadline || now >= attempt.valid_until) return end(Outcome::connect_failed);
+    sent_at = now;
     skipped = 0;
     limit = up->timers_.at(attempt.deadline, [self = shared_from_this()] {
       self->limit.reset();
--- a/src/system/proxy/upstream.hpp
+++ b/src/system/proxy/upstream.hpp
@@ -25,6 +25,7 @@
   std::string head;                         // up to and without the empty line
   std::shared_ptr<const std::string> body;  // null: none
   Time deadline{};
+  Time valid_until = Time::max();  // not a byte of it is written after this: its key may have ended
 };
 
 struct Answered {
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -12,7 +12,7 @@
 using fleet::Merged;
 
 constexpr Duration kTick = 100ms;
-constexpr std::uint64_t kConfirmTicks = 5;  // from one read barrier to the next
+constexpr std::uint64_t kBarrierTicks = 5;  // from one read barrier to the next
 constexpr std::uint64_t kFlushTicks = 4;    // what was heard again is told to the others so often
 constexpr std::uint64_t kSaveTicks = 10;    // and changed records are put on the disk
 constexpr std::uint64_t kDigestTicks = 50;  // and digests of all records
@@ -97,6 +97,7 @@
           link->send(out.message());
           for (auto& [call, p] : pending_)
             if (p.store.empty()) send_pending(call, p);
+          begin_read_barrier();
         },
         [this, ip](const Failure& why) {
           log_.debug(why.shown());
@@ -147,7 +148,7 @@
       node.heard = now;
       lease_.observe_term(node.term);
       if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
-        auto& p = proxies_[link.get()] = {link, node.id, false, 0};
+        auto& p = proxies_[link.get()] = {link, node.id, false, 0, {}, false};
         tell_all_servers(p);
       }
       if (node.role == fleet::Role::REGISTRY && !peers_.contains(link.get())) {
@@ -167,6 +168,11 @@
         p->second.position = changes_.position(), link->send(out.message());
       break;
     }
+    case wire::Frame::CONFIRM: {
+      if (const auto p = proxies_.find(link.get()); p != proxies_.end())
+        on_confirm(p->second, frame.getConfirm());
+      break;
+    }
     case wire::Frame::UNIT_REQUEST: {
       if (const auto p = proxies_.find(link.get()); p != proxies_.end())
         on_unit_request(p->second, frame.getUnitRequest());
@@ -230,6 +236,7 @@
 
 void Registry::after_news(fleet::ChangeLog::News news) {
   if (news != fleet::ChangeLog::News::taken) return;
+  confirmation_.advanced(changes_.position());
   for (auto& [link, p] : proxies_) {
     if (!p.follows) continue;
     if (fleet::Outgoing out; changes_.frame_after(p.position, out))
@@ -261,19 +268,33 @@
   send_pending(call, p);
 }
 
-// A read barrier at a store: what is here is the newest as of the moment at which it was asked for.
-void Registry::confirm() {
-  const Time asked = clock_.now();
+// A read barrier at a store: a majority states, after the store has got the question, what it has accepted.
+void Registry::begin_read_barrier() {
+  const Time begun = clock_.now();
   propose(configuration::ChangeKind::nothing, "",
-          [this, asked](int status, const std::string&, std::uint64_t position) {
-            if (status != 200 || position > changes_.position() || asked <= confirmed_at_) return;
-            confirmed_at_ = asked;
-            fleet::Outgoing out;
-            fill(out.frame().initFleet());
-            for (auto& [link, p] : proxies_) p.link->send(out.message());
+          [this, begun](int status, const std::string&, std::uint64_t position) {
+            if (status == 200) end_read_barrier(begun, position);
           });
 }
 
+void Registry::end_read_barrier(Time begun, std::uint64_t position) {
+  confirmation_.answered(begun, position, changes_.position());
+  for (auto& [link, p] : proxies_) {
+    const auto token = p.confirm_requests.answerable(begun);
+    if (!token) continue;
+    fleet::Outgoing out;
+    auto confirmed = out.frame().initConfirmed();
+    confirmed.setToken(*token), confirmed.setPosition(position);
+    p.link->send(out.message());
+  }
+}
+
+// A proxy asks as of when its configuration is the newest: answered by the next read barrier.
+void Registry::on_confirm(Proxy& p, std::uint64_t token) {
+  p.confirm_requests.received(clock_.now(), token);
+  if (!std::exchange(p.asked_to_confirm, true)) begin_read_barrier();
+}
+
 // To the store on this machine, or to another one while that is not up.
 void Registry::send_pending(std::uint64_t call, Pending& p) {
   auto to = stores_.find(settings_.bind_ip);
@@ -357,11 +378,9 @@
 // ---- what proxies are told -----------------------------------------------------------------------
 
 void Registry::fill(wire::Fleet::Builder to) {
-  const Time now = clock_.now();
   to.setHolder(lease_.holder());
   to.setTerm(lease_.term());
   to.setPosition(changes_.position());
-  to.setConfirmedMs(confirmed_at_ == Time{} ? 0xffffffffU : millis(now - confirmed_at_));
 }
 
 void Registry::tell_servers(const std::vector<fleet::Server>& changed) {
@@ -427,7 +446,8 @@
                                                           : counts::Quota{known->per_s, known->burst};
     list[i].setTenant(tenant);
     if (a.getUnits() < 0) {
-      counts_.hand_back(now, tenant, quota, a.getWindow(), static_cast<std::uint32_t>(-a.getUnits()));
+      if (request.getTerm() == lease_.held_term())
+        counts_.hand_back(now, tenant, quota, a.getWindow(), static_cast<std::uint32_t>(-a.getUnits()));
       continue;
     }
     const auto g = counts_.add(now, tenant, quota, a.getAhead(), static_cast<std::uint32_t>(a.getUnits()),
@@ -524,7 +544,7 @@
     if (const auto request = lease_.tick(now, draw_life() / 1'000'000, voters, linked))
       send_lease_request(*request);
     check_lease();
-    if (ticks_ % kConfirmTicks == 0) confirm();
+    if (ticks_ % kBarrierTicks == 0) begin_read_barrier();
     if (ticks_ % kFlushTicks == 0) flush();
     if (ticks_ % kSaveTicks == 0) save_records();
     if (ticks_ % kDigestTicks == 0) {
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -14,6 +14,7 @@
 #include "system/counts/counts.hpp"
 #include "system/disk/record_cache.hpp"
 #include "system/fleet/change_log.hpp"
+#include "system/fleet/confirmation.hpp"
 #include "system/fleet/records.hpp"
 #include "system/lease/holder_lease.hpp"
 #include "system/net/link.hpp"
@@ -49,6 +50,8 @@
     std::string id;
     bool follows = false;
     std::uint64_t position = 0;
+    fleet::ConfirmRequests confirm_requests;
+    bool asked_to_confirm = false;
   };
   struct Pending {
     configuration::ChangeKind kind{};
@@ -66,7 +69,9 @@
   void after_news(fleet::ChangeLog::News news);
   void dial(const std::string& ip);
   void dial_all();
-  void confirm();
+  void begin_read_barrier();
+  void end_read_barrier(Time begun, std::uint64_t position);
+  void on_confirm(Proxy& p, std::uint64_t token);
   void send_pending(std::uint64_t call, Pending& p);
   void tell_servers(const std::vector<fleet::Server>& changed);
   void tell_all_servers(Proxy& p);
@@ -99,7 +104,7 @@
   std::map<std::string, fleet::Node> heard_nodes_;
   std::set<std::string> retold_;  // servers whose next beat proxies must know, as their zone was taken back
   fleet::ChangeLog changes_;
-  Time confirmed_at_{};
+  fleet::Confirmation confirmation_;
   lease::HolderLease lease_;
   counts::Counts counts_;
   std::uint64_t counting_term_ = 0;
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -73,7 +73,8 @@
   window @3 :Int64;      # only where units < 0: the window they were leased of
   demand @4 :Float32;    # requests a window that this proxy usually has of the tenant
 }
-struct UnitRequest { call @0 :UInt64; orders @1 :List(UnitOrder); }
+# `term`: of the holder that granted what is handed back; another one takes nothing back.
+struct UnitRequest { call @0 :UInt64; orders @1 :List(UnitOrder); term @2 :UInt64; }
 struct UnitGrant {
   tenant @0 :Text;
   window @1 :Int64;
@@ -94,7 +95,6 @@
   holder @3 :Text;            # ip of the registry that holds the counts; empty: none is known
   term @4 :UInt64;            # of its lease; rises with each holder
   position @5 :UInt64;        # of the newest change that the registry has
-  confirmedMs @6 :UInt32;     # so long ago a majority knew of none beyond it; all ones: not known
 }
 
 # Between registries: records merged both ways; a digest of ranges asks for what differs.
@@ -109,7 +109,9 @@
 # `blank`: the voter has no memory of whom it granted it to, and has promised it to nobody else since it started.
 struct LeaseReply { term @0 :UInt64; granted @1 :Bool; blank @2 :Bool; holder @3 :Text; }
 
-struct Confirmed { position @0 :UInt64; ageMs @1 :UInt32; }
+# Answers the newest confirm frame that had come to the registry before a read barrier at its store began: at the end
+# of the barrier nothing beyond `position` had been acknowledged. No age: the proxy knows when it sent the token.
+struct Confirmed { token @0 :UInt64; position @1 :UInt64; }
 
 struct Frame {
   union {
@@ -127,6 +129,7 @@
     leaseReply @11 :LeaseReply;
     agreement @12 :Data;      # store to store: bytes of the room `agreement`
     alive @13 :Void;
-    confirmed @14 :Confirmed; # store to registry
+    confirmed @14 :Confirmed; # registry to proxy
+    confirm @15 :UInt64;      # proxy to registry: a token, of which it remembers when it sent it
   }
 }
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -1,11 +1,11 @@
 // The decision module: which server, whether again, what is refused. Events in, actions out; nothing else.
+#include "system/decisions/decisions.hpp"
+
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <nlohmann/json.hpp>
 #include <set>
 
-#include "system/decisions/decisions.hpp"
-
 namespace docklift::test {
 namespace {
 
@@ -261,6 +261,20 @@
   BOOST_TEST(w.server_of(w.one(w.ask())) == "one");
 }
 
+BOOST_AUTO_TEST_CASE(given_keys_that_must_end_when_a_request_is_sent_then_it_is_told_until_when_it_may_be) {
+  World w({.strict = true});
+  w.list("one", "a1");
+  w.list("two", "a1");
+  const Time confirmed = w.now;
+  w.now += 3s;
+  const auto first = std::get<Send>(w.one(w.ask()));
+  BOOST_TEST((first.valid_until > confirmed + 3s && first.valid_until < confirmed + 5s));
+  // Its connection came up too late: it is not sent to another server either.
+  w.now = first.valid_until;
+  const auto later = w.one(w.d.ended(w.now, first.request, Outcome::connect_failed, 1ms, false));
+  BOOST_TEST(std::get<Refuse>(later).status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(
     given_keys_that_must_end_when_no_majority_has_confirmed_for_long_then_requests_are_refused) {
   World w({.strict = true});
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -292,6 +292,8 @@
       proxies.back().set_holder(true);
     }
   }
+  // An answer waits so long on its way back to a proxy, or in one that stands still.
+  Duration stall() { return stalled > Duration{} && random() % 4 == 0 ? stalled : Duration{}; }
   void settle(std::size_t i) {
     auto& p = proxies[i];
     const auto orders = p.orders(now);
@@ -300,7 +302,7 @@
     if (orders.empty() || !reachable) return;
     ++calls;
     const Duration way = i < near ? Duration(500us) : trip / 2;
-    wire.push({now + way, order++, [this, i, orders, way, its_term = term] {
+    wire.push({now + way, order++, [this, i, orders, way, sent = now, its_term = term] {
                  if (its_term != term || !reachable) return;
                  std::vector<decisions::UnitGrant> grants;
                  for (const auto& a : orders) {
@@ -312,9 +314,9 @@
                                              a.demand);
                    grants.push_back({a.tenant, g.window, g.units, g.left, g.starts, g.ends, g.more});
                  }
-                 wire.push({now + way, order++, [this, i, grants, its_term] {
+                 wire.push({now + way + stall(), order++, [this, i, grants, sent, its_term] {
                               if (its_term != term) return;
-                              for (const auto& g : grants) proxies[i].granted(now, its_term, g);
+                              proxies[i].granted(now, {its_term, sent, grants});
                               settle(i);
                             }});
                }});
@@ -368,7 +370,7 @@
     run(gone, rate);
     reachable = true;
     holder.begin(now, false);
-    for (auto& p : proxies) p.new_holder(now), p.set_holder(true);
+    for (auto& p : proxies) p.new_holder(now, term), p.set_holder(true);
   }
 
   struct Event {
@@ -390,6 +392,7 @@
   std::uint64_t order = 0, ids = 0, term = 1, asked = 0, passed = 0, at_once = 0, refused = 0, calls = 0;
   std::size_t worst = 0;  // passed in any 5 s
   bool reachable = true;
+  Duration stalled{};    // by which one answer in four is late
   std::size_t near = 0;  // the first proxies, that stand beside the holder
   std::map<std::size_t, std::uint64_t> passed_at;
 };
@@ -459,7 +462,7 @@
     u.set_quota("t", q);
     Time now{1h};
     u.set_holder(true);
-    u.granted(now, 1, {"t", 7, 20, left, Duration{}, length, left == 0 ? length : Duration{}});
+    u.granted(now, {1, now, {{"t", 7, 20, left, Duration{}, length, left == 0 ? length : Duration{}}}});
     u.orders(now + length / 4);
     std::uint32_t back = 0;
     for (const auto& a : u.orders(now + length * 2 / 3)) back += a.back == 7 ? a.units : 0;
@@ -467,6 +470,68 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(given_answers_that_stall_on_their_way_when_a_tenant_floods_then_no_span_is_over) {
+  for (const Duration stalled : {Duration(350ms), Duration(900ms), Duration(2700ms)}) {
+    UnitsFleet f(8, {43, 43}, 9);
+    f.stalled = stalled;
+    f.run(40s, 43 * 8);
+    BOOST_TEST(static_cast<double>(f.worst) <= (43 * 5 + 43) * 1.1 + 20, millis(stalled)
+                                                                             << " ms: " << f.worst);
+  }
+}
+
+// One tenant's units at one proxy, with a request that waits and a call that is out.
+struct WaitingRequest {
+  WaitingRequest() : units(kJudged, 1), length(counts::window_of({50, 50}, kJudged).length) {
+    units.set_quota("t", {50, 50});
+    units.set_holder(true);
+    Duration retry{};
+    bool lost = false;
+    units.take(sent, "t", 1, 3s, retry, lost);
+    units.orders(sent);
+  }
+  void answer(Time now, std::uint64_t term, Time call_sent) {
+    units.granted(now, {term, call_sent, {{"t", 7, 5, 100, Duration{}, length, Duration{}}}});
+  }
+  Units units;
+  Duration length;
+  Time sent{1h};
+};
+
+BOOST_AUTO_TEST_CASE(given_an_answer_after_the_bound_when_it_comes_then_it_brings_nothing_and_is_asked_anew) {
+  WaitingRequest late, in_time;
+  in_time.answer(in_time.sent + counts::kLatestGrant, 1, in_time.sent);
+  BOOST_TEST(in_time.units.passed().size() == 1u);
+  const Time now = late.sent + counts::kLatestGrant + 1ms;
+  late.answer(now, 1, late.sent);
+  BOOST_TEST(late.units.passed().empty());
+  BOOST_TEST(late.units.orders(now).size() == 1u);
+  late.answer(now + 5ms, 1, now);
+  BOOST_TEST(late.units.passed().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_new_holder_when_the_former_one_still_answers_then_it_changes_nothing) {
+  WaitingRequest w;
+  w.units.new_holder(w.sent, 9);
+  w.answer(w.sent + 5ms, 8, w.sent);
+  BOOST_TEST(w.units.passed().empty());
+  w.answer(w.sent + 6ms, 9, w.sent);
+  BOOST_TEST(w.units.passed().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_proxy_that_stood_still_when_it_goes_on_then_units_of_past_windows_are_gone) {
+  WaitingRequest w;
+  w.answer(w.sent + 5ms, 1, w.sent);
+  w.units.passed();
+  const Time thawed = w.sent + 3 * w.length;
+  Duration retry{};
+  bool lost = false;
+  BOOST_TEST((w.units.take(thawed, "t", 2, 200ms, retry, lost) == Units::Take::waits));
+  w.units.give_back(thawed, "t", w.sent + 5ms);  // taken of a window that is over
+  w.units.orders(thawed);
+  BOOST_TEST(w.units.passed().empty());
+}
+
 BOOST_AUTO_TEST_CASE(given_no_holder_when_a_request_needs_a_unit_then_it_is_refused_at_once) {
   Units u(kJudged, 1);
   u.set_quota("t", {10, 10});
