--- a/src/system/agreement/agreement.capnp
+++ b/src/system/agreement/agreement.capnp
@@ -1,7 +1,6 @@
 # What stores say to each other and keep on disk.
 @0xd3f6b1c8a02e7745;
 using Cxx = import "/capnp/c++.capnp";
-using Fleet = import "/system/wire/fleet.capnp";
 $Cxx.namespace("docklift::agreement::wire");
 
 # Proposers never share a ballot: `disk` tells two lives at one address apart.
@@ -34,5 +33,6 @@
   leaving @4 :Bool;
   accepted @5 :List(AcceptedChange);
 }
-struct Log { snapshot @0 :Fleet.Snapshot; entries @1 :List(Entry); whole @2 :Bool; }
+# A batch: who has taken it and stands before `newest` asks for more. Snapshots go in parts (src/system/transfer).
+struct Log { entries @0 :List(Entry); newest @1 :UInt64; }
 struct Entry { slot @0 :UInt64; change @1 :Change; }
--- a/src/system/agreement/messages.cpp
+++ b/src/system/agreement/messages.cpp
@@ -112,8 +112,7 @@
   void operator()(const Fetch& m) { frame_.setFetch(m.after); }
   void operator()(const Log& m) {
     auto to = frame_.initLog();
-    to.setWhole(m.snapshot.has_value());
-    if (m.snapshot) fleet::put(to.initSnapshot(), *m.snapshot);
+    to.setNewest(m.newest);
     auto list = to.initEntries(static_cast<unsigned>(m.entries.size()));
     for (unsigned i = 0; i < list.size(); ++i) put(list[i], m.entries[i]);
   }
@@ -140,7 +139,7 @@
 
 Log log_of(wire::Log::Reader r) {
   Log log;
-  if (r.getWhole()) log.snapshot = fleet::get(r.getSnapshot());
+  log.newest = r.getNewest();
   for (const auto entry : r.getEntries()) log.entries.push_back(get(entry));
   return log;
 }
--- a/src/system/agreement/messages.hpp
+++ b/src/system/agreement/messages.hpp
@@ -45,6 +45,9 @@
   Change change;
 };
 
+inline std::uint64_t position_of(const LogEntry& entry) { return entry.slot; }
+inline std::size_t bytes_of(const LogEntry& entry) { return entry.change.text.size() + sizeof(LogEntry); }
+
 struct Prepare {  // phase 1
   std::uint64_t slot = 0;
   Ballot ballot;
@@ -80,8 +83,8 @@
   std::uint64_t after = 0;
 };
 struct Log {
-  std::optional<State> snapshot;
-  std::vector<LogEntry> entries;
+  std::vector<LogEntry> entries;  // in order, at most a batch
+  std::uint64_t newest = 0;       // position of the sender: beyond the batch there is more to fetch
 };
 
 using Message = std::variant<Prepare, Promise, Accept, Accepted, LogEntry, StatusRequest, Status, Fetch, Log>;
--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -8,11 +8,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t kKeptChanges = 64;     // for stores and registries that are behind a little
-constexpr std::uint64_t kSnapshotEach = 32;  // changes from one snapshot on disk to the next
-constexpr std::size_t kQueued = 256;         // proposals that wait; more get 503 at once
-constexpr Duration kFetchGap = 100ms;        // a log that was asked for is waited for so long
-constexpr Duration kResolveAfter = 150ms;    // a proposer of a half decided change is left so long to end it
+constexpr std::size_t kLogBatchBytes = 64u << 10;  // of entries in one message; one entry may be larger
+constexpr std::uint64_t kSnapshotEach = 32;        // changes from one snapshot on disk to the next
+constexpr std::size_t kQueued = 256;               // proposals that wait; more get 503 at once
+constexpr Duration kFetchGap = 100ms;              // a log that was asked for is waited for so long
+constexpr Duration kResolveAfter = 150ms;  // a proposer of a half decided change is left so long to end it
 constexpr Duration kLeastPause = 10ms, kMostPause = 120ms;  // after ballots that crossed
 constexpr Duration kStoodStill = 400ms;  // a tick that is late by this: the process was stopped
 constexpr std::uint64_t kWhole = std::numeric_limits<std::uint64_t>::max();  // Fetch::after: a snapshot
@@ -36,7 +36,7 @@
   for (const auto& entry : kept.log) {
     if (entry.slot != state_.position + 1) continue;
     configuration::apply(state_, entry.change.kind, entry.change.text);
-    log_.push_back(entry);
+    log_.push(entry);
   }
   std::erase_if(accepted_, [&](const auto& accepted) { return accepted.first <= state_.position; });
   round_ = promised_.round;
@@ -81,15 +81,6 @@
   return least + Duration(static_cast<Duration::rep>(rng_() % span));
 }
 
-std::optional<std::vector<LogEntry>> Replica::after(std::uint64_t place) const {
-  if (place >= state_.position) return std::vector<LogEntry>{};
-  if (log_.empty() || log_.front().slot > place + 1) return std::nullopt;
-  std::vector<LogEntry> entries;
-  for (const auto& entry : log_)
-    if (entry.slot > place) entries.push_back(entry);
-  return entries;
-}
-
 // ---- proposer ------------------------------------------------------------------------------------
 
 Out Replica::propose(Time now, std::uint64_t id, ChangeKind kind, std::string text) {
@@ -258,8 +249,7 @@
   const bool durable_here = accepted != accepted_.end() && accepted->second.change == change;
   const auto membership = state_.membership;
   const bool took_effect = configuration::apply(state_, change.kind, change.text);
-  log_.push_back({slot, change});
-  if (log_.size() > kKeptChanges) log_.pop_front();
+  log_.push({slot, change});
   std::erase_if(accepted_, [&](const auto& entry) { return entry.first <= slot; });
   out_.chosen.push_back({slot, change});
   out_.write.log.push_back({slot, change});
@@ -298,13 +288,12 @@
 
 void Replica::on(Time, const std::string& from, const Sender&, const Fetch& m) {
   if (!has_state()) return;
-  Log answer;
-  if (auto entries = m.after == kWhole ? std::nullopt : after(m.after)) {
-    answer.entries = std::move(*entries);
-  } else {
-    answer.snapshot = state_;
+  const bool up_to_date = m.after != kWhole && m.after >= state_.position;
+  if (!up_to_date && (m.after == kWhole || !log_.covers(m.after))) {
+    out_.snapshots.push_back({from, m.after == kWhole ? 0 : m.after});
+    return;
   }
-  send(from, std::move(answer));
+  send(from, Log{log_.after(m.after, kLogBatchBytes), state_.position});
 }
 
 void Replica::take_snapshot(const State& snapshot) {
@@ -325,14 +314,27 @@
   if (ballot_runs()) phase_ = Phase::idle;
 }
 
-void Replica::on(Time now, const std::string&, const Sender&, const Log& m) {
+void Replica::on(Time now, const std::string& from, const Sender&, const Log& m) {
   fetched_at_ = {};
-  if (m.snapshot) take_snapshot(*m.snapshot);
+  const auto before = state_.position;
   for (const auto& entry : m.entries) choose(now, entry.slot, entry.change);
+  if (state_.position > before && state_.position < m.newest) fetch_from(now, from);
+  after_learning(now);
+}
+
+void Replica::after_learning(Time now) {
   if (confirming_ && target_ && state_.position >= *target_) end_confirm(now);
   drive(now);
 }
 
+Out Replica::receive_snapshot(Time now, const State& snapshot) {
+  notice_time(now);
+  fetched_at_ = {};
+  take_snapshot(snapshot);
+  after_learning(now);
+  return std::exchange(out_, {});
+}
+
 // ---- acceptor ------------------------------------------------------------------------------------
 
 // A proposer whose membership is older than this one's stands at a place that is decided; a frame that says
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -19,6 +19,7 @@
 #include "system/agreement/membership.hpp"
 #include "system/agreement/messages.hpp"
 #include "system/base/time.hpp"
+#include "system/fleet/recent_changes.hpp"
 
 namespace docklift::agreement {
 
@@ -43,6 +44,12 @@
   Envelope envelope;
 };
 
+// Another store needs a snapshot of a state beyond `after`; the caller sends it, in parts.
+struct SnapshotNeed {
+  std::string to;           // ip
+  std::uint64_t after = 0;  // what it holds
+};
+
 // The outcome of a proposal or read barrier.
 struct Settled {
   std::uint64_t id = 0;
@@ -57,9 +64,10 @@
   Write write;
   std::vector<Send> sends;
   std::vector<Settled> settled;
-  std::vector<LogEntry> chosen;    // newly in force, in order
-  bool snapshot = false;           // the state was replaced by a snapshot
-  std::vector<std::string> notes;  // for the log
+  std::vector<SnapshotNeed> snapshots;  // to be sent, as `sends`
+  std::vector<LogEntry> chosen;         // newly in force, in order
+  bool snapshot = false;                // the state was replaced by a snapshot
+  std::vector<std::string> notes;       // for the log
 };
 
 class Replica {
@@ -68,6 +76,8 @@
 
   Out start(Time now);
   Out receive(Time now, const std::string& from, const Envelope& envelope);
+  // A whole snapshot of another store's state; passed over if it is not newer than what is held.
+  Out receive_snapshot(Time now, const State& snapshot);
   // `id`: the caller's, told back in Settled. `nothing` is a read barrier: it settles when the state is known
   // to hold all that was acknowledged before the call, and does not wait behind changes.
   Out propose(Time now, std::uint64_t id, ChangeKind kind, std::string text);
@@ -84,8 +94,8 @@
   bool has_state() const { return !state_.voters.empty(); }
   bool votes() const { return has_state() && is_voter({options_.self, disk_}); }
   std::uint64_t disk() const { return disk_; }
-  // Changes after a place, or none where a snapshot is needed.
-  std::optional<std::vector<LogEntry>> after(std::uint64_t place) const;
+  // The last changes; who is behind further needs a snapshot.
+  const fleet::RecentChanges<LogEntry>& recent() const { return log_; }
 
  private:
   struct Proposal {
@@ -126,6 +136,7 @@
   // Learner (replica.cpp).
   void choose(Time now, std::uint64_t slot, const Change& change);
   void take_snapshot(const State& snapshot);
+  void after_learning(Time now);
   void fetch_from(Time now, const std::string& address);
 
   // Read barriers (replica_quorum.cpp).
@@ -173,7 +184,7 @@
   State state_;
   std::map<std::uint64_t, AcceptedChange> accepted_;
   Ballot promised_;
-  std::deque<LogEntry> log_;  // the last changes, for who is behind a little
+  fleet::RecentChanges<LogEntry> log_;  // for who is behind a little
   std::uint64_t snapshot_at_ = 0;
   std::mt19937_64 rng_;
   Out out_;
--- a/src/system/fleet/change_log.hpp
+++ b/src/system/fleet/change_log.hpp
@@ -3,15 +3,28 @@
 #pragma once
 
 #include <algorithm>
-#include <deque>
-#include <functional>
 #include <memory>
 
 #include "system/fleet/frames.hpp"
+#include "system/fleet/recent_changes.hpp"
 
 namespace docklift::fleet {
 
-class ChangeLog {
+inline std::uint64_t position_of(const Entry& e) { return e.position; }
+inline std::size_t bytes_of(const Entry& e) { return e.text.size() + sizeof(Entry); }
+
+// What followers are fed from: a state and the changes that led to it last.
+class ChangeSource {
+ public:
+  virtual ~ChangeSource() = default;
+  virtual const configuration::State& state() const = 0;
+  // Whether entries_after() has all changes after a place; false where there are none or a snapshot is needed.
+  virtual bool covers(std::uint64_t place) const = 0;
+  // Changes after a place that is covered: a batch of about so many bytes, one change at least.
+  virtual std::vector<Entry> entries_after(std::uint64_t place, std::size_t batch_bytes) const = 0;
+};
+
+class ChangeLog : public ChangeSource {
  public:
   enum class News {
     none,
@@ -19,24 +32,25 @@
     gap
   };  // gap: a change is missing between; ask for what comes after position()
 
-  News take(wire::Snapshot::Reader snapshot);
+  News take(configuration::State snapshot);  // none: it is not newer than what is held
   News take(capnp::List<wire::Entry>::Reader entries);
 
-  const configuration::State& state() const { return state_; }
+  const configuration::State& state() const override { return state_; }
   std::uint64_t position() const { return state_.position; }
+  bool covers(std::uint64_t place) const override { return recent_.covers(place); }
+  std::vector<Entry> entries_after(std::uint64_t place, std::size_t batch_bytes) const override {
+    return recent_.after(place, batch_bytes);
+  }
   // What the state's document means; null: there is none yet.
   const std::shared_ptr<const configuration::Configuration>& configuration() const { return configuration_; }
   // Zones taken back by the last news.
   const std::vector<std::string>& readmitted() const { return readmitted_; }
 
-  // What brings a follower from a place up to date: entries, or a snapshot. False: it is up to date.
-  bool frame_after(std::uint64_t place, Outgoing& out) const;
-
  private:
   void reread();
   configuration::State state_;
   std::shared_ptr<const configuration::Configuration> configuration_;
-  std::deque<Entry> last_;
+  RecentChanges<Entry> recent_;
   std::vector<std::string> readmitted_;
 };
 
--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -20,6 +20,8 @@
       clock_(clock),
       listener_(listener),
       log_("control"),
+      follower_([this](const std::string& ip, fleet::Outgoing& out) { send_to(ip, out); },
+                [this](const std::string& note) { log_.info(note); }),
       confirm_tokens_(kTokens),
       unit_calls_(kUnitCalls),
       timer_(io.get_executor()) {
@@ -61,24 +63,22 @@
         self_.stamp++, self_.heard = clock_.now();
         fleet::put(out.frame().initHello(), self_, clock_.now());
         link->send(out.message());
-        follow(ip);
+        follower_.on_linked(ip);
         request_confirmation(*link, confirm_tokens_.sent(clock_.now()));
         check_holder();
       },
-      [this](const Failure& why) {
+      [this, ip](const Failure& why) {
         log_.debug(why.shown());
+        follower_.on_lost(clock_.now(), ip);
         check_holder();
       });
   links_[ip] = dialer;
   dialer->start();
 }
 
-void ControlClient::follow(const std::string& ip) {
+void ControlClient::send_to(const std::string& ip, fleet::Outgoing& out) {
   const auto d = links_.find(ip);
-  if (d == links_.end() || !d->second->up()) return;
-  fleet::Outgoing out;
-  out.frame().setFollow(changes_.position());
-  d->second->link()->send(out.message());
+  if (d != links_.end() && d->second->up()) d->second->link()->send(out.message());
 }
 
 void ControlClient::set_state(bool ready, bool leaving) {
@@ -158,15 +158,10 @@
 void ControlClient::on_frame(const std::string& ip, wire::Frame::Reader frame) {
   if (stopped_) return;
   switch (frame.which()) {
-    case wire::Frame::SNAPSHOT:
-      if (changes_.take(frame.getSnapshot()) == fleet::ChangeLog::News::taken) on_log_advanced();
-      break;
-    case wire::Frame::ENTRIES: {
-      const auto news = changes_.take(frame.getEntries());
-      if (news == fleet::ChangeLog::News::gap) follow(ip);
-      if (news == fleet::ChangeLog::News::taken) on_log_advanced();
+    case wire::Frame::CHANGES:
+    case wire::Frame::SNAPSHOT_PART:
+      if (follower_.on_frame(clock_.now(), ip, frame) == fleet::ChangeLog::News::taken) on_log_advanced();
       break;
-    }
     case wire::Frame::CONFIRMED: on_confirmed(frame.getConfirmed()); break;
     case wire::Frame::FLEET: on_fleet(ip, frame.getFleet()); break;
     case wire::Frame::UNIT_GRANTS: on_unit_grants(ip, frame.getUnitGrants()); break;
@@ -212,7 +207,7 @@
     listener_.on_new_holder(term_);
     check_holder();
   }
-  if (f.getPosition() > changes_.position() + 1) follow(ip);
+  if (f.getPosition() > changes_.position() + 1) follower_.on_newer(ip);
 }
 
 }  // namespace docklift::proxy
--- a/src/system/proxy/control_client.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -15,6 +15,7 @@
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/confirmation.hpp"
 #include "system/net/link.hpp"
+#include "system/transfer/change_follower.hpp"
 
 namespace docklift::proxy {
 
@@ -52,7 +53,7 @@
   void on_log_advanced();
   void tell_confirmed();
   void request_confirmation(Link& link, std::uint64_t token);
-  void follow(const std::string& ip);
+  void send_to(const std::string& ip, fleet::Outgoing& out);
   void renew();
   void tick();
   void check_holder();
@@ -62,7 +63,8 @@
   const snowknot::Clock& clock_;
   Listener& listener_;
   Log log_;
-  fleet::ChangeLog changes_;
+  transfer::ChangeFollower follower_;
+  const fleet::ChangeLog& changes_ = follower_.changes();
   fleet::Node self_;
   std::map<std::string, std::shared_ptr<Dialer>> links_;  // by ip
   std::vector<std::string> registries_;  // as they have told, those first that were linked first
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -29,6 +29,8 @@
     : io_(io),
       settings_(settings),
       log_("registry"),
+      follower_([this](const std::string& ip, fleet::Outgoing& out) { send_to_store(ip, out); },
+                [this](const std::string& note) { log_.info(note); }),
       lease_(lease::Terms{}, settings.bind_ip, draw_life(), settings.bootstrap, clock_.now()),
       counts_({settings.bounds.quota_win_s, settings.bounds.quota_excess, settings.bounds.quota_slack}),
       record_cache_(std::move(record_cache)),
@@ -92,15 +94,14 @@
         [this, ip](wire::Frame::Reader frame) { on_store_frame(ip, frame); },
         [this, hello, ip](const std::shared_ptr<Link>& link) {
           hello(link);
-          fleet::Outgoing out;
-          out.frame().setFollow(changes_.position());
-          link->send(out.message());
+          follower_.on_linked(ip);
           for (auto& [call, p] : pending_)
             if (p.store.empty()) send_pending(call, p);
           begin_read_barrier();
         },
         [this, ip](const Failure& why) {
           log_.debug(why.shown());
+          follower_.on_lost(clock_.now(), ip);
           for (auto& [call, p] : pending_)
             if (p.store == ip) p.store.clear(), send_pending(call, p);
         });
@@ -148,7 +149,7 @@
       node.heard = now;
       lease_.observe_term(node.term);
       if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
-        auto& p = proxies_[link.get()] = {link, node.id, false, 0, {}, false};
+        auto& p = proxies_[link.get()] = {link, node.id, {}, {}, false};
         tell_all_servers(p);
       }
       if (node.role == fleet::Role::REGISTRY && !peers_.contains(link.get())) {
@@ -163,9 +164,14 @@
     case wire::Frame::FOLLOW: {
       const auto p = proxies_.find(link.get());
       if (p == proxies_.end()) break;
-      p->second.follows = true, p->second.position = frame.getFollow();
-      if (fleet::Outgoing out; changes_.frame_after(p->second.position, out))
-        p->second.position = changes_.position(), link->send(out.message());
+      feed_.on_follow(p->second.changes, frame.getFollow());
+      bring_up_to_date(p->second);
+      break;
+    }
+    case wire::Frame::SNAPSHOT_PART_REQUEST: {
+      fleet::Outgoing out;
+      feed_.answer(now, frame.getSnapshotPartRequest(), changes_, out);
+      link->send(out.message());
       break;
     }
     case wire::Frame::CONFIRM: {
@@ -211,19 +217,8 @@
 void Registry::on_store_frame(const std::string& ip, wire::Frame::Reader frame) {
   if (stopped_) return;
   switch (frame.which()) {
-    case wire::Frame::SNAPSHOT: after_news(changes_.take(frame.getSnapshot())); break;
-    case wire::Frame::ENTRIES: {
-      const auto news = changes_.take(frame.getEntries());
-      if (news == fleet::ChangeLog::News::gap) {
-        if (const auto d = stores_.find(ip); d != stores_.end() && d->second->up()) {
-          fleet::Outgoing out;
-          out.frame().setFollow(changes_.position());
-          d->second->link()->send(out.message());
-        }
-      }
-      after_news(news);
-      break;
-    }
+    case wire::Frame::CHANGES:
+    case wire::Frame::SNAPSHOT_PART: after_news(follower_.on_frame(clock_.now(), ip, frame)); break;
     case wire::Frame::VERDICT: {
       const auto v = frame.getVerdict();
       auto call = pending_.extract(v.getCall());
@@ -234,14 +229,20 @@
   }
 }
 
+void Registry::send_to_store(const std::string& ip, fleet::Outgoing& out) {
+  const auto store = stores_.find(ip);
+  if (store != stores_.end() && store->second->up()) store->second->link()->send(out.message());
+}
+
+void Registry::bring_up_to_date(Proxy& proxy) {
+  fleet::Outgoing out;
+  if (feed_.next(clock_.now(), proxy.changes, changes_, out)) proxy.link->send(out.message());
+}
+
 void Registry::after_news(fleet::ChangeLog::News news) {
   if (news != fleet::ChangeLog::News::taken) return;
   confirmation_.advanced(changes_.position());
-  for (auto& [link, p] : proxies_) {
-    if (!p.follows) continue;
-    if (fleet::Outgoing out; changes_.frame_after(p.position, out))
-      p.position = changes_.position(), p.link->send(out.message());
-  }
+  for (auto& [link, p] : proxies_) bring_up_to_date(p);
   for (const auto& zone : changes_.readmitted())
     for (const auto& [id, s] : servers_.all())
       if (s.zone == zone) retold_.insert(id);
@@ -545,6 +546,7 @@
       send_lease_request(*request);
     check_lease();
     if (ticks_ % kBarrierTicks == 0) begin_read_barrier();
+    feed_.expire(now);
     if (ticks_ % kFlushTicks == 0) flush();
     if (ticks_ % kSaveTicks == 0) save_records();
     if (ticks_ % kDigestTicks == 0) {
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -18,6 +18,8 @@
 #include "system/fleet/records.hpp"
 #include "system/lease/holder_lease.hpp"
 #include "system/net/link.hpp"
+#include "system/transfer/change_feed.hpp"
+#include "system/transfer/change_follower.hpp"
 
 namespace docklift {
 
@@ -48,8 +50,7 @@
   struct Proxy {
     std::shared_ptr<Link> link;
     std::string id;
-    bool follows = false;
-    std::uint64_t position = 0;
+    transfer::ChangeFeed::Follower changes{};
     fleet::ConfirmRequests confirm_requests;
     bool asked_to_confirm = false;
   };
@@ -67,6 +68,8 @@
   void on_gossip(wire::Gossip::Reader g, const std::shared_ptr<Link>& answer_on);
   void on_unit_request(Proxy& p, wire::UnitRequest::Reader request);
   void after_news(fleet::ChangeLog::News news);
+  void bring_up_to_date(Proxy& proxy);
+  void send_to_store(const std::string& ip, fleet::Outgoing& out);
   void dial(const std::string& ip);
   void dial_all();
   void begin_read_barrier();
@@ -103,7 +106,9 @@
   std::map<std::string, fleet::Server> heard_servers_;  // to be gossiped with the next flush
   std::map<std::string, fleet::Node> heard_nodes_;
   std::set<std::string> retold_;  // servers whose next beat proxies must know, as their zone was taken back
-  fleet::ChangeLog changes_;
+  transfer::ChangeFollower follower_;  // of the stores
+  const fleet::ChangeLog& changes_ = follower_.changes();
+  transfer::ChangeFeed feed_;  // of the proxies
   fleet::Confirmation confirmation_;
   lease::HolderLease lease_;
   counts::Counts counts_;
--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -28,6 +28,13 @@
 
 }  // namespace
 
+std::vector<fleet::Entry> ReplicaChanges::entries_after(std::uint64_t place, std::size_t batch_bytes) const {
+  std::vector<fleet::Entry> entries;
+  for (const auto& chosen : replica_.recent().after(place, batch_bytes))
+    entries.push_back({chosen.slot, fleet::change_of(chosen.change.kind), chosen.change.text});
+  return entries;
+}
+
 Store::Store(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Disk> disk,
              agreement::Kept kept)
     : io_(io),
@@ -79,7 +86,9 @@
     const auto dialer = std::make_shared<Dialer>(
         io_, to, LinkLimits{},
         [this, ip](wire::Frame::Reader frame) {  // answers may come back on the same link
-          if (!frame.isAgreement() || stopped_) return;
+          if (stopped_) return;
+          if (frame.isSnapshotPart()) on_snapshot_part(ip, frame.getSnapshotPart());
+          if (!frame.isAgreement()) return;
           if (const auto envelope = agreement::decode(fleet::text_of(frame.getAgreement())))
             carry_out(replica_.receive(clock_.now(), ip, *envelope));
         },
@@ -93,6 +102,7 @@
         },
         [this, ip](const Failure& why) {
           replica_.unlinked(ip);
+          carry_out(receiver_.on_source_lost(clock_.now(), ip));
           log_.debug(why.shown());
         });
     stores_[ip] = dialer;
@@ -142,7 +152,7 @@
         if (const auto d = stores_.find(ip); d != stores_.end() && d->second->up())
           replica_.linked(ip, zones_[ip]);
       } else {
-        registries_[link.get()] = {link, false, 0};
+        registries_[link.get()] = {link, {}};
       }
       break;
     }
@@ -153,13 +163,25 @@
         carry_out(replica_.receive(now, from->second, *envelope));
       break;
     }
+    case wire::Frame::SNAPSHOT_PART: {
+      if (const auto from = peers_.find(link.get()); from != peers_.end())
+        on_snapshot_part(from->second, frame.getSnapshotPart());
+      break;
+    }
     case wire::Frame::FOLLOW: {
       const auto r = registries_.find(link.get());
       if (r == registries_.end()) break;
-      r->second.follows = true, r->second.position = frame.getFollow();
+      feed_.on_follow(r->second.changes, frame.getFollow());
       bring_up_to_date(r->second);
       break;
     }
+    case wire::Frame::SNAPSHOT_PART_REQUEST: {
+      if (!replica_.has_state()) break;
+      fleet::Outgoing part;
+      feed_.answer(now, frame.getSnapshotPartRequest(), changes_, part);
+      link->send(part.message());
+      break;
+    }
     case wire::Frame::PROPOSAL: {
       const auto p = frame.getProposal();
       const auto id = ++proposals_;
@@ -176,6 +198,7 @@
   for (const auto& note : out.notes) log_.info(note);
   for (const auto& send_now : std::exchange(out.immediate, {})) send(send_now.to, send_now.envelope);
   if (!out.chosen.empty() || out.snapshot) {
+    receiver_.on_position(replica_.state().position);
     for (const auto& c : out.chosen)
       log_.info("change " + std::to_string(c.slot) + " is in force, version " +
                 configuration::shown_version(replica_.state().version()));
@@ -212,6 +235,7 @@
     link->send(answer.message());
   }
   for (const auto& later : out.sends) send(later.to, later.envelope);
+  for (const auto& need : out.snapshots) offer_snapshot(need);
 }
 
 void Store::send(const std::string& to, const agreement::Envelope& envelope) {
@@ -223,27 +247,47 @@
   }
   const auto it = stores_.find(to);
   if (it == stores_.end() || !it->second->up()) return;
+  // What is fetched now brings it on.
+  const bool fetching = receiver_.fetching() && !receiver_.paused();
+  if (fetching && std::holds_alternative<agreement::Fetch>(envelope.message)) return;
   fleet::Outgoing frame;
   frame.frame().setAgreement(fleet::data_of(agreement::encode(envelope)));
   it->second->link()->send(frame.message());
 }
 
 void Store::bring_up_to_date(Registry& r) {
-  const auto& state = replica_.state();
-  if (!r.follows || !r.link->open() || r.position >= state.position || !replica_.has_state()) return;
+  if (!r.link->open() || !replica_.has_state()) return;
   fleet::Outgoing frame;
-  const auto entries = r.position == 0 ? std::nullopt : replica_.after(r.position);
-  if (entries) {
-    auto list = frame.frame().initEntries(static_cast<unsigned>(entries->size()));
-    for (unsigned i = 0; i < list.size(); ++i) {
-      const auto& c = (*entries)[i];
-      fleet::put(list[i], fleet::Entry{c.slot, fleet::change_of(c.change.kind), c.change.text});
-    }
-  } else {
-    fleet::put(frame.frame().initSnapshot(), state);
+  if (feed_.next(clock_.now(), r.changes, changes_, frame)) r.link->send(frame.message());
+}
+
+// ---- snapshots between stores ----------------------------------------------------------------------
+
+void Store::offer_snapshot(const agreement::SnapshotNeed& need) {
+  const auto store = stores_.find(need.to);
+  if (store == stores_.end() || !store->second->up()) return;
+  fleet::Outgoing frame;
+  feed_.offer(clock_.now(), need.after, changes_, frame);
+  store->second->link()->send(frame.message());
+}
+
+void Store::on_snapshot_part(const std::string& from, wire::SnapshotPart::Reader frame) {
+  const auto now = clock_.now();
+  const auto least = replica_.has_state() ? replica_.state().position + 1 : 0;
+  const auto step = receiver_.on_part(now, from, transfer::get(frame), least);
+  carry_out(step);
+  if (step.whole) carry_out(replica_.receive_snapshot(now, *step.whole));
+}
+
+void Store::carry_out(const transfer::SnapshotReceiver::Step& step) {
+  for (const auto& note : step.notes) log_.info(note);
+  for (const auto& request : step.requests) {
+    const auto store = stores_.find(request.source);
+    if (store == stores_.end() || !store->second->up()) continue;
+    fleet::Outgoing frame;
+    transfer::put(frame.frame().initSnapshotPartRequest(), request.part);
+    store->second->link()->send(frame.message());
   }
-  r.position = state.position;
-  r.link->send(frame.message());
 }
 
 // Hands the vote over where a learner can take it, then ends.
@@ -266,6 +310,7 @@
   timer_.expires_after(kTick);
   timer_.async_wait([this](boost::system::error_code failed_wait) {
     if (failed_wait || stopped_) return;
+    feed_.expire(clock_.now());
     if (disk_.waiting() <= kWritesWaiting) carry_out(replica_.tick(clock_.now()));
     tick();
   });
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -14,9 +14,23 @@
 #include "system/disk/disk.hpp"
 #include "system/fleet/frames.hpp"
 #include "system/net/link.hpp"
+#include "system/transfer/change_feed.hpp"
+#include "system/transfer/snapshot_receiver.hpp"
 
 namespace docklift {
 
+// A replica as the source of what followers are sent.
+class ReplicaChanges : public fleet::ChangeSource {
+ public:
+  explicit ReplicaChanges(const agreement::Replica& replica) : replica_(replica) {}
+  const configuration::State& state() const override { return replica_.state(); }
+  bool covers(std::uint64_t place) const override { return replica_.recent().covers(place); }
+  std::vector<fleet::Entry> entries_after(std::uint64_t place, std::size_t batch_bytes) const override;
+
+ private:
+  const agreement::Replica& replica_;
+};
+
 class Store {
  public:
   Store(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Disk> disk,
@@ -32,8 +46,7 @@
  private:
   struct Registry {
     std::shared_ptr<Link> link;
-    bool follows = false;
-    std::uint64_t position = 0;
+    transfer::ChangeFeed::Follower changes{};
   };
   void accepted(const std::shared_ptr<Link>& link);
   void on_frame(const std::shared_ptr<Link>& link, wire::Frame::Reader frame);
@@ -45,11 +58,17 @@
   void drop_unreachable(const std::set<std::string>& needed);
   void tick();
   void bring_up_to_date(Registry& r);
+  void offer_snapshot(const agreement::SnapshotNeed& need);
+  void on_snapshot_part(const std::string& from, wire::SnapshotPart::Reader part);
+  void carry_out(const transfer::SnapshotReceiver::Step& step);
 
   boost::asio::io_context& io_;
   SystemSettings settings_;
   snowknot::Clock clock_;
   agreement::Replica replica_;
+  ReplicaChanges changes_{replica_};
+  transfer::ChangeFeed feed_;            // of the registries, and of stores that need a snapshot
+  transfer::SnapshotReceiver receiver_;  // of another store's snapshot
   DiskThread disk_;
   Log log_;
   std::unique_ptr<LinkListener> listener_;
--- /dev/null
+++ b/src/system/transfer/change_follower.cpp
@@ -0,0 +1,83 @@
+#include "system/transfer/change_follower.hpp"
+
+namespace docklift::transfer {
+
+void ChangeFollower::follow(const std::string& source) {
+  fleet::Outgoing out;
+  out.frame().setFollow(changes_.position());
+  send_(source, out);
+}
+
+// Sources wait for a word after what was not the last they have.
+void ChangeFollower::follow_all() {
+  for (const auto& source : sources_) follow(source);
+}
+
+void ChangeFollower::on_linked(const std::string& source) {
+  sources_.insert(source);
+  follow(source);
+}
+
+void ChangeFollower::on_lost(Time now, const std::string& source) {
+  sources_.erase(source);
+  carry_out(receiver_.on_source_lost(now, source));
+  const bool was_pulled = pulled_ == source;
+  if (was_pulled) pulled_.clear();
+  if ((was_pulled && !receiver_.fetching()) || receiver_.paused()) follow_all();
+}
+
+void ChangeFollower::on_newer(const std::string& source) {
+  if (!catching_up()) follow(source);
+}
+
+ChangeFollower::News ChangeFollower::on_frame(Time now, const std::string& source,
+                                              wire::Frame::Reader frame) {
+  if (frame.isChanges()) return on_batch(source, frame.getChanges());
+  if (frame.isSnapshotPart()) return on_part(now, source, frame.getSnapshotPart());
+  return News::none;
+}
+
+ChangeFollower::News ChangeFollower::on_batch(const std::string& source, wire::ChangeBatch::Reader batch) {
+  const auto news = changes_.take(batch.getEntries());
+  const bool was_fetching = receiver_.fetching();
+  receiver_.on_position(changes_.position());
+  const bool was_pulled = pulled_ == source;
+  if (was_pulled) pulled_.clear();
+  if (news == News::gap) {
+    on_newer(source);
+  } else if (changes_.position() < batch.getNewest()) {
+    if (!catching_up()) {
+      pulled_ = source;
+      follow(source);
+    }
+  } else if (was_pulled || (was_fetching && !receiver_.fetching())) {
+    follow_all();
+  }
+  return news;
+}
+
+ChangeFollower::News ChangeFollower::on_part(Time now, const std::string& source,
+                                             wire::SnapshotPart::Reader frame) {
+  const auto part = get(frame);
+  if (pulled_ == source) pulled_.clear();
+  auto step = receiver_.on_part(now, source, part, changes_.position() + 1);
+  carry_out(step);
+  // An offer of what has come by other means: the source waits for a word after it.
+  if (part.id.position <= changes_.position() && part.offset == 0) on_newer(source);
+  if (step.failed) follow_all();
+  if (!step.whole) return News::none;
+  const auto news = changes_.take(std::move(*step.whole));
+  follow_all();
+  return news;
+}
+
+void ChangeFollower::carry_out(const SnapshotReceiver::Step& step) {
+  for (const auto& note : step.notes) note_(note);
+  for (const auto& request : step.requests) {
+    fleet::Outgoing out;
+    put(out.frame().initSnapshotPartRequest(), request.part);
+    send_(request.source, out);
+  }
+}
+
+}  // namespace docklift::transfer
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -53,6 +53,30 @@
   membership @5 :UInt64; # how often the voters have changed
 }
 
+# Changes in order, at most a batch: a follower that has taken them and stands before `newest` asks for more.
+struct ChangeBatch {
+  entries @0 :List(Entry);
+  newest @1 :UInt64;       # position of the last change that the sender has
+}
+# A snapshot is sent as its encoded bytes, in parts that the receiver asks for (src/system/transfer).
+struct SnapshotId {
+  position @0 :UInt64;     # of the last change in it
+  digestLow @1 :UInt64;    # XXH3, 128 bits, of the encoded bytes
+  digestHigh @2 :UInt64;
+}
+struct SnapshotPart {
+  id @0 :SnapshotId;
+  total @1 :UInt64;        # bytes of the whole
+  offset @2 :UInt64;
+  bytes @3 :Data;
+  replaces @4 :Bool;       # the answer to a request for a snapshot that the sender does not hold
+}
+struct SnapshotPartRequest {
+  id @0 :SnapshotId;
+  offset @1 :UInt64;
+  length @2 :UInt32;       # at most; the sender may send less
+}
+
 struct Proposal {
   call @0 :UInt64;       # of the proposer's choice
   change @1 :Change;
@@ -117,8 +141,8 @@
   union {
     hello @0 :Node;           # the first frame of a connection, by who connects; then as a renewal
     follow @1 :UInt64;        # send me changes after this position (0: I have nothing)
-    snapshot @2 :Snapshot;
-    entries @3 :List(Entry);
+    retiredSnapshot @2 :Snapshot;      # not sent any more
+    retiredEntries @3 :List(Entry);    # not sent any more
     fleet @4 :Fleet;
     unitRequest @5 :UnitRequest;
     unitGrants @6 :UnitGrants;
@@ -131,5 +155,8 @@
     alive @13 :Void;
     confirmed @14 :Confirmed; # registry to proxy
     confirm @15 :UInt64;      # proxy to registry: a token, of which it remembers when it sent it
+    changes @16 :ChangeBatch;
+    snapshotPart @17 :SnapshotPart;
+    snapshotPartRequest @18 :SnapshotPartRequest;
   }
 }
--- a/tests/layers.cmake
+++ b/tests/layers.cmake
@@ -7,7 +7,7 @@
   math(EXPR rank "${rank} + 1")
 endforeach()
 # The system's rooms, the same way among themselves; of the edge node's they may use these two and the arithmetic in helpers.hpp.
-set(system_order base wire net http configuration fleet agreement disk lease counts decisions program store registry proxy)
+set(system_order base wire net http configuration fleet transfer agreement disk lease counts decisions program store registry proxy)
 set(shared net framing)
 set(rank 0)
 foreach(room IN LISTS system_order)
--- a/tests/system/control_fleet.cpp
+++ b/tests/system/control_fleet.cpp
@@ -355,6 +355,7 @@
     if (members_[index].life != life) return;  // the answer brought a fault about
   }
   for (const auto& later_sent : out.sends) send(index, later_sent);
+  for (const auto& need : out.snapshots) send_snapshot(index, need);
 }
 
 // ---- network -------------------------------------------------------------------------------------
@@ -367,7 +368,22 @@
   if (on_packet) on_packet(packet);
   if (packet.drop) return;
   if (packet.from == packet.to) return transmit(packet, life, 1us, now_);
-  if (!links_[{from, *to}].up || chance(options_.loss)) return;
+  transmit_to_peer(packet, life);
+}
+
+// Whole; how it goes in parts is transfer_test's.
+void ControlFleet::send_snapshot(MemberIndex from, const agreement::SnapshotNeed& need) {
+  const auto to = index_of(need.to);
+  if (!to || *to == from) return;
+  Packet packet;
+  packet.from = from;
+  packet.to = *to;
+  packet.snapshot = transfer::encode(members_[from].replica->state());
+  transmit_to_peer(packet, members_[from].life);
+}
+
+void ControlFleet::transmit_to_peer(const Packet& packet, std::uint64_t life) {
+  if (!links_[{packet.from, packet.to}].up || chance(options_.loss)) return;
   const int copies = chance(options_.duplicate) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
     const bool late = chance(options_.duplicate);
@@ -389,6 +405,11 @@
       auto& member = members_[packet.to];
       if (packet.from != packet.to && member.disk.waiting() > kWritesWaiting) return;
       // Through the encoding, as on the wire.
+      if (packet.snapshot) {
+        const auto state = transfer::decode(packet.snapshot->bytes);
+        if (!state) return contradictions_.push_back("a snapshot can't be read");
+        return carry_out(packet.to, member.replica->receive_snapshot(now_, *state));
+      }
       const auto envelope = agreement::decode(agreement::encode(packet.envelope));
       if (!envelope) return contradictions_.push_back("a message can't be read");
       carry_out(packet.to, member.replica->receive(now_, members_[packet.from].address, *envelope));
--- a/tests/system/control_fleet.hpp
+++ b/tests/system/control_fleet.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "system/agreement/replica.hpp"
+#include "system/transfer/snapshot.hpp"
 
 namespace docklift::test {
 
@@ -70,6 +71,8 @@
   MemberIndex from = 0, to = 0;
   agreement::Envelope envelope;
   bool drop = false;
+  std::shared_ptr<const transfer::Snapshot>
+      snapshot{};  // set: this is what is sent, in place of the envelope
 };
 
 class ControlFleet {
@@ -170,6 +173,8 @@
   void note_log(MemberIndex member, const agreement::Out& out);
   void work_disk(MemberIndex member);
   void send(MemberIndex from, const agreement::Send& send);
+  void send_snapshot(MemberIndex from, const agreement::SnapshotNeed& need);
+  void transmit_to_peer(const Packet& packet, std::uint64_t life);
   void transmit(const Packet& packet, std::uint64_t from_life, Duration delay, Time waits_until);
   void update_links();
   void change_link(MemberIndex from, MemberIndex to, bool up, Duration delay);
--- a/tests/system/core_fleet.hpp
+++ b/tests/system/core_fleet.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "system/agreement/replica.hpp"
+#include "system/transfer/snapshot.hpp"
 
 namespace docklift::test {
 
@@ -227,15 +228,13 @@
     for (const auto& s : out.settled) answers[s.id] = {s.status, s.why};
     const auto from = index(m.ip);
     const auto life = m.life;
+    for (const auto& need : out.snapshots) send_snapshot(from, index(need.to), m.replica->state());
     for (auto& s : out.sends) {
       const auto to = index(s.to);
       if (to >= members.size()) continue;
       const bool own = to == from;
-      if (!own && (!reaches(from, to) || static_cast<double>(random() % 10000) < loss * 10000)) continue;
-      const auto spread = static_cast<std::uint64_t>((most - least).count() + 1);
-      Duration d = own ? Duration(1us) : least + Duration(static_cast<Duration::rep>(random() % spread));
-      for (const auto end : {from, to})
-        if (const auto more = far.find(end); !own && more != far.end()) d += more->second;
+      if (!own && is_lost(from, to)) continue;
+      const Duration d = delay(from, to);
       // Through the encoding, as on the wire.
       later(d, [this, to, from, life, own, bytes = agreement::encode(s.envelope)] {
         if (!members[to].replica || (own && members[to].life != life) || !reaches(from, to)) return;
@@ -246,6 +245,28 @@
     }
   }
 
+  bool is_lost(std::size_t from, std::size_t to) {
+    return !reaches(from, to) || static_cast<double>(random() % 10000) < loss * 10000;
+  }
+  Duration delay(std::size_t from, std::size_t to) {
+    const bool own = to == from;
+    const auto spread = static_cast<std::uint64_t>((most - least).count() + 1);
+    Duration d = own ? Duration(1us) : least + Duration(static_cast<Duration::rep>(random() % spread));
+    for (const auto end : {from, to})
+      if (const auto more = far.find(end); !own && more != far.end()) d += more->second;
+    return d;
+  }
+  // Whole and at once; how it goes in parts is transfer_test's.
+  void send_snapshot(std::size_t from, std::size_t to, const configuration::State& state) {
+    if (to >= members.size() || is_lost(from, to)) return;
+    later(delay(from, to), [this, to, from, snapshot = transfer::encode(state)] {
+      if (!members[to].replica || !reaches(from, to)) return;
+      const auto decoded = transfer::decode(snapshot->bytes);
+      if (!decoded) return wrongs.push_back("a snapshot can't be read");
+      carry_out(members[to], members[to].replica->receive_snapshot(now, *decoded));
+    });
+  }
+
   std::priority_queue<Event> events_;
   std::uint64_t order_ = 0, calls_ = 0, disks_ = 0;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -239,9 +239,9 @@
   fleet::ChangeLog source, follower;
   const auto feed = [](fleet::ChangeLog& to, std::vector<fleet::Entry> entries) {
     fleet::Outgoing out;
-    auto list = out.frame().initEntries(static_cast<unsigned>(entries.size()));
+    auto list = out.frame().initChanges().initEntries(static_cast<unsigned>(entries.size()));
     for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], entries[i]);
-    return to.take(out.frame().asReader().getEntries());
+    return to.take(out.frame().asReader().getChanges().getEntries());
   };
   const fleet::Entry one{1, wire::Change::REPLACE, config_body(1, 0)}, two{2, wire::Change::EVACUATE, "z"},
       three{3, wire::Change::READMIT, "z"};
@@ -253,10 +253,11 @@
   BOOST_TEST((feed(follower, {one, two}) == fleet::ChangeLog::News::none));
   BOOST_TEST((feed(follower, {three}) == fleet::ChangeLog::News::taken));
   BOOST_TEST(follower.readmitted().size() == 1u);
-  fleet::Outgoing snapshot;
   fleet::ChangeLog fresh;
-  BOOST_REQUIRE(source.frame_after(0, snapshot));
-  BOOST_TEST((fresh.take(snapshot.frame().asReader().getSnapshot()) == fleet::ChangeLog::News::taken));
+  auto snapshot = transfer::decode(transfer::encode(source.state())->bytes);
+  BOOST_REQUIRE(snapshot.has_value());
+  BOOST_TEST((fresh.take(*snapshot) == fleet::ChangeLog::News::taken));
+  BOOST_TEST((fresh.take(*snapshot) == fleet::ChangeLog::News::none));
   BOOST_TEST(fresh.position() == 2u);
   BOOST_TEST(fresh.configuration()->version == 1u);
   BOOST_TEST(fresh.state().evacuated.size() == 1u);
--- /dev/null
+++ b/tests/system/transfer_test.cpp
@@ -0,0 +1,513 @@
+// Snapshots and catch-up: followers and sources over paced links in virtual time. Nothing here sleeps.
+#include <capnp/serialize.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+#include "core_fleet.hpp"
+#include "system/transfer/change_feed.hpp"
+#include "system/transfer/change_follower.hpp"
+
+namespace docklift::test {
+namespace {
+
+using fleet::Entry;
+using transfer::ChangeFeed;
+using transfer::ChangeFollower;
+using transfer::kPartBytes;
+using transfer::Part;
+using transfer::PartRequest;
+using transfer::SnapshotReceiver;
+using transfer::SnapshotSender;
+
+// A configuration of so many routes, each of some 1,000 bytes where `wide`.
+std::string many_routes(std::uint64_t version, std::uint64_t parent, std::size_t routes, bool wide = false) {
+  const std::string padding(wide ? 860 : 1, 'p');
+  auto body = nlohmann::json::parse(config_body(version, parent));
+  auto& policy = body["listeners"][0]["policy"];
+  const auto route = policy[0];
+  for (std::size_t i = 1; i < routes; ++i) {
+    policy.push_back(route);
+    policy.back()["name"] = "r" + std::to_string(i) + padding;
+    policy.back()["match"]["pfx"] = "/a/" + std::to_string(i) + "/";
+  }
+  return body.dump();
+}
+
+void push(fleet::ChangeLog& log, wire::Change change, const std::string& text) {
+  fleet::Outgoing out;
+  auto list = out.frame().initChanges().initEntries(1);
+  fleet::put(list[0], Entry{log.position() + 1, change, text});
+  BOOST_REQUIRE(
+      (log.take(out.frame().asReader().getChanges().getEntries()) == fleet::ChangeLog::News::taken));
+}
+
+// One follower and some sources, each with a link of its own: a rate and a delay both ways, cut and joined.
+class Net {
+ public:
+  struct Source {
+    fleet::ChangeLog log;
+    ChangeFeed feed;
+    ChangeFeed::Follower peer;
+    bool linked = false;
+    std::uint64_t link = 0;  // rises with each cut: what was under way is lost
+    Time free_up{}, free_down{};
+    std::uint64_t bytes_down = 0, frames_up = 0;
+    Duration longest_queue{};  // that a frame stood behind others on the way down
+  };
+
+  explicit Net(std::size_t count, double bits_per_s = 1e9, Duration delay = 1ms)
+      : sources(count), bits_per_s_(bits_per_s), delay_(delay) {}
+
+  static std::string name(std::size_t i) { return "s" + std::to_string(i); }
+
+  void link(std::size_t i) {
+    if (sources[i].linked) return;
+    sources[i].linked = true;
+    sources[i].peer = {};
+    follower.on_linked(name(i));
+  }
+  void cut(std::size_t i) {
+    if (!sources[i].linked) return;
+    sources[i].linked = false;
+    ++sources[i].link;
+    sources[i].free_up = sources[i].free_down = now;
+    follower.on_lost(now, name(i));
+  }
+  // A change that all sources learn, or those of a list.
+  void change(wire::Change kind, const std::string& text) {
+    for (std::size_t i = 0; i < sources.size(); ++i) change_at(i, kind, text);
+  }
+  void change_at(std::size_t i, wire::Change kind, const std::string& text) {
+    push(sources[i].log, kind, text);
+    feed(i);
+  }
+  void feed(std::size_t i) {
+    auto& s = sources[i];
+    auto out = std::make_shared<fleet::Outgoing>();
+    if (s.linked && s.feed.next(now, s.peer, s.log, *out)) send_down(i, out);
+  }
+
+  bool run_until(const std::function<bool()>& done, Duration limit = 120s) {
+    const Time until = now + limit;
+    while (!done()) {
+      if (events_.empty() || events_.top().at > until) return false;
+      auto event = events_.top();
+      events_.pop();
+      now = event.at;
+      event.what();
+    }
+    return true;
+  }
+  void run(Duration for_time) {
+    const Time until = now + for_time;
+    run_until([&] { return events_.empty() || events_.top().at > until; });
+    now = until;
+  }
+  bool caught_up() const {
+    std::uint64_t newest = 0;
+    for (const auto& s : sources)
+      if (s.linked) newest = std::max(newest, s.log.position());
+    return follower.changes().position() >= newest;
+  }
+
+  std::vector<Source> sources;
+  Time now{1h};
+  std::vector<std::string> notes;
+  std::size_t news = 0;
+  ChangeFollower follower{[this](const std::string& to, fleet::Outgoing& out) { send_up(to, out); },
+                          [this](const std::string& note) { notes.push_back(note); }};
+
+ private:
+  struct Event {
+    Time at{};
+    std::uint64_t order = 0;
+    std::function<void()> what;
+    bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+  using Words = std::shared_ptr<kj::Array<capnp::word>>;
+  static Words words_of(fleet::Outgoing& out) {
+    return std::make_shared<kj::Array<capnp::word>>(capnp::messageToFlatArray(out.message()));
+  }
+  Duration time_for(std::size_t bytes) const {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(static_cast<double>(bytes) * 8 / bits_per_s_));
+  }
+  void later(Time at, std::function<void()> what) { events_.push({at, ++order_, std::move(what)}); }
+
+  void send_down(std::size_t i, const std::shared_ptr<fleet::Outgoing>& out) {
+    auto& s = sources[i];
+    const auto words = words_of(*out);
+    const auto bytes = words->asBytes().size();
+    s.longest_queue = std::max(s.longest_queue, s.free_down > now ? s.free_down - now : Duration{});
+    s.free_down = std::max(s.free_down, now) + time_for(bytes);
+    s.bytes_down += bytes;
+    later(s.free_down + delay_, [this, i, words, link = s.link] {
+      if (sources[i].link != link) return;
+      capnp::FlatArrayMessageReader reader(words->asPtr());
+      const auto taken = follower.on_frame(now, name(i), reader.getRoot<wire::Frame>());
+      if (taken == fleet::ChangeLog::News::taken) ++news;
+    });
+  }
+  void send_up(const std::string& to, fleet::Outgoing& out) {
+    for (std::size_t i = 0; i < sources.size(); ++i)
+      if (name(i) == to && sources[i].linked) send_up(i, out);
+  }
+  void send_up(std::size_t i, fleet::Outgoing& out) {
+    auto& s = sources[i];
+    const auto words = words_of(out);
+    ++s.frames_up;
+    s.free_up = std::max(s.free_up, now) + time_for(words->asBytes().size());
+    later(s.free_up + delay_, [this, i, words, link = s.link] {
+      if (sources[i].link != link) return;
+      capnp::FlatArrayMessageReader reader(words->asPtr());
+      on_word(i, reader.getRoot<wire::Frame>());
+    });
+  }
+  void on_word(std::size_t i, wire::Frame::Reader frame) {
+    auto& s = sources[i];
+    if (frame.isFollow()) {
+      s.feed.on_follow(s.peer, frame.getFollow());
+      return feed(i);
+    }
+    const auto answer = std::make_shared<fleet::Outgoing>();
+    s.feed.answer(now, frame.getSnapshotPartRequest(), s.log, *answer);
+    send_down(i, answer);
+  }
+
+  double bits_per_s_;
+  Duration delay_;
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0;
+};
+
+std::string bytes_of_state(const fleet::ChangeLog& log) { return transfer::encode(log.state())->bytes; }
+
+BOOST_AUTO_TEST_SUITE(transfer_suite)
+
+// ---- the encoding
+
+BOOST_AUTO_TEST_CASE(given_one_position_reached_on_two_ways_when_it_is_encoded_then_the_bytes_are_equal) {
+  fleet::ChangeLog applied;
+  push(applied, wire::Change::REPLACE, many_routes(3, 0, 20));
+  push(applied, wire::Change::EVACUATE, "z2");
+  push(applied, wire::Change::EVACUATE, "z1");
+  auto decoded = transfer::decode(bytes_of_state(applied));
+  BOOST_REQUIRE(decoded.has_value());
+  fleet::ChangeLog from_snapshot;
+  BOOST_REQUIRE((from_snapshot.take(std::move(*decoded)) == fleet::ChangeLog::News::taken));
+  BOOST_TEST(bytes_of_state(applied) == bytes_of_state(from_snapshot));
+  // Names out of order, numbers written in more than one way.
+  const std::string patch =
+      R"({"parent":"00000003","gen":"00000009","upsert":{"accts":[{"per_s":1e1,"name":"t0","burst":2.50,)"
+      R"("apikeys":["b","a"]}],"limits":{"idle_ms":-0,"hdr_ms":3000.0}}})";
+  push(applied, wire::Change::PATCH, patch);
+  push(from_snapshot, wire::Change::PATCH, patch);
+  BOOST_TEST(applied.state().version() == 9u);
+  BOOST_TEST(bytes_of_state(applied) == bytes_of_state(from_snapshot));
+  BOOST_TEST((transfer::encode(applied.state())->id == transfer::encode(from_snapshot.state())->id));
+}
+
+// ---- joining
+
+BOOST_AUTO_TEST_CASE(given_a_small_configuration_when_a_follower_joins_then_it_has_it_after_one_round_trip) {
+  Net net(1, 1e9, 10ms);
+  net.change(wire::Change::REPLACE, config_body(3, 0));
+  const auto begin = net.now;
+  net.link(0);
+  BOOST_TEST(net.run_until([&] { return net.caught_up(); }));
+  BOOST_TEST(millis(net.now - begin) == 20u);
+  BOOST_TEST(net.notes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(
+    given_a_follower_that_is_a_little_behind_when_it_links_then_it_is_sent_entries_in_batches) {
+  Net net(1);
+  net.change(wire::Change::REPLACE, many_routes(3, 0, 3000));
+  net.link(0);
+  BOOST_REQUIRE(net.run_until([&] { return net.caught_up(); }));
+  net.cut(0);
+  for (int i = 0; i < 300; ++i)
+    net.change(wire::Change::EVACUATE, std::string(1000, 'z') + std::to_string(i));
+  const auto before = net.sources[0].bytes_down;
+  net.news = 0;
+  net.link(0);
+  BOOST_REQUIRE(net.run_until([&] { return net.caught_up(); }));
+  BOOST_TEST(net.news >= 300 * 1000 / transfer::kBatchBytes);  // batches of entries, no snapshot
+  BOOST_TEST(net.sources[0].bytes_down - before < 400'000u);
+  BOOST_TEST(bytes_of_state(net.follower.changes()) == bytes_of_state(net.sources[0].log));
+}
+
+BOOST_AUTO_TEST_CASE(
+    given_a_follower_when_more_changes_come_than_are_kept_or_a_large_one_then_it_has_a_snapshot) {
+  fleet::RecentChanges<Entry> kept({4, 1000, 400});
+  for (std::uint64_t i = 1; i <= 6; ++i) kept.push({i, wire::Change::EVACUATE, "z"});
+  BOOST_TEST(!kept.covers(1));
+  BOOST_TEST(kept.covers(2));
+  BOOST_TEST(!kept.covers(6));
+  BOOST_TEST(kept.after(3, 1).size() == 1u);
+  BOOST_TEST(kept.after(3, 1)[0].position == 4u);
+  kept.push({7, wire::Change::EVACUATE, std::string(300, 'z')});
+  kept.push({8, wire::Change::EVACUATE, std::string(300, 'z')});
+  kept.push({9, wire::Change::EVACUATE, std::string(300, 'z')});
+  BOOST_TEST(!kept.covers(5));  // 1,000 bytes hold no more
+  kept.push({10, wire::Change::EVACUATE, std::string(500, 'z')});
+  BOOST_TEST(!kept.covers(9));  // larger than one that is kept
+
+  Net net(1);
+  net.change(wire::Change::REPLACE, config_body(3, 0));
+  net.link(0);
+  BOOST_REQUIRE(net.run_until([&] { return net.caught_up(); }));
+  net.change(wire::Change::REPLACE, many_routes(4, 3, 2000));
+  net.change(wire::Change::EVACUATE, "z1");
+  BOOST_REQUIRE(net.run_until([&] { return net.caught_up(); }));
+  BOOST_TEST(net.follower.changes().configuration()->routes.size() == 2000u);
+  BOOST_TEST(net.notes.size() == 2u);  // begins, is whole
+}
+
+BOOST_AUTO_TEST_CASE(given_a_slow_path_when_a_member_5_mb_behind_catches_up_then_other_frames_pass_between) {
+  constexpr double kSlow = 2e6;
+  Net net(1, kSlow, 5ms);
+  net.change(wire::Change::REPLACE, many_routes(3, 0, 5100, true));
+  const auto size = bytes_of_state(net.sources[0].log).size();
+  const auto begin = net.now;
+  net.link(0);
+  for (int i = 0; i < 300; ++i) {  // and goes on changing meanwhile
+    net.run(50ms);
+    net.change(i % 2 == 0 ? wire::Change::EVACUATE : wire::Change::READMIT, "z1");
+  }
+  BOOST_REQUIRE(net.run_until([&] { return net.caught_up(); }));
+  const auto took = seconds(net.now - begin);
+  const auto floor = static_cast<double>(size) * 8 / kSlow;
+  BOOST_TEST_MESSAGE("catch-up over 2 Mbit/s of " << size << " bytes and 300 changes: " << took
+                                                  << " s, floor " << floor << " s, longest queue "
+                                                  << millis(net.sources[0].longest_queue) << " ms, frames up "
+                                                  << net.sources[0].frames_up);
+  BOOST_TEST(size > 5'000'000u);
+  BOOST_TEST(took < 1.05 * floor);
+  BOOST_TEST(millis(net.sources[0].longest_queue) < 600u);
+  BOOST_TEST(net.sources[0].log.position() == 301u);
+  BOOST_TEST(bytes_of_state(net.follower.changes()) == bytes_of_state(net.sources[0].log));
+}
+
+BOOST_AUTO_TEST_CASE(given_a_far_and_wide_path_when_a_snapshot_is_fetched_then_more_parts_are_under_way) {
+  Net net(1, 1e9, 55ms);
+  net.change(wire::Change::REPLACE, many_routes(3, 0, 5100, true));
+  const auto begin = net.now;
+  net.link(0);
+  BOOST_REQUIRE(net.run_until([&] { return net.caught_up(); }));
+  BOOST_TEST_MESSAGE("catch-up over 55 ms one way: " << seconds(net.now - begin) << " s");
+  BOOST_TEST(seconds(net.now - begin) < 2.0);
+}
+
+// ---- cuts
+
+BOOST_AUTO_TEST_CASE(given_a_fetch_when_its_link_ends_then_it_goes_on_where_it_was) {
+  for (const bool other : {false, true}) {
+    Net net(2, 2e6, 5ms);
+    net.change(wire::Change::REPLACE, many_routes(3, 0, 2000, true));
+    const auto size = bytes_of_state(net.sources[0].log).size();
+    net.link(0);
+    if (other) net.link(1);
+    net.run(std::chrono::milliseconds(size * 8 / 2000 / 2));
+    BOOST_TEST(net.follower.changes().position() == 0u);
+    net.cut(0);
+    net.run(2s);
+    if (!other) net.link(0);
+    BOOST_REQUIRE(net.run_until([&] { return net.caught_up() && net.follower.changes().position() > 0; }));
+    const auto sent = net.sources[0].bytes_down + net.sources[1].bytes_down;
+    BOOST_TEST(sent < size + 10 * kPartBytes, "sent " << sent << " for " << size);
+    BOOST_TEST((net.sources[1].bytes_down > size / 3) == other);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(
+    given_an_older_configuration_when_a_newer_one_is_fetched_then_it_stays_until_that_is_whole) {
+  Net net(1, 2e6, 5ms);
+  net.change(wire::Change::REPLACE, config_body(3, 0));
+  net.link(0);
+  BOOST_REQUIRE(net.run_until([&] { return net.caught_up(); }));
+  net.change(wire::Change::REPLACE, many_routes(4, 3, 1000, true));
+  net.run(2s);
+  BOOST_TEST(net.follower.changes().configuration()->version == 3u);
+  net.cut(0);
+  BOOST_TEST(net.follower.changes().configuration()->version == 3u);
+  net.link(0);
+  BOOST_REQUIRE(net.run_until([&] { return net.caught_up(); }));
+  BOOST_TEST(net.follower.changes().configuration()->version == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(given_large_changes_in_quick_succession_when_followers_fetch_then_each_gets_whole_ones) {
+  Net net(1, 2e6, 5ms);
+  std::uint64_t version = 1;
+  net.change(wire::Change::REPLACE, many_routes(version, 0, 500, true));
+  net.link(0);
+  for (int i = 0; i < 60; ++i) {  // one takes 2 s, a change comes each 0.5 s
+    net.run(500ms);
+    net.change(wire::Change::REPLACE, many_routes(version + 1, version, 500, true));
+    ++version;
+  }
+  BOOST_TEST(net.news >= 8u);
+  BOOST_REQUIRE(net.run_until([&] { return net.caught_up(); }));
+  BOOST_TEST(net.follower.changes().configuration()->version == version);
+}
+
+// ---- the sender and the receiver by themselves
+
+BOOST_AUTO_TEST_CASE(given_a_sender_when_the_state_moves_on_then_it_keeps_two_snapshots_and_drops_idle_ones) {
+  SnapshotSender sender;
+  fleet::ChangeLog log;
+  Time now{1h};
+  push(log, wire::Change::REPLACE, many_routes(1, 0, 2000));
+  const auto first = sender.offer(now, log, 0).id;
+  std::vector<transfer::SnapshotId> later;
+  for (std::uint64_t version = 2; version <= 5; ++version) {
+    now += 1s;
+    push(log, wire::Change::REPLACE, many_routes(version, version - 1, 2000));
+    later.push_back(sender.offer(now, log, log.position() - 1).id);
+    BOOST_TEST(!sender.answer(now, {first, kPartBytes}, log).replaces);  // goes on being served
+    BOOST_TEST(sender.kept() == 2u);
+  }
+  BOOST_TEST(sender.answer(now, {later[1], kPartBytes}, log).replaces);
+  BOOST_TEST(!sender.answer(now, {later[3], kPartBytes}, log).replaces);
+  // An older one, fetched for too long, makes room.
+  for (int i = 0; i < 121; ++i) {
+    now += 1s;
+    sender.answer(now, {first, kPartBytes}, log);
+  }
+  push(log, wire::Change::REPLACE, many_routes(6, 5, 2000));
+  sender.offer(now, log, log.position() - 1);
+  BOOST_TEST(sender.answer(now, {first, kPartBytes}, log).replaces);
+  now += 11s;
+  sender.expire(now);
+  BOOST_TEST(sender.kept() == 0u);
+  // What was dropped is encoded anew, and is the same.
+  const auto again = sender.offer(now, log, 0).id;
+  now += 11s;
+  sender.expire(now);
+  BOOST_TEST(!sender.answer(now, {again, kPartBytes}, log).replaces);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_sender_when_a_kept_snapshot_leads_on_by_entries_then_it_is_offered_again) {
+  SnapshotSender sender;
+  fleet::ChangeLog log;
+  push(log, wire::Change::REPLACE, config_body(1, 0));
+  const auto first = sender.offer(Time{1h}, log, 0).id;
+  push(log, wire::Change::EVACUATE, "z1");
+  BOOST_TEST((sender.offer(Time{1h}, log, 0).id == first));
+  BOOST_TEST(sender.offer(Time{1h}, log, 1).id.position == 2u);  // of use to who holds the first
+}
+
+struct Parts {  // a snapshot of some parts, by hand
+  explicit Parts(std::uint64_t version) {
+    push(log, wire::Change::REPLACE, many_routes(version, 0, 2000));
+    snapshot = transfer::encode(log.state());
+  }
+  Part at(std::uint64_t offset) const {
+    return {snapshot->id, snapshot->bytes.size(), offset,
+            std::string_view(snapshot->bytes).substr(offset, kPartBytes), false};
+  }
+  fleet::ChangeLog log;
+  std::shared_ptr<const transfer::Snapshot> snapshot;
+};
+
+BOOST_AUTO_TEST_CASE(given_a_fetch_when_parts_of_another_digest_or_place_come_then_they_are_passed_over) {
+  const Parts good(3), other(4);
+  SnapshotReceiver receiver;
+  const Time now{1h};
+  BOOST_TEST(receiver.on_part(now, "a", good.at(0), 1).requests.size() == 2u);
+  for (const auto& part : {other.at(kPartBytes), good.at(0), good.at(2 * kPartBytes), other.at(0)})
+    BOOST_TEST(receiver.on_part(now, "b", part, 1).requests.empty());
+  BOOST_TEST(receiver.received() == kPartBytes);
+  auto cut_short = good.at(kPartBytes);
+  cut_short.total = kPartBytes;  // a part beyond its whole
+  receiver.on_part(now, "a", cut_short, 1);
+  BOOST_TEST(receiver.received() == kPartBytes);
+  std::optional<configuration::State> whole;
+  for (std::uint64_t offset = kPartBytes; offset < good.snapshot->bytes.size(); offset += kPartBytes) {
+    BOOST_TEST(!whole.has_value());
+    whole = receiver.on_part(now, "a", good.at(offset), 1).whole;
+  }
+  BOOST_REQUIRE(whole.has_value());
+  BOOST_TEST(whole->version() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(given_a_snapshot_when_it_is_older_or_does_not_fit_its_digest_then_it_is_refused) {
+  const Parts good(3);
+  const Time now{1h};
+  SnapshotReceiver receiver;
+  receiver.on_part(now, "a", good.at(0), 2);  // change 2 or later is of use
+  BOOST_TEST(!receiver.fetching());
+  auto bytes = good.snapshot->bytes;
+  bytes[bytes.size() - 1] = static_cast<char>(bytes[bytes.size() - 1] ^ 1);
+  SnapshotReceiver::Step step;
+  for (std::uint64_t offset = 0; offset < bytes.size(); offset += kPartBytes) {
+    auto part = good.at(offset);
+    part.bytes = std::string_view(bytes).substr(offset, kPartBytes);
+    step = receiver.on_part(now, "a", part, 1);
+    BOOST_TEST(!step.whole.has_value());
+  }
+  BOOST_TEST(step.failed);
+  BOOST_TEST(!receiver.fetching());
+  fleet::ChangeLog log;
+  push(log, wire::Change::REPLACE, config_body(1, 0));
+  const auto old = log.state();
+  push(log, wire::Change::EVACUATE, "z1");
+  BOOST_TEST((log.take(old) == fleet::ChangeLog::News::none));
+  BOOST_TEST(log.position() == 2u);
+}
+
+// ---- any order of events
+
+BOOST_AUTO_TEST_CASE(given_cuts_and_changes_by_chance_when_they_end_then_the_follower_has_all) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    std::mt19937_64 random(seed);
+    Net net(3, 20e6, 5ms);
+    std::vector<std::pair<wire::Change, std::string>> history;
+    std::uint64_t version = 0, last = 0;
+    const auto learn = [&](std::size_t i) {  // each source learns the same changes, at its own time
+      const auto at = net.sources[i].log.position();
+      if (at < history.size()) net.change_at(i, history[at].first, history[at].second);
+    };
+    for (int step = 0; step < 150; ++step) {
+      const auto i = random() % 3;
+      switch (random() % 8) {
+        case 0: net.cut(i); break;
+        case 1:
+        case 2: net.link(i); break;
+        case 3:
+          ++version;
+          history.emplace_back(wire::Change::REPLACE,
+                               many_routes(version, version - 1, random() % 2 == 0 ? 3 : 400));
+          break;
+        case 4: history.emplace_back(wire::Change::EVACUATE, "z" + std::to_string(step)); break;
+        default: learn(i);
+      }
+      net.run(std::chrono::milliseconds(random() % 120));
+      BOOST_REQUIRE(net.follower.changes().position() >= last);
+      last = net.follower.changes().position();
+      for (auto& s : net.sources) s.feed.expire(net.now);
+    }
+    for (std::size_t i = 0; i < 3; ++i) net.link(i);
+    for (std::size_t n = 0; n < 3 * history.size(); ++n) learn(n % 3);
+    BOOST_TEST(net.run_until([&] { return net.caught_up(); }), "seed " << seed << " stands at "
+                                                                       << net.follower.changes().position()
+                                                                       << " of " << history.size());
+    if (!history.empty())
+      BOOST_TEST(bytes_of_state(net.follower.changes()) == bytes_of_state(net.sources[0].log));
+    // And what comes later reaches it over any one of them.
+    net.run(1s);
+    const auto alone = random() % 3;
+    net.change_at(alone, wire::Change::EVACUATE, "last");
+    BOOST_TEST(net.run_until([&] { return net.caught_up(); }), "seed " << seed << " misses the last");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace docklift::test
