--- a/src/system/agreement/agreement.capnp
+++ b/src/system/agreement/agreement.capnp
@@ -32,6 +32,7 @@
   eligible @3 :Bool;       # may be made a voter
   leaving @4 :Bool;
   accepted @5 :List(AcceptedChange);
+  membership @6 :UInt64;   # of its state
 }
 # A batch: who has taken it and stands before `newest` asks for more. Snapshots go in parts (src/system/transfer).
 struct Log { entries @0 :List(Entry); newest @1 :UInt64; }
--- a/src/system/agreement/messages.cpp
+++ b/src/system/agreement/messages.cpp
@@ -106,6 +106,7 @@
     to.setHasState(m.has_state);
     to.setEligible(m.eligible);
     to.setLeaving(m.leaving);
+    to.setMembership(m.membership);
     auto list = to.initAccepted(static_cast<unsigned>(m.accepted.size()));
     for (unsigned i = 0; i < list.size(); ++i) put(list[i], m.accepted[i].first, m.accepted[i].second);
   }
@@ -132,7 +133,13 @@
 }
 
 Status status_of(wire::Status::Reader r) {
-  Status status{r.getRound(), r.getPosition(), r.getHasState(), r.getEligible(), r.getLeaving(), {}};
+  Status status;
+  status.round = r.getRound();
+  status.position = r.getPosition();
+  status.has_state = r.getHasState();
+  status.eligible = r.getEligible();
+  status.leaving = r.getLeaving();
+  status.membership = r.getMembership();
   for (const auto accepted : r.getAccepted()) status.accepted.emplace_back(accepted.getSlot(), get(accepted));
   return status;
 }
--- a/src/system/agreement/messages.hpp
+++ b/src/system/agreement/messages.hpp
@@ -74,9 +74,10 @@
 struct Status {
   std::uint64_t round = 0;
   std::uint64_t position = 0;
-  bool has_state = false;  // false: its disk was empty and it has not read the others yet
-  bool eligible = false;   // may be made a voter
-  bool leaving = false;    // asked to end: it hands its vote over
+  bool has_state = false;        // false: its disk was empty and it has not read the others yet
+  bool eligible = false;         // may be made a voter
+  bool leaving = false;          // asked to end: it hands its vote over
+  std::uint64_t membership = 0;  // of its state
   std::vector<std::pair<std::uint64_t, AcceptedChange>> accepted;  // at places beyond `position`
 };
 struct Fetch {
@@ -102,6 +103,11 @@
 std::string encode(const Envelope& envelope);
 std::optional<Envelope> decode(std::string_view bytes);  // none: not a message of this protocol
 
+// The zone of a store, as it told on a link.
+struct StoreZone {
+  std::string address, zone;
+};
+
 // What is on disk.
 struct Kept {
   std::uint64_t disk = 0;  // the disk's identity; 0: the disk is empty
@@ -110,6 +116,8 @@
   Ballot promised;
   std::vector<std::pair<std::uint64_t, AcceptedChange>> accepted;
   std::vector<LogEntry> log;  // after state.position, in order
+  std::vector<StoreZone> zones;
+  std::vector<Voter> destroyed;  // voters whose disks are known to be lost
 };
 
 // Records to write together; `durable`: what follows waits until they are on the disk.
@@ -119,12 +127,14 @@
   std::optional<Ballot> promised;
   std::vector<std::pair<std::uint64_t, AcceptedChange>> accepted;
   std::vector<LogEntry> log;
+  std::vector<StoreZone> zones;
+  std::vector<Voter> destroyed;
   std::uint64_t forget_accepted = 0;  // places up to here
   std::uint64_t forget_log = 0;       // places up to here
   bool durable = false;
   bool empty() const {
-    return !disk && !state && !promised && accepted.empty() && log.empty() && forget_accepted == 0 &&
-           forget_log == 0;
+    return !disk && !state && !promised && accepted.empty() && log.empty() && zones.empty() &&
+           destroyed.empty() && forget_accepted == 0 && forget_log == 0;
   }
 };
 
--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -39,6 +39,8 @@
     log_.push(entry);
   }
   std::erase_if(accepted_, [&](const auto& accepted) { return accepted.first <= state_.position; });
+  for (const auto& store : kept.zones) peers_[store.address].zone = store.zone;
+  for (const auto& voter : kept.destroyed) destroyed_[voter] = {};
   round_ = promised_.round;
   numbers_ = rng_();
   if (kept.any) return;
@@ -59,6 +61,7 @@
   next_confirm_ = now;
   now_ = now;
   contact_since_ = now;
+  for (auto& [voter, since] : destroyed_) since = now;
   return std::exchange(out_, {});
 }
 
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -114,7 +114,6 @@
     bool linked = false;
     bool told = false;  // a status has come from it in this life
     std::uint64_t disk = 0;
-    Time disk_since{};  // when that disk was first seen at its address
     Status status;
     Time heard{};
   };
@@ -149,6 +148,7 @@
   bool is_voter(const Voter& voter) const;
   bool is_quorum(const std::set<Voter>& voters) const;
   bool is_destroyed(const Voter& voter) const;
+  void notice_destroyed(Time now, const std::string& from, const Sender& sender, const Status& status);
   bool is_survivor_quorum(const std::set<Voter>& voters) const;
   bool outlives_a_zone(Time now, const std::set<Voter>& acceptors) const;
   bool lost_for(Time now, const std::string& address, Duration limit) const;
@@ -211,6 +211,7 @@
   Time now_{};                         // of the last call
   Time contact_since_{};               // a majority of the voters has been heard all the time since
   std::optional<Time> change_needed_since_;
+  std::map<Voter, Time> destroyed_;    // voters whose disks are lost; since when that is known in this life
   std::uint64_t seen_membership_ = 0;  // the highest number that any message told
   bool leaving_ = false;
   Time leaving_since_{};
--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -18,8 +18,10 @@
 
 void Replica::linked(const std::string& address, const std::string& zone) {
   auto& peer = peers_[address];
-  peer.zone = zone;
   peer.linked = true;
+  if (peer.zone == zone) return;
+  peer.zone = zone;
+  out_.write.zones.push_back({address, zone});
 }
 
 void Replica::unlinked(const std::string& address) {
@@ -77,6 +79,7 @@
   status.has_state = has_state();
   status.eligible = options_.votes;
   status.leaving = leaving_;
+  status.membership = state_.membership;
   for (const auto& [slot, accepted] : accepted_)
     if (slot > state_.position) status.accepted.emplace_back(slot, accepted);
   return status;
@@ -112,11 +115,11 @@
 
 void Replica::on(Time now, const std::string& from, const Sender& sender, const Status& m) {
   auto& peer = peers_[from];
-  if (!peer.told || peer.disk != sender.disk) peer.disk_since = now;
   peer.told = true;
   peer.disk = sender.disk;
   peer.status = m;
   peer.status.accepted.clear();
+  notice_destroyed(now, from, sender, m);
   if (m.round != status_round_) return;
   if (!has_state()) {
     if (m.has_state) fetch_from(now, from);
@@ -169,13 +172,21 @@
 
 bool Replica::is_voter(const Voter& voter) const { return std::ranges::binary_search(state_.voters, voter); }
 
-// Its address answers with another disk: this one will never answer again.
-bool Replica::is_destroyed(const Voter& voter) const {
-  if (voter.address == options_.self) return voter.disk != disk_;
-  const auto peer = peers_.find(voter.address);
-  return peer != peers_.end() && peer->second.told && peer->second.disk != voter.disk;
+// A store that knows the present voters, and lives at the address of one of them with another disk, came after
+// that voter, which will never answer again. An older store at the address can't know of it.
+void Replica::notice_destroyed(Time now, const std::string& from, const Sender& sender,
+                               const Status& status) {
+  if (!status.has_state || status.membership < state_.membership) return;
+  for (const auto& voter : state_.voters) {
+    if (voter.address != from || voter.disk == sender.disk) continue;
+    if (!destroyed_.try_emplace(voter, now).second) continue;
+    out_.write.destroyed.push_back(voter);
+    out_.notes.push_back("the disk of voter " + voter.address + " is lost");
+  }
 }
 
+bool Replica::is_destroyed(const Voter& voter) const { return destroyed_.contains(voter); }
+
 bool Replica::is_quorum(const std::set<Voter>& voters) const {
   return voters.size() * 2 > state_.voters.size() || is_survivor_quorum(voters);
 }
@@ -202,7 +213,7 @@
       ++left_in_zone;
       continue;
     }
-    if (voter.address == options_.self || now_ < peers_.at(voter.address).disk_since + kHearsay) return false;
+    if (now_ < destroyed_.at(voter) + kHearsay) return false;
     ++destroyed;
   }
   const bool others_exist = destroyed + left_in_zone < state_.voters.size();
--- a/src/system/disk/disk.cpp
+++ b/src/system/disk/disk.cpp
@@ -11,6 +11,9 @@
 
 using namespace std::chrono_literals;
 
+constexpr std::string_view kZonePrefix = "zone/";
+constexpr std::string_view kDestroyedPrefix = "destroyed/";  // the last one of an address
+
 // Big endian, so that keys stand in the order of places.
 std::string key_of(const char* kind, std::uint64_t place) {
   std::string key = kind;
@@ -72,6 +75,10 @@
     if (key == "identity") {
       kept.disk = place_of(it->value(), 0);
       read = it->value().size() == sizeof kept.disk;
+    } else if (key.starts_with(leveldb::Slice(kZonePrefix.data(), kZonePrefix.size()))) {
+      kept.zones.push_back({key.ToString().substr(kZonePrefix.size()), it->value().ToString()});
+    } else if (key.starts_with(leveldb::Slice(kDestroyedPrefix.data(), kDestroyedPrefix.size()))) {
+      kept.destroyed.push_back({key.ToString().substr(kDestroyedPrefix.size()), place_of(it->value(), 0)});
     } else if (key == "state") {
       auto state = agreement::decode_state(value);
       if ((read = state.has_value())) kept.state = std::move(*state), kept.any = true;
@@ -102,6 +109,9 @@
   };
   forget("accepted/", 9, w.forget_accepted);
   forget("log/", 4, w.forget_log);
+  for (const auto& store : w.zones) batch.Put(std::string(kZonePrefix) + store.address, store.zone);
+  for (const auto& voter : w.destroyed)
+    batch.Put(std::string(kDestroyedPrefix) + voter.address, key_of("", voter.disk));
   if (w.disk) batch.Put("identity", key_of("", *w.disk));
   if (w.state) batch.Put("state", agreement::encode_state(*w.state));
   if (w.promised) batch.Put("promised", agreement::encode_ballot(*w.promised));
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -252,6 +252,28 @@
   }
 }
 
+// What a store has seen of zones and lost disks outlives its process.
+BOOST_AUTO_TEST_CASE(given_a_zone_that_lost_its_disks_when_the_survivor_restarts_alone_then_orders_go_on) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CoreFleet core(kTwoZones, seed);
+    BOOST_TEST(core.put(0, 5, 0) == 200);
+    core.run(1s);
+    core.lose_disk(1);
+    core.run(500ms);
+    core.lose_disk(0);
+    core.start(0);
+    core.run(1s);
+    // The machine with the lost disk is gone for good as well; another one comes at an address of its own.
+    core.lose_disk(0);
+    core.lose_power(2);
+    core.run(500ms);
+    core.start(2);
+    const auto fresh = core.add("a");
+    BOOST_TEST(core.run_until([&] { return core.votes(fresh); }, 8s), "seed " << seed);
+    BOOST_TEST(core.put(2, 6, 5) == 200, "seed " << seed);
+  }
+}
+
 // A reset connection is no loss of a machine, so the disks of the near zone may still be lost.
 BOOST_AUTO_TEST_CASE(given_a_zone_whose_link_is_reset_when_a_change_is_decided_then_its_vote_is_waited_for) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
--- a/tests/system/control_fleet.cpp
+++ b/tests/system/control_fleet.cpp
@@ -63,6 +63,8 @@
 
 void SimulatedDisk::apply(const agreement::Write& write) {
   if (write.disk) kept_.disk = *write.disk;
+  kept_.zones.insert(kept_.zones.end(), write.zones.begin(), write.zones.end());
+  kept_.destroyed.insert(kept_.destroyed.end(), write.destroyed.begin(), write.destroyed.end());
   if (write.state) {
     kept_.state = *write.state;
     kept_.any = true;
--- a/tests/system/core_fleet.hpp
+++ b/tests/system/core_fleet.hpp
@@ -62,6 +62,8 @@
  private:
   void apply(const agreement::Write& w) {
     if (w.disk) kept_.disk = *w.disk;
+    kept_.zones.insert(kept_.zones.end(), w.zones.begin(), w.zones.end());
+    kept_.destroyed.insert(kept_.destroyed.end(), w.destroyed.begin(), w.destroyed.end());
     if (w.state) kept_.state = *w.state, kept_.any = true;
     if (w.promised) kept_.promised = *w.promised;
     std::erase_if(accepted_, [&](const auto& a) { return a.first <= w.forget_accepted; });
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -284,6 +284,8 @@
     w.state = State{4, nlohmann::json::parse(config_body(1, 0)), {"z"}, {{"10.0.0.1", 1}}, 2, {}};
     w.state->history.record(1, {7, 70});
     w.disk = 77;
+    w.zones.push_back({"10.0.0.3", "z3"});
+    w.destroyed.push_back({"10.0.0.2", 5});
     w.promised = agreement::Ballot{9, "10.0.0.2", 7};
     w.accepted.emplace_back(6, agreement::AcceptedChange{{8, "x", 7}, {ChangeKind::evacuate, "z2", "x", 3}});
     w.log.push_back({5, {ChangeKind::readmit, "z", "x", 2}});
@@ -299,6 +301,11 @@
   BOOST_TEST(k.state.position == 4u);
   BOOST_TEST(k.state.version() == 1u);
   BOOST_TEST(k.disk == 77u);
+  BOOST_REQUIRE(k.zones.size() == 1);
+  BOOST_TEST(k.zones[0].address == "10.0.0.3");
+  BOOST_TEST(k.zones[0].zone == "z3");
+  BOOST_REQUIRE(k.destroyed.size() == 1);
+  BOOST_TEST((k.destroyed[0] == configuration::Voter{"10.0.0.2", 5}));
   BOOST_TEST(k.state.membership == 2u);
   BOOST_TEST(k.state.history.holds(1, {7, 70}));
   BOOST_TEST(k.promised.round == 9u);
