--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -9,7 +9,6 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kLogBatchBytes = 64u << 10;  // of entries in one message; one entry may be larger
-constexpr std::uint64_t kSnapshotEach = 32;        // changes from one snapshot on disk to the next
 constexpr std::size_t kQueued = 256;               // proposals that wait; more get 503 at once
 constexpr Duration kFetchGap = 100ms;              // a log that was asked for is waited for so long
 constexpr Duration kResolveAfter = 150ms;  // a proposer of a half decided change is left so long to end it
@@ -31,12 +30,13 @@
     : options_(std::move(options)), state_(std::move(kept.state)), rng_(options_.chance) {
   disk_ = kept.disk;
   promised_ = kept.promised;
-  snapshot_at_ = state_.position;
+  begin_log();
   for (auto& [slot, accepted] : kept.accepted) accepted_[slot] = std::move(accepted);
   for (const auto& entry : kept.log) {
     if (entry.slot != state_.position + 1) continue;
     configuration::apply(state_, entry.change.kind, entry.change.text);
     log_.push(entry);
+    note_logged(entry);
   }
   std::erase_if(accepted_, [&](const auto& accepted) { return accepted.first <= state_.position; });
   for (const auto& store : kept.zones) peers_[store.address].zone = store.zone;
@@ -258,8 +258,9 @@
   out_.write.log.push_back({slot, change});
   out_.write.forget_accepted = slot;
   if (!durable_here) out_.write.durable = true;
-  if (state_.position >= snapshot_at_ + kSnapshotEach) {
-    snapshot_at_ = state_.position;
+  note_logged({slot, change});
+  if (snapshot_policy_.is_due(logged_, state_bytes_)) {
+    begin_log();
     out_.write.state = state_;
     out_.write.forget_log = state_.position;
     out_.write.log.clear();
@@ -278,6 +279,17 @@
   drive(now);
 }
 
+// The state is written as a snapshot: the log on disk begins anew after it.
+void Replica::begin_log() {
+  logged_ = {};
+  state_bytes_ = state_.document.is_null() ? 0 : state_.document.dump().size();
+}
+
+void Replica::note_logged(const LogEntry& entry) {
+  ++logged_.changes;
+  logged_.bytes += bytes_of(entry);
+}
+
 void Replica::fetch_from(Time now, const std::string& address) {
   if (now < fetched_at_ + kFetchGap) return;
   fetched_at_ = now;
@@ -306,7 +318,7 @@
   log_.clear();
   std::erase_if(accepted_, [&](const auto& entry) { return entry.first <= state_.position; });
   out_.snapshot = true;
-  snapshot_at_ = state_.position;
+  begin_log();
   out_.write.state = state_;
   out_.write.forget_log = state_.position;
   out_.write.log.clear();
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -18,6 +18,7 @@
 
 #include "system/agreement/membership.hpp"
 #include "system/agreement/messages.hpp"
+#include "system/agreement/snapshot_policy.hpp"
 #include "system/base/time.hpp"
 #include "system/fleet/recent_changes.hpp"
 
@@ -134,6 +135,8 @@
 
   // Learner (replica.cpp).
   void choose(Time now, std::uint64_t slot, const Change& change);
+  void begin_log();
+  void note_logged(const LogEntry& entry);
   void take_snapshot(const State& snapshot);
   void after_learning(Time now);
   void fetch_from(Time now, const std::string& address);
@@ -185,7 +188,9 @@
   std::map<std::uint64_t, AcceptedChange> accepted_;
   Ballot promised_;
   fleet::RecentChanges<LogEntry> log_;  // for who is behind a little
-  std::uint64_t snapshot_at_ = 0;
+  SnapshotPolicy snapshot_policy_;
+  LogSinceSnapshot logged_;        // on the disk
+  std::uint64_t state_bytes_ = 0;  // of the last snapshot, about
   std::mt19937_64 rng_;
   Out out_;
 
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -41,6 +41,7 @@
   void set_seeds(const std::vector<std::string>& seeds);
   // Hands its vote to a learner, if one stands ready, and calls `ended` when nothing is left to do.
   void leave(std::function<void()> ended);
+  const configuration::State& state() const { return replica_.state(); }
   void stop();  // ends all links; what is queued for the disk may be lost, as nothing was said of it
 
  private:
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -265,6 +265,35 @@
 
 // ---- the disk
 
+BOOST_AUTO_TEST_CASE(
+    given_a_log_on_disk_when_it_is_as_large_as_the_state_or_long_to_apply_then_a_snapshot_is_due) {
+  const agreement::SnapshotPolicy policy;
+  constexpr std::uint64_t kSmallState = 4'000, kLargeState = 5'000'000;
+  BOOST_TEST(!policy.is_due({31, 100'000}, kSmallState));
+  BOOST_TEST(policy.is_due({32, 100'000}, kSmallState));
+  BOOST_TEST(!policy.is_due({32, 1'000}, kSmallState));
+  BOOST_TEST(policy.is_due({256, 1'000}, kSmallState));
+  BOOST_TEST(!policy.is_due({50, 50'000}, kLargeState));  // it is written less often than each 32 changes
+  BOOST_TEST(policy.is_due({54, 50'000}, kLargeState));   // a restart applies 54 changes to 5 MB each
+  BOOST_TEST(!policy.is_due({3, 15'000'000}, kLargeState));
+  BOOST_TEST(policy.is_due({4, 20'000'000}, kLargeState));  // the disk holds 256 MB
+}
+
+BOOST_AUTO_TEST_CASE(given_a_store_when_its_changes_go_to_the_disk_then_the_log_there_stays_bounded) {
+  CoreFleet core({"a", "a", "b"}, 11);
+  BOOST_TEST(core.put(0, 1, 0) == 200);
+  std::size_t longest = 0, snapshots = 0;
+  std::uint64_t last = 0;
+  for (std::uint64_t version = 2; version <= 80; ++version) {
+    BOOST_REQUIRE(core.put(0, version, version - 1) == 200);
+    const auto kept = core.members[0].disk.read();
+    longest = std::max(longest, kept.log.size());
+    snapshots += kept.state.position != std::exchange(last, kept.state.position);
+  }
+  BOOST_TEST(longest <= 32u);
+  BOOST_TEST(snapshots >= 2u);
+}
+
 struct Folder {
   Folder() {
     char name[] = "/tmp/docklift-disk-XXXXXX";
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -128,6 +128,9 @@
                     phase + R"(","warm_left_ms":0,"calls":)" + std::to_string(++beats_) + "}");
   }
 
+  // A core machine that joins later, or starts again with an empty disk.
+  void join_core(int machine) { start_core(machine, false); }
+
   asio::io_context io{1};
   std::vector<std::unique_ptr<Store>> stores;
   std::vector<std::unique_ptr<Registry>> registries;
@@ -135,19 +138,20 @@
   std::vector<std::unique_ptr<proxy::Proxy>> proxies;
 
  private:
-  SystemSettings settings(int machine) {
+  SystemSettings settings(int machine, bool bootstrap = true) {
     const auto p = [&](int offset) { return std::to_string(port_ + offset); };
     auto text = "hostname=m" + std::to_string(machine) + "\nbind_ip=" + ip(machine) +
                 "\naz=z1\nrgn=r1\nazs.z1=r1\nport_range=" + p(0) + "," + p(5) + "\nseeds=" + ctl(1) + "," +
-                ctl(2) + "," + ctl(3) + "\nbootstrap=true\nvoting=true\nhb_ms=1500\n" +
-                "listen.ctl=" + ctl(machine) + "\nlisten.dir=" + dir(machine) +
-                "\nlisten.http=" + http(machine) + "\nlimits.nofile=1024\nbounds.strict_revoke=true\n";
+                ctl(2) + "," + ctl(3) + "\nbootstrap=" + (bootstrap ? "true" : "false") +
+                "\nvoting=true\nhb_ms=1500\n" + "listen.ctl=" + ctl(machine) +
+                "\nlisten.dir=" + dir(machine) + "\nlisten.http=" + http(machine) +
+                "\nlimits.nofile=1024\nbounds.strict_revoke=true\n";
     auto read = parse_settings(text, "test");
     BOOST_REQUIRE(!failed(read));
     return value(read);
   }
-  void start_core(int machine) {
-    const auto s = settings(machine);
+  void start_core(int machine, bool bootstrap = true) {
+    const auto s = settings(machine, bootstrap);
     auto disk = Disk::open(folder_ + "/" + s.hostname);
     BOOST_REQUIRE(!failed(disk));
     auto kept = value(disk)->read();
@@ -274,9 +278,9 @@
   }));
 
   // A key is taken away; then the zone's servers, then the server drains.
-  const std::string patch =
-      R"({"gen":"00000009","parent":"00000003","upsert":{"accts":[{"name":"t1","apikeys":["k2"],)"
-          R"("per_s":5000,"burst":5000}]}})";
+  const std::string
+      patch = R"({"gen":"00000009","parent":"00000003","upsert":{"accts":[{"name":"t1","apikeys":["k2"],)"
+              R"("per_s":5000,"burst":5000}]}})";
   BOOST_TEST(f.post(f.ctl(2), "/Config.Patch", patch).status == 200);
   BOOST_TEST(f.post(f.ctl(1), "/Config.Patch", patch).status == 200);  // the same once more
   BOOST_TEST(f.until([&] { return f.ask(4, "/a/x").status == 401; }));
@@ -313,6 +317,34 @@
   BOOST_TEST(f.until([&] { return ended; }));
 }
 
+// Of so many routes under /a/N/, some 1,000 bytes each.
+std::string many_routes(std::uint64_t version, std::uint64_t parent, int routes) {
+  auto body = nlohmann::json::parse(wide_body(version, parent));
+  auto& policy = body["listeners"][0]["policy"];
+  const auto route = policy[0];
+  for (int i = 1; i < routes; ++i) {
+    policy.push_back(route);
+    policy.back()["name"] = "r" + std::to_string(i) + std::string(860, 'p');
+    policy.back()["match"]["pfx"] = "/b/" + std::to_string(i) + "/";
+  }
+  return body.dump();
+}
+
+BOOST_AUTO_TEST_CASE(
+    given_a_configuration_of_many_parts_when_proxies_serve_and_a_core_machine_joins_then_all_have_it) {
+  Fleet f;
+  BOOST_TEST(f.until([&] { return f.post(f.ctl(1), "/Config.Replace", wide_body(3, 0)).status == 200; }));
+  BOOST_TEST(f.post(f.ctl(2), "/Config.Replace", many_routes(4, 3, 1000)).status == 200);
+  const auto last_route = [&](int proxy) { return f.ask(proxy, "/b/999/x").status; };
+  for (const int proxy : {4, 5})
+    BOOST_TEST(f.until([&] { return last_route(proxy) == 503; }));  // known, and without a server
+  f.join_core(6);
+  auto& joined = *f.stores.back();
+  BOOST_TEST(f.until([&] { return joined.state().version() == 4; }));
+  BOOST_TEST((joined.state().document == f.stores.front()->state().document));
+  BOOST_TEST(f.until([&] { return f.registries.back()->changes().state().version() == 4; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
