--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -140,6 +140,7 @@
   if (judgement.status == 400) needs_barrier = false;  // a newer state would refuse it as well
   if (judgement.status == 200 && changes) {
     begin_ballot(now);
+    ballot_for_first_ = true;
     return false;
   }
   if (needs_barrier && !proposal.sure) {
@@ -158,6 +159,7 @@
   acceptances_.clear();
   refusals_.clear();
   highest_.reset();
+  ballot_for_first_ = false;
   // Its own promise first, durably: else a store that fails and comes back could offer two changes under one
   // ballot.
   promised_ = ballot_;
@@ -185,7 +187,7 @@
 void Replica::begin_accept(Time now) {
   if (highest_) {
     offered_ = highest_->change;
-  } else if (queue_.empty()) {
+  } else if (queue_.empty() || !ballot_for_first_) {
     offered_ = {ChangeKind::nothing, "", options_.self, ++numbers_};
   } else {
     const auto& proposal = queue_.front();
@@ -235,8 +237,10 @@
 
 // A ballot under way goes on without the call that it was begun for.
 void Replica::give_up_late(Time now) {
-  while (!queue_.empty() && now >= queue_.front().since + options_.give_up)
+  while (!queue_.empty() && now >= queue_.front().since + options_.give_up) {
     settle(503, "no majority in time");
+    ballot_for_first_ = false;
+  }
   std::erase_if(reads_, [&](const Read& read) {
     if (now < read.since + options_.give_up) return false;
     out_.settled.push_back({read.id, 503, "no majority in time"});
@@ -409,7 +413,8 @@
       request_statuses();
     } else {
       const bool resolve = half_decided() && now >= confirm_began_ + kResolveAfter;
-      if (resolve && phase_ == Phase::idle && queue_.empty()) begin_ballot(now);
+      // Calls that wait are no reason not to: they may wait for this very place.
+      if (resolve && phase_ == Phase::idle) begin_ballot(now);
       if (!confirming_ || now >= confirm_began_ + options_.confirm_every) begin_confirm(now);
     }
   }
@@ -423,7 +428,8 @@
   try_decide(now);
   if (phase_ == Phase::pausing && now >= resume_at_) {
     phase_ = Phase::idle;
-    if (queue_.empty() && half_decided()) begin_ballot(now);
+    drive(now);
+    if (phase_ == Phase::idle && half_decided()) begin_ballot(now);
   }
   give_up_late(now);
   propose_membership(now);
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -202,6 +202,7 @@
   std::uint64_t slot_ = 0, round_ = 0;
   Ballot ballot_;
   Change offered_;
+  bool ballot_for_first_ = false;  // the ballot was begun for the first proposal, which was judged then
   std::optional<AcceptedChange> highest_;
   std::set<Voter> promises_, acceptances_, refusals_;
 
--- a/tests/system/control_fleet.cpp
+++ b/tests/system/control_fleet.cpp
@@ -16,6 +16,43 @@
 constexpr std::size_t kWritesWaiting = 64;  // then a store takes nothing in
 constexpr std::size_t kSeeds = 3;
 
+std::string shown(const agreement::Ballot& ballot) {
+  return std::to_string(ballot.round) + "/" + ballot.address;
+}
+
+std::string shown(const agreement::Envelope& envelope) {
+  struct Words {
+    std::string operator()(const agreement::Prepare& m) const {
+      return "prepare " + std::to_string(m.slot) + " " + shown(m.ballot);
+    }
+    std::string operator()(const agreement::Promise& m) const {
+      return "promise " + std::to_string(m.slot) + " " + shown(m.ballot) + " promised " + shown(m.promised);
+    }
+    std::string operator()(const agreement::Accept& m) const {
+      return "accept " + std::to_string(m.slot) + " " + shown(m.ballot);
+    }
+    std::string operator()(const agreement::Accepted& m) const {
+      return "accepted " + std::to_string(m.slot) + " " + shown(m.ballot) + " promised " + shown(m.promised);
+    }
+    std::string operator()(const agreement::LogEntry& m) const { return "entry " + std::to_string(m.slot); }
+    std::string operator()(const agreement::StatusRequest& m) const {
+      return "status request " + std::to_string(m.round);
+    }
+    std::string operator()(const agreement::Status& m) const {
+      return "status " + std::to_string(m.round) + " position " + std::to_string(m.position) + " accepted " +
+             std::to_string(m.accepted.size());
+    }
+    std::string operator()(const agreement::Fetch& m) const {
+      return "fetch after " + std::to_string(m.after);
+    }
+    std::string operator()(const agreement::Log& m) const {
+      return "log of " + std::to_string(m.entries.size());
+    }
+  };
+  return std::visit(Words{}, envelope.message) + " [membership " +
+         std::to_string(envelope.sender.membership) + "]";
+}
+
 }  // namespace
 
 // ---- disk ----------------------------------------------------------------------------------------
@@ -367,6 +404,8 @@
   if (!to) return;
   const auto life = members_[from].life;
   Packet packet{from, *to, message.envelope};
+  if (options_.trace_messages)
+    trace(members_[from].address + " -> " + message.to + " " + shown(message.envelope));
   if (on_packet) on_packet(packet);
   if (packet.drop) return;
   if (packet.from == packet.to) return transmit(packet, life, 1us, now_);
--- a/tests/system/control_fleet.hpp
+++ b/tests/system/control_fleet.hpp
@@ -64,6 +64,7 @@
   Duration least_delay = std::chrono::milliseconds(1);
   Duration most_delay = std::chrono::milliseconds(3);
   Duration sync_time = std::chrono::milliseconds(1);
+  bool trace_messages = false;
 };
 
 // A message between two members, as a planted fault sees it.
@@ -97,6 +98,8 @@
   using Settle = std::function<void(int status, const configuration::State& state)>;
 
   explicit ControlFleet(FleetOptions options);
+  ControlFleet(const ControlFleet&) = delete;
+  ControlFleet& operator=(const ControlFleet&) = delete;
 
   Time now() const { return now_; }
   std::mt19937_64& random() { return random_; }
--- a/tests/system/control_play.hpp
+++ b/tests/system/control_play.hpp
@@ -54,6 +54,7 @@
            most_pause = std::chrono::milliseconds(1500);  // between faults
   std::function<void(ControlFleet&)> plant;               // a planted fault
   std::function<void(const std::string&)> trace;
+  bool trace_messages = false;
 };
 
 struct PlayResult {
--- a/tests/system/control_plays_test.cpp
+++ b/tests/system/control_plays_test.cpp
@@ -1,5 +1,6 @@
 // Plays of random faults within what must be borne, and of faults beyond it for safety alone. Settings by
-// environment: DOCKLIFT_PLAYS (how many), DOCKLIFT_FIRST_SEED; DOCKLIFT_TRACE=1 prints what happens in each;
+// environment: DOCKLIFT_PLAYS (how many), DOCKLIFT_FIRST_SEED; DOCKLIFT_TRACE=1 prints what happens in each, 2
+// the messages too;
 // DOCKLIFT_ZONE_ORDERS=1 adds evacuations; DOCKLIFT_BESIDE=1 loses disks of a zone beside a machine of it that
 // is gone and has no successor yet.
 #include <boost/test/unit_test.hpp>
@@ -42,6 +43,7 @@
     options.longest = 150s;
     options.operators = 6;
   }
+  options.trace_messages = setting("DOCKLIFT_TRACE", 0) > 1;
   if (setting("DOCKLIFT_TRACE", 0) != 0)
     options.trace = [](const std::string& line) { std::cout << line << '\n'; };
   return options;
