--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -261,7 +261,9 @@
   out_.chosen.push_back({slot, change});
   out_.write.log.push_back({slot, change});
   out_.write.forget_accepted = slot;
-  if (!durable_here) out_.write.durable = true;
+  // From an acceptance the voters of this place learn it again; the voters after it may be others.
+  const bool voters_changed = state_.membership != membership;
+  if (!durable_here || voters_changed) out_.write.durable = true;
   note_logged({slot, change});
   if (snapshot_policy_.is_due(logged_, state_bytes_)) {
     begin_log();
@@ -269,7 +271,7 @@
     out_.write.forget_log = state_.position;
     out_.write.log.clear();
   }
-  if (state_.membership != membership)
+  if (voters_changed)
     out_.notes.push_back("membership " + std::to_string(state_.membership) + ": " +
                          std::to_string(state_.voters.size()) + " voters, " +
                          (votes() ? "this store is one" : "this store is a learner"));
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -252,6 +252,25 @@
   }
 }
 
+// The next voters must be known after a loss of power, also where they are not a majority of the former ones.
+BOOST_AUTO_TEST_CASE(given_a_disk_lost_and_replaced_when_another_is_lost_with_all_power_then_orders_go_on) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CoreFleet core(kTwoZones, seed);
+    BOOST_TEST(core.put(0, 5, 0) == 200);
+    core.run(1s);
+    core.lose_disk(1);
+    core.run(500ms);
+    core.start(1);
+    BOOST_TEST(core.run_until([&] { return core.votes(1); }, 4s), "seed " << seed);
+    core.run(5s);
+    core.lose_power(0), core.lose_power(1), core.lose_disk(2);
+    core.run(800ms);
+    for (std::size_t i = 0; i < 3; ++i) core.start(i);
+    BOOST_TEST(core.run_until([&] { return core.votes(2); }, 5s), "seed " << seed);
+    BOOST_TEST(core.put(2, 6, 5) == 200, "seed " << seed);
+  }
+}
+
 // What a store has seen of zones and lost disks outlives its process.
 BOOST_AUTO_TEST_CASE(given_a_zone_that_lost_its_disks_when_the_survivor_restarts_alone_then_orders_go_on) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
