--- a/tests/system/transfer_test.cpp
+++ b/tests/system/transfer_test.cpp
@@ -287,6 +287,7 @@
                                                   << " s, floor " << floor << " s, longest queue "
                                                   << millis(net.sources[0].longest_queue) << " ms, frames up "
                                                   << net.sources[0].frames_up);
+  for (const auto& note : net.notes) BOOST_TEST_MESSAGE(note);
   BOOST_TEST(size > 5'000'000u);
   BOOST_TEST(took < 1.05 * floor);
   BOOST_TEST(millis(net.sources[0].longest_queue) < 600u);
@@ -436,6 +437,34 @@
   BOOST_TEST(whole->version() == 3u);
 }
 
+BOOST_AUTO_TEST_CASE(given_two_sources_of_one_snapshot_when_one_ends_then_the_other_is_asked_for_the_rest) {
+  const Parts good(3), other(4);
+  SnapshotReceiver receiver;
+  const Time now{1h};
+  receiver.on_part(now, "a", good.at(0), 1);
+  receiver.on_part(now, "b", other.at(0), 1);
+  receiver.on_part(now, "c", good.at(0), 1);
+  receiver.on_part(now, "a", good.at(kPartBytes), 1);
+  const auto at_c = receiver.on_source_lost(now, "a").requests;
+  BOOST_REQUIRE(at_c.size() == 2u);
+  BOOST_TEST(at_c[0].source == "c");
+  BOOST_TEST((at_c[0].part.id == good.snapshot->id));
+  BOOST_TEST(at_c[0].part.offset == 2 * kPartBytes);
+  // Also who offers another one may still hold it.
+  const auto at_b = receiver.on_source_lost(now, "c").requests;
+  BOOST_REQUIRE(at_b.size() == 2u);
+  BOOST_TEST(at_b[0].source == "b");
+  BOOST_TEST((at_b[0].part.id == good.snapshot->id));
+  auto replacement = other.at(0);
+  replacement.replaces = true;
+  const auto anew = receiver.on_part(now, "b", replacement, 1).requests;
+  BOOST_REQUIRE(anew.size() == 2u);
+  BOOST_TEST((anew[0].part.id == other.snapshot->id));
+  BOOST_TEST(anew[0].part.offset == kPartBytes);
+  receiver.on_source_lost(now, "b");
+  BOOST_TEST(receiver.paused());
+}
+
 BOOST_AUTO_TEST_CASE(given_a_snapshot_when_it_is_older_or_does_not_fit_its_digest_then_it_is_refused) {
   const Parts good(3);
   const Time now{1h};
