--- a/src/system/fleet/records.cpp
+++ b/src/system/fleet/records.cpp
@@ -25,7 +25,12 @@
   const auto [it, fresh] = all_.try_emplace(s.id, s);
   if (fresh) return Merged::changed;
   auto& known = it->second;
-  if (known.phase == Phase::GONE) return Merged::nothing;
+  if (known.phase == Phase::GONE || s.from_cache) return Merged::nothing;
+  const bool as_new = s.calls > known.calls || (s.calls == known.calls && s.phase >= known.phase);
+  if (known.from_cache && s.phase != Phase::GONE && as_new) {
+    known = s;
+    return Merged::changed;
+  }
   if (s.phase != Phase::GONE &&
       (s.calls < known.calls || (s.calls == known.calls && s.phase <= known.phase))) {
     if (s.calls == known.calls && s.heard > known.heard) return known.heard = s.heard, Merged::heard;
@@ -35,6 +40,7 @@
                        known.cap != s.cap || cold_differs(known, s, s.heard);
   if (s.phase == Phase::GONE) {  // a leave tells the id alone
     known.phase = Phase::GONE, known.heard = s.heard, known.calls = std::max(known.calls, s.calls);
+    known.from_cache = false;
     return Merged::changed;
   }
   known = s;
@@ -68,8 +74,10 @@
 
 std::vector<std::uint64_t> Servers::digests(std::size_t ranges) const {
   std::vector<std::uint64_t> out(ranges);
-  for (const auto& [id, s] : all_)
+  for (const auto& [id, s] : all_) {
+    if (s.from_cache) continue;
     out[range_of(id, ranges)] ^= mix(hash(id) ^ hash(s.address, 7) ^ static_cast<std::uint64_t>(s.phase));
+  }
   return out;
 }
 
--- a/src/system/fleet/records.hpp
+++ b/src/system/fleet/records.hpp
@@ -24,6 +24,7 @@
   Phase phase = Phase::READY;
   std::uint64_t calls = 0;
   Time heard{}, cold_until{};
+  bool from_cache = false;  // known from an earlier life of this registry; nothing was heard in this one
 };
 
 struct Node {
@@ -40,14 +41,14 @@
 class Servers {
  public:
   // The record with the higher `calls` holds, of equal ones the later phase; a server that is gone never
-  // comes back under its id.
+  // comes back under its id. A record from the cache yields to any that is as new.
   Merged merge(const Server& s);
   const Server* find(const std::string& id) const;
   // Forgets servers that were gone for `kept`, and calls gone those not heard of for `silence` (0: none);
   // these are returned.
   std::vector<Server> expire(Time now, Duration silence, Duration kept);
   const std::map<std::string, Server>& all() const { return all_; }
-  // Digests over `ranges` ranges of ids, of id, calls' phase and address; equal where the records are.
+  // Digests over `ranges` ranges of ids, without those from the cache, of id, calls' phase and address; equal where the records are.
   std::vector<std::uint64_t> digests(std::size_t ranges) const;
   static std::size_t range_of(const std::string& id, std::size_t ranges);
 
--- a/src/system/lease/holder_lease.cpp
+++ b/src/system/lease/holder_lease.cpp
@@ -4,6 +4,9 @@
 #include <utility>
 
 namespace docklift::lease {
+namespace {
+constexpr std::size_t kMostRounds = 8;  // whose replies may still come within a lease
+}  // namespace
 
 HolderLease::HolderLease(Terms terms, std::string self, std::uint64_t life, bool remembers, Time now)
     : terms_(terms),
@@ -12,61 +15,100 @@
       silent_until_(remembers ? now : now + terms.lease),
       granted_until_(now) {}
 
+void HolderLease::observe_voters(Time now, Voters voters, std::optional<Time> confirmed_at) {
+  const bool changed = knows_voters_ && voters.membership != voters_.membership;
+  if (changed) change_silent_until_ = now + terms_.membership_age + terms_.lease;
+  voters_ = std::move(voters);
+  knows_voters_ = true;
+  membership_confirmed_at_ = confirmed_at;
+}
+
+bool HolderLease::membership_is_current(Time now) const {
+  return membership_confirmed_at_ && now - *membership_confirmed_at_ <= terms_.membership_age;
+}
+
+Reply HolderLease::refusal(const Request& request) const {
+  return {granted_term_, false, false, granted_to_, voters_.membership, request.round};
+}
+
+Reply HolderLease::granted(const Request& request) const {
+  return {request.term, true, false, request.holder, voters_.membership, request.round};
+}
+
+Reply HolderLease::promised_blank(const Request& request) const {
+  return {request.term, false, true, request.holder, voters_.membership, request.round};
+}
+
 Reply HolderLease::on_request(Time now, const Request& request) {
-  if (request.holds) seen_term_ = std::max(seen_term_, request.term);
-  if (request.holds && request.term > known_term_) known_term_ = request.term, known_holder_ = request.holder;
-  if (request.release) {
-    if (request.holder == granted_to_ && request.term == granted_term_) {
-      granted_to_ = request.successor;
-      granted_until_ = request.successor.empty() ? now : now + terms_.lease;
-      if (request.successor == self_) next_request_ = now, named_ = true;
+  if (request.holds) {
+    seen_term_ = std::max(seen_term_, request.term);
+    if (request.term > known_term_) {
+      known_term_ = request.term;
+      known_holder_ = request.holder;
     }
-    return {granted_term_, false, false, granted_to_};
+  }
+  if (request.membership != voters_.membership || !membership_is_current(now)) return refusal(request);
+  if (request.release) {
+    pass_on(now, request);
+    return refusal(request);
   }
   const bool renews = request.holder == granted_to_ && request.term == granted_term_ &&
                       request.life == granted_life_;
-  if (now < silent_until_ && !renews) {
-    // Promised, in case all others are without memory too: to one at a time.
-    const bool free = now >= granted_until_ || request.holder == granted_to_;
-    if (!free || request.term <= granted_term_) return {granted_term_, false, false, granted_to_};
-    grant(now, request);
-    return {request.term, false, true, request.holder};
-  }
-  if (now < silent_until_) {
-    granted_until_ = now + terms_.lease;
-    return {request.term, false, true, request.holder};
-  }
-  const bool open = now >= granted_until_ || request.holder == granted_to_;
-  if (!renews && !(open && request.term > granted_term_)) return {granted_term_, false, false, granted_to_};
+  if (now < change_silent_until_ && !(renews && request.holds)) return refusal(request);
+  const bool free = now >= granted_until_ || request.holder == granted_to_;
+  if (!renews && !(free && request.term > granted_term_)) return refusal(request);
   grant(now, request);
-  return {request.term, true, false, request.holder};
+  // Without memory it is only promised, in case all others are without it too: to one at a time.
+  return now < silent_until_ ? promised_blank(request) : granted(request);
 }
 
 void HolderLease::grant(Time now, const Request& request) {
-  granted_term_ = request.term, granted_to_ = request.holder, granted_life_ = request.life,
+  granted_term_ = request.term;
+  granted_to_ = request.holder;
+  granted_life_ = request.life;
   granted_until_ = now + terms_.lease;
 }
 
+void HolderLease::pass_on(Time now, const Request& release) {
+  if (release.holder != granted_to_ || release.term != granted_term_) return;
+  granted_to_ = release.successor;
+  granted_until_ = release.successor.empty() ? now : now + terms_.lease;
+  if (release.successor != self_) return;
+  next_request_ = now;
+  named_ = true;
+}
+
+Request HolderLease::request_now() const {
+  Request request;
+  request.term = claimed_term_;
+  request.holder = self_;
+  request.holds = held_term_ != 0;
+  request.life = life_;
+  request.membership = voters_.membership;
+  request.round = round_number_;
+  return request;
+}
+
 std::optional<Request> HolderLease::tick(Time now, std::uint64_t wall_ms,
-                                         const std::vector<std::string>& voters,
                                          const std::vector<std::string>& linked) {
-  majority_ = voters.size() / 2 + 1, voters_ = voters.size();
   if (held_term_ != 0 && now >= held_until_) held_term_ = 0;
   const auto rank = std::ranges::count_if(linked, [&](const auto& v) { return v < self_; });
-  const bool enough = linked.size() >= (now < silent_until_ ? voters_ : majority_);
+  const bool enough = linked.size() >= (now < silent_until_ ? voters_.addresses.size() : majority());
   enough_since_ = enough ? std::min(enough_since_, now) : Time::max();
-  if (now < next_request_ || std::ranges::find(voters, self_) == voters.end()) return std::nullopt;
+  const bool votes = std::ranges::find(voters_.addresses, self_) != voters_.addresses.end();
+  if (now < next_request_ || !votes) return std::nullopt;
   if (held_term_ == 0) {
     // Claims that cross would hold each other up: who has got no majority gives back what it was granted, and
     // waits by rank.
     if (claimed_term_ != 0 && granted_to_ == self_ && granted_term_ == claimed_term_ && !named_) {
       next_request_ = now + terms_.stagger * static_cast<int>(rank + 1);
-      const Request back{claimed_term_, self_, "", true, false, life_};
-      on_request(now, back);
+      Request back = request_now();
+      back.release = true;
+      pass_on(now, back);
       claimed_term_ = 0;
       return back;
     }
-    if (!enough) return std::nullopt;
+    if (!enough || !membership_is_current(now) || now < change_silent_until_) return std::nullopt;
     auto free_at = std::max(granted_until_, enough_since_) + terms_.stagger * static_cast<int>(rank);
     if (now < silent_until_) free_at += terms_.hearing;
     if (!named_ && now < free_at) return std::nullopt;
@@ -77,42 +119,59 @@
     claimed_term_ = held_term_;
   }
   next_request_ = now + (held_term_ == 0 ? terms_.renew / 2 : terms_.renew);
-  requested_at_ = now;
-  grants_.clear(), blanks_.clear();
-  const Request request{claimed_term_, self_, "", false, held_term_ != 0, life_};
+  ++round_number_;
+  const Request request = request_now();
+  if (rounds_.size() == kMostRounds) rounds_.pop_front();
+  rounds_.push_back({round_number_, claimed_term_, now, voters_.membership, voters_.addresses, {}, {}});
   on_reply(now, self_, on_request(now, request));
-  count(now);
   return request;
 }
 
 void HolderLease::observe_term(std::uint64_t term) {
   seen_term_ = std::max(seen_term_, term);
   if (term != 0) claimed_first_ = false;
+  if (held_term_ == 0 || held_term_ >= term) return;
   // What it holds would be taken for an older one's: it claims anew, which the same holder is granted.
-  if (held_term_ != 0 && held_term_ < term) held_term_ = 0, named_ = true, next_request_ = {};
+  held_term_ = claimed_term_ = 0;
+  named_ = true;
+  next_request_ = {};
 }
 
-void HolderLease::on_reply(Time now, const std::string& from, const Reply& answer) {
-  if (answer.term > claimed_term_) seen_term_ = std::max(seen_term_, answer.term);
-  if (answer.term != claimed_term_ || (!answer.granted && !answer.blank)) return;
-  (answer.granted ? grants_ : blanks_).insert(from);
-  count(now);
+void HolderLease::on_reply(Time now, const std::string& from, const Reply& reply) {
+  if (reply.term > claimed_term_) seen_term_ = std::max(seen_term_, reply.term);
+  const auto round = std::ranges::find(rounds_, reply.round, &Round::number);
+  if (round == rounds_.end() || reply.term != round->term || reply.membership != round->membership) return;
+  if (!reply.granted && !reply.blank) return;
+  if (std::ranges::find(round->voters, from) == round->voters.end()) return;  // it has no vote
+  (reply.granted ? round->grants : round->blanks).insert(from);
+  count(now, *round);
 }
 
-void HolderLease::count(Time now) {
-  if (grants_.size() < majority_ && grants_.size() + blanks_.size() < voters_) return;
-  const auto until = requested_at_ + terms_.lease - terms_.margin;
+void HolderLease::count(Time now, const Round& round) {
+  if (round.term != claimed_term_) return;
+  const bool by_majority = round.grants.size() >= round.voters.size() / 2 + 1;
+  const bool by_all = round.grants.size() + round.blanks.size() >= round.voters.size();
+  if (!by_majority && !by_all) return;
+  const auto until = round.requested_at + terms_.lease - terms_.margin;
   if (now >= until) return;
   if (held_term_ != claimed_term_) held_first_ = std::exchange(claimed_first_, false);
-  held_term_ = claimed_term_, held_until_ = std::max(held_until_, until);
-  if (held_term_ > known_term_) known_term_ = held_term_, known_holder_ = self_;
+  held_term_ = claimed_term_;
+  held_until_ = std::max(held_until_, until);
+  if (held_term_ <= known_term_) return;
+  known_term_ = held_term_;
+  known_holder_ = self_;
 }
 
 std::optional<Request> HolderLease::release(Time now, const std::string& successor) {
   if (!holds(now)) return std::nullopt;
-  const Request request{held_term_, self_, successor, true, false, life_};
-  held_term_ = 0, held_until_ = now;
-  on_request(now, request);
+  Request request = request_now();
+  request.term = held_term_;
+  request.successor = successor;
+  request.release = true;
+  request.holds = false;
+  held_term_ = claimed_term_ = 0;
+  held_until_ = now;
+  pass_on(now, request);
   next_request_ = now + terms_.lease;
   return request;
 }
--- a/src/system/registry/handlers.cpp
+++ b/src/system/registry/handlers.cpp
@@ -7,6 +7,8 @@
 
 using Json = nlohmann::json;
 
+constexpr double kRetryS = 0.2;  // after which a call that could not be answered may succeed
+
 std::string body_of_error(const std::string& why) { return Json{{"err", why}}.dump(); }
 
 // What follows a prefix in a path that begins with it; none where it does not or nothing follows.
@@ -17,6 +19,12 @@
 
 }  // namespace
 
+// That a server ends is acknowledged where it is sure to come to the proxies that are linked elsewhere.
+http::Answer Instances::acknowledge_end() const {
+  if (registry_.reaches_majority()) return {200, "{}"};
+  return {503, body_of_error("this node is cut off from the others"), kRetryS};
+}
+
 bool Instances::handle(const http::Call& call, const http::Server::Respond& respond) {
   const Time now = registry_.now();
   if (const auto id = after(call.path(), "/Instances.Leave/")) {
@@ -24,7 +32,7 @@
     if (const auto* known = registry_.servers().find(*id)) s = *known;
     s.id = *id, s.phase = fleet::Phase::GONE, s.heard = now;
     registry_.heard(s);
-    respond({200, "{}"});
+    respond(acknowledge_end());
     return true;
   }
   const auto id = after(call.path(), "/Instances.Heartbeat/");
@@ -44,7 +52,7 @@
       return true;
     }
     registry_.heard(s);
-    respond({200, "{}"});
+    respond(s.phase == fleet::Phase::READY ? http::Answer{200, "{}"} : acknowledge_end());
   } catch (const Json::exception& x) {
     respond({400, body_of_error(x.what())});
   }
@@ -105,7 +113,7 @@
     if (n.zone == zone) here.push_back(n.address);
     if (registry_.settings().region_of(n.zone) == region) near.push_back(n.address);
   }
-  if (all.empty()) {
+  if (all.empty() || !registry_.knows_members()) {
     respond({503, body_of_error("no node is ready"), 0.2});
     return true;
   }
--- a/src/system/registry/handlers.hpp
+++ b/src/system/registry/handlers.hpp
@@ -24,6 +24,7 @@
   bool handle(const http::Call& call, const http::Server::Respond& respond) override;
 
  private:
+  http::Answer acknowledge_end() const;
   Registry& registry_;
 };
 
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kLease = 2500ms;         // a member that has not renewed for so long is none
 constexpr double kSilentBeats = 4;          // beats that a server may miss
 constexpr Duration kKept = 60s;             // that a server is gone is remembered
+constexpr Duration kMembersRenew = 1s;      // after the first proxy has come all others have, too
 constexpr Duration kProposal = 5500ms;      // a change without a verdict
 constexpr std::size_t kRanges = 64;         // of ids, for digests
 
@@ -52,6 +53,23 @@
   return addresses;
 }
 
+// Voters in reach, this machine among them if it is one.
+std::vector<std::string> Registry::linked_voters() const {
+  auto linked = voter_ips();
+  std::erase_if(linked, [&](const std::string& ip) {
+    const auto d = registries_.find(ip);
+    return ip != settings_.bind_ip && (d == registries_.end() || !d->second->up());
+  });
+  return linked;
+}
+
+bool Registry::reaches_majority() const { return linked_voters().size() >= voter_ips().size() / 2 + 1; }
+
+bool Registry::knows_members() const {
+  const bool proxies_renewed = first_proxy_at_ && clock_.now() - *first_proxy_at_ >= kMembersRenew;
+  return met_majority_ || merged_members_ || proxies_renewed;
+}
+
 // Every core machine that is known: voters, seeds, and registries that have told of themselves.
 std::vector<std::string> Registry::core_ips() const {
   std::set<std::string> all;
@@ -116,9 +134,12 @@
           hello(link);
           fleet::Outgoing out;  // all that is known here
           auto g = out.frame().initGossip();
-          auto servers = g.initServers(static_cast<unsigned>(servers_.all().size()));
+          std::vector<const fleet::Server*> heard;  // what only the cache tells may be long gone
+          for (const auto& [id, s] : servers_.all())
+            if (!s.from_cache) heard.push_back(&s);
+          auto servers = g.initServers(static_cast<unsigned>(heard.size()));
           unsigned i = 0;
-          for (const auto& [id, s] : servers_.all()) fleet::put(servers[i++], s, clock_.now());
+          for (const auto* s : heard) fleet::put(servers[i++], *s, clock_.now());
           auto nodes = g.initNodes(static_cast<unsigned>(nodes_.all().size()));
           i = 0;
           for (const auto& [id, n] : nodes_.all()) fleet::put(nodes[i++], n, clock_.now());
@@ -151,6 +172,7 @@
       if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
         auto& p = proxies_[link.get()] = {link, node.id, {}, {}, false};
         tell_all_servers(p);
+        if (!first_proxy_at_) first_proxy_at_ = now;
       }
       if (node.role == fleet::Role::REGISTRY && !peers_.contains(link.get())) {
         peers_[link.get()] = node.address;
@@ -169,6 +191,7 @@
       break;
     }
     case wire::Frame::SNAPSHOT_PART_REQUEST: {
+      if (!confirmed_once()) break;
       fleet::Outgoing out;
       feed_.answer(now, frame.getSnapshotPartRequest(), changes_, out);
       link->send(out.message());
@@ -187,12 +210,13 @@
     case wire::Frame::GOSSIP: on_gossip(frame.getGossip(), link); break;
     case wire::Frame::LEASE_REQUEST: {
       const auto a = frame.getLeaseRequest();
-      const auto reply = lease_.on_request(now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(),
-                                                 a.getRelease(), a.getHolds(), a.getLife()});
+      const auto reply = lease_.on_request(
+          now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(), a.getRelease(), a.getHolds(),
+                a.getLife(), a.getMembership(), a.getRound()});
       fleet::Outgoing out;
       auto to = out.frame().initLeaseReply();
-      to.setTerm(reply.term), to.setGranted(reply.granted), to.setBlank(reply.blank),
-          to.setHolder(reply.holder);
+      to.setTerm(reply.term), to.setGranted(reply.granted), to.setBlank(reply.blank);
+      to.setHolder(reply.holder), to.setMembership(reply.membership), to.setRound(reply.round);
       link->send(out.message());
       check_lease();
       break;
@@ -205,7 +229,9 @@
   if (stopped_) return;
   if (frame.isLeaseReply()) {
     const auto a = frame.getLeaseReply();
-    lease_.on_reply(clock_.now(), ip, {a.getTerm(), a.getGranted(), a.getBlank(), a.getHolder().cStr()});
+    lease_.on_reply(
+        clock_.now(), ip,
+        {a.getTerm(), a.getGranted(), a.getBlank(), a.getHolder().cStr(), a.getMembership(), a.getRound()});
     check_lease();
   } else if (frame.isGossip()) {
     on_gossip(frame.getGossip(), nullptr);
@@ -234,7 +260,9 @@
   if (store != stores_.end() && store->second->up()) store->second->link()->send(out.message());
 }
 
+// A store may have come back with a copy that is old: nothing of it is handed on before a majority's word.
 void Registry::bring_up_to_date(Proxy& proxy) {
+  if (!confirmed_once()) return;
   fleet::Outgoing out;
   if (feed_.next(clock_.now(), proxy.changes, changes_, out)) proxy.link->send(out.message());
 }
@@ -242,7 +270,7 @@
 void Registry::after_news(fleet::ChangeLog::News news) {
   if (news != fleet::ChangeLog::News::taken) return;
   confirmation_.advanced(changes_.position());
-  for (auto& [link, p] : proxies_) bring_up_to_date(p);
+  bring_proxies_up_to_date();
   for (const auto& zone : changes_.readmitted())
     for (const auto& [id, s] : servers_.all())
       if (s.zone == zone) retold_.insert(id);
@@ -258,6 +286,10 @@
   }
 }
 
+void Registry::bring_proxies_up_to_date() {
+  for (auto& [link, p] : proxies_) bring_up_to_date(p);
+}
+
 void Registry::when_at(std::uint64_t position, std::function<void(bool)> done) {
   if (changes_.position() >= position) return done(true);
   waiting_.emplace_back(position, clock_.now() + 800ms, std::move(done));
@@ -279,7 +311,9 @@
 }
 
 void Registry::end_read_barrier(Time begun, std::uint64_t position) {
+  const bool was_confirmed = confirmed_once();
   confirmation_.answered(begun, position, changes_.position());
+  if (!was_confirmed && confirmed_once()) bring_proxies_up_to_date();
   for (auto& [link, p] : proxies_) {
     const auto token = p.confirm_requests.answerable(begun);
     if (!token) continue;
@@ -336,6 +370,7 @@
   }
   for (const auto r : g.getNodes()) {
     const auto n = fleet::get(r, now);
+    if (n.role == fleet::Role::PROXY) merged_members_ = true;
     if (now - n.heard <= kLease && nodes_.merge(n) == Merged::changed) {
       members_changed_ = true;
       if (n.role == fleet::Role::REGISTRY) dial(n.address);
@@ -347,7 +382,7 @@
     std::vector<const fleet::Server*> differ;
     for (const auto& [id, s] : servers_.all())
       if (const auto range = servers_.range_of(id, kRanges);
-          own[range] != digests[static_cast<unsigned>(range)])
+          !s.from_cache && own[range] != digests[static_cast<unsigned>(range)])
         differ.push_back(&s);
     if (differ.empty()) return;
     fleet::Outgoing out;
@@ -381,7 +416,7 @@
 void Registry::fill(wire::Fleet::Builder to) {
   to.setHolder(lease_.holder());
   to.setTerm(lease_.term());
-  to.setPosition(changes_.position());
+  to.setPosition(confirmed_once() ? changes_.position() : 0);
 }
 
 void Registry::tell_servers(const std::vector<fleet::Server>& changed) {
@@ -432,7 +467,7 @@
   auto to = out.frame().initUnitGrants();
   to.setCall(request.getCall());
   const auto& c = changes_.configuration();
-  if (!lease_.holds(now) || !c) {
+  if (!lease_.holds(now) || !c) {  // where it stops from here on, its answer comes late and is void
     to.setRefused(true);
     return p.link->send(out.message());
   }
@@ -467,6 +502,7 @@
     a.setTerm(request.term), a.setHolder(request.holder), a.setSuccessor(request.successor),
         a.setRelease(request.release);
     a.setHolds(request.holds), a.setLife(request.life);
+    a.setMembership(request.membership), a.setRound(request.round);
   });
 }
 
@@ -509,7 +545,7 @@
     capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()));
     for (const auto r : reader.getRoot<wire::Frame>().getGossip().getServers()) {
       auto s = fleet::get(r, clock_.now());
-      s.heard = clock_.now();
+      s.heard = clock_.now(), s.from_cache = true;
       servers_.merge(s);
     }
   } catch (const kj::Exception& x) {
@@ -536,14 +572,10 @@
     if (failed_wait || stopped_) return;
     const Time now = clock_.now();
     ++ticks_;
-    const auto voters = voter_ips();
-    std::vector<std::string> linked;
-    for (const auto& ip : voters) {
-      const auto d = registries_.find(ip);
-      if (ip == settings_.bind_ip || (d != registries_.end() && d->second->up())) linked.push_back(ip);
-    }
-    if (const auto request = lease_.tick(now, draw_life() / 1'000'000, voters, linked))
-      send_lease_request(*request);
+    const auto linked = linked_voters();
+    if (reaches_majority()) met_majority_ = true;
+    lease_.observe_voters(now, {changes_.state().membership, voter_ips()}, confirmation_.at());
+    if (const auto request = lease_.tick(now, draw_life() / 1'000'000, linked)) send_lease_request(*request);
     check_lease();
     if (ticks_ % kBarrierTicks == 0) begin_read_barrier();
     feed_.expire(now);
@@ -594,8 +626,10 @@
 void Registry::stop(std::function<void()> ended) {
   const Time now = clock_.now();
   std::string successor;
-  for (const auto& [ip, d] : registries_)
-    if (successor.empty() && d->up()) successor = ip;
+  for (const auto& ip : voter_ips()) {
+    const auto d = registries_.find(ip);
+    if (successor.empty() && d != registries_.end() && d->second->up()) successor = ip;
+  }
   if (const auto request = lease_.release(now, successor)) send_lease_request(*request);
   self_.leaving = true, self_.ready = false;
   flush();
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -39,6 +40,12 @@
   const fleet::Servers& servers() const { return servers_; }
   const fleet::Nodes& nodes() const { return nodes_; }
   Time now() const { return clock_.now(); }
+  // A majority's word has come in this life: what is here of the configuration may be handed on.
+  bool confirmed_once() const { return confirmation_.at().has_value(); }
+  // Links to a majority of the core's registries stand: what is told here comes to all proxies in touch.
+  bool reaches_majority() const;
+  // The fleet's members are known well enough for clients to be sent to them.
+  bool knows_members() const;
   void heard(const fleet::Server& server);  // a beat or a leave
   // `done` with the verdict's status, its reason and position; 503 where no store answers in time.
   using Done = std::function<void(int status, const std::string& why, std::uint64_t position)>;
@@ -79,6 +86,7 @@
   void tell_servers(const std::vector<fleet::Server>& changed);
   void tell_all_servers(Proxy& p);
   void tell_members();
+  void bring_proxies_up_to_date();
   void fill(wire::Fleet::Builder to);
   void gossip(const std::vector<fleet::Server>& servers, const std::vector<fleet::Node>& nodes);
   void send_lease_request(const lease::Request& request);
@@ -89,6 +97,7 @@
   void load_records();
   std::vector<std::string> core_ips() const;
   std::vector<std::string> voter_ips() const;
+  std::vector<std::string> linked_voters() const;
   template <class Fill>
   void to_registries(Fill fill);
 
@@ -110,6 +119,8 @@
   const fleet::ChangeLog& changes_ = follower_.changes();
   transfer::ChangeFeed feed_;  // of the proxies
   fleet::Confirmation confirmation_;
+  bool met_majority_ = false, merged_members_ = false;
+  std::optional<Time> first_proxy_at_;  // in this life
   lease::HolderLease lease_;
   counts::Counts counts_;
   std::uint64_t counting_term_ = 0;
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -128,10 +128,11 @@
   digests @2 :List(UInt64);   # over ranges of the servers' ids; empty: none asked for
 }
 # The lease on the unit counts: a holder needs a majority of the voters, each of which grants it to one at a time.
+# `membership`: the number of the set of voters that it is asked of; `round`: of the holder's choice, told back.
 # `holds`: it has been granted this term by a majority and renews. Only that is told to proxies: a claim is no lease.
-struct LeaseRequest { term @0 :UInt64; holder @1 :Text; successor @2 :Text; release @3 :Bool; holds @4 :Bool; life @5 :UInt64; }
+struct LeaseRequest { term @0 :UInt64; holder @1 :Text; successor @2 :Text; release @3 :Bool; holds @4 :Bool; life @5 :UInt64; membership @6 :UInt64; round @7 :UInt64; }
 # `blank`: the voter has no memory of whom it granted it to, and has promised it to nobody else since it started.
-struct LeaseReply { term @0 :UInt64; granted @1 :Bool; blank @2 :Bool; holder @3 :Text; }
+struct LeaseReply { term @0 :UInt64; granted @1 :Bool; blank @2 :Bool; holder @3 :Text; membership @4 :UInt64; round @5 :UInt64; }
 
 # Answers the newest confirm frame that had come to the registry before a read barrier at its store began: at the end
 # of the barrier nothing beyond `position` had been acknowledged. No age: the proxy knows when it sent the token.
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -205,6 +205,27 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(given_a_record_from_the_cache_when_one_as_new_is_heard_then_that_one_holds) {
+  fleet::Servers table;
+  auto cached = server("a", 5);
+  cached.from_cache = true, cached.heard = Time{1h};
+  table.merge(cached);
+  BOOST_TEST((table.digests(4) == fleet::Servers{}.digests(4)));  // others are not told of it
+  auto heard = server("a", 5);
+  heard.heard = Time{1h} - 2s;  // by another registry, before this one started
+  BOOST_TEST((table.merge(heard) == fleet::Merged::changed));
+  BOOST_TEST(!table.find("a")->from_cache);
+  BOOST_TEST((table.find("a")->heard == Time{1h} - 2s));
+  BOOST_TEST((table.merge(cached) == fleet::Merged::nothing));
+
+  fleet::Servers newer;
+  auto drains = server("a", 9, fleet::Phase::DRAINING);
+  drains.from_cache = true;
+  newer.merge(drains);
+  newer.merge(server("a", 8));  // told before the one in the cache
+  BOOST_TEST((newer.find("a")->phase == fleet::Phase::DRAINING));
+}
+
 BOOST_AUTO_TEST_CASE(
     given_a_silent_server_when_the_registry_hears_all_others_then_it_is_lost_until_it_beats_again) {
   fleet::Servers table;
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -46,12 +46,16 @@
     for (int i = 4; i <= 5; ++i) start_proxy(i);
   }
   ~Fleet() {
+    end_all();
+    std::filesystem::remove_all(folder_);
+  }
+  void end_all() {
     proxies.clear(), doors.clear(), registries.clear();
     for (auto& store : stores) store->stop();
     io.restart();
     io.poll();  // what was closed lets go
     stores.clear();
-    std::filesystem::remove_all(folder_);
+    io.restart();
   }
 
   std::string ctl(int machine) const { return ip(machine) + ":" + std::to_string(port_ + 10); }
@@ -137,19 +141,6 @@
   std::vector<std::unique_ptr<http::Server>> doors;
   std::vector<std::unique_ptr<proxy::Proxy>> proxies;
 
- private:
-  SystemSettings settings(int machine, bool bootstrap = true) {
-    const auto p = [&](int offset) { return std::to_string(port_ + offset); };
-    auto text = "hostname=m" + std::to_string(machine) + "\nbind_ip=" + ip(machine) +
-                "\naz=z1\nrgn=r1\nazs.z1=r1\nport_range=" + p(0) + "," + p(5) + "\nseeds=" + ctl(1) + "," +
-                ctl(2) + "," + ctl(3) + "\nbootstrap=" + (bootstrap ? "true" : "false") +
-                "\nvoting=true\nhb_ms=1500\n" + "listen.ctl=" + ctl(machine) +
-                "\nlisten.dir=" + dir(machine) + "\nlisten.http=" + http(machine) +
-                "\nlimits.nofile=1024\nbounds.strict_revoke=true\n";
-    auto read = parse_settings(text, "test");
-    BOOST_REQUIRE(!failed(read));
-    return value(read);
-  }
   void start_core(int machine, bool bootstrap = true) {
     const auto s = settings(machine, bootstrap);
     auto disk = Disk::open(folder_ + "/" + s.hostname);
@@ -172,6 +163,20 @@
     proxies.push_back(std::make_unique<proxy::Proxy>(io, settings(machine)));
     BOOST_REQUIRE(!failed(proxies.back()->start()));
   }
+
+ private:
+  SystemSettings settings(int machine, bool bootstrap = true) {
+    const auto p = [&](int offset) { return std::to_string(port_ + offset); };
+    auto text = "hostname=m" + std::to_string(machine) + "\nbind_ip=" + ip(machine) +
+                "\naz=z1\nrgn=r1\nazs.z1=r1\nport_range=" + p(0) + "," + p(5) + "\nseeds=" + ctl(1) + "," +
+                ctl(2) + "," + ctl(3) + "\nbootstrap=" + (bootstrap ? "true" : "false") +
+                "\nvoting=true\nhb_ms=1500\n" + "listen.ctl=" + ctl(machine) +
+                "\nlisten.dir=" + dir(machine) + "\nlisten.http=" + http(machine) +
+                "\nlimits.nofile=1024\nbounds.strict_revoke=true\n";
+    auto read = parse_settings(text, "test");
+    BOOST_REQUIRE(!failed(read));
+    return value(read);
+  }
   std::uint16_t port_;
   std::string folder_;
   std::uint64_t ids_ = 0, beats_ = 0;
@@ -345,6 +350,37 @@
   BOOST_TEST(f.until([&] { return f.registries.back()->changes().state().version() == 4; }));
 }
 
+BOOST_AUTO_TEST_CASE(
+    given_one_core_machine_of_three_when_all_restart_then_it_hands_nothing_on_before_a_majority_is_back) {
+  Fleet f;
+  BOOST_TEST(f.until([&] { return f.post(f.ctl(1), "/Config.Replace", wide_body(3, 0)).status == 200; }));
+  BOOST_TEST(f.until([&] { return f.ask(4, "/b/x").status == 404; }));
+  // The promise for the second place is on the disk of its proposer, and so is the first change before it.
+  BOOST_TEST(f.post(f.ctl(1), "/Config.Replace", wide_body(4, 3)).status == 200);
+  f.end_all();
+
+  f.start_core(1);
+  f.start_proxy(4);
+  auto& registry = *f.registries[0];
+  BOOST_TEST(f.until([&] { return registry.changes().position() > 0 && registry.nodes().all().size() > 1; }));
+  BOOST_TEST(!registry.confirmed_once());
+  BOOST_TEST(f.ask(4, "/b/x").status == 503);  // the configuration has not come to the proxy
+  BOOST_TEST(f.get(f.dir(1), "/resolve?name=h.example&rgn=r1&az=z1").status == 503);
+  // What a server says is heard, but its end could not be told to the proxies that are linked elsewhere.
+  const auto beat = [&](const char* phase, int calls) {
+    return f.post(f.ctl(1), "/Instances.Heartbeat/i-1",
+                  R"({"svc":"alpha","addr":")" + f.server(0) + R"(","az":"z1","cap":4,"phase":")" + phase +
+                      R"(","calls":)" + std::to_string(calls) + "}");
+  };
+  BOOST_TEST(beat("ready", 1).status == 200);
+  BOOST_TEST(beat("draining", 2).status == 503);
+  BOOST_TEST(f.post(f.ctl(1), "/Instances.Leave/i-1", "").status == 503);
+
+  f.start_core(2);
+  BOOST_TEST(f.until([&] { return f.ask(4, "/b/x").status == 404; }));
+  BOOST_TEST(f.until([&] { return f.post(f.ctl(1), "/Instances.Leave/i-1", "").status == 200; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -81,6 +81,7 @@
           std::make_unique<lease::HolderLease>(lease::Terms{}, ips.back(), ++lives, remembers, now));
     }
     cut.assign(n, false);
+    voters.assign(n, {1, ips});
   }
   std::vector<std::size_t> holders() const {
     std::vector<std::size_t> h;
@@ -88,11 +89,15 @@
       if (leases[i] && leases[i]->holds(now)) h.push_back(i);
     return h;
   }
-  bool reaches(std::size_t a, std::size_t b) const { return !cut[a] && !cut[b]; }
+  bool reaches(std::size_t a, std::size_t b) const {
+    return !cut[a] && !cut[b] && split.contains(a) == split.contains(b);
+  }
   std::vector<std::string> linked(std::size_t i) const {
     std::vector<std::string> all;
-    for (std::size_t j = 0; j < ips.size(); ++j)
-      if (j == i || (leases[j] && reaches(i, j))) all.push_back(ips[j]);
+    for (std::size_t j = 0; j < ips.size(); ++j) {
+      const bool votes = std::ranges::find(voters[i].addresses, ips[j]) != voters[i].addresses.end();
+      if (votes && (j == i || (leases[j] && reaches(i, j)))) all.push_back(ips[j]);
+    }
     return all;
   }
   void tell(std::size_t from, const lease::Request& request) {
@@ -109,6 +114,10 @@
                       }});
     }
   }
+  void tick(std::size_t i) {
+    leases[i]->observe_voters(now, voters[i], confirmed(i));
+    if (const auto request = leases[i]->tick(now, wall, linked(i))) tell(i, *request);
+  }
   void run(Duration d) {
     const Time until = now + d;
     for (; now < until; now += 5ms) {
@@ -123,8 +132,7 @@
       }
       if (now.time_since_epoch() % 100ms == Duration{})
         for (std::size_t i = 0; i < leases.size(); ++i)
-          if (leases[i])
-            if (const auto request = leases[i]->tick(now, wall, ips, linked(i))) tell(i, *request);
+          if (leases[i]) tick(i);
       most_holders = std::max(most_holders, holders().size());
       for (const auto h : holders()) highest = std::max(highest, leases[h]->held_term());
     }
@@ -134,6 +142,9 @@
   std::vector<std::string> ips;
   std::vector<std::unique_ptr<lease::HolderLease>> leases;
   std::vector<bool> cut;
+  std::vector<lease::Voters> voters;  // as each knows them
+  std::set<std::size_t> split;        // these reach each other alone
+  std::function<Time(std::size_t)> confirmed = [this](std::size_t) { return now - 400ms; };
   std::deque<std::pair<Time, std::function<void()>>> wire;
   std::size_t most_holders = 0;
   std::uint64_t highest = 0, lives = 0, wall = 1000;
@@ -273,6 +284,7 @@
 BOOST_AUTO_TEST_CASE(
     given_a_voter_without_memory_when_it_has_just_started_then_it_grants_nothing_for_a_lease) {
   lease::HolderLease d({}, "a", 1, false, Time{1h});
+  d.observe_voters(Time{1h}, {0, {"a", "b", "c"}}, Time{1h});
   const auto b = d.on_request(Time{1h} + 1s, {1, "b", "", false, false, 1});
   BOOST_TEST((!b.granted && b.blank));
   const auto c = d.on_request(Time{1h} + 1100ms, {2, "c", "", false, false, 1});
@@ -280,6 +292,107 @@
   BOOST_TEST(d.on_request(Time{1h} + 1300ms, {3, "b", "", false, false, 1}).granted);
 }
 
+// Grants of one voter, by hand.
+struct Claimant {
+  Claimant(Time now, std::vector<std::string> addresses) : lease(lease::Terms{}, "a", 1, true, now) {
+    lease.observe_voters(now, {1, std::move(addresses)}, now);
+  }
+  lease::Request claim(Time now, const std::vector<std::string>& linked) {
+    const auto request = lease.tick(now, 1000, linked);
+    BOOST_REQUIRE(request.has_value());
+    return *request;
+  }
+  static lease::Reply granted(const lease::Request& request) {
+    return {request.term, true, false, request.holder, request.membership, request.round};
+  }
+  lease::HolderLease lease;
+};
+
+BOOST_AUTO_TEST_CASE(given_a_registry_without_a_vote_when_it_grants_then_that_counts_for_nothing) {
+  const Time now{1h};
+  Claimant a(now, {"a", "b", "c"});
+  const auto request = a.claim(now, {"a", "b"});
+  a.lease.on_reply(now + 10ms, "learner", Claimant::granted(request));
+  BOOST_TEST(!a.lease.holds(now + 10ms));
+  a.lease.on_reply(now + 20ms, "b", Claimant::granted(request));
+  BOOST_TEST(a.lease.holds(now + 20ms));
+}
+
+BOOST_AUTO_TEST_CASE(given_a_reply_that_was_late_when_a_newer_round_is_out_then_it_counts_from_its_own) {
+  const Time now{1h};
+  const lease::Terms terms;
+  Claimant a(now, {"a", "b", "c"});
+  const auto first = a.claim(now, {"a", "b", "c"});
+  a.lease.on_reply(now + 10ms, "b", Claimant::granted(first));
+  const auto second = a.claim(now + terms.renew, {"a", "b", "c"});
+  const auto third = a.claim(now + 2 * terms.renew, {"a", "b", "c"});  // lost, as those after it
+  BOOST_TEST(third.term == first.term);
+  a.lease.on_reply(now + 3 * terms.renew, "c", Claimant::granted(second));
+  const Time until = now + terms.renew + terms.lease - terms.margin;
+  BOOST_TEST(a.lease.holds(until - 1ms));
+  BOOST_TEST(!a.lease.holds(until));  // when c's promise ends
+}
+
+BOOST_AUTO_TEST_CASE(given_a_holder_that_released_when_a_late_grant_comes_then_it_holds_no_more) {
+  const Time now{1h};
+  Claimant a(now, {"a", "b", "c"});
+  const auto request = a.claim(now, {"a", "b", "c"});
+  a.lease.on_reply(now + 10ms, "b", Claimant::granted(request));
+  BOOST_TEST(a.lease.release(now + 20ms, "b").has_value());
+  a.lease.on_reply(now + 30ms, "c", Claimant::granted(request));
+  BOOST_TEST(!a.lease.holds(now + 30ms));
+}
+
+BOOST_AUTO_TEST_CASE(given_voters_that_change_one_after_another_when_a_holder_is_among_them_then_it_goes_on) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    LeaseFleet f(4, seed);
+    const auto set = [&](std::uint64_t number, std::initializer_list<int> machines) {
+      lease::Voters v{number, {}};
+      for (const int m : machines) v.addresses.push_back(f.ips[static_cast<std::size_t>(m)]);
+      return v;
+    };
+    f.voters.assign(4, set(1, {0, 1, 2}));
+    f.run(2s);
+    const auto first = f.holders().at(0);
+    const auto term = f.leases[first]->held_term();
+    const int gone = first == 2 ? 1 : 2;
+    for (std::size_t i = 0; i < 4; ++i) {  // they learn of it at different times
+      f.voters[i] = gone == 2 ? set(2, {0, 1, 3}) : set(2, {0, 2, 3});
+      f.run(Duration(1ms) * static_cast<int>(f.random() % 200));
+    }
+    f.run(5s);
+    BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
+    BOOST_TEST(f.leases[first]->held_term() == term, "seed " << seed);
+    BOOST_TEST(f.most_holders == 1u, "seed " << seed);
+    f.cut[first] = true;
+    f.run(6s);
+    BOOST_TEST(f.holders().size() == 1u, "seed " << seed);
+    BOOST_TEST(f.most_holders == 1u, "seed " << seed);
+  }
+}
+
+// All but one voter are others now; the holder and a voter of the former set, cut off, don't know it.
+BOOST_AUTO_TEST_CASE(
+    given_a_set_of_others_when_the_former_holder_is_cut_off_with_its_majority_then_never_two_hold) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    LeaseFleet f(5, seed);
+    f.voters.assign(5, {1, {f.ips[0], f.ips[1], f.ips[2]}});
+    f.run(2s);
+    const auto first = f.holders().at(0);
+    BOOST_REQUIRE(first < 3);
+    const auto beside = (first + 1) % 3, other = (first + 2) % 3;
+    f.split = {first, beside};  // they reach each other, and no others
+    const Time agreed = f.now;
+    f.confirmed = [&](std::size_t i) { return f.split.contains(i) ? agreed : f.now - 400ms; };
+    for (const auto i : {other, std::size_t{3}, std::size_t{4}})
+      f.voters[i] = {2, {f.ips[other], f.ips[3], f.ips[4]}};
+    f.run(8s);
+    BOOST_TEST(f.most_holders == 1u, "seed " << seed);
+    BOOST_REQUIRE_MESSAGE(f.holders().size() == 1, "seed " << seed);
+    BOOST_TEST(!f.split.contains(f.holders()[0]), "seed " << seed);
+  }
+}
+
 // ---- proxies that lease
 
 struct UnitsFleet {
