--- a/tests/system/control_fleet.cpp
+++ b/tests/system/control_fleet.cpp
@@ -320,6 +320,7 @@
                            Settle settle) {
   auto& member = members_[at];
   if (!member.replica) return false;
+  if (on_proposal) on_proposal(at, kind, text);
   const auto id = ++next_call_;
   calls_[id] = std::move(settle);
   at_member(at, member.life, [this, at, id, kind, text] {
--- a/tests/system/control_fleet.hpp
+++ b/tests/system/control_fleet.hpp
@@ -150,6 +150,7 @@
   std::function<void(MemberIndex, agreement::Write&)> on_write;
   std::function<void(MemberIndex, agreement::Kept&)> on_read_disk;
   std::function<void(MemberIndex, agreement::Options&)> on_options;
+  std::function<void(MemberIndex, configuration::ChangeKind, const std::string&)> on_proposal;
   // Lines of what happens; for the trace of one seed.
   std::function<void(const std::string&)> on_trace;
   void trace(const std::string& line) const;
