--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -119,12 +119,14 @@
   bool changes = true;
   bool needs_barrier = true;
   configuration::Judgement judgement;
-  const auto evacuated = [&] { return std::ranges::binary_search(state_.evacuated, proposal.text); };
   switch (proposal.kind) {
     case ChangeKind::replace: judgement = configuration::judge_replace(state_, proposal.text, nullptr); break;
     case ChangeKind::patch: judgement = configuration::judge_patch(state_, proposal.text, nullptr); break;
-    case ChangeKind::evacuate: changes = !evacuated(); break;
-    case ChangeKind::readmit: changes = evacuated(); break;
+    case ChangeKind::evacuate:
+    case ChangeKind::readmit:
+      judgement = configuration::judge_evacuation(state_, proposal.kind, proposal.text);
+      changes = !judgement.in_force;
+      break;
     case ChangeKind::membership: {
       const auto change = configuration::decode_membership(proposal.text);
       changes = change && change->number == state_.membership;
--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -202,7 +202,12 @@
 
 namespace {
 
-Judgement refused(int status, std::string why) { return {status, std::move(why), false}; }
+Judgement refused(int status, std::string why) {
+  Judgement judgement;
+  judgement.status = status;
+  judgement.why = std::move(why);
+  return judgement;
+}
 
 // The version and base of a body against the state: 200 and `already` for a body that was taken, 200 if it can
 // be taken now.
@@ -214,7 +219,8 @@
   if (!parent) return refused(400, "parent is no version");
   if (*version <= *parent) return refused(400, "gen is not above the version that it builds on");
   const auto current = state.version();
-  if (*version <= current && state.history.holds(*version, digest_of(call, bytes))) return {200, "", true};
+  if (*version <= current && state.history.holds(*version, digest_of(call, bytes)))
+    return {200, "", true, false};
   if (*parent != current)
     return refused(412,
                    "parent is " + shown_version(*parent) + ", the current version " + shown_version(current));
@@ -390,14 +396,38 @@
 
 }  // namespace
 
+Judgement judge_evacuation(const State& state, ChangeKind kind, std::string_view text) {
+  const auto order = decode_evacuation(text);
+  if (!order) return refused(400, "the order names no zone");
+  const bool evacuated = std::ranges::binary_search(state.evacuated, order->zone);
+  const bool wanted = kind == ChangeKind::evacuate;
+  if (evacuated == wanted) return {200, "", false, true};
+  const auto changed = state.zone_changes.find(order->zone);
+  if (changed != state.zone_changes.end() && changed->second > order->base)
+    return refused(503, "a later order of this zone has taken effect");
+  return {};
+}
+
+namespace {
+
+// At state.position, which is the order's own already.
+bool apply_evacuation(State& state, ChangeKind kind, const std::string& text) {
+  const auto judged = judge_evacuation(state, kind, text);
+  if (judged.status != 200 || judged.in_force) return false;
+  const auto zone = decode_evacuation(text)->zone;
+  if (kind == ChangeKind::evacuate) {
+    state.evacuated.insert(std::ranges::lower_bound(state.evacuated, zone), zone);
+  } else {
+    std::erase(state.evacuated, zone);
+  }
+  state.zone_changes[zone] = state.position;
+  return true;
+}
+
+}  // namespace
+
 bool apply(State& state, ChangeKind kind, const std::string& change) {
   ++state.position;
-  const auto insert = [&](std::vector<std::string>& into) {
-    const auto at = std::ranges::lower_bound(into, change);
-    if (at != into.end() && *at == change) return false;
-    into.insert(at, change);
-    return true;
-  };
   switch (kind) {
     case ChangeKind::replace:
     case ChangeKind::patch: {
@@ -410,8 +440,8 @@
       state.history.record(state.version(), digest_of(call, change));
       return true;
     }
-    case ChangeKind::evacuate: return insert(state.evacuated);
-    case ChangeKind::readmit: return std::erase(state.evacuated, change) > 0;
+    case ChangeKind::evacuate:
+    case ChangeKind::readmit: return apply_evacuation(state, kind, change);
     case ChangeKind::membership: return apply_membership(state, change);
     case ChangeKind::nothing: break;
   }
--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -5,6 +5,7 @@
 #include <tsl/robin_map.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "system/base/result.hpp"
+#include "system/configuration/evacuation_order.hpp"
 #include "system/configuration/version_history.hpp"
 
 namespace docklift::configuration {
@@ -106,14 +108,17 @@
   std::vector<Voter> voters;           // sorted
   std::uint64_t membership = 0;        // how often the voters have changed
   VersionHistory history;              // the bodies that were taken
+  // Zone -> position of the last order that changed whether it is evacuated.
+  std::map<std::string, std::uint64_t> zone_changes;
 
   std::uint64_t version() const;
 };
 
 struct Judgement {
-  int status = 200;  // 200, 400 or 412
+  int status = 200;  // 200, 400 or 412; 503 for an order that has no effect and may be given anew
   std::string why;
-  bool already = false;  // 200 for what was taken before: nothing to agree on
+  bool already = false;   // 200 for a body that was taken before: final, nothing to agree on
+  bool in_force = false;  // 200 for a wish that holds in this state, if no majority knows of a newer one
 };
 // What a body would be answered on top of a state; on 200 and not `already`, `after` (if not null) is the
 // document.
@@ -125,6 +130,9 @@
 Judgement judge_patch(const State& state, std::string_view body, nlohmann::json* after);
 
 enum class ChangeKind : std::uint8_t { replace, patch, evacuate, readmit, membership, nothing };
+// What an evacuation order (`kind` evacuate or readmit) would be answered on top of a state. Anything but a 400
+// depends on the state: it may be given only after a majority was asked.
+Judgement judge_evacuation(const State& state, ChangeKind kind, std::string_view text);
 // Puts a change at the next place of the log into force. False: it changed nothing that is in force.
 bool apply(State& state, ChangeKind kind, const std::string& text);
 
--- /dev/null
+++ b/src/system/configuration/evacuation_order.cpp
@@ -0,0 +1,20 @@
+#include "system/configuration/evacuation_order.hpp"
+
+#include <charconv>
+
+namespace docklift::configuration {
+
+std::string encode(const EvacuationOrder& order) { return std::to_string(order.base) + " " + order.zone; }
+
+std::optional<EvacuationOrder> decode_evacuation(std::string_view text) {
+  const auto space = text.find(' ');
+  if (space == std::string_view::npos || space + 1 == text.size()) return std::nullopt;
+  EvacuationOrder order;
+  const char* const end = text.data() + space;
+  const auto read = std::from_chars(text.data(), end, order.base);
+  if (read.ec != std::errc{} || read.ptr != end) return std::nullopt;
+  order.zone = text.substr(space + 1);
+  return order;
+}
+
+}  // namespace docklift::configuration
--- a/src/system/fleet/change_log.cpp
+++ b/src/system/fleet/change_log.cpp
@@ -29,7 +29,8 @@
     auto e = get(r);
     const bool effect = apply(state_, e);
     document = document || (effect && (e.change == wire::Change::REPLACE || e.change == wire::Change::PATCH));
-    if (effect && e.change == wire::Change::READMIT) readmitted_.push_back(e.text);
+    if (effect && e.change == wire::Change::READMIT)
+      readmitted_.push_back(configuration::decode_evacuation(e.text)->zone);
     taken = true;
     recent_.push(e);
   }
--- a/src/system/fleet/frames.cpp
+++ b/src/system/fleet/frames.cpp
@@ -18,6 +18,13 @@
   }
   to.setMembership(s.membership);
   to.setHistory(data_of(s.history.encode()));
+  auto zone_changes = to.initZoneChanges(static_cast<unsigned>(s.zone_changes.size()));
+  unsigned index = 0;
+  for (const auto& [zone, position] : s.zone_changes) {
+    zone_changes[index].setZone(zone);
+    zone_changes[index].setPosition(position);
+    ++index;
+  }
 }
 
 configuration::State get(wire::Snapshot::Reader r) {
@@ -30,6 +37,7 @@
   auto history = configuration::VersionHistory::decode(text_of(r.getHistory()));
   KJ_REQUIRE(history.has_value(), "the version history can't be read");
   s.history = std::move(*history);
+  for (const auto change : r.getZoneChanges()) s.zone_changes[change.getZone().cStr()] = change.getPosition();
   return s;
 }
 
--- a/src/system/http/server.cpp
+++ b/src/system/http/server.cpp
@@ -1,6 +1,8 @@
 #include "system/http/server.hpp"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 namespace docklift::http {
@@ -10,6 +12,7 @@
 struct Server::Session : std::enable_shared_from_this<Session> {
   Session(Server& owner, Socket s) : server(&owner), socket(std::move(s)), timer(socket.get_executor()) {}
 
+  // The next call, of which nothing or a part has been read.
   void read() {
     arm(in.empty() ? server->limits_.idle : server->limits_.whole);
     const auto had = in.size();
@@ -32,7 +35,7 @@
     if (!kind) return answer({400, ""}, false);
     if (kind->coding == stream::Coding::length && kind->length > server->limits_.body_bytes)
       return answer({413, ""}, false);
-    Call call{std::string(head.method), std::string(head.target), ""};
+    Call call{std::string(head.method), std::string(head.target), "", caller_gone};
     stream::BodyDecoder decoder(*kind);
     std::string_view rest = std::string_view(in).substr(r.used);
     if (kind->coding == stream::Coding::length && rest.size() < kind->length) {
@@ -51,12 +54,43 @@
     in.erase(0, in.size() - rest.size());
     want = 0;
     timer.cancel();
+    answering = true;
+    watch_caller();
+    // In a turn of its own: a close that came with the call is seen before.
+    asio::post(socket.get_executor(), [self = shared_from_this(), call = std::move(call), keep] {
+      if (self->server) self->hand_over(call, keep);
+    });
+  }
+
+  void hand_over(const Call& call, bool keep) {
     server->handle_(call, [weak = weak_from_this(), keep, done = false](Answer a) mutable {
       if (std::exchange(done, true)) return;
       if (const auto self = weak.lock(); self && self->server) self->answer(a, keep);
     });
   }
 
+  // The read for the next call begins before the answer to this one: it shows a caller that goes.
+  void watch_caller() {
+    if (!in.empty()) return;  // a further call waits; it is taken behind the answer
+    watching = true;
+    socket.async_read_some(asio::buffer(ahead),
+                           [self = shared_from_this()](error_code failed, std::size_t n) {
+                             self->watching = false;
+                             if (!self->server) return;
+                             self->in.append(self->ahead.data(), n);
+                             if (failed) *self->caller_gone = true;
+                             if (!self->answering) self->next();
+                           });
+  }
+
+  // After an answer.
+  void next() {
+    if (watching) return arm(server->limits_.idle);
+    if (*caller_gone) return end();
+    if (in.empty()) return read();
+    take();
+  }
+
   void answer(const Answer& a, bool keep) {
     out = "HTTP/1.1 " + std::to_string(a.status) + " " + std::string(reason(a.status)) + "\r\n";
     if (!a.body.empty()) out += "Content-Type: application/json\r\n";
@@ -67,8 +101,8 @@
     asio::async_write(socket, asio::buffer(out),
                       [self = shared_from_this(), keep](error_code failed, std::size_t) {
                         if (failed || !keep || !self->server) return self->end();
-                        if (self->in.empty()) return self->read();
-                        self->take();
+                        self->answering = false;
+                        self->next();
                       });
   }
 
@@ -91,6 +125,10 @@
   Socket socket;
   Timer timer;
   std::string in, out;
+  std::array<char, 4096> ahead;  // bytes behind the call that is being answered
+  bool watching = false;         // a read into `ahead` is under way
+  bool answering = false;
+  std::shared_ptr<bool> caller_gone = std::make_shared<bool>(false);
   std::size_t want = 0;  // bytes of the message being read, where known
 };
 
--- a/src/system/http/server.hpp
+++ b/src/system/http/server.hpp
@@ -19,6 +19,9 @@
 };
 struct Call {
   std::string method, target, body;
+  // Becomes true when the caller closes its connection before it has the answer; also where the close came right
+  // behind the call, as when a cut has held up both. A caller that closes only its sending half counts as gone.
+  std::shared_ptr<const bool> caller_gone;
   std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
 };
 
--- a/src/system/registry/handlers.cpp
+++ b/src/system/registry/handlers.cpp
@@ -7,7 +7,7 @@
 
 using Json = nlohmann::json;
 
-constexpr double kRetryS = 0.2;  // after which a call that could not be answered may succeed
+constexpr double kRetryAfterS = 0.2;  // told with a 503: about a round among far stores
 
 std::string body_of_error(const std::string& why) { return Json{{"err", why}}.dump(); }
 
@@ -22,7 +22,7 @@
 // That a server ends is acknowledged where it is sure to come to the proxies that are linked elsewhere.
 http::Answer Instances::acknowledge_end() const {
   if (registry_.reaches_majority()) return {200, "{}"};
-  return {503, body_of_error("this node is cut off from the others"), kRetryS};
+  return {503, body_of_error("this node is cut off from the others"), kRetryAfterS};
 }
 
 bool Instances::handle(const http::Call& call, const http::Server::Respond& respond) {
@@ -63,41 +63,43 @@
   const auto path = call.path();
   if (path == "/Config.Read") {
     // The newest that a majority knows of, also where this machine was cut off until now.
-    registry_.propose(configuration::ChangeKind::nothing, "",
-                      [this, respond](int status, const std::string& why, std::uint64_t at) {
-                        if (status != 200) return respond({503, body_of_error(why), 0.2});
-                        registry_.when_at(at, [this, respond](bool in_time) {
-                          const auto& document = registry_.changes().state().document;
-                          if (!in_time)
-                            return respond({503, body_of_error("the changes have not come here yet"), 0.2});
-                          if (document.is_null())
-                            return respond({404, body_of_error("there is no configuration yet")});
-                          respond({200, document.dump()});
-                        });
-                      });
+    registry_.propose(
+        configuration::ChangeKind::nothing, "",
+        [this, respond](int status, const std::string& why, std::uint64_t at) {
+          if (status != 200) return respond({503, body_of_error(why), kRetryAfterS});
+          registry_.when_at(at, [this, respond](bool in_time) {
+            const auto& document = registry_.changes().state().document;
+            if (!in_time)
+              return respond({503, body_of_error("the changes have not come here yet"), kRetryAfterS});
+            if (document.is_null()) return respond({404, body_of_error("there is no configuration yet")});
+            respond({200, document.dump()});
+          });
+        });
     return true;
   }
   const bool replace = path == "/Config.Replace";
   if (!replace && path != "/Config.Patch") return false;
-  registry_.propose(replace ? configuration::ChangeKind::replace : configuration::ChangeKind::patch,
-                    call.body, [respond](int status, const std::string& why, std::uint64_t) {
-                      respond({status, status == 200 ? "{}" : body_of_error(why), status == 503 ? 0.2 : 0});
-                    });
+  registry_.propose(
+      replace ? configuration::ChangeKind::replace : configuration::ChangeKind::patch, call.body,
+      [respond](int status, const std::string& why, std::uint64_t) {
+        respond({status, status == 200 ? "{}" : body_of_error(why), status == 503 ? kRetryAfterS : 0});
+      });
   return true;
 }
 
 bool Evacuations::handle(const http::Call& call, const http::Server::Respond& respond) {
   const auto start = after(call.path(), "/Evac.Start/"), stop = after(call.path(), "/Evac.Stop/");
   if (!start && !stop) return false;
-  const auto& zone = start ? *start : *stop;
-  if (!registry_.settings().zones.contains(zone)) {
+  const configuration::EvacuationOrder order{start ? *start : *stop, registry_.changes().position()};
+  if (!registry_.settings().zones.contains(order.zone)) {
     respond({404, body_of_error("no zone of that name")});
     return true;
   }
-  registry_.propose(start ? configuration::ChangeKind::evacuate : configuration::ChangeKind::readmit, zone,
-                    [respond](int status, const std::string& why, std::uint64_t) {
-                      respond({status, status == 200 ? "{}" : body_of_error(why), status == 503 ? 0.2 : 0});
-                    });
+  const auto kind = start ? configuration::ChangeKind::evacuate : configuration::ChangeKind::readmit;
+  const auto answer = [respond](int status, const std::string& why, std::uint64_t) {
+    respond({status, status == 200 ? "{}" : body_of_error(why), status == 503 ? kRetryAfterS : 0});
+  };
+  registry_.propose(kind, configuration::encode(order), answer, call.caller_gone);
   return true;
 }
 
@@ -114,7 +116,7 @@
     if (registry_.settings().region_of(n.zone) == region) near.push_back(n.address);
   }
   if (all.empty() || !registry_.knows_members()) {
-    respond({503, body_of_error("no node is ready"), 0.2});
+    respond({503, body_of_error("no node is ready"), kRetryAfterS});
     return true;
   }
   auto& given = near.empty() ? all : near;
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -20,6 +20,7 @@
 constexpr double kSilentBeats = 4;          // beats that a server may miss
 constexpr Duration kKept = 60s;             // that a server is gone is remembered
 constexpr Duration kMembersRenew = 1s;      // after the first proxy has come all others have, too
+constexpr Duration kCallerPatience = 1s;    // of silence; then a caller goes on to another node
 constexpr Duration kProposal = 5500ms;      // a change without a verdict
 constexpr std::size_t kRanges = 64;         // of ids, for digests
 
@@ -295,12 +296,23 @@
   waiting_.emplace_back(position, clock_.now() + 800ms, std::move(done));
 }
 
-void Registry::propose(configuration::ChangeKind kind, const std::string& text, Done done) {
+void Registry::propose(configuration::ChangeKind kind, const std::string& text, Done done,
+                       std::shared_ptr<const bool> caller_gone) {
   const auto call = ++calls_;
-  auto& p = pending_[call] = {kind, text, std::move(done), clock_.now() + kProposal, ""};
+  const Time now = clock_.now();
+  auto& p = pending_[call] = {kind, text, std::move(done), now + kProposal, "", now, std::move(caller_gone)};
   send_pending(call, p);
 }
 
+// A configuration builds on one version and can be taken only once, whenever it is sent. An evacuation order has
+// only the position at which it arrived, so it is not sent on behalf of a caller who no longer waits here.
+bool Registry::is_abandoned(const Pending& p) const {
+  using configuration::ChangeKind;
+  if (p.kind != ChangeKind::evacuate && p.kind != ChangeKind::readmit) return false;
+  const bool gone = p.caller_gone && *p.caller_gone;
+  return gone || clock_.now() - p.since > kCallerPatience;
+}
+
 // A read barrier at a store: a majority states, after the store has got the question, what it has accepted.
 void Registry::begin_read_barrier() {
   const Time begun = clock_.now();
@@ -332,6 +344,10 @@
 
 // To the store on this machine, or to another one while that is not up.
 void Registry::send_pending(std::uint64_t call, Pending& p) {
+  if (is_abandoned(p)) {
+    p.until = Time{};  // the next tick answers it with 503
+    return;
+  }
   auto to = stores_.find(settings_.bind_ip);
   if (to == stores_.end() || !to->second->up())
     to = std::ranges::find_if(stores_, [](const auto& s) { return s.second->up(); });
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -40,10 +40,12 @@
 struct Entry {
   position @0 :UInt64;   # 1, 2, 3, ...
   change @1 :Change;
-  text @2 :Data;         # replace, patch: the body as it was sent; evacuate, readmit: the zone; membership: the next voters
+  text @2 :Data;         # replace, patch: the body as it was sent; evacuate, readmit: an EvacuationOrder; membership: the next voters
 }
 # A store with a vote: an address and the identity of its disk.
 struct Voter { address @0 :Text; disk @1 :UInt64; }
+# The last order that changed whether a zone is evacuated.
+struct ZoneChange { zone @0 :Text; position @1 :UInt64; }
 struct Snapshot {
   position @0 :UInt64;   # of the last change in it
   document @1 :Data;     # the whole configuration as JSON; empty: none yet
@@ -51,6 +53,7 @@
   voters @3 :List(Voter);
   history @4 :Data;      # the versions that were taken, oldest first, with the digests of their bodies: 24 bytes each
   membership @5 :UInt64; # how often the voters have changed
+  zoneChanges @6 :List(ZoneChange);
 }
 
 # Changes in order, at most a batch: a follower that has taken them and stands before `newest` asks for more.
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -66,11 +66,48 @@
   for (std::size_t i = 0; i < 3; ++i) BOOST_TEST(core.state(i).version() == 6u);
 }
 
+BOOST_AUTO_TEST_CASE(
+    given_an_evacuation_held_by_a_store_that_was_cut_off_when_it_was_ended_meanwhile_then_it_does_not_start_again) {
+  CoreFleet core(kTwoZones, 11);
+  BOOST_TEST(core.put(0, 5, 0) == 200);
+  core.run(1s);
+  const auto base = core.state(2).position;
+  core.cut(0, 2), core.cut(1, 2);
+  const auto held = core.propose(2, ChangeKind::evacuate, zone_order("z", base));
+  // The operator hears nothing and sends it again elsewhere; later the evacuation is ended.
+  BOOST_TEST(core.settled(core.propose(0, ChangeKind::evacuate, zone_order("z", base))) == 200);
+  BOOST_TEST(core.settled(core.propose(1, ChangeKind::readmit, zone_order("z", core.state(1).position))) ==
+             200);
+  core.heal();
+  BOOST_TEST(core.settled(held) == 503);
+  core.run(6s);
+  for (std::size_t i = 0; i < 3; ++i) BOOST_TEST(core.state(i).evacuated.empty());
+  // Asked anew it is taken.
+  BOOST_TEST(core.settled(core.propose(2, ChangeKind::evacuate, zone_order("z", core.state(2).position))) ==
+             200);
+}
+
+BOOST_AUTO_TEST_CASE(
+    given_a_store_that_is_behind_when_a_wish_holds_there_that_was_taken_back_then_it_is_not_acknowledged) {
+  CoreFleet core(kTwoZones, 12);
+  BOOST_TEST(core.settled(core.propose(0, ChangeKind::evacuate, zone_order("z", 0))) == 200);
+  core.run(1s);
+  const auto base = core.state(2).position;
+  core.cut(0, 2), core.cut(1, 2);
+  BOOST_TEST(core.settled(core.propose(0, ChangeKind::readmit, zone_order("z", base))) == 200);
+  const auto behind = core.propose(2, ChangeKind::evacuate, zone_order("z", base));
+  core.run(500ms);
+  BOOST_TEST(core.answers[behind].status == 0);  // evacuated as far as this store knows
+  core.heal();
+  BOOST_TEST(core.settled(behind) == 503);
+  BOOST_TEST(core.state(0).evacuated.empty());
+}
+
 BOOST_AUTO_TEST_CASE(given_an_acknowledged_change_when_all_lose_power_then_it_is_in_force_after) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     CoreFleet core(kTwoZones, seed);
     BOOST_TEST(core.put(seed % 3, 5, 0) == 200);
-    BOOST_TEST(core.settled(core.propose(0, ChangeKind::evacuate, "a")) == 200);
+    BOOST_TEST(core.settled(core.propose(0, ChangeKind::evacuate, zone_order("a", 1))) == 200);
     for (std::size_t i = 0; i < 3; ++i) core.lose_power(i);
     core.run(1s);
     for (std::size_t i = 0; i < 3; ++i) core.start(i);
--- a/tests/system/control_play.cpp
+++ b/tests/system/control_play.cpp
@@ -148,7 +148,7 @@
     const auto sent = records_.history.send(order.id, fleet_.now());
     trace(order, "sent to " + fleet_.member(at).address);
     fleet_.later(fleet_.drawn(0ms, 3ms), [this, order, at, sent, task] {
-      const bool listens = fleet_.propose(at, order.kind, order.text,
+      const bool listens = fleet_.propose(at, order.kind, text_at(at, order),
                                           [this, order, sent, task](int status, const auto&) {
                                             if (fleet_.chance(kAnswersLost)) return;
                                             // An order for a zone has no identity: what comes after the operator has gone on is told to nobody.
@@ -166,6 +166,13 @@
     });
   }
 
+  // What a registry beside the member makes of an order: one for a zone gets the place that is known there.
+  std::string text_at(MemberIndex at, const Order& order) const {
+    if (order.kind == ChangeKind::replace) return order.text;
+    const auto& replica = fleet_.member(at).replica;
+    return configuration::encode({order.text, replica ? replica->state().position : 0});
+  }
+
   void again(const Order& order, Duration after) {
     const auto task = ++task_;
     fleet_.later(after, [this, order, task] {
--- a/tests/system/core_fleet.hpp
+++ b/tests/system/core_fleet.hpp
@@ -32,6 +32,11 @@
          R"(","hc_path":"/healthz","max_conns":100,"warmup_s":3.0,"cold_per_s":5}]})";
 }
 
+// An order as a registry makes it that knows of the changes up to `base`.
+inline std::string zone_order(const std::string& zone, std::uint64_t base) {
+  return configuration::encode(configuration::EvacuationOrder{zone, base});
+}
+
 // What a store has on its disk: what is durable, and what was written after.
 class MemoryDisk {
  public:
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -173,6 +173,20 @@
   BOOST_TEST(!configuration::VersionHistory::decode(std::string_view(bytes).substr(1)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(given_a_zone_order_when_a_later_one_has_taken_effect_then_only_its_wish_is_compared) {
+  State s;
+  using configuration::ChangeKind;
+  BOOST_TEST(configuration::apply(s, ChangeKind::evacuate, zone_order("z", 0)));
+  BOOST_TEST(configuration::judge_evacuation(s, ChangeKind::evacuate, zone_order("z", 0)).in_force);
+  BOOST_TEST(configuration::judge_evacuation(s, ChangeKind::readmit, zone_order("z", 0)).status == 503);
+  BOOST_TEST(!configuration::apply(s, ChangeKind::readmit, zone_order("z", 0)));
+  BOOST_TEST(configuration::apply(s, ChangeKind::evacuate, zone_order("y", 0)));  // each zone by itself
+  BOOST_TEST(configuration::apply(s, ChangeKind::readmit, zone_order("z", 2)));
+  BOOST_TEST(s.zone_changes.at("z") == 4u);
+  for (const auto* text : {"", "z", "1 ", "x z", "-1 z"})
+    BOOST_TEST(configuration::judge_evacuation(s, ChangeKind::evacuate, text).status == 400, text);
+}
+
 // ---- records
 
 fleet::Server server(const std::string& id, std::uint64_t calls, fleet::Phase phase = fleet::Phase::READY) {
@@ -264,8 +278,8 @@
     for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], entries[i]);
     return to.take(out.frame().asReader().getChanges().getEntries());
   };
-  const fleet::Entry one{1, wire::Change::REPLACE, config_body(1, 0)}, two{2, wire::Change::EVACUATE, "z"},
-      three{3, wire::Change::READMIT, "z"};
+  const fleet::Entry one{1, wire::Change::REPLACE, config_body(1, 0)},
+      two{2, wire::Change::EVACUATE, zone_order("z", 1)}, three{3, wire::Change::READMIT, zone_order("z", 2)};
   BOOST_TEST((feed(source, {one, two}) == fleet::ChangeLog::News::taken));
   BOOST_TEST((feed(follower, {two}) == fleet::ChangeLog::News::gap));
   BOOST_TEST((feed(follower, {one, three}) == fleet::ChangeLog::News::gap));
@@ -273,7 +287,7 @@
   BOOST_TEST((feed(follower, {one, two}) == fleet::ChangeLog::News::taken));
   BOOST_TEST((feed(follower, {one, two}) == fleet::ChangeLog::News::none));
   BOOST_TEST((feed(follower, {three}) == fleet::ChangeLog::News::taken));
-  BOOST_TEST(follower.readmitted().size() == 1u);
+  BOOST_TEST((follower.readmitted() == std::vector<std::string>{"z"}));
   fleet::ChangeLog fresh;
   auto snapshot = transfer::decode(transfer::encode(source.state())->bytes);
   BOOST_REQUIRE(snapshot.has_value());
@@ -282,6 +296,7 @@
   BOOST_TEST(fresh.position() == 2u);
   BOOST_TEST(fresh.configuration()->version == 1u);
   BOOST_TEST(fresh.state().evacuated.size() == 1u);
+  BOOST_TEST(fresh.state().zone_changes.at("z") == 2u);
 }
 
 // ---- the disk
@@ -331,7 +346,7 @@
     BOOST_REQUIRE(!failed(disk));
     BOOST_TEST(!std::get<agreement::Kept>(value(disk)->read()).any);
     agreement::Write w;
-    w.state = State{4, nlohmann::json::parse(config_body(1, 0)), {"z"}, {{"10.0.0.1", 1}}, 2, {}};
+    w.state = State{4, nlohmann::json::parse(config_body(1, 0)), {"z"}, {{"10.0.0.1", 1}}, 2, {}, {{"z", 3}}};
     w.state->history.record(1, {7, 70});
     w.disk = 77;
     w.zones.push_back({"10.0.0.3", "z3"});
@@ -358,6 +373,7 @@
   BOOST_TEST((k.destroyed[0] == configuration::Voter{"10.0.0.2", 5}));
   BOOST_TEST(k.state.membership == 2u);
   BOOST_TEST(k.state.history.holds(1, {7, 70}));
+  BOOST_TEST(k.state.zone_changes.at("z") == 3u);
   BOOST_TEST(k.promised.round == 9u);
   BOOST_REQUIRE(k.accepted.size() == 1);
   BOOST_TEST(k.accepted[0].first == 6u);
@@ -377,7 +393,7 @@
   {
     auto disk = Disk::open(f.path + "/d");
     agreement::Write w;
-    w.state = State{4, nullptr, {}, {{"10.0.0.1", 1}}, 2, {}};
+    w.state = State{4, nullptr, {}, {{"10.0.0.1", 1}}, 2, {}, {{"z", 3}}};
     w.durable = true;
     BOOST_REQUIRE(!failed(value(disk)->write(w)));
   }
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -301,6 +301,45 @@
   BOOST_TEST(f.post(f.ctl(1), "/Instances.Leave/i-1", "").status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(given_callers_when_one_has_closed_behind_its_call_then_the_handler_can_know) {
+  asio::io_context io{1};
+  std::vector<bool> gone;
+  const auto at = *snowknot::endpoint_of(ip(1) + ":" + std::to_string(20000 + ::getpid() % 20000));
+  http::Server server(io, at, http::ServerLimits{},
+                      [&](const http::Call& call, const http::Server::Respond& respond) {
+                        gone.push_back(*call.caller_gone);
+                        respond({200, "{}"});
+                      });
+  const auto call_and = [&](bool close) {
+    Socket caller(io.get_executor());
+    caller.connect(at);
+    asio::write(caller, asio::buffer(std::string("POST /Evac.Start/z HTTP/1.1\r\nHost: x\r\n\r\n")));
+    if (close) caller.close();
+    for (const auto before = gone.size(); gone.size() == before;)
+      io.run_one_for(std::chrono::milliseconds(20));
+  };
+  call_and(false);
+  call_and(true);
+  BOOST_TEST((gone == std::vector<bool>{false, true}));
+}
+
+BOOST_AUTO_TEST_CASE(given_an_evacuation_order_when_its_caller_has_gone_then_it_is_sent_to_no_store) {
+  Fleet f;
+  BOOST_TEST(f.until([&] { return f.post(f.ctl(1), "/Config.Replace", wide_body(3, 0)).status == 200; }));
+  auto& registry = *f.registries[0];
+  int status = 0;
+  registry.propose(
+      ChangeKind::evacuate, zone_order("z1", registry.changes().position()),
+      [&](int answered, const std::string&, std::uint64_t) { status = answered; },
+      std::make_shared<const bool>(true));
+  BOOST_TEST(f.until([&] { return status != 0; }));
+  BOOST_TEST(status == 503);
+  // What is agreed after it shows that it was not on its way.
+  BOOST_TEST(f.post(f.ctl(1), "/Config.Replace", wide_body(4, 3)).status == 200);
+  BOOST_TEST(f.until([&] { return registry.changes().state().version() == 4; }));
+  BOOST_TEST(registry.changes().state().evacuated.empty());
+}
+
 BOOST_AUTO_TEST_CASE(
     given_a_proxy_that_is_told_to_end_when_a_request_is_under_way_then_it_is_answered_before_it_leaves) {
   Fleet f;
