--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -10,7 +10,8 @@
 
 constexpr Duration kRecently = 1200ms;  // two rounds of statuses: heard within it, a store is in contact
 constexpr Duration kHearsay = 1500ms;   // a store with a new disk has heard the others' membership by then
-constexpr Duration kTurn = 400ms;       // between the voters that may propose a change of voters, by rank
+constexpr Duration kHandOverAfter = 400ms;  // the machine's registry has passed its lease on by then
+constexpr Duration kTurn = 400ms;           // between the voters that may propose a change of voters, by rank
 
 }  // namespace
 
@@ -78,7 +79,7 @@
   status.position = state_.position;
   status.has_state = has_state();
   status.eligible = options_.votes;
-  status.leaving = leaving_;
+  status.leaving = leaving_ && now_ >= leaving_since_ + kHandOverAfter;
   status.membership = state_.membership;
   for (const auto& [slot, accepted] : accepted_)
     if (slot > state_.position) status.accepted.emplace_back(slot, accepted);
@@ -238,7 +239,8 @@
 
 VoterHealth Replica::health_of(Time now, const Voter& voter) const {
   if (is_destroyed(voter)) return VoterHealth::destroyed;
-  if (voter.address == options_.self) return leaving_ ? VoterHealth::leaving : VoterHealth::well;
+  if (voter.address == options_.self)
+    return leaving_ && now >= leaving_since_ + kHandOverAfter ? VoterHealth::leaving : VoterHealth::well;
   if (lost_for(now, voter.address, options_.gone)) return VoterHealth::gone;
   if (lost_for(now, voter.address, options_.silence)) return VoterHealth::silent;
   const auto peer = peers_.find(voter.address);
