--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t kTokens = 64;      // that may still be answered: some half a minute's
 constexpr std::size_t kUnitCalls = 256;  // at once; an answer to an older one is void
 constexpr std::size_t kLinks = 3;        // registries that one proxy is linked to
+constexpr Duration kGivenUp = 2000ms;    // without a link for so long: another registry is linked instead
 }  // namespace
 
 ControlClient::ControlClient(boost::asio::io_context& io, const SystemSettings& settings,
@@ -45,11 +46,34 @@
   for (auto& [ip, d] : links_) d->stop();
 }
 
-// Links stay where they are; missing ones are made up for, the holder of the counts is always linked.
+// Links stay where they are; missing ones are made up for, the holder of the counts is always linked. One that has
+// failed for long counts as missing, and is left when enough others stand.
 void ControlClient::choose_registries() {
   for (const auto& ip : registries_)
-    if (links_.size() < kLinks) dial(ip);
+    if (standing_links() < kLinks) dial(ip);
   if (!holder_.empty()) dial(holder_);
+  leave_failing();
+}
+
+std::size_t ControlClient::standing_links() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(links_, [&](const auto& link) { return !fails_for_long(link.first); }));
+}
+
+bool ControlClient::fails_for_long(const std::string& ip) const {
+  const auto since = failing_since_.find(ip);
+  return since != failing_since_.end() && clock_.now() - since->second >= kGivenUp;
+}
+
+void ControlClient::leave_failing() {
+  if (standing_links() < kLinks) return;
+  for (const auto& ip : registries_) {
+    const auto link = links_.find(ip);
+    if (link == links_.end() || ip == holder_ || !fails_for_long(ip)) continue;
+    link->second->stop();
+    links_.erase(link);
+    failing_since_.erase(ip);
+  }
 }
 
 void ControlClient::dial(const std::string& ip) {
@@ -70,6 +94,7 @@
       [this, ip](const Failure& why) {
         log_.debug(why.shown());
         follower_.on_lost(clock_.now(), ip);
+        failing_since_.try_emplace(ip, clock_.now());
         check_holder();
       });
   links_[ip] = dialer;
@@ -157,6 +182,7 @@
 
 void ControlClient::on_frame(const std::string& ip, wire::Frame::Reader frame) {
   if (stopped_) return;
+  failing_since_.erase(ip);  // a link that only came up has shown nothing yet
   switch (frame.which()) {
     case wire::Frame::CHANGES:
     case wire::Frame::SNAPSHOT_PART:
--- a/src/system/proxy/control_client.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -46,6 +46,9 @@
  private:
   void dial(const std::string& ip);
   void choose_registries();
+  std::size_t standing_links() const;  // those that do not fail for long
+  bool fails_for_long(const std::string& ip) const;
+  void leave_failing();
   void on_frame(const std::string& ip, wire::Frame::Reader frame);
   void on_fleet(const std::string& ip, wire::Fleet::Reader f);
   void on_unit_grants(const std::string& ip, wire::UnitGrants::Reader answer);
@@ -67,6 +70,7 @@
   const fleet::ChangeLog& changes_ = follower_.changes();
   fleet::Node self_;
   std::map<std::string, std::shared_ptr<Dialer>> links_;  // by ip
+  std::map<std::string, Time> failing_since_;             // of links_: since when nothing came
   std::vector<std::string> registries_;  // as they have told, those first that were linked first
   std::vector<std::string> proxies_;
   std::string holder_;
