--- a/src/system/agreement/membership.cpp
+++ b/src/system/agreement/membership.cpp
@@ -96,6 +96,7 @@
   planner.spread_over_zones();
   planner.grow(wanted);
   std::vector<Voter> before;
+  before.reserve(present.size());
   for (const auto& voter : present) before.push_back(voter.voter);
   std::ranges::sort(before);
   auto next = planner.result();
--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -53,7 +53,7 @@
   if (has_state()) {
     out_.write.state = state_;
   } else {
-    out_.notes.push_back("the disk is empty: a learner without a vote until it has the others' state");
+    out_.notes.emplace_back("the disk is empty: a learner without a vote until it has the others' state");
   }
 }
 
--- a/src/system/base/log.cpp
+++ b/src/system/base/log.cpp
@@ -19,7 +19,7 @@
   root->setLevel(log4cxx::Level::toLevel(std::string(level)));
 }
 
-Log::Log(std::string part) : sink_(std::make_unique<Sink>(Sink{log4cxx::Logger::getLogger(part)})) {}
+Log::Log(const std::string& part) : sink_(std::make_unique<Sink>(Sink{log4cxx::Logger::getLogger(part)})) {}
 Log::~Log() = default;
 Log::Log(Log&&) noexcept = default;
 void Log::debug(std::string_view text) const { LOG4CXX_DEBUG(sink_->logger, std::string(text)); }
--- a/src/system/base/log.hpp
+++ b/src/system/base/log.hpp
@@ -14,7 +14,7 @@
 
 class Log {
  public:
-  explicit Log(std::string part);
+  explicit Log(const std::string& part);
   ~Log();
   Log(Log&&) noexcept;
   void debug(std::string_view text) const;
--- a/src/system/base/settings.cpp
+++ b/src/system/base/settings.cpp
@@ -101,14 +101,17 @@
   r.take("bounds.quota_excess", b.quota_excess), r.take("bounds.quota_slack", b.quota_slack);
   r.take("bounds.cold_excess", b.cold_excess), r.take("bounds.cold_slack", b.cold_slack);
   r.take("bounds.ttl_max_s", b.ttl_max_s), r.take("bounds.strict_revoke", b.strict_revoke);
-  std::string ports, seeds, contracts;
+  std::string ports;
+  std::string seeds;
+  std::string contracts;
   r.take("port_range", ports, true), r.take("seeds", seeds, true), r.take("invariants", contracts);
   s.seeds = parts(seeds);
   for (auto& c : parts(contracts)) s.contracts.insert(c);
   const auto range = parts(ports);
   try {
     if (range.size() != 2) throw std::invalid_argument(ports);
-    const auto first = std::stoul(range[0]), last = std::stoul(range[1]);
+    const auto first = std::stoul(range[0]);
+    const auto last = std::stoul(range[1]);
     if (first == 0 || first + kProxyPort > last || last > 65535) throw std::invalid_argument(ports);
     s.first_port = static_cast<std::uint16_t>(first), s.last_port = static_cast<std::uint16_t>(last);
   } catch (const std::exception&) {
--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -338,7 +338,7 @@
 Judgement judge_replace(const State& state, std::string_view body, Json* after) {
   auto json = parsed(body);
   if (!json) return refused(400, "the body is not whole");
-  const auto judged = judge_version(state, BodyCall::replace, body, *json);
+  auto judged = judge_version(state, BodyCall::replace, body, *json);
   if (judged.status != 200 || judged.already) return judged;
   return judge_document(std::move(*json), after);
 }
@@ -346,7 +346,7 @@
 Judgement judge_patch(const State& state, std::string_view body, Json* after) {
   const auto json = parsed(body);
   if (!json) return refused(400, "the body is not whole");
-  const auto judged = judge_version(state, BodyCall::patch, body, *json);
+  auto judged = judge_version(state, BodyCall::patch, body, *json);
   if (judged.status != 200 || judged.already) return judged;
   if (!state.document.is_object()) return refused(412, "there is no configuration to change");
   try {
--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -134,6 +134,6 @@
 // depends on the state: it may be given only after a majority was asked.
 Judgement judge_evacuation(const State& state, ChangeKind kind, std::string_view text);
 // Puts a change at the next place of the log into force. False: it changed nothing that is in force.
-bool apply(State& state, ChangeKind kind, const std::string& text);
+bool apply(State& state, ChangeKind kind, const std::string& change);
 
 }  // namespace docklift::configuration
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -83,7 +83,7 @@
   // ---- requests
   Actions arrive(Time now, const Arrival& a);
   // `whole`: an answer of the server is at hand that can be relayed.
-  Actions ended(Time now, RequestId request, Outcome outcome, Duration took, bool whole);
+  Actions ended(Time now, RequestId id, Outcome outcome, Duration took, bool whole);
   Actions granted(Time now, const UnitAnswer& answer);
   Actions grants_failed(Time now);
   Actions tick(Time now);  // at least each 20 ms while something is open
--- a/src/system/decisions/servers.cpp
+++ b/src/system/decisions/servers.cpp
@@ -46,7 +46,10 @@
   }
   set_proxies([&] {
     std::vector<std::string> all;
-    for (const auto& [zone, id] : proxies_) all.push_back(zone + "/" + id);
+    for (const auto& [zone, id] : proxies_) {
+      all.push_back(zone);
+      all.back().append("/").append(id);
+    }
     return all;
   }());
 }
@@ -187,7 +190,8 @@
   if (found == services_.end()) return Pick::none;
   const auto& service = found->second;
   bool any = false;
-  double best = std::numeric_limits<double>::infinity(), best_bad = best;
+  double best = std::numeric_limits<double>::infinity();
+  double best_bad = best;
   ServerHandle bad = kNoServer;
   chosen = kNoServer;
   for (const auto h : service.servers) {
--- a/src/system/decisions/servers.hpp
+++ b/src/system/decisions/servers.hpp
@@ -89,7 +89,7 @@
     none
   };  // full: all that could take it have enough; none: there is no server for it
   // `tried`: servers that it was sent to before.
-  Pick choose(Time now, const std::string& service, const std::vector<std::string>& regions,
+  Pick choose(Time now, const std::string& name, const std::vector<std::string>& regions,
               const std::vector<ServerHandle>& tried, ServerHandle& chosen);
   void sent(Time now, ServerHandle server);
   void ended(Time now, ServerHandle server, Outcome outcome, Duration took);
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -219,7 +219,8 @@
 }
 
 void Units::lease_ahead(Time now, const std::string& name, Tenant& t, std::vector<UnitOrder>& out) {
-  const auto starts = start_of(t, t.present), ends = start_of(t, t.present + 1);
+  const auto starts = start_of(t, t.present);
+  const auto ends = start_of(t, t.present + 1);
   const double gone = seconds(now - starts) / seconds(t.window.length);
   const bool begins_soon = now + kAheadLead + trip_ >= ends;
   const double usual = begins_soon ? t.usual + kUsualGain * (t.used - t.usual) : t.usual;
--- a/src/system/fleet/change_log.cpp
+++ b/src/system/fleet/change_log.cpp
@@ -21,7 +21,9 @@
 
 ChangeLog::News ChangeLog::take(capnp::List<wire::Entry>::Reader entries) {
   readmitted_.clear();
-  bool taken = false, document = false, gap = false;
+  bool taken = false;
+  bool document = false;
+  bool gap = false;
   for (const auto r : entries) {
     if (r.getPosition() <= state_.position) continue;
     gap = r.getPosition() != state_.position + 1;
--- a/src/system/fleet/records.cpp
+++ b/src/system/fleet/records.cpp
@@ -14,9 +14,10 @@
 }
 
 bool cold_differs(const Server& a, const Server& b, Time now) {
-  const bool x = a.cold_until > now, y = b.cold_until > now;
-  if (x != y) return true;
-  return x && std::max(a.cold_until, b.cold_until) - std::min(a.cold_until, b.cold_until) > kColdSlop;
+  const bool a_is_cold = a.cold_until > now;
+  const bool b_is_cold = b.cold_until > now;
+  if (a_is_cold != b_is_cold) return true;
+  return a_is_cold && std::max(a.cold_until, b.cold_until) - std::min(a.cold_until, b.cold_until) > kColdSlop;
 }
 
 }  // namespace
--- a/src/system/http/head.cpp
+++ b/src/system/http/head.cpp
@@ -110,7 +110,8 @@
   const auto all = text.substr(skipped, found.used - skipped - 2);
   const auto line_end = all.find("\r\n");
   const auto line = all.substr(0, line_end);
-  const auto first = line.find(' '), last = line.rfind(' ');
+  const auto first = line.find(' ');
+  const auto last = line.rfind(' ');
   if (first == std::string_view::npos || first == last) return {Read::bad, 0};
   head = {};
   head.method = line.substr(0, first), head.target = line.substr(first + 1, last - first - 1);
@@ -146,7 +147,8 @@
 
 namespace {
 std::optional<stream::BodyKind> told(const Head& head) {
-  std::vector<std::string_view> lengths, codings;
+  std::vector<std::string_view> lengths;
+  std::vector<std::string_view> codings;
   for (const auto& f : head.fields) {
     if (same(f.name, "Content-Length")) lengths.push_back(f.value);
     if (same(f.name, "Transfer-Encoding")) codings.push_back(f.value);
--- a/src/system/http/server.cpp
+++ b/src/system/http/server.cpp
@@ -63,7 +63,7 @@
   }
 
   void hand_over(const Call& call, bool keep) {
-    server->handle_(call, [weak = weak_from_this(), keep, done = false](Answer a) mutable {
+    server->handle_(call, [weak = weak_from_this(), keep, done = false](const Answer& a) mutable {
       if (std::exchange(done, true)) return;
       if (const auto self = weak.lock(); self && self->server) self->answer(a, keep);
     });
--- a/src/system/program/program.cpp
+++ b/src/system/program/program.cpp
@@ -23,7 +23,8 @@
                         cxxopts::value<std::string>())("l,log-level", "debug, info, warn or error",
                                                        cxxopts::value<std::string>()->default_value("info"))(
       "c,check", "read the settings, tell mistakes, end")("h,help", "this text")("v,version", "the version");
-  std::string path, level;
+  std::string path;
+  std::string level;
   bool check = false;
   try {
     const auto given = options.parse(argc, argv);
--- a/src/system/proxy/main.cpp
+++ b/src/system/proxy/main.cpp
@@ -1,8 +1,10 @@
 #include "system/program/program.hpp"
 #include "system/proxy/proxy.hpp"
 
-int main(int argc, char** argv) {
-  using namespace docklift;
+namespace docklift {
+namespace {
+
+int run(int argc, char** argv) {
   return run_program({"docklift-proxy", "Takes clients' requests to the servers that can answer them."}, argc,
                      argv, [](boost::asio::io_context& io, const SystemSettings& settings) {
                        const Log log("proxy");
@@ -15,3 +17,8 @@
                        return 0;
                      });
 }
+
+}  // namespace
+}  // namespace docklift
+
+int main(int argc, char** argv) { return docklift::run(argc, argv); }
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -30,7 +30,8 @@
 }
 
 Result<std::monostate> Proxy::start() {
-  const auto http = settings_.listen.find("http"), ready = settings_.listen.find("readyz");
+  const auto http = settings_.listen.find("http");
+  const auto ready = settings_.listen.find("readyz");
   if (http == settings_.listen.end()) return Failure{"read settings", "listen.http", "is missing"};
   auto at = endpoint_of(http->second);
   if (failed(at)) return failure(at);
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -9,8 +9,8 @@
 using stream::BodyDecoder;
 
 namespace {
-constexpr std::size_t kAhead = 64 * 1024;  // bytes read behind requests that are under way
-constexpr std::size_t kTogether = 16;      // requests of one connection under way
+constexpr std::size_t kAhead = std::size_t{64} * 1024;  // bytes read behind requests that are under way
+constexpr std::size_t kTogether = 16;                   // requests of one connection under way
 constexpr Duration kWrite = std::chrono::seconds(20);
 }  // namespace
 
@@ -87,7 +87,8 @@
   }
   if (r.read != http::Read::done) return refuse(r.read == http::Read::bad ? 400 : 431), false;
   const auto kind = http::body_of(head);
-  const auto host = head.only("Host"), id = head.only("Attempt-Id");
+  const auto host = head.only("Host");
+  const auto id = head.only("Attempt-Id");
   if (!kind || !host || !id || id->empty()) return refuse(400), false;
   if (kind->coding == stream::Coding::length && kind->length > limits.body_bytes) return refuse(413), false;
   request_ = {};
--- a/src/system/registry/handlers.cpp
+++ b/src/system/registry/handlers.cpp
@@ -88,7 +88,8 @@
 }
 
 bool Evacuations::handle(const http::Call& call, const http::Server::Respond& respond) {
-  const auto start = after(call.path(), "/Evac.Start/"), stop = after(call.path(), "/Evac.Stop/");
+  const auto start = after(call.path(), "/Evac.Start/");
+  const auto stop = after(call.path(), "/Evac.Stop/");
   if (!start && !stop) return false;
   const configuration::EvacuationOrder order{start ? *start : *stop, registry_.changes().position()};
   if (!registry_.settings().zones.contains(order.zone)) {
@@ -107,8 +108,11 @@
   if (call.path() != "/resolve") return false;
   constexpr std::size_t kMost = 64;
   constexpr int kTtlS = 2;
-  const auto region = http::query_value(call.target, "rgn"), zone = http::query_value(call.target, "az");
-  std::vector<std::string> near, here, all;
+  const auto region = http::query_value(call.target, "rgn");
+  const auto zone = http::query_value(call.target, "az");
+  std::vector<std::string> near;
+  std::vector<std::string> here;
+  std::vector<std::string> all;
   for (const auto& [id, n] : registry_.nodes().all()) {
     if (n.role != fleet::Role::PROXY || !n.ready || n.leaving) continue;
     all.push_back(n.address);
@@ -127,7 +131,7 @@
 }
 
 http::Server::Handle dispatch(std::vector<std::shared_ptr<Handler>> handlers) {
-  return [handlers = std::move(handlers)](const http::Call& call, http::Server::Respond respond) {
+  return [handlers = std::move(handlers)](const http::Call& call, const http::Server::Respond& respond) {
     try {
       for (const auto& h : handlers)
         if (h->handle(call, respond)) return;
--- a/src/system/registry/main.cpp
+++ b/src/system/registry/main.cpp
@@ -1,8 +1,10 @@
 #include "system/program/program.hpp"
 #include "system/registry/handlers.hpp"
 
-int main(int argc, char** argv) {
-  using namespace docklift;
+namespace docklift {
+namespace {
+
+int run(int argc, char** argv) {
   return run_program(
       {"docklift-registry",
        "Knows which servers and nodes there are; takes the calls of servers, clients and the operator."},
@@ -38,3 +40,8 @@
         return 0;
       });
 }
+
+}  // namespace
+}  // namespace docklift
+
+int main(int argc, char** argv) { return docklift::run(argc, argv); }
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -397,7 +397,7 @@
     const auto own = servers_.digests(kRanges);
     std::vector<const fleet::Server*> differ;
     for (const auto& [id, s] : servers_.all())
-      if (const auto range = servers_.range_of(id, kRanges);
+      if (const auto range = fleet::Servers::range_of(id, kRanges);
           !s.from_cache && own[range] != digests[static_cast<unsigned>(range)])
         differ.push_back(&s);
     if (differ.empty()) return;
@@ -461,7 +461,8 @@
   fleet::Outgoing out;
   auto f = out.frame().initFleet();
   fill(f);
-  std::vector<std::string> proxies, registries{settings_.bind_ip};
+  std::vector<std::string> proxies;
+  std::vector<std::string> registries{settings_.bind_ip};
   for (const auto& [id, n] : nodes_.all()) {
     if (n.role == fleet::Role::PROXY) proxies.push_back(n.zone + "/" + id);
     if (n.role == fleet::Role::REGISTRY && !n.leaving && n.address != settings_.bind_ip)
--- a/src/system/store/main.cpp
+++ b/src/system/store/main.cpp
@@ -1,8 +1,10 @@
 #include "system/program/program.hpp"
 #include "system/store/store.hpp"
 
-int main(int argc, char** argv) {
-  using namespace docklift;
+namespace docklift {
+namespace {
+
+int run(int argc, char** argv) {
   return run_program(
       {"docklift-store", "Agrees on the configuration with the other stores and keeps it on disk."}, argc,
       argv, [](boost::asio::io_context& io, const SystemSettings& settings) {
@@ -31,3 +33,8 @@
         return 0;
       });
 }
+
+}  // namespace
+}  // namespace docklift
+
+int main(int argc, char** argv) { return docklift::run(argc, argv); }
--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -206,24 +206,24 @@
     dial_others();
   }
   const bool waits = out.write.durable || writes_out_ > 0;
-  if (out.write.empty() && !waits) return release(std::move(out));
+  if (out.write.empty() && !waits) return release(out);
   auto write = std::move(out.write);
   out.write = {};
   if (!waits) {
     disk_.write(std::move(write), [] {});
-    return release(std::move(out));
+    return release(out);
   }
   ++writes_out_;
   const auto later = std::make_shared<agreement::Out>(std::move(out));
   disk_.write(std::move(write), [this, later] {
     boost::asio::post(io_, [this, later] {
       --writes_out_;
-      if (!stopped_) release(std::move(*later));
+      if (!stopped_) release(*later);
     });
   });
 }
 
-void Store::release(agreement::Out out) {
+void Store::release(const agreement::Out& out) {
   for (const auto& s : out.settled) {
     const auto call = calls_.extract(s.id);
     const auto link = call ? call.mapped().first.lock() : nullptr;
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -53,7 +53,7 @@
   void on_frame(const std::shared_ptr<Link>& link, wire::Frame::Reader frame);
   void ended(const std::shared_ptr<Link>& link);
   void carry_out(agreement::Out out);
-  void release(agreement::Out out);
+  void release(const agreement::Out& out);
   void send(const std::string& to, const agreement::Envelope& envelope);
   void dial_others();
   void drop_unreachable(const std::set<std::string>& needed);
