--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -60,7 +60,7 @@
   void tick();
   void bring_up_to_date(Registry& r);
   void offer_snapshot(const agreement::SnapshotNeed& need);
-  void on_snapshot_part(const std::string& from, wire::SnapshotPart::Reader part);
+  void on_snapshot_part(const std::string& from, wire::SnapshotPart::Reader frame);
   void carry_out(const transfer::SnapshotReceiver::Step& step);
 
   boost::asio::io_context& io_;
--- a/src/system/transfer/change_follower.hpp
+++ b/src/system/transfer/change_follower.hpp
@@ -31,7 +31,7 @@
 
  private:
   News on_batch(const std::string& source, wire::ChangeBatch::Reader batch);
-  News on_part(Time now, const std::string& source, wire::SnapshotPart::Reader part);
+  News on_part(Time now, const std::string& source, wire::SnapshotPart::Reader frame);
   void carry_out(const SnapshotReceiver::Step& step);
   void follow(const std::string& source);
   void follow_all();
