Stores: files and renames are durable in their folder; a disk that lacks a write is noticed

Cause: LevelDB does not sync the folder when it makes a log or renames its pointer (CURRENT) on opening, and removes the old log right after. Where the rename or the new log's name is lost and the removal is not, the old manifest leads to logs that are gone. Brought about under LevelDB's own calls by tests/system/simulated_files (file contents and folder entries apart, each unsynced one kept or lost by itself, power lost at any operation).

Ruled out: the order of our own batches (each play writes one at a time), torn ends of logs alone (all losses need a name that was not synced).

Change: DurableEnv syncs the folder after each file that is made and each rename, also for the registry's records. Every batch is synced, so that a loss of power can take the last one alone; batches are numbered, and a disk in which one is missing, or a change of the log, or the identity, counts as lost in place of being read past the gap. A torn end is opened leniently before RepairDB is called. After a refused write the disk that is opened again must hold what it had reported; else it is set aside and the store ends.

The test of a damaged disk now writes an identity beside the state, as stores do.

--- a/src/system/disk/disk.cpp
+++ b/src/system/disk/disk.cpp
@@ -1,6 +1,7 @@
 #include "system/disk/disk.hpp"
 
 #include <leveldb/db.h>
+#include <leveldb/env.h>
 #include <leveldb/write_batch.h>
 
 #include <chrono>
@@ -11,6 +12,11 @@
 
 using namespace std::chrono_literals;
 
+constexpr auto kRetryWrite = 100ms;  // after a write that failed
+constexpr auto kRetryOpen = 200ms;   // of the disk after that
+
+const leveldb::Slice kWritePrefix = "write/";
+constexpr std::uint64_t kWritesRemembered = 64;  // by number; one that is missing among them is noticed
 constexpr std::string_view kZonePrefix = "zone/";
 constexpr std::string_view kDestroyedPrefix = "destroyed/";  // the last one of an address
 
@@ -26,8 +32,9 @@
   return place;
 }
 
-leveldb::Options options() {
+leveldb::Options options(leveldb::Env& env) {
   leveldb::Options o;
+  o.env = &env;
   o.create_if_missing = true;
   o.paranoid_checks = true;
   o.write_buffer_size = 1u << 20;
@@ -36,38 +43,98 @@
   return o;
 }
 
+leveldb::ReadOptions verified() {
+  leveldb::ReadOptions how;
+  how.verify_checksums = true;
+  return how;
+}
+
 }  // namespace
 
-Disk::Disk(std::string folder, std::unique_ptr<leveldb::DB> db)
-    : folder_(std::move(folder)), db_(std::move(db)) {}
+Disk::Disk(std::string folder, leveldb::Env& env, std::unique_ptr<leveldb::DB> db)
+    : folder_(std::move(folder)), env_(env), db_(std::move(db)) {
+  find_last_write();
+}
 Disk::~Disk() = default;
 
-Result<std::unique_ptr<Disk>> Disk::open(const std::string& folder) {
+// A write that was torn by a loss of power is no more than a bad record at a log's end, which LevelDB passes over if it
+// is not told to be strict. A torn manifest has to be made anew from what is there. Whether either has lost more than
+// the last write shows by the numbers of the writes.
+Result<std::unique_ptr<Disk>> Disk::open(const std::string& folder, leveldb::Env& env) {
   leveldb::DB* db = nullptr;
-  auto status = leveldb::DB::Open(options(), folder, &db);
+  auto status = leveldb::DB::Open(options(env), folder, &db);
   if (status.IsCorruption()) {
-    status = leveldb::RepairDB(folder, options());
-    if (status.ok()) status = leveldb::DB::Open(options(), folder, &db);
+    auto lenient = options(env);
+    lenient.paranoid_checks = false;
+    status = leveldb::DB::Open(lenient, folder, &db);
+  }
+  if (status.IsCorruption()) {
+    status = leveldb::RepairDB(folder, options(env));
+    if (status.ok()) status = leveldb::DB::Open(options(env), folder, &db);
     if (status.IsCorruption()) return begin_anew(folder);
   }
   if (!status.ok()) return Failure{"open the disk", folder, status.ToString()};
-  return std::unique_ptr<Disk>(new Disk(folder, std::unique_ptr<leveldb::DB>(db)));
+  return std::unique_ptr<Disk>(new Disk(folder, env, std::unique_ptr<leveldb::DB>(db)));
 }
 
+// Both names are durable before the new disk is used: else the old one could come back under it.
 Result<std::unique_ptr<Disk>> Disk::begin_anew(const std::string& folder) {
-  std::error_code failed;
-  std::filesystem::remove_all(folder + ".damaged", failed);
-  std::filesystem::rename(folder, folder + ".damaged", failed);
-  if (failed) return Failure{"set a damaged disk aside", folder, failed.message()};
+  const auto damaged = folder + ".damaged";
+  std::error_code error;
+  std::filesystem::remove_all(damaged, error);
+  std::filesystem::rename(folder, damaged, error);
+  if (error) return Failure{"set a damaged disk aside", folder, error.message()};
+  const auto parent = std::filesystem::path(folder).parent_path().string();
+  auto status = sync_folder(parent.empty() ? "." : parent);
+  if (!status.ok()) return Failure{"set a damaged disk aside", folder, status.ToString()};
   leveldb::DB* db = nullptr;
-  const auto status = leveldb::DB::Open(options(), folder, &db);
+  status = leveldb::DB::Open(options(durable_env()), folder, &db);
   if (!status.ok()) return Failure{"open the disk", folder, status.ToString()};
-  return std::unique_ptr<Disk>(new Disk(folder, std::unique_ptr<leveldb::DB>(db)));
+  return std::unique_ptr<Disk>(new Disk(folder, durable_env(), std::unique_ptr<leveldb::DB>(db)));
+}
+
+void Disk::find_last_write() {
+  const std::unique_ptr<leveldb::Iterator> it(db_->NewIterator(verified()));
+  for (it->Seek(kWritePrefix); it->Valid() && it->key().starts_with(kWritePrefix); it->Next())
+    last_write_ = place_of(it->key(), kWritePrefix.size());
+}
+
+// The last writes are there one after another; older ones may be there as well, where a disk was mended.
+Result<std::monostate> Disk::check_writes() const {
+  auto expected = last_write_ > kWritesRemembered ? last_write_ - kWritesRemembered + 1 : 1;
+  const std::unique_ptr<leveldb::Iterator> it(db_->NewIterator(verified()));
+  for (it->Seek(key_of(kWritePrefix.data(), expected)); it->Valid() && it->key().starts_with(kWritePrefix);
+       it->Next()) {
+    const auto number = place_of(it->key(), kWritePrefix.size());
+    if (number != expected)
+      return Failure{"read the disk", folder_, "write " + std::to_string(expected) + " is missing"};
+    ++expected;
+  }
+  if (!it->status().ok()) return Failure{"read the disk", folder_, it->status().ToString()};
+  return std::monostate{};
+}
+
+namespace {
+
+// What a disk lacks that holds the rest; none: nothing. The log follows the state without a gap.
+std::optional<std::string> missing_part(const agreement::Kept& kept) {
+  if (kept.any && kept.disk == 0) return "the identity is missing";
+  if (!kept.any && (!kept.log.empty() || !kept.accepted.empty())) return "the state is missing";
+  auto position = kept.state.position;
+  for (const auto& entry : kept.log) {
+    if (entry.slot <= position) continue;
+    if (entry.slot != position + 1) return "change " + std::to_string(position + 1) + " is missing";
+    position = entry.slot;
+  }
+  return std::nullopt;
 }
 
+}  // namespace
+
 Result<agreement::Kept> Disk::read() const {
+  if (auto checked = check_writes(); failed(checked)) return failure(checked);
   agreement::Kept kept;
-  const std::unique_ptr<leveldb::Iterator> it(db_->NewIterator({}));
+  const std::unique_ptr<leveldb::Iterator> it(db_->NewIterator(verified()));
   for (it->SeekToFirst(); it->Valid(); it->Next()) {
     const auto key = it->key();
     const std::string_view value(it->value().data(), it->value().size());
@@ -95,6 +162,7 @@
     if (!read) return Failure{"read the disk", folder_, "a record is damaged: " + key.ToString()};
   }
   if (!it->status().ok()) return Failure{"read the disk", folder_, it->status().ToString()};
+  if (const auto missing = missing_part(kept)) return Failure{"read the disk", folder_, *missing};
   return kept;
 }
 
@@ -118,14 +186,19 @@
   for (const auto& [slot, a] : w.accepted)
     batch.Put(key_of("accepted/", slot), agreement::encode_accepted(a));
   for (const auto& c : w.log) batch.Put(key_of("log/", c.slot), agreement::encode_entry(c));
+  const auto number = last_write_ + 1;
+  batch.Put(key_of(kWritePrefix.data(), number), {});
+  if (number > kWritesRemembered) batch.Delete(key_of(kWritePrefix.data(), number - kWritesRemembered));
   leveldb::WriteOptions how;
-  how.sync = w.durable;
+  how.sync = true;
   const auto status = db_->Write(how, &batch);
   if (!status.ok()) return Failure{"write", folder_, status.ToString()};
+  last_write_ = number;
   return std::monostate{};
 }
 
-DiskThread::DiskThread(std::unique_ptr<Disk> disk) : disk_(std::move(disk)), thread_([this] { run(); }) {}
+DiskThread::DiskThread(std::unique_ptr<Disk> disk, Lost lost)
+    : disk_(std::move(disk)), lost_(std::move(lost)), thread_([this] { run(); }) {}
 
 DiskThread::~DiskThread() {
   {
@@ -149,6 +222,11 @@
   return queue_.size();
 }
 
+bool DiskThread::ends() const {
+  const std::lock_guard held(lock_);
+  return ends_;
+}
+
 void DiskThread::run() {
   std::unique_lock held(lock_);
   while (true) {
@@ -156,30 +234,44 @@
     if (ends_) return;
     auto [w, done] = std::move(queue_.front());
     held.unlock();
-    auto written = disk_->write(w);
-    while (failed(written)) {
-      // LevelDB takes no write after one has failed: it is opened anew.
-      std::this_thread::sleep_for(100ms);
-      {
-        const std::lock_guard looked(lock_);
-        if (ends_) return;
-      }
-      const auto folder = failure(written).peer;
-      disk_.reset();
-      auto opened = Disk::open(folder);
-      while (failed(opened)) {
-        std::this_thread::sleep_for(200ms);
-        opened = Disk::open(folder);
-        const std::lock_guard looked(lock_);
-        if (ends_) return;
-      }
-      disk_ = std::move(value(opened));
-      written = disk_->write(w);
-    }
+    if (!write_until_done(w)) return;
     done();
     held.lock();
     queue_.pop_front();
   }
 }
 
+// False: the thread is to end.
+bool DiskThread::write_until_done(const agreement::Write& w) {
+  while (failed(disk_->write(w))) {
+    std::this_thread::sleep_for(kRetryWrite);
+    if (ends() || !open_again()) return false;
+  }
+  return true;
+}
+
+// False: the thread is to end.
+bool DiskThread::open_again() {
+  const auto folder = disk_->folder();
+  auto& env = disk_->env();
+  const auto last_write = disk_->last_write();
+  disk_.reset();
+  auto opened = Disk::open(folder, env);
+  while (failed(opened)) {
+    std::this_thread::sleep_for(kRetryOpen);
+    if (ends()) return false;
+    opened = Disk::open(folder, env);
+  }
+  disk_ = std::move(value(opened));
+  auto kept = disk_->read();
+  const bool lacks_writes = disk_->last_write() < last_write;
+  if (!failed(kept) && !lacks_writes) return true;
+  const auto why = failed(kept) ? failure(kept)
+                                : Failure{"open the disk again", folder, "writes are missing"};
+  disk_.reset();
+  Disk::begin_anew(folder);  // where that fails the next start finds what is missing
+  lost_(why);
+  return false;
+}
+
 }  // namespace docklift
--- a/src/system/disk/disk.hpp
+++ b/src/system/disk/disk.hpp
@@ -1,5 +1,9 @@
-// A store's memory on its disk, in LevelDB: `identity` (of the disk), `state` (a snapshot), `promised`, `accepted/PLACE`, `log/PLACE`.
-// Writes that belong together are one batch. Calls wait for the disk; DiskThread keeps them off the loop.
+// A store's memory on its disk, in LevelDB: `identity` (of the disk), `state` (a snapshot), `promised`, `accepted/PLACE`,
+// `log/PLACE`, `write/NUMBER` (of the last writes, empty). Writes that belong together are one batch. Calls wait for
+// the disk; DiskThread keeps them off the loop.
+//
+// Each batch is synced before the next one begins. So a loss of power can take the last one alone, of which nothing
+// was said yet; where any other is missing the disk is damaged, and read() says so: what it lacks may be a promise.
 #pragma once
 
 #include <condition_variable>
@@ -12,6 +16,7 @@
 
 #include "system/agreement/messages.hpp"
 #include "system/base/result.hpp"
+#include "system/disk/durable_env.hpp"
 
 namespace leveldb {
 class DB;
@@ -22,32 +27,46 @@
 class Disk {
  public:
   // Opens, mends after a torn end, or sets aside (`*.damaged`) what can't be read and begins anew: its store
-  // then counts as one whose disk was lost.
-  static Result<std::unique_ptr<Disk>> open(const std::string& folder);
+  // then counts as one whose disk was lost. `env` is not owned and outlives the disk.
+  static Result<std::unique_ptr<Disk>> open(const std::string& folder, leveldb::Env& env = durable_env());
   ~Disk();
-  // Sets aside (`*.damaged`) what can't be read, and opens an empty one.
+  // Sets aside (`*.damaged`) what can't be read, and opens an empty one. Of the machine's files only.
   static Result<std::unique_ptr<Disk>> begin_anew(const std::string& folder);
+  // A failure: a record can't be read, or writes are missing among others.
   Result<agreement::Kept> read() const;
   Result<std::monostate> write(const agreement::Write& w);
+  std::uint64_t last_write() const { return last_write_; }  // its number; 0: none
+  const std::string& folder() const { return folder_; }
+  leveldb::Env& env() const { return env_; }
 
  private:
-  explicit Disk(std::string folder, std::unique_ptr<leveldb::DB> db);
+  Disk(std::string folder, leveldb::Env& env, std::unique_ptr<leveldb::DB> db);
+  void find_last_write();
+  Result<std::monostate> check_writes() const;
   std::string folder_;
+  leveldb::Env& env_;
   std::unique_ptr<leveldb::DB> db_;
+  std::uint64_t last_write_ = 0;
 };
 
 // Writes in order on a thread of its own. A write that fails is tried again until it succeeds: `done` is
-// called on that thread.
+// called on that thread. LevelDB takes no write after one has failed, so that the disk is opened anew; where it then
+// lacks what had been written it is set aside, nothing more is written, and `lost` is called on that thread.
 class DiskThread {
  public:
-  explicit DiskThread(std::unique_ptr<Disk> disk);
+  using Lost = std::function<void(const Failure& why)>;
+  DiskThread(std::unique_ptr<Disk> disk, Lost lost);
   ~DiskThread();  // what is queued is dropped, what is being written ends
   void write(agreement::Write w, std::function<void()> done);
   std::size_t waiting() const;
 
  private:
   void run();
+  bool write_until_done(const agreement::Write& w);
+  bool open_again();
+  bool ends() const;
   std::unique_ptr<Disk> disk_;
+  Lost lost_;
   mutable std::mutex lock_;
   std::condition_variable news_;
   std::deque<std::pair<agreement::Write, std::function<void()>>> queue_;
--- a/src/system/disk/record_cache.cpp
+++ b/src/system/disk/record_cache.cpp
@@ -2,10 +2,13 @@
 
 #include <leveldb/db.h>
 
+#include "system/disk/durable_env.hpp"
+
 namespace docklift {
 
 Result<std::unique_ptr<RecordCache>> RecordCache::open(const std::string& folder) {
   leveldb::Options options;
+  options.env = &durable_env();
   options.create_if_missing = true;
   options.write_buffer_size = 512u << 10;
   options.max_open_files = 32;
--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -40,7 +40,7 @@
     : io_(io),
       settings_(settings),
       replica_(options_of(settings), std::move(kept)),
-      disk_(std::move(disk)),
+      disk_(std::move(disk), [this](const Failure& why) { on_disk_lost(why); }),
       log_("store"),
       timer_(io.get_executor()),
       leave_timer_(io.get_executor()) {}
@@ -65,6 +65,15 @@
   for (auto& [ip, dialer] : stores_) dialer->stop();
 }
 
+// The process ends, and starts again as one whose disk was lost. On the disk's thread.
+void Store::on_disk_lost(const Failure& why) {
+  log_.error(why.shown() + "; it is set aside");
+  boost::asio::post(io_, [this] {
+    stop();
+    io_.stop();
+  });
+}
+
 void Store::set_seeds(const std::vector<std::string>& seeds) {
   settings_.seeds = seeds;
   replica_.set_seeds(settings_.seed_ips());
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -57,6 +57,7 @@
   void send(const std::string& to, const agreement::Envelope& envelope);
   void dial_others();
   void drop_unreachable(const std::set<std::string>& needed);
+  void on_disk_lost(const Failure& why);
   void tick();
   void bring_up_to_date(Registry& r);
   void offer_snapshot(const agreement::SnapshotNeed& need);
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -394,6 +394,7 @@
     auto disk = Disk::open(f.path + "/d");
     agreement::Write w;
     w.state = State{4, nullptr, {}, {{"10.0.0.1", 1}}, 2, {}, {{"z", 3}}};
+    w.disk = 77;
     w.durable = true;
     BOOST_REQUIRE(!failed(value(disk)->write(w)));
   }
--- /dev/null
+++ b/tests/system/simulated_files.cpp
@@ -0,0 +1,304 @@
+#include "simulated_files.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace docklift::test {
+namespace {
+
+using leveldb::Slice;
+using leveldb::Status;
+
+std::string folder_of(const std::string& path) { return path.substr(0, path.rfind('/')); }
+std::string name_of(const std::string& path) { return path.substr(path.rfind('/') + 1); }
+
+Status not_found(const std::string& path) { return Status::NotFound(path, "no such file"); }
+
+class SequentialReader : public leveldb::SequentialFile {
+ public:
+  explicit SequentialReader(std::string bytes) : bytes_(std::move(bytes)) {}
+  Status Read(std::size_t size, Slice* result, char* scratch) override {
+    size = std::min(size, bytes_.size() - at_);
+    std::copy_n(bytes_.data() + at_, size, scratch);
+    at_ += size;
+    *result = Slice(scratch, size);
+    return Status::OK();
+  }
+  Status Skip(std::uint64_t size) override {
+    at_ = std::min<std::uint64_t>(bytes_.size(), at_ + size);
+    return Status::OK();
+  }
+
+ private:
+  std::string bytes_;
+  std::size_t at_ = 0;
+};
+
+class RandomReader : public leveldb::RandomAccessFile {
+ public:
+  explicit RandomReader(std::string bytes) : bytes_(std::move(bytes)) {}
+  Status Read(std::uint64_t offset, std::size_t size, Slice* result, char* scratch) const override {
+    const auto from = std::min<std::uint64_t>(offset, bytes_.size());
+    size = std::min<std::size_t>(size, bytes_.size() - from);
+    std::copy_n(bytes_.data() + from, size, scratch);
+    *result = Slice(scratch, size);
+    return Status::OK();
+  }
+
+ private:
+  std::string bytes_;
+};
+
+class Writer : public leveldb::WritableFile {
+ public:
+  Writer(SimulatedFiles& files, std::string path, SimulatedFilePtr file)
+      : files_(files), path_(std::move(path)), file_(std::move(file)) {}
+  Status Append(const Slice& data) override {
+    buffer_.append(data.data(), data.size());
+    return Status::OK();
+  }
+  Status Close() override { return Flush(); }
+  Status Flush() override {
+    return buffer_.empty() ? Status::OK() : files_.append(path_, file_, std::exchange(buffer_, {}));
+  }
+  Status Sync() override {
+    const auto status = Flush();
+    return status.ok() ? files_.sync(path_, file_) : status;
+  }
+
+ private:
+  SimulatedFiles& files_;
+  std::string path_;
+  SimulatedFilePtr file_;
+  std::string buffer_;
+};
+
+class NoLock : public leveldb::FileLock {};
+
+// Of the writes after the last sync each is kept, missing (zeros, where a later one is kept) or torn.
+std::string contents_after_power_loss(const SimulatedFile& file, std::mt19937_64& random) {
+  std::string contents = file.synced;
+  if (random() % 3 == 0) return contents;  // at some losses of power all are gone
+  std::string zeros;
+  for (const auto& write : file.unsynced) {
+    const auto fate = random() % 3;
+    if (fate == 0) {
+      zeros.append(write.size(), '\0');
+      continue;
+    }
+    contents += std::exchange(zeros, {});
+    const std::size_t kept = fate == 1 ? write.size() : random() % (write.size() + 1);
+    contents.append(write, 0, kept);
+    zeros.append(write.size() - kept, '\0');
+  }
+  return contents;
+}
+
+}  // namespace
+
+std::string SimulatedFile::contents() const {
+  std::string all = synced;
+  for (const auto& write : unsynced) all += write;
+  return all;
+}
+
+bool SimulatedFiles::EntryChange::is_in(const std::string& folder) const {
+  return folder_of(added.empty() ? removed : added) == folder;
+}
+
+void SimulatedFiles::lose_power_at(std::uint64_t operation, std::uint64_t seed,
+                                   std::function<void()> at_loss) {
+  const std::lock_guard held(lock_);
+  operations_to_loss_ = operation;
+  random_.seed(seed);
+  at_loss_ = std::move(at_loss);
+}
+
+void SimulatedFiles::restart(std::uint64_t seed, const std::function<void()>& at_loss) {
+  const std::lock_guard held(lock_);
+  if (!left_) {
+    random_.seed(seed);
+    at_loss();
+    left_ = after_power_loss(random_);
+  }
+  entries_ = synced_entries_ = *std::exchange(left_, std::nullopt);
+  changes_.clear();
+  operations_to_loss_ = 0;
+}
+
+bool SimulatedFiles::power_lost() const {
+  const std::lock_guard held(lock_);
+  return left_.has_value();
+}
+
+FolderEntries SimulatedFiles::copy() const {
+  const std::lock_guard held(lock_);
+  FolderEntries copied = entries_;
+  for (auto& [path, file] : copied) file = std::make_shared<SimulatedFile>(*file);
+  return copied;
+}
+
+void SimulatedFiles::put_back(FolderEntries entries) {
+  const std::lock_guard held(lock_);
+  entries_ = synced_entries_ = std::move(entries);
+  changes_.clear();
+}
+
+void SimulatedFiles::fail_writes(std::uint64_t how_many) {
+  const std::lock_guard held(lock_);
+  writes_to_fail_ = how_many;
+}
+
+void SimulatedFiles::begin_operation() {
+  if (operations_to_loss_ == 0 || --operations_to_loss_ > 0) return;
+  at_loss_();
+  left_ = after_power_loss(random_);
+}
+
+FolderEntries SimulatedFiles::after_power_loss(std::mt19937_64& random) const {
+  FolderEntries left = synced_entries_;
+  for (const auto& change : changes_) {
+    if (random() % 2 == 0) continue;
+    if (!change.removed.empty()) left.erase(change.removed);
+    if (!change.added.empty()) left[change.added] = change.file;
+  }
+  for (auto& [path, file] : left)
+    file = std::make_shared<SimulatedFile>(SimulatedFile{contents_after_power_loss(*file, random), {}});
+  return left;
+}
+
+void SimulatedFiles::change(EntryChange change) {
+  if (!change.removed.empty()) entries_.erase(change.removed);
+  if (!change.added.empty()) entries_[change.added] = change.file;
+  changes_.push_back(std::move(change));
+}
+
+void SimulatedFiles::sync_entries(const std::string& folder) {
+  std::erase_if(changes_, [&](const EntryChange& change) {
+    if (!change.is_in(folder)) return false;
+    if (!change.removed.empty()) synced_entries_.erase(change.removed);
+    if (!change.added.empty()) synced_entries_[change.added] = change.file;
+    return true;
+  });
+}
+
+Status SimulatedFiles::sync_folder(const std::string& folder) {
+  const std::lock_guard held(lock_);
+  begin_operation();
+  sync_entries(folder);
+  return Status::OK();
+}
+
+Status SimulatedFiles::append(const std::string& path, const SimulatedFilePtr& file, std::string bytes) {
+  const std::lock_guard held(lock_);
+  begin_operation();
+  if (writes_to_fail_ > 0) {
+    --writes_to_fail_;
+    return Status::IOError(path, "the disk refuses");
+  }
+  file->unsynced.push_back(std::move(bytes));
+  return Status::OK();
+}
+
+// As LevelDB's own files do: a manifest's sync is one of its folder first.
+Status SimulatedFiles::sync(const std::string& path, const SimulatedFilePtr& file) {
+  const std::lock_guard held(lock_);
+  begin_operation();
+  if (name_of(path).starts_with("MANIFEST")) sync_entries(folder_of(path));
+  file->synced = file->contents();
+  file->unsynced.clear();
+  return Status::OK();
+}
+
+Status SimulatedFiles::NewSequentialFile(const std::string& path, leveldb::SequentialFile** file) {
+  const std::lock_guard held(lock_);
+  const auto found = entries_.find(path);
+  if (found == entries_.end()) return not_found(path);
+  *file = new SequentialReader(found->second->contents());
+  return Status::OK();
+}
+
+Status SimulatedFiles::NewRandomAccessFile(const std::string& path, leveldb::RandomAccessFile** file) {
+  const std::lock_guard held(lock_);
+  const auto found = entries_.find(path);
+  if (found == entries_.end()) return not_found(path);
+  *file = new RandomReader(found->second->contents());
+  return Status::OK();
+}
+
+Status SimulatedFiles::NewWritableFile(const std::string& path, leveldb::WritableFile** file) {
+  const std::lock_guard held(lock_);
+  begin_operation();
+  const auto made = std::make_shared<SimulatedFile>();
+  change({"", path, made});
+  *file = new Writer(*this, path, made);
+  return Status::OK();
+}
+
+Status SimulatedFiles::NewAppendableFile(const std::string& path, leveldb::WritableFile** file) {
+  {
+    const std::lock_guard held(lock_);
+    if (const auto found = entries_.find(path); found != entries_.end()) {
+      *file = new Writer(*this, path, found->second);
+      return Status::OK();
+    }
+  }
+  return NewWritableFile(path, file);
+}
+
+bool SimulatedFiles::FileExists(const std::string& path) {
+  const std::lock_guard held(lock_);
+  return entries_.contains(path);
+}
+
+Status SimulatedFiles::GetChildren(const std::string& folder, std::vector<std::string>* names) {
+  const std::lock_guard held(lock_);
+  names->clear();
+  for (const auto& [path, file] : entries_)
+    if (folder_of(path) == folder) names->push_back(name_of(path));
+  return Status::OK();
+}
+
+Status SimulatedFiles::RemoveFile(const std::string& path) {
+  const std::lock_guard held(lock_);
+  if (!entries_.contains(path)) return not_found(path);
+  begin_operation();
+  change({path, "", nullptr});
+  return Status::OK();
+}
+
+Status SimulatedFiles::CreateDir(const std::string&) { return Status::OK(); }
+Status SimulatedFiles::RemoveDir(const std::string&) { return Status::OK(); }
+
+Status SimulatedFiles::GetFileSize(const std::string& path, std::uint64_t* size) {
+  const std::lock_guard held(lock_);
+  const auto found = entries_.find(path);
+  if (found == entries_.end()) return not_found(path);
+  *size = found->second->contents().size();
+  return Status::OK();
+}
+
+Status SimulatedFiles::RenameFile(const std::string& from, const std::string& to) {
+  const std::lock_guard held(lock_);
+  const auto found = entries_.find(from);
+  if (found == entries_.end()) return not_found(from);
+  begin_operation();
+  change({from, to, found->second});
+  return Status::OK();
+}
+
+Status SimulatedFiles::LockFile(const std::string&, leveldb::FileLock** lock) {
+  *lock = new NoLock;
+  return Status::OK();
+}
+
+Status SimulatedFiles::UnlockFile(leveldb::FileLock* lock) {
+  delete lock;
+  return Status::OK();
+}
+
+Status SimulatedFiles::NewLogger(const std::string& path, leveldb::Logger**) {
+  return Status::NotSupported(path, "nothing is logged");
+}
+
+}  // namespace docklift::test
