Agreement: silence is no evidence of a lost disk; only disks proved lost are done without

One machine was cut off and missed changes; then one of the others lost its disk, the third was dark, its disk whole, and the cut healed.

Cause: the quorum "all voters of the other zones" counted a silent voter of the zone as lost. Its argument needs that what was acknowledged without the other zone lies there; silence shows neither that nor that a disk is gone.

Change: all voters that are not proved destroyed must answer; those that are must lie in one zone. Contact is counted by the same rule. A call is given up after its time also where it waits behind a proposal of new voters (found by the story: it got no answer at all while the core waited).

--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -237,12 +237,15 @@
   resume_at_ = now + chance(kLeastPause, kMostPause);
 }
 
-// A ballot under way goes on without the call that it was begun for.
+// A ballot under way goes on without the call that it was begun for. A call may be late behind one that is not.
 void Replica::give_up_late(Time now) {
-  while (!queue_.empty() && now >= queue_.front().since + options_.give_up) {
-    settle(503, "no majority in time");
-    ballot_for_first_ = false;
-  }
+  const auto is_late = [&](const Proposal& proposal) { return now >= proposal.since + options_.give_up; };
+  if (!queue_.empty() && is_late(queue_.front())) ballot_for_first_ = false;
+  std::erase_if(queue_, [&](const Proposal& proposal) {
+    if (!is_late(proposal)) return false;
+    out_.settled.push_back({proposal.id, 503, "no majority in time"});
+    return true;
+  });
   std::erase_if(reads_, [&](const Read& read) {
     if (now < read.since + options_.give_up) return false;
     out_.settled.push_back({read.id, 503, "no majority in time"});
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -156,7 +156,6 @@
   bool outlives_a_zone(Time now, const std::set<Voter>& acceptors) const;
   bool lost_for(Time now, const std::string& address, Duration limit) const;
   void watch_contact(Time now);
-  bool all_of_other_zones_heard(Time now) const;
   void propose_membership(Time now);
   std::size_t rank(Time now) const;
   VoterHealth health_of(Time now, const Voter& voter) const;
--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -44,31 +44,22 @@
 }
 
 void Replica::watch_contact(Time now) {
-  std::size_t alive = 0;
-  std::size_t in_contact = 0;
-  for (const auto& voter : state_.voters) {
-    if (is_destroyed(voter)) continue;
-    ++alive;
-    const auto peer = peers_.find(voter.address);
-    const bool heard = peer != peers_.end() && now - peer->second.heard <= kRecently;
-    if (voter.address == options_.self || heard) ++in_contact;
-  }
-  const bool majority = in_contact * 2 > state_.voters.size();
-  // A zone that has lost disks may leave less than a majority: then those of the other zones count.
-  const bool survivors = alive < state_.voters.size() && in_contact > 0 && all_of_other_zones_heard(now);
-  if (!majority && !survivors) contact_since_ = now;
-}
-
-bool Replica::all_of_other_zones_heard(Time now) const {
-  std::set<std::string> zones_with_lost_disks;
-  for (const auto& voter : state_.voters)
-    if (is_destroyed(voter)) zones_with_lost_disks.insert(zone_of(voter.address));
-  return std::ranges::all_of(state_.voters, [&](const Voter& voter) {
-    if (zones_with_lost_disks.contains(zone_of(voter.address))) return true;
+  const auto in_contact = [&](const Voter& voter) {
     if (voter.address == options_.self) return true;
     const auto peer = peers_.find(voter.address);
     return peer != peers_.end() && now - peer->second.heard <= kRecently;
-  });
+  };
+  std::size_t survivors = 0;
+  std::size_t survivors_in_contact = 0;
+  for (const auto& voter : state_.voters) {
+    if (is_destroyed(voter)) continue;
+    ++survivors;
+    if (in_contact(voter)) ++survivors_in_contact;
+  }
+  const bool majority = survivors_in_contact * 2 > state_.voters.size();
+  // Lost disks may leave less than a majority: then all that are left count.
+  const bool all_survivors = survivors > 0 && survivors_in_contact == survivors;
+  if (!majority && !all_survivors) contact_since_ = now;
 }
 
 // ---- read barriers -------------------------------------------------------------------------------
@@ -192,33 +183,21 @@
   return voters.size() * 2 > state_.voters.size() || is_survivor_quorum(voters);
 }
 
-// Where a zone has lost disks: all voters of the other zones, if no majority is left without them. Those of
-// the zone that have not answered are destroyed or silent. Not for a store that somebody knows to be behind
-// the present membership: the others may have been replaced without it. Those at the destroyed voters'
-// addresses are given time to hear of such a one.
+// Where disks of one zone are lost: all voters whose disks are not. Every acknowledgement has an acceptor among them,
+// as it lies in two zones, and no other quorum can be formed without one of them. Silence is no evidence: the disk of
+// a machine that is dark may hold what no other one has. Not for a store that somebody knows to be behind the present
+// membership: the others may have been replaced without it. Those at the destroyed voters' addresses are given time
+// to hear of such a one.
 bool Replica::is_survivor_quorum(const std::set<Voter>& voters) const {
-  if (seen_membership_ > state_.membership) return false;
-  std::string lost_zone;
+  if (seen_membership_ > state_.membership || voters.empty()) return false;
+  std::set<std::string> lost_zones;
   for (const auto& voter : state_.voters) {
     if (voters.contains(voter)) continue;
-    const auto zone = zone_of(voter.address);
-    if (zone.empty() || (!lost_zone.empty() && zone != lost_zone)) return false;
-    if (!is_destroyed(voter) && !lost_for(now_, voter.address, options_.silence)) return false;
-    lost_zone = zone;
-  }
-  std::size_t destroyed = 0;
-  std::size_t left_in_zone = 0;
-  for (const auto& voter : state_.voters) {
-    if (zone_of(voter.address) != lost_zone) continue;
-    if (!is_destroyed(voter)) {
-      ++left_in_zone;
-      continue;
-    }
-    if (now_ < destroyed_.at(voter) + kHearsay) return false;
-    ++destroyed;
+    const auto destroyed = destroyed_.find(voter);
+    if (destroyed == destroyed_.end() || now_ < destroyed->second + kHearsay) return false;
+    lost_zones.insert(zone_of(voter.address));
   }
-  const bool others_exist = destroyed + left_in_zone < state_.voters.size();
-  return destroyed > 0 && others_exist && left_in_zone * 2 <= state_.voters.size();
+  return lost_zones.size() == 1 && !lost_zones.contains("");
 }
 
 // Whether the loss of one zone's disks would leave the change on another disk. A zone in which no voter has
--- a/tests/system/control_play.cpp
+++ b/tests/system/control_play.cpp
@@ -17,6 +17,8 @@
 constexpr std::array kZones = {"a", "b"};  // that are evacuated
 constexpr double kAnswersLost = 0.03;
 constexpr std::size_t kMostMembers = 6;
+constexpr Duration kLeastBehind = 2s, kMostBehind = 6s;  // that a machine misses changes
+constexpr Duration kLeastDark = 3s, kMostDark = 6s;      // that the others are without power meanwhile
 
 constexpr std::array kAllFaults = {Fault::kill,
                                    Fault::power_loss,
@@ -362,6 +364,7 @@
   // counts as one of another zone, unless the play asks for more: a voter that never answers again can't be
   // told from one that is cut off.
   bool may_lose(const std::set<MemberIndex>& more) const {
+    if (fleet_.now() < disks_kept_until_) return false;
     std::set<std::string> zones;
     std::size_t count = 0;
     for (MemberIndex i = 0; i < fleet_.size(); ++i) {
@@ -599,6 +602,40 @@
     return true;
   }
 
+  bool any_lost_but(MemberIndex index) const {
+    const auto now = fleet_.now();
+    return std::ranges::any_of(all(), [&](MemberIndex i) { return i != index && is_lost(i); }) ||
+           std::ranges::any_of(gone_, [&](const auto& gone) { return now < gone.second; });
+  }
+
+  bool leave_behind(MemberIndex index) {
+    if (is_lost(index) || any_lost_but(index)) return false;
+    fleet_.cut_off(index);
+    disks_kept_until_ = fleet_.now() + kMostBehind;
+    fleet_.later(fleet_.drawn(kLeastBehind, kMostBehind), [this, index] {
+      if (!stopped_ && !any_lost_but(index)) lose_one_disk_and_darken_rest(index);
+      fleet_.join(index);
+      note_back(index);
+    });
+    return true;
+  }
+
+  void lose_one_disk_and_darken_rest(MemberIndex behind) {
+    disks_kept_until_ = fleet_.now() + kMostDark + 2 * kSync;
+    auto others = all();
+    others.erase(behind);
+    const auto victim = *std::next(others.begin(), static_cast<std::ptrdiff_t>(fleet_.drawn(others.size())));
+    for (const auto index : others) {
+      if (index == victim) {
+        fleet_.lose_disk(index);
+        start_later(index, 100ms, 1s);
+      } else {
+        fleet_.lose_power(index);
+        start_later(index, kLeastDark, kMostDark);
+      }
+    }
+  }
+
   ControlFleet& fleet_;
   const PlayOptions& options_;
   PlayResult& result_;
@@ -606,6 +643,7 @@
   std::map<MemberIndex, Time> back_at_;
   std::vector<std::pair<std::string, Time>> gone_;  // zone; until when the replaced machine counts as lost
   Time disks_well_at_{};                            // the end of all stalls
+  Time disks_kept_until_{};                         // no disk may be lost beside one that was
   bool stopped_ = false;
   bool at_acknowledgement_ = false;
   std::optional<Fault> last_loss_;
@@ -642,6 +680,7 @@
       fleet_.slow_disk(*member, fleet_.drawn(1ms, 80ms));
       done = true;
       break;
+    case Fault::left_behind: done = leave_behind(*member); break;
     case Fault::link_reset:
       fleet_.reset_link(*member, fleet_.drawn(fleet_.size()));
       done = true;
@@ -705,6 +744,7 @@
     case Fault::disk_stall: return "disk stall";
     case Fault::disk_slow: return "slow disk";
     case Fault::link_reset: return "link reset";
+    case Fault::left_behind: return "left behind";
   }
   return "";
 }
--- a/tests/system/control_play.hpp
+++ b/tests/system/control_play.hpp
@@ -32,6 +32,9 @@
   disk_stall,
   disk_slow,
   link_reset,
+  // One machine is cut off and misses changes; then one of the others loses its disk, the rest are dark for seconds,
+  // and the cut heals. One disk is lost, whatever else is; not among the faults of a play that names none.
+  left_behind,
 };
 const char* name_of(Fault fault);
 
--- a/tests/system/control_plays_test.cpp
+++ b/tests/system/control_plays_test.cpp
@@ -101,6 +101,15 @@
             [](PlayOptions& options) { options.beyond_tolerance = true; });
 }
 
+// The disk of a machine that is dark holds what others have lost or never had.
+BOOST_AUTO_TEST_CASE(
+    given_a_machine_left_behind_when_one_disk_is_lost_and_the_rest_dark_then_what_was_told_holds) {
+  run_plays(setting("DOCKLIFT_FIRST_SEED", 1), setting("DOCKLIFT_PLAYS", 200), [](PlayOptions& options) {
+    options.faults = {Fault::left_behind, Fault::left_behind, Fault::power_loss_all,
+                      Fault::disk_loss,   Fault::kill,        Fault::link_reset};
+  });
+}
+
 // Two disks of a zone are lost; the second voter is replaced while the first one's replacement has just been
 // decided. Proposers that did not take turns held each other up until the other zone lost its disk as well.
 BOOST_AUTO_TEST_CASE(given_two_votes_to_replace_when_the_first_is_decided_then_the_next_is_proposed_in_turn) {
