Proxies: "not allowed" is told only by a configuration that is known to be new; else 503

A proxy answered 404 and 401 from whatever configuration it held, before it looked at how old that may be; before any was here, heads and bodies were bounded by default limits, so that 431 and 413 came before the 503. Freshness bounded only what is passed on.

Change: 404, 401, 431 and 413 need a copy that was the newest apply_ms ago at most, counted as for keys from the asking (Decisions::may_deny); otherwise 503 with the time to come back. What is answered then was sent less than apply_ms after any acknowledgement that could allow it.

Looked at and left: a change of the limits while a body comes in is judged by the newer limits, which are in force; the 404 for a zone depends on the process's settings and not on a configuration; /resolve answers 503 already until a majority is known.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -64,6 +64,10 @@
   if (!confirmed_at_ || at > *confirmed_at_) confirmed_at_ = at;
 }
 
+bool Decisions::may_deny(Time now) const {
+  return configuration_ && confirmed_at_ && now < *confirmed_at_ + from_millis(bounds_.apply_ms);
+}
+
 // Until then no acknowledged change can have taken a key away for so long that its requests must not run.
 Time Decisions::keys_valid_until() const {
   if (!bounds_.strict_revoke || !configuration_ || !configuration_->has_tenants()) return Time::max();
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -88,6 +88,10 @@
   Actions grants_failed(Time now);
   Actions tick(Time now);  // at least each 20 ms while something is open
 
+  // Whether "not allowed" may be told by the configuration here: only where it was the newest `apply_ms` ago at most.
+  // A change that was acknowledged before allows what is asked for, perhaps.
+  bool may_deny(Time now) const;
+
   const Servers::Known* known(ServerHandle server) const { return servers_.known(server); }
   std::vector<ServerHandle> dropped() { return servers_.dropped(); }
   std::size_t open() const { return requests_.size(); }
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -6,7 +6,8 @@
 namespace {
 using namespace std::chrono_literals;
 constexpr Duration kTick = 20ms;  // while requests are open
-constexpr Duration kNoConfiguration = 300ms;
+constexpr Duration
+    kNoConfiguration = 300ms;             // until a client may come back where none is here, or an old one
 constexpr Duration kLastAnswers = 700ms;  // before the grace ends: what is still open gets its last answer
 constexpr Duration kStopsAccepting = 1600ms;
 constexpr double kClientPart = 0.6;  // of the descriptors
@@ -59,6 +60,11 @@
   return configuration_ ? configuration_->limits : configuration::Limits{};
 }
 
+OwnAnswer Proxy::denial(int status) const {
+  if (decisions_.may_deny(clock_.now())) return {status};
+  return {503, kNoConfiguration};
+}
+
 void Proxy::accept() {
   acceptor_.async_accept([this](boost::system::error_code failed_accept, Socket socket) {
     if (failed_accept == boost::asio::error::operation_aborted) return;
@@ -82,11 +88,12 @@
 
 void Proxy::on_request(const std::shared_ptr<Session>& session, std::uint64_t number, Request request) {
   const Time now = clock_.now();
-  if (!configuration_) return session->answer(number, 503, kNoConfiguration);
+  if (!configuration_) return session->answer(number, {503, kNoConfiguration});
   const auto* route = configuration_->route(request.host, request.target);
-  if (!route) return session->answer(number, 404, {});
+  if (!route) return session->answer(number, denial(404));
   const auto* tenant = request.key.empty() ? nullptr : configuration_->tenant_of(request.key);
-  if (configuration_->has_tenants() && !route->is_public && !tenant) return session->answer(number, 401, {});
+  if (configuration_->has_tenants() && !route->is_public && !tenant)
+    return session->answer(number, denial(401));
   const auto id = ++last_id_;
   const Duration left = from_millis(
       request.deadline_ms.value_or(route->timeout_ms > 0 ? route->timeout_ms : 10000));
@@ -105,10 +112,10 @@
       control_client_.request_units(request->orders);
     } else if (const auto* r = std::get_if<decisions::Refuse>(&action)) {
       if (const auto x = exchanges_.extract(r->request))
-        x.mapped().session->answer(x.mapped().number, r->status, r->retry_after);
+        x.mapped().session->answer(x.mapped().number, {r->status, r->retry_after});
     } else if (const auto* f = std::get_if<decisions::Fail>(&action)) {
       if (const auto x = exchanges_.extract(f->request))
-        x.mapped().session->answer(x.mapped().number, f->status, {});
+        x.mapped().session->answer(x.mapped().number, {f->status});
     } else if (const auto* relay = std::get_if<decisions::Relay>(&action)) {
       if (auto x = exchanges_.extract(relay->request))
         x.mapped().session->answer(x.mapped().number, std::move(x.mapped().last.reply),
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -23,6 +23,7 @@
   void drain(std::function<void()> ended);
 
   configuration::Limits limits() const override;
+  OwnAnswer denial(int status) const override;
   bool draining() const override { return draining_; }
   void on_request(const std::shared_ptr<Session>& session, std::uint64_t number, Request request) override;
   bool is_repeatable(const Request& request) const override;
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -27,7 +27,7 @@
   limit_ = timers_.after(from_millis(ms), [self = shared_from_this(), idle] {
     self->limit_.reset();
     if (idle || self->in_.empty()) return self->close();
-    self->refuse(408);
+    self->refuse({408});
   });
 }
 
@@ -85,12 +85,14 @@
     if (!in_.empty() && !limit_ && slots_.empty()) wait_for(limits.header_ms, false);
     return false;
   }
-  if (r.read != http::Read::done) return refuse(r.read == http::Read::bad ? 400 : 431), false;
+  if (r.read == http::Read::bad) return refuse({400}), false;
+  if (r.read != http::Read::done) return refuse(host_->denial(431)), false;
   const auto kind = http::body_of(head);
   const auto host = head.only("Host");
   const auto id = head.only("Attempt-Id");
-  if (!kind || !host || !id || id->empty()) return refuse(400), false;
-  if (kind->coding == stream::Coding::length && kind->length > limits.body_bytes) return refuse(413), false;
+  if (!kind || !host || !id || id->empty()) return refuse({400}), false;
+  if (kind->coding == stream::Coding::length && kind->length > limits.body_bytes)
+    return refuse(host_->denial(413)), false;
   request_ = {};
   request_.method = head.method, request_.target = head.target, request_.host = *host,
   request_.attempt_id = *id;
@@ -125,10 +127,10 @@
   const auto limit = host_->limits().body_bytes;
   while (!decoder_.done()) {
     const auto step = decoder_.next(std::string_view(in_).substr(used));
-    if (step.status == BodyDecoder::Status::bad) return refuse(400), false;
+    if (step.status == BodyDecoder::Status::bad) return refuse({400}), false;
     body_.append(step.data);
     used += step.used;
-    if (body_.size() > limit) return refuse(413), false;
+    if (body_.size() > limit) return refuse(host_->denial(413)), false;
     if (step.status == BodyDecoder::Status::more) break;
   }
   in_.erase(0, used);
@@ -145,12 +147,13 @@
   write_next();
 }
 
-void Session::answer(std::uint64_t number, int status, Duration retry_after) {
-  std::string reply = "HTTP/1.1 " + std::to_string(status) + " " + std::string(http::reason(status)) + "\r\n";
+void Session::answer(std::uint64_t number, const OwnAnswer& own) {
+  std::string reply = "HTTP/1.1 " + std::to_string(own.status) + " " + std::string(http::reason(own.status)) +
+                      "\r\n";
   reply += "Content-Length: 0\r\n";
-  if (retry_after > Duration{}) {
+  if (own.retry_after > Duration{}) {
     char text[32];
-    std::snprintf(text, sizeof text, "Retry-After: %.3f\r\n", seconds(retry_after));
+    std::snprintf(text, sizeof text, "Retry-After: %.3f\r\n", seconds(own.retry_after));
     reply += text;
   }
   const auto at = reply.size();
@@ -159,13 +162,13 @@
 }
 
 // Of a request that can't be read: the connection ends, behind the answers to those before it.
-void Session::refuse(int status) {
+void Session::refuse(const OwnAnswer& why) {
   if (closed_) return;
   keep_ = false;
   timers_.cancel(limit_);
   const auto number = ++numbers_;
   slots_.push_back({number, false, true, {}, 0});
-  answer(number, status, {});
+  answer(number, why);
 }
 
 void Session::write_next() {
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -24,11 +24,19 @@
   std::optional<double> deadline_ms;
 };
 
+// An answer of the proxy's own.
+struct OwnAnswer {
+  int status = 503;
+  Duration retry_after{};  // 0: not told
+};
+
 class Session : public std::enable_shared_from_this<Session> {
  public:
   struct Host {
     virtual ~Host() = default;
     virtual configuration::Limits limits() const = 0;
+    // What a request gets that the limits here don't allow: `status`, or 503 where they may not be the newest.
+    virtual OwnAnswer denial(int status) const = 0;
     virtual bool draining() const = 0;
     virtual void on_request(const std::shared_ptr<Session>& session, std::uint64_t number,
                             Request request) = 0;
@@ -40,8 +48,7 @@
   void start();
   // The answer to a request: whole, with the place where its fields end. Once for each number.
   void answer(std::uint64_t number, std::string reply, std::size_t body_at);
-  // One of the proxy's own.
-  void answer(std::uint64_t number, int status, Duration retry_after);
+  void answer(std::uint64_t number, const OwnAnswer& answer);
   void drain();  // ends when nothing is under way
   void close();
 
@@ -52,7 +59,7 @@
   void begin();
   void write_next();
   bool read_head();
-  void refuse(int status);
+  void refuse(const OwnAnswer& why);
   void wait_for(double ms, bool idle);
 
   Host* host_;
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -290,6 +290,20 @@
   BOOST_TEST(std::holds_alternative<Send>(w.one(w.ask())));
 }
 
+BOOST_AUTO_TEST_CASE(
+    given_a_configuration_that_may_be_old_when_it_does_not_allow_a_request_then_it_says_so_no_more) {
+  World w;
+  const Time confirmed = w.now;
+  const Duration bound = 2500ms;  // apply_ms
+  BOOST_TEST(w.d.may_deny(confirmed));
+  BOOST_TEST(w.d.may_deny(confirmed + bound - 1ms));
+  BOOST_TEST(!w.d.may_deny(confirmed + bound));
+  w.d.confirmed(confirmed + 1s);
+  BOOST_TEST(w.d.may_deny(confirmed + bound));
+  Decisions none({"p", "z", "r"}, {}, Bounds{}, 1);
+  BOOST_TEST(!none.may_deny(confirmed));
+}
+
 BOOST_AUTO_TEST_CASE(
     given_servers_that_are_all_full_when_a_request_waits_then_it_is_refused_within_a_quarter_of_its_aim) {
   World w;
