Stores and followers tell and compare a digest of their log; another history is noticed

Stores went on with each other's votes, registries and proxies applied later changes on top of ones that the core had lost, and no line said so.

Change: the state carries a digest chained over all changes up to its place (configuration/log_digests). Stores tell place and digest in each message; whoever is ahead compares. A store of another history is not listened to and counts as silent, so that no quorum has members of two. Batches to followers name the digest before their first change: a follower of another history says so, gives its copy up and takes the core's. A state of an earlier format has no digest and is compared with nothing.

Not done: a follower that is ahead of the core keeps what the core has lost until the core's log passes its place.

--- a/src/system/agreement/agreement.capnp
+++ b/src/system/agreement/agreement.capnp
@@ -24,6 +24,8 @@
     fetch @12 :UInt64;
     log @13 :Log;
   }
+  position @14 :UInt64;    # of the sender's log, and
+  logDigest @15 :UInt64;   # its digest there (configuration/log_digests); 0: not known
 }
 struct Status {
   round @0 :UInt64;
@@ -35,5 +37,9 @@
   membership @6 :UInt64;   # of its state
 }
 # A batch: who has taken it and stands before `newest` asks for more. Snapshots go in parts (src/system/transfer).
-struct Log { entries @0 :List(Entry); newest @1 :UInt64; }
+struct Log {
+  entries @0 :List(Entry);
+  newest @1 :UInt64;
+  digestBefore @2 :UInt64; # of the sender's log at the place before the first entry; 0: not known
+}
 struct Entry { slot @0 :UInt64; change @1 :Change; }
--- a/src/system/agreement/messages.cpp
+++ b/src/system/agreement/messages.cpp
@@ -114,6 +114,7 @@
   void operator()(const Log& m) {
     auto to = frame_.initLog();
     to.setNewest(m.newest);
+    to.setDigestBefore(m.digest_before);
     auto list = to.initEntries(static_cast<unsigned>(m.entries.size()));
     for (unsigned i = 0; i < list.size(); ++i) put(list[i], m.entries[i]);
   }
@@ -147,6 +148,7 @@
 Log log_of(wire::Log::Reader r) {
   Log log;
   log.newest = r.getNewest();
+  log.digest_before = r.getDigestBefore();
   for (const auto entry : r.getEntries()) log.entries.push_back(get(entry));
   return log;
 }
@@ -173,13 +175,15 @@
   auto frame = builder.initRoot<wire::Message>();
   frame.setDisk(envelope.sender.disk);
   frame.setMembership(envelope.sender.membership);
+  frame.setPosition(envelope.sender.position);
+  frame.setLogDigest(envelope.sender.log_digest);
   std::visit(Encoder(frame), envelope.message);
   return packed(builder);
 }
 
 std::optional<Envelope> decode(std::string_view bytes) {
   return unpacked<wire::Message>(bytes, [](wire::Message::Reader m) -> Envelope {
-    return {{m.getDisk(), m.getMembership()}, message_of(m)};
+    return {{m.getDisk(), m.getMembership(), m.getPosition(), m.getLogDigest()}, message_of(m)};
   });
 }
 
--- a/src/system/agreement/messages.hpp
+++ b/src/system/agreement/messages.hpp
@@ -86,6 +86,7 @@
 struct Log {
   std::vector<LogEntry> entries;  // in order, at most a batch
   std::uint64_t newest = 0;       // position of the sender: beyond the batch there is more to fetch
+  std::uint64_t digest_before = configuration::kDigestNotKnown;  // at the place before the first entry
 };
 
 using Message = std::variant<Prepare, Promise, Accept, Accepted, LogEntry, StatusRequest, Status, Fetch, Log>;
@@ -94,6 +95,8 @@
 struct Sender {
   std::uint64_t disk = 0;
   std::uint64_t membership = 0;  // the membership number that the sender knows
+  std::uint64_t position = 0;    // of its log, and the digest there
+  std::uint64_t log_digest = configuration::kDigestNotKnown;
 };
 struct Envelope {
   Sender sender;
--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -31,10 +31,12 @@
   disk_ = kept.disk;
   promised_ = kept.promised;
   begin_log();
+  digests_.note(state_.position, state_.log_digest);
   for (auto& [slot, accepted] : kept.accepted) accepted_[slot] = std::move(accepted);
   for (const auto& entry : kept.log) {
     if (entry.slot != state_.position + 1) continue;
     configuration::apply(state_, entry.change.kind, entry.change.text);
+    digests_.note(state_.position, state_.log_digest);
     log_.push(entry);
     note_logged(entry);
   }
@@ -65,7 +67,9 @@
   return std::exchange(out_, {});
 }
 
-Sender Replica::identity() const { return {disk_, std::max(state_.membership, seen_membership_)}; }
+Sender Replica::identity() const {
+  return {disk_, std::max(state_.membership, seen_membership_), state_.position, state_.log_digest};
+}
 
 void Replica::send(const std::string& to, Message message) {
   out_.sends.push_back({to, {identity(), std::move(message)}});
@@ -261,6 +265,7 @@
   const bool durable_here = accepted != accepted_.end() && accepted->second.change == change;
   const auto membership = state_.membership;
   const bool took_effect = configuration::apply(state_, change.kind, change.text);
+  digests_.note(state_.position, state_.log_digest);
   log_.push({slot, change});
   std::erase_if(accepted_, [&](const auto& entry) { return entry.first <= slot; });
   out_.chosen.push_back({slot, change});
@@ -320,13 +325,14 @@
     out_.snapshots.push_back({from, m.after == kWhole ? 0 : m.after});
     return;
   }
-  send(from, Log{log_.after(m.after, kLogBatchBytes), state_.position});
+  send(from, Log{log_.after(m.after, kLogBatchBytes), state_.position, digests_.at(m.after)});
 }
 
 void Replica::take_snapshot(const State& snapshot) {
   const bool first = !has_state();
   if (snapshot.voters.empty() || (snapshot.position <= state_.position && !first)) return;
   state_ = snapshot;
+  digests_.note(state_.position, state_.log_digest);
   log_.clear();
   std::erase_if(accepted_, [&](const auto& entry) { return entry.first <= state_.position; });
   out_.snapshot = true;
@@ -341,8 +347,10 @@
   if (ballot_runs()) phase_ = Phase::idle;
 }
 
-void Replica::on(Time now, const std::string& from, const Sender&, const Log& m) {
+void Replica::on(Time now, const std::string& from, const Sender& sender, const Log& m) {
   fetched_at_ = {};
+  if (!m.entries.empty() && digests_.contradicts(m.entries.front().slot - 1, m.digest_before))
+    return note_contradiction(from, sender.disk, m.entries.front().slot - 1);
   const auto before = state_.position;
   for (const auto& entry : m.entries) choose(now, entry.slot, entry.change);
   if (state_.position > before && state_.position < m.newest) fetch_from(now, from);
@@ -399,6 +407,8 @@
 
 Out Replica::receive(Time now, const std::string& from, const Envelope& envelope) {
   notice_time(now);
+  notice_history(from, envelope.sender);
+  if (is_contradicting(from, envelope.sender)) return std::exchange(out_, {});
   peers_[from].heard = now;
   seen_membership_ = std::max(seen_membership_, envelope.sender.membership);
   std::visit([&](const auto& message) { on(now, from, envelope.sender, message); }, envelope.message);
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -97,6 +97,7 @@
   std::uint64_t disk() const { return disk_; }
   // The last changes; who is behind further needs a snapshot.
   const fleet::RecentChanges<LogEntry>& recent() const { return log_; }
+  const configuration::LogDigests& digests() const { return digests_; }
 
  private:
   struct Proposal {
@@ -116,6 +117,7 @@
     bool told = false;  // a status has come from it in this life
     std::uint64_t disk = 0;
     Status status;
+    std::optional<std::uint64_t> contradicting_disk;  // whose log holds other changes than this one
     Time heard{};
   };
   enum class Phase { idle, preparing, accepting, pausing };
@@ -151,6 +153,9 @@
   bool is_voter(const Voter& voter) const;
   bool is_quorum(const std::set<Voter>& voters) const;
   bool is_destroyed(const Voter& voter) const;
+  void notice_history(const std::string& from, const Sender& sender);
+  bool is_contradicting(const std::string& from, const Sender& sender) const;
+  void note_contradiction(const std::string& from, std::uint64_t disk, std::uint64_t position);
   void notice_destroyed(Time now, const std::string& from, const Sender& sender, const Status& status);
   bool is_survivor_quorum(const std::set<Voter>& voters) const;
   bool outlives_a_zone(Time now, const std::set<Voter>& acceptors) const;
@@ -186,6 +191,7 @@
   State state_;
   std::map<std::uint64_t, AcceptedChange> accepted_;
   Ballot promised_;
+  configuration::LogDigests digests_;   // of the last places
   fleet::RecentChanges<LogEntry> log_;  // for who is behind a little
   SnapshotPolicy snapshot_policy_;
   LogSinceSnapshot logged_;        // on the disk
--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -160,6 +160,34 @@
   drive(now);
 }
 
+// ---- histories -----------------------------------------------------------------------------------
+
+// A store whose log holds other changes than this one's at the same places is not listened to: no quorum has members
+// of two histories, so that neither acknowledges on top of what the other one has lost. It counts as silent. Whoever
+// is ahead can compare, since it knows the digest of the other one's place.
+void Replica::notice_history(const std::string& from, const Sender& sender) {
+  if (!has_state() || sender.position > state_.position || from == options_.self) return;
+  if (digests_.contradicts(sender.position, sender.log_digest))
+    return note_contradiction(from, sender.disk, sender.position);
+  const auto peer = peers_.find(from);
+  if (peer != peers_.end() && peer->second.contradicting_disk == sender.disk &&
+      digests_.at(sender.position) != configuration::kDigestNotKnown)
+    peer->second.contradicting_disk.reset();
+}
+
+bool Replica::is_contradicting(const std::string& from, const Sender& sender) const {
+  const auto peer = peers_.find(from);
+  return peer != peers_.end() && peer->second.contradicting_disk == sender.disk;
+}
+
+void Replica::note_contradiction(const std::string& from, std::uint64_t disk, std::uint64_t position) {
+  auto& peer = peers_[from];
+  if (peer.contradicting_disk == disk) return;
+  peer.contradicting_disk = disk;
+  out_.notes.push_back("the log of " + from + " up to change " + std::to_string(position) +
+                       " is another one than here: something that was agreed is lost; it is not listened to");
+}
+
 // ---- quorums -------------------------------------------------------------------------------------
 
 bool Replica::is_voter(const Voter& voter) const { return std::ranges::binary_search(state_.voters, voter); }
--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -428,6 +428,7 @@
 
 bool apply(State& state, ChangeKind kind, const std::string& change) {
   ++state.position;
+  state.log_digest = digest_after(state.log_digest, static_cast<std::uint8_t>(kind), change);
   switch (kind) {
     case ChangeKind::replace:
     case ChangeKind::patch: {
--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -15,6 +15,7 @@
 
 #include "system/base/result.hpp"
 #include "system/configuration/evacuation_order.hpp"
+#include "system/configuration/log_digests.hpp"
 #include "system/configuration/version_history.hpp"
 
 namespace docklift::configuration {
@@ -110,6 +111,7 @@
   VersionHistory history;              // the bodies that were taken
   // Zone -> position of the last order that changed whether it is evacuated.
   std::map<std::string, std::uint64_t> zone_changes;
+  std::uint64_t log_digest = kDigestOfNoChanges;  // of all changes up to `position`
 
   std::uint64_t version() const;
 };
--- a/src/system/fleet/change_log.cpp
+++ b/src/system/fleet/change_log.cpp
@@ -2,6 +2,14 @@
 
 namespace docklift::fleet {
 
+void ChangeLog::forget() {
+  state_ = {};
+  digests_ = {};
+  configuration_.reset();
+  recent_.clear();
+  readmitted_.clear();
+}
+
 void ChangeLog::reread() {
   if (state_.document.is_null()) return;
   auto read = configuration::read(state_.document);
@@ -14,13 +22,17 @@
   for (const auto& zone : state_.evacuated)
     if (!std::ranges::binary_search(snapshot.evacuated, zone)) readmitted_.push_back(zone);
   state_ = std::move(snapshot);
+  digests_.note(state_.position, state_.log_digest);
   recent_.clear();
   reread();
   return News::taken;
 }
 
-ChangeLog::News ChangeLog::take(capnp::List<wire::Entry>::Reader entries) {
+ChangeLog::News ChangeLog::take(wire::ChangeBatch::Reader batch) {
+  const auto entries = batch.getEntries();
   readmitted_.clear();
+  if (entries.size() > 0 && digests_.contradicts(entries[0].getPosition() - 1, batch.getDigestBefore()))
+    return News::other_history;
   bool taken = false;
   bool document = false;
   bool gap = false;
@@ -34,6 +46,7 @@
     if (effect && e.change == wire::Change::READMIT)
       readmitted_.push_back(configuration::decode_evacuation(e.text)->zone);
     taken = true;
+    digests_.note(state_.position, state_.log_digest);
     recent_.push(e);
   }
   if (document) reread();
--- a/src/system/fleet/change_log.hpp
+++ b/src/system/fleet/change_log.hpp
@@ -22,6 +22,8 @@
   virtual bool covers(std::uint64_t place) const = 0;
   // Changes after a place that is covered: a batch of about so many bytes, one change at least.
   virtual std::vector<Entry> entries_after(std::uint64_t place, std::size_t batch_bytes) const = 0;
+  // Of the log up to a place (configuration/log_digests).
+  virtual std::uint64_t digest_at(std::uint64_t place) const = 0;
 };
 
 class ChangeLog : public ChangeSource {
@@ -29,11 +31,14 @@
   enum class News {
     none,
     taken,
-    gap
-  };  // gap: a change is missing between; ask for what comes after position()
+    gap,            // a change is missing between; ask for what comes after position()
+    other_history,  // the sender's log holds other changes than this one: something that was agreed is lost
+  };
 
   News take(configuration::State snapshot);  // none: it is not newer than what is held
-  News take(capnp::List<wire::Entry>::Reader entries);
+  News take(wire::ChangeBatch::Reader batch);
+  // Holds nothing any more, so that any snapshot is taken.
+  void forget();
 
   const configuration::State& state() const override { return state_; }
   std::uint64_t position() const { return state_.position; }
@@ -41,6 +46,7 @@
   std::vector<Entry> entries_after(std::uint64_t place, std::size_t batch_bytes) const override {
     return recent_.after(place, batch_bytes);
   }
+  std::uint64_t digest_at(std::uint64_t place) const override { return digests_.at(place); }
   // What the state's document means; null: there is none yet.
   const std::shared_ptr<const configuration::Configuration>& configuration() const { return configuration_; }
   // Zones taken back by the last news.
@@ -49,6 +55,7 @@
  private:
   void reread();
   configuration::State state_;
+  configuration::LogDigests digests_;
   std::shared_ptr<const configuration::Configuration> configuration_;
   RecentChanges<Entry> recent_;
   std::vector<std::string> readmitted_;
--- a/src/system/fleet/frames.cpp
+++ b/src/system/fleet/frames.cpp
@@ -17,6 +17,7 @@
     voters[i].setDisk(s.voters[i].disk);
   }
   to.setMembership(s.membership);
+  to.setLogDigest(s.log_digest);
   to.setHistory(data_of(s.history.encode()));
   auto zone_changes = to.initZoneChanges(static_cast<unsigned>(s.zone_changes.size()));
   unsigned index = 0;
@@ -34,6 +35,7 @@
   for (const auto t : r.getEvacuated()) s.evacuated.emplace_back(t.cStr());
   for (const auto voter : r.getVoters()) s.voters.push_back({voter.getAddress().cStr(), voter.getDisk()});
   s.membership = r.getMembership();
+  s.log_digest = r.getLogDigest();
   auto history = configuration::VersionHistory::decode(text_of(r.getHistory()));
   KJ_REQUIRE(history.has_value(), "the version history can't be read");
   s.history = std::move(*history);
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -26,6 +26,7 @@
   const configuration::State& state() const override { return replica_.state(); }
   bool covers(std::uint64_t place) const override { return replica_.recent().covers(place); }
   std::vector<fleet::Entry> entries_after(std::uint64_t place, std::size_t batch_bytes) const override;
+  std::uint64_t digest_at(std::uint64_t place) const override { return replica_.digests().at(place); }
 
  private:
   const agreement::Replica& replica_;
--- a/src/system/transfer/change_feed.cpp
+++ b/src/system/transfer/change_feed.cpp
@@ -21,6 +21,7 @@
   const auto entries = source.entries_after(follower.position, kBatchBytes);
   auto batch = out.frame().initChanges();
   batch.setNewest(newest);
+  batch.setDigestBefore(source.digest_at(follower.position));
   auto list = batch.initEntries(static_cast<unsigned>(entries.size()));
   for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], entries[i]);
   follower.position = entries.back().position;
--- a/src/system/transfer/change_follower.cpp
+++ b/src/system/transfer/change_follower.cpp
@@ -38,7 +38,8 @@
 }
 
 ChangeFollower::News ChangeFollower::on_batch(const std::string& source, wire::ChangeBatch::Reader batch) {
-  const auto news = changes_.take(batch.getEntries());
+  const auto news = changes_.take(batch);
+  if (news == News::other_history) return on_other_history(source);
   const bool was_fetching = receiver_.fetching();
   receiver_.on_position(changes_.position());
   const bool was_pulled = pulled_ == source;
@@ -56,6 +57,16 @@
   return news;
 }
 
+// The sources hold what the core has agreed on: what is here is given up for theirs.
+ChangeFollower::News ChangeFollower::on_other_history(const std::string& source) {
+  note_("the log of " + source + " holds other changes than the " + std::to_string(changes_.position()) +
+        " here: something that was agreed is lost; its state is taken");
+  changes_.forget();
+  pulled_.clear();
+  follow_all();
+  return News::other_history;
+}
+
 ChangeFollower::News ChangeFollower::on_part(Time now, const std::string& source,
                                              wire::SnapshotPart::Reader frame) {
   const auto part = get(frame);
--- a/src/system/transfer/change_follower.hpp
+++ b/src/system/transfer/change_follower.hpp
@@ -32,6 +32,7 @@
  private:
   News on_batch(const std::string& source, wire::ChangeBatch::Reader batch);
   News on_part(Time now, const std::string& source, wire::SnapshotPart::Reader frame);
+  News on_other_history(const std::string& source);
   void carry_out(const SnapshotReceiver::Step& step);
   void follow(const std::string& source);
   void follow_all();
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -54,12 +54,14 @@
   history @4 :Data;      # the versions that were taken, oldest first, with the digests of their bodies: 24 bytes each
   membership @5 :UInt64; # how often the voters have changed
   zoneChanges @6 :List(ZoneChange);
+  logDigest @7 :UInt64;  # of all changes up to `position` (configuration/log_digests); 0: not known
 }
 
 # Changes in order, at most a batch: a follower that has taken them and stands before `newest` asks for more.
 struct ChangeBatch {
   entries @0 :List(Entry);
   newest @1 :UInt64;       # position of the last change that the sender has
+  digestBefore @2 :UInt64; # of the sender's log at the place before the first entry; 0: not known
 }
 # A snapshot is sent as its encoded bytes, in parts that the receiver asks for (src/system/transfer).
 struct SnapshotId {
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -420,6 +420,38 @@
   }
 }
 
+// A disk holds another change than the others at a place that was decided, by a fault that nothing else shows.
+BOOST_AUTO_TEST_CASE(given_a_store_of_another_history_when_it_is_back_then_neither_side_counts_the_other) {
+  for (const std::size_t odd : {0, 2}) {
+    CoreFleet core(kTwoZones, 40 + odd);
+    const std::size_t other = 2 - odd;
+    BOOST_TEST(core.put(1, 5, 0) == 200);
+    BOOST_TEST(core.put(1, 6, 5, "right") == 200);
+    core.run(1s);
+    core.kill(odd);
+    const auto place = core.state(1).position;
+    docklift::agreement::Write forged;
+    forged.log.push_back({place, {ChangeKind::replace, config_body(7, 5, "wrong"), "10.0.0.9", 1}});
+    core.members[odd].disk.write(forged);
+    core.members[odd].disk.sync();
+    core.start(odd);
+    core.run(500ms);
+    const auto wrong = core.propose(odd, ChangeKind::replace, config_body(8, 7));
+    const auto read = core.propose(odd, ChangeKind::nothing, "");
+    core.run(3s);
+    BOOST_TEST(core.put(other, 9, 6) == 200);
+    BOOST_TEST(core.settled(wrong) == 503);
+    BOOST_TEST(core.settled(read) == 503);
+    for (const std::size_t right : {std::size_t{1}, other}) BOOST_TEST(core.state(right).version() == 9u);
+    BOOST_TEST(core.state(odd).version() == 7u);
+    // Set aside, it is one of them again.
+    core.lose_disk(odd);
+    core.start(odd);
+    BOOST_TEST(core.run_until([&] { return core.votes(odd); }, 5s));
+    BOOST_TEST(core.state(odd).version() == 9u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(given_a_proposer_when_it_asks_with_a_ballot_then_its_own_promise_is_durable_first) {
   // Else one that loses its power and comes back could offer another change under the same ballot.
   docklift::agreement::Kept kept;
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -276,7 +276,7 @@
     fleet::Outgoing out;
     auto list = out.frame().initChanges().initEntries(static_cast<unsigned>(entries.size()));
     for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], entries[i]);
-    return to.take(out.frame().asReader().getChanges().getEntries());
+    return to.take(out.frame().asReader().getChanges());
   };
   const fleet::Entry one{1, wire::Change::REPLACE, config_body(1, 0)},
       two{2, wire::Change::EVACUATE, zone_order("z", 1)}, three{3, wire::Change::READMIT, zone_order("z", 2)};
@@ -299,6 +299,46 @@
   BOOST_TEST(fresh.state().zone_changes.at("z") == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(given_two_logs_when_they_differ_at_one_place_then_their_digests_differ_from_there_on) {
+  State one, other;
+  configuration::LogDigests digests;
+  digests.note(0, one.log_digest);
+  const auto same = [&](ChangeKind kind, const std::string& text) {
+    configuration::apply(one, kind, text);
+    configuration::apply(other, kind, text);
+    digests.note(one.position, one.log_digest);
+  };
+  same(ChangeKind::replace, config_body(1, 0));
+  BOOST_TEST(!digests.contradicts(other.position, other.log_digest));
+  configuration::apply(one, ChangeKind::nothing, "");
+  digests.note(one.position, one.log_digest);
+  configuration::apply(other, ChangeKind::evacuate, zone_order("z", 1));
+  BOOST_TEST(digests.contradicts(other.position, other.log_digest));
+  same(ChangeKind::replace, config_body(2, 1));
+  BOOST_TEST(digests.contradicts(other.position, other.log_digest));
+  // Nothing is said of places that are not known, and of a state of an earlier format.
+  BOOST_TEST(!digests.contradicts(9, other.log_digest));
+  BOOST_TEST(!digests.contradicts(2, configuration::kDigestNotKnown));
+  BOOST_TEST(configuration::digest_after(configuration::kDigestNotKnown, 0, "x") ==
+             configuration::kDigestNotKnown);
+  // Through a snapshot as well.
+  const auto snapshot = transfer::decode(transfer::encode(one)->bytes);
+  BOOST_REQUIRE(snapshot.has_value());
+  BOOST_TEST(snapshot->log_digest == one.log_digest);
+}
+
+BOOST_AUTO_TEST_CASE(given_many_places_when_digests_are_noted_then_the_last_ones_are_kept) {
+  configuration::LogDigests digests;
+  constexpr std::uint64_t kMost = configuration::LogDigests::kMostPlaces;
+  for (std::uint64_t place = 1; place <= kMost + 5; ++place) digests.note(place, place + 100);
+  BOOST_TEST(digests.at(5) == configuration::kDigestNotKnown);
+  BOOST_TEST(digests.at(6) == 106u);
+  BOOST_TEST(digests.at(kMost + 5) == kMost + 105);
+  digests.note(9000, 7);  // by a snapshot
+  BOOST_TEST(digests.at(kMost + 5) == configuration::kDigestNotKnown);
+  BOOST_TEST(digests.at(9000) == 7u);
+}
+
 // ---- the disk
 
 BOOST_AUTO_TEST_CASE(
--- a/tests/system/transfer_test.cpp
+++ b/tests/system/transfer_test.cpp
@@ -42,8 +42,7 @@
   fleet::Outgoing out;
   auto list = out.frame().initChanges().initEntries(1);
   fleet::put(list[0], Entry{log.position() + 1, change, text});
-  BOOST_REQUIRE(
-      (log.take(out.frame().asReader().getChanges().getEntries()) == fleet::ChangeLog::News::taken));
+  BOOST_REQUIRE((log.take(out.frame().asReader().getChanges()) == fleet::ChangeLog::News::taken));
 }
 
 // One follower and some sources, each with a link of its own: a rate and a delay both ways, cut and joined.
@@ -359,6 +358,28 @@
 
 // ---- the sender and the receiver by themselves
 
+// The core has lost changes that a follower has, and decided their places anew.
+BOOST_AUTO_TEST_CASE(given_a_follower_of_another_history_when_the_core_goes_on_then_it_takes_the_cores) {
+  Net net(2);
+  net.link(0);
+  net.change_at(0, wire::Change::REPLACE, config_body(1, 0));
+  net.change_at(0, wire::Change::REPLACE, config_body(2, 1, "lost"));
+  net.run(1s);
+  BOOST_TEST(net.follower.changes().state().version() == 2u);
+  net.cut(0);
+  net.change_at(1, wire::Change::REPLACE, config_body(1, 0));
+  net.change_at(1, wire::Change::REPLACE, config_body(3, 1, "anew"));
+  net.link(1);
+  net.run(1s);
+  BOOST_TEST(net.follower.changes().state().version() == 2u);  // no place beyond its own yet
+  net.change_at(1, wire::Change::EVACUATE, zone_order("z", 2));
+  net.run(1s);
+  BOOST_TEST(net.follower.changes().state().version() == 3u);
+  BOOST_TEST(bytes_of_state(net.follower.changes()) == bytes_of_state(net.sources[1].log));
+  BOOST_REQUIRE(net.notes.size() >= 1);
+  BOOST_TEST(net.notes.front().find("holds other changes") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(given_a_sender_when_the_state_moves_on_then_it_keeps_two_snapshots_and_drops_idle_ones) {
   SnapshotSender sender;
   fleet::ChangeLog log;
