Stores: operators can say that a voter is gone for good with its disk (--voter-lost)

Since silence no longer counts as a lost disk, the core waits where a machine is gone for good and the other one of its zone then loses its disk before a successor has the vote. Only the operators know that the machine will not come back, and they had no way to say so.

Weighed: to drop silent voters from the set beforehand (the lease on the unit counts relies on sets that never become smaller).

--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -64,9 +64,19 @@
   now_ = now;
   contact_since_ = now;
   for (auto& [voter, since] : destroyed_) since = now;
+  for (const auto& address : options_.lost_voters) note_lost_voter(now, address);
   return std::exchange(out_, {});
 }
 
+void Replica::note_lost_voter(Time now, const std::string& address) {
+  const auto voter = std::ranges::find(state_.voters, address, &Voter::address);
+  if (voter == state_.voters.end() || address == options_.self) {
+    out_.notes.push_back("the operators call " + address + " lost, which is no other voter");
+    return;
+  }
+  note_destroyed(now, *voter, "is lost, as the operators say");
+}
+
 Sender Replica::identity() const {
   return {disk_, std::max(state_.membership, seen_membership_), state_.position, state_.log_digest};
 }
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -30,6 +30,7 @@
   bool bootstrap = false;          // the very first start of the whole system
   bool votes = true;               // may become a voter
   std::size_t tolerated = 1;       // machines that may be lost at once
+  std::vector<std::string> lost_voters{};  // ips whose voters' disks are lost, as the operators say
   std::uint64_t chance = 1;
   std::uint64_t new_disk = 2;  // the identity that an empty disk is given; never kBootstrapDisk
   Duration round_limit = std::chrono::milliseconds(500);  // a ballot without an outcome is tried anew
@@ -156,6 +157,8 @@
   void notice_history(const std::string& from, const Sender& sender);
   bool is_contradicting(const std::string& from, const Sender& sender) const;
   void note_contradiction(const std::string& from, std::uint64_t disk, std::uint64_t position);
+  void note_lost_voter(Time now, const std::string& address);
+  void note_destroyed(Time now, const Voter& voter, const std::string& why);
   void notice_destroyed(Time now, const std::string& from, const Sender& sender, const Status& status);
   bool is_survivor_quorum(const std::set<Voter>& voters) const;
   bool outlives_a_zone(Time now, const std::set<Voter>& acceptors) const;
--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -199,12 +199,16 @@
   if (!status.has_state || status.membership < state_.membership) return;
   for (const auto& voter : state_.voters) {
     if (voter.address != from || voter.disk == sender.disk) continue;
-    if (!destroyed_.try_emplace(voter, now).second) continue;
-    out_.write.destroyed.push_back(voter);
-    out_.notes.push_back("the disk of voter " + voter.address + " is lost");
+    note_destroyed(now, voter, "is lost");
   }
 }
 
+void Replica::note_destroyed(Time now, const Voter& voter, const std::string& why) {
+  if (!destroyed_.try_emplace(voter, now).second) return;
+  out_.write.destroyed.push_back(voter);
+  out_.notes.push_back("the disk of voter " + voter.address + " " + why);
+}
+
 bool Replica::is_destroyed(const Voter& voter) const { return destroyed_.contains(voter); }
 
 bool Replica::is_quorum(const std::set<Voter>& voters) const {
--- a/src/system/program/program.cpp
+++ b/src/system/program/program.cpp
@@ -23,6 +23,8 @@
                         cxxopts::value<std::string>())("l,log-level", "debug, info, warn or error",
                                                        cxxopts::value<std::string>()->default_value("info"))(
       "c,check", "read the settings, tell mistakes, end")("h,help", "this text")("v,version", "the version");
+  for (const auto& option : program.options)
+    options.add_options()(option.name, option.what, cxxopts::value<std::vector<std::string>>());
   std::string path;
   std::string level;
   bool check = false;
@@ -37,6 +39,8 @@
     path = given.count("settings") > 0 ? given["settings"].as<std::string>() : settings_path();
     level = given["log-level"].as<std::string>();
     check = given.count("check") > 0;
+    for (const auto& option : program.options)
+      if (given.count(option.name) > 0) *option.values = given[option.name].as<std::vector<std::string>>();
   } catch (const std::exception& x) {  // cxxopts has changed the name of its own
     std::cerr << program.name << ": " << x.what() << '\n';
     return 2;
--- a/src/system/program/program.hpp
+++ b/src/system/program/program.hpp
@@ -6,14 +6,22 @@
 #include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "system/base/log.hpp"
 #include "system/base/settings.hpp"
 
 namespace docklift {
 
+// An option of one program's own; it may be given more than once.
+struct ListOption {
+  std::string name, what;                      // for --help
+  std::vector<std::string>* values = nullptr;  // what was given; not owned
+};
+
 struct Program {
   std::string name, what;  // for --help
+  std::vector<ListOption> options{};
 };
 
 // Reads command line and settings, and calls `run`; returns the exit code. `check` (--check) ends after the
--- a/src/system/store/main.cpp
+++ b/src/system/store/main.cpp
@@ -5,33 +5,42 @@
 namespace {
 
 int run(int argc, char** argv) {
-  return run_program(
-      {"docklift-store", "Agrees on the configuration with the other stores and keeps it on disk."}, argc,
-      argv, [](boost::asio::io_context& io, const SystemSettings& settings) {
-        const Log log("store");
-        if (settings.data_dir.empty()) return log.error("read settings: datadir is missing"), 2;
-        const auto folder = settings.data_dir + "/changes";
-        auto disk = Disk::open(folder);
-        if (failed(disk)) return log.error(failure(disk).shown()), 1;
-        auto kept = value(disk)->read();
-        if (failed(kept)) {  // a store whose disk was lost reads the others' memory
-          log.error(failure(kept).shown() + "; it is set aside");
-          value(disk).reset();
-          disk = Disk::begin_anew(folder);
-          if (failed(disk)) return log.error(failure(disk).shown()), 1;
-          kept = agreement::Kept{};
-        }
-        log.info(value(kept).any ? "the disk holds change " + std::to_string(value(kept).state.position) +
-                                       " and " + std::to_string(value(kept).log.size()) + " after it"
-                                 : "the disk is empty");
-        Store store(io, settings, std::move(value(disk)), std::move(value(kept)));
-        store.start();
-        const Signals signals(
-            io, [&] { store.leave([&] { io.stop(); }); },
-            [&](const SystemSettings& changed) { store.set_seeds(changed.seeds); });
-        io.run();
-        return 0;
-      });
+  std::vector<std::string> lost_voters;
+  const ListOption voter_lost{
+      "voter-lost",
+      "the address of a voter that is gone for good with its disk, where the core waits "
+      "for it; never of one that may come back",
+      &lost_voters};
+  return run_program({"docklift-store",
+                      "Agrees on the configuration with the other stores and keeps it on disk.",
+                      {voter_lost}},
+                     argc, argv, [&lost_voters](boost::asio::io_context& io, const SystemSettings& settings) {
+                       const Log log("store");
+                       if (settings.data_dir.empty())
+                         return log.error("read settings: datadir is missing"), 2;
+                       const auto folder = settings.data_dir + "/changes";
+                       auto disk = Disk::open(folder);
+                       if (failed(disk)) return log.error(failure(disk).shown()), 1;
+                       auto kept = value(disk)->read();
+                       if (failed(kept)) {  // a store whose disk was lost reads the others' memory
+                         log.error(failure(kept).shown() + "; it is set aside");
+                         value(disk).reset();
+                         disk = Disk::begin_anew(folder);
+                         if (failed(disk)) return log.error(failure(disk).shown()), 1;
+                         kept = agreement::Kept{};
+                       }
+                       log.info(value(kept).any
+                                    ? "the disk holds change " + std::to_string(value(kept).state.position) +
+                                          " and " + std::to_string(value(kept).log.size()) + " after it"
+                                    : "the disk is empty");
+                       Store store(io, settings, std::move(value(disk)), std::move(value(kept)), lost_voters);
+                       store.start();
+                       const Signals signals(
+                           io, [&] { store.leave([&] { io.stop(); }); },
+                           [&](const SystemSettings& changed) { store.set_seeds(changed.seeds); });
+                       io.run();
+                       return 0;
+                     });
 }
 
 }  // namespace
--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -14,12 +14,13 @@
 
 std::uint64_t drawn() { return (std::uint64_t(std::random_device{}()) << 32) | std::random_device{}(); }
 
-agreement::Options options_of(const SystemSettings& s) {
+agreement::Options options_of(const SystemSettings& s, std::vector<std::string> lost_voters) {
   agreement::Options o;
   o.self = s.bind_ip, o.zone = s.zone;
   o.seeds = s.seed_ips();
   o.bootstrap = s.bootstrap, o.votes = s.voting;
   o.tolerated = s.tolerate_nodes;
+  o.lost_voters = std::move(lost_voters);
   o.chance = drawn();
   // With the time of day: no earlier disk of this machine has the same.
   o.new_disk = std::max<std::uint64_t>(mix(drawn() ^ draw_life()), configuration::kBootstrapDisk + 1);
@@ -36,10 +37,10 @@
 }
 
 Store::Store(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Disk> disk,
-             agreement::Kept kept)
+             agreement::Kept kept, std::vector<std::string> lost_voters)
     : io_(io),
       settings_(settings),
-      replica_(options_of(settings), std::move(kept)),
+      replica_(options_of(settings, std::move(lost_voters)), std::move(kept)),
       disk_(std::move(disk), [this](const Failure& why) { on_disk_lost(why); }),
       log_("store"),
       timer_(io.get_executor()),
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -35,7 +35,7 @@
 class Store {
  public:
   Store(boost::asio::io_context& io, const SystemSettings& settings, std::unique_ptr<Disk> disk,
-        agreement::Kept kept);
+        agreement::Kept kept, std::vector<std::string> lost_voters = {});
   ~Store();
   void start();
   // The settings have changed: whom a store asks that knows no other.
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -298,6 +298,30 @@
   }
 }
 
+// Where that machine never comes back, the operators say so to a survivor.
+BOOST_AUTO_TEST_CASE(given_a_machine_gone_for_good_when_the_operators_say_so_then_orders_go_on) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CoreFleet core(kTwoZones, seed);
+    BOOST_TEST(core.put(0, 5, 0) == 200);
+    core.run(1s);
+    core.lose_disk(1);
+    core.run(1s);
+    const auto fresh = core.add("a");
+    core.lose_disk(0);
+    core.run(500ms);
+    core.start(0);
+    core.run(5s);
+    BOOST_TEST(!core.votes(0));
+    BOOST_TEST(!core.votes(fresh));
+    core.kill(2);
+    core.members[2].lost_voters = {core.members[1].ip};
+    core.start(2);
+    BOOST_TEST(core.run_until([&] { return core.votes(0) && core.votes(fresh); }, 8s), "seed " << seed);
+    BOOST_TEST(core.put(2, 6, 5) == 200, "seed " << seed);
+    for (const auto& wrong : core.wrongs) BOOST_TEST(false, "seed " << seed << ": " << wrong);
+  }
+}
+
 // One zone is cut off and misses what the other one acknowledges; then one machine that has it loses its disk and the
 // other one is dark, as the cut heals. That one's disk is whole: nothing may be decided without it.
 BOOST_AUTO_TEST_CASE(
--- a/tests/system/core_fleet.hpp
+++ b/tests/system/core_fleet.hpp
@@ -90,6 +90,7 @@
     MemoryDisk disk;
     std::unique_ptr<Replica> replica;  // null: down
     std::uint64_t life = 0;
+    std::vector<std::string> lost_voters{};  // as the operators say at its next start
   };
   struct Answer {
     int status = 0;  // 0: none yet
@@ -196,6 +197,7 @@
     o.self = m.ip, o.zone = m.zone, o.bootstrap = bootstrap, o.chance = random();
     o.new_disk = 100 + ++disks_;
     o.tolerated = tolerated;
+    o.lost_voters = m.lost_voters;
     for (std::size_t i = 0; i < std::min<std::size_t>(3, members.size()); ++i)
       o.seeds.push_back(members[i].ip);
     m.replica = std::make_unique<Replica>(o, m.disk.read());
