--- a/src/system/disk/durable_env.cpp
+++ b/src/system/disk/durable_env.cpp
@@ -24,7 +24,7 @@
   const auto failure = [&] { return Status::IOError(folder, std::system_category().message(errno)); };
   const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (descriptor < 0) return failure();
-  const auto status = ::fsync(descriptor) == 0 ? Status::OK() : failure();
+  auto status = ::fsync(descriptor) == 0 ? Status::OK() : failure();
   ::close(descriptor);
   return status;
 }
@@ -40,7 +40,7 @@
 }
 
 Status DurableEnv::with_durable_entry(const std::string& path, leveldb::WritableFile** file) {
-  const auto status = sync_folder_(folder_of(path));
+  auto status = sync_folder_(folder_of(path));
   if (!status.ok()) delete std::exchange(*file, nullptr);
   return status;
 }
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -48,7 +48,7 @@
   void start();
   // The answer to a request: whole, with the place where its fields end. Once for each number.
   void answer(std::uint64_t number, std::string reply, std::size_t body_at);
-  void answer(std::uint64_t number, const OwnAnswer& answer);
+  void answer(std::uint64_t number, const OwnAnswer& own);
   void drain();  // ends when nothing is under way
   void close();
 
