--- a/tests/system/control_play.cpp
+++ b/tests/system/control_play.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "control_operator.hpp"
+
 namespace docklift::test {
 
 using namespace std::chrono_literals;
@@ -11,11 +13,8 @@
 namespace {
 
 constexpr Duration kSync = 4s;             // after which a machine that is back no longer counts as lost
-constexpr Duration kSilence = 1s;          // after which an operator tries another member
-constexpr Duration kGiveUp = 8s;           // of an order or read
 constexpr Duration kHealedWithin = 5s;     // from the healing to an acknowledged order
 constexpr std::array kZones = {"a", "b"};  // that are evacuated
-constexpr double kAnswersLost = 0.03;
 constexpr std::size_t kMostMembers = 6;
 constexpr Duration kLeastBehind = 2s, kMostBehind = 6s;  // that a machine misses changes
 constexpr Duration kLeastDark = 3s, kMostDark = 6s;      // that the others are without power meanwhile
@@ -40,215 +39,6 @@
                                    Fault::disk_slow,
                                    Fault::link_reset};
 
-std::string content_of(const configuration::State& state) {
-  return state.document.is_null() ? std::string() : state.document.dump();
-}
-
-// What operators share: the history and the service names that make bodies differ.
-struct Records {
-  OperatorHistory history;
-  std::size_t bodies = 0;
-  std::size_t acknowledged = 0;
-  std::function<void()> on_acknowledged;  // a change of the configuration
-};
-
-// One operator: an order or read after another, each sent again to other members until there is an answer.
-class Operator {
- public:
-  // `zone`: whose evacuations this operator orders, one after another; empty: none's.
-  Operator(ControlFleet& fleet, Records& records, std::string zone)
-      : fleet_(fleet), records_(records), zone_(std::move(zone)) {}
-
-  void start() { pause(); }
-  void stop() { stopped_ = true; }
-
-  // A change on the newest version; told when it is acknowledged.
-  void change_now(std::function<void()> acknowledged) {
-    stopped_ = false;
-    ++task_;
-    wanted_ = std::move(acknowledged);
-    read_then([this] { new_configuration(); });
-  }
-
- private:
-  struct Order {
-    OperatorHistory::OrderId id = 0;
-    ChangeKind kind{};
-    std::string text;
-    std::uint64_t version = 0;
-    Time since{};
-  };
-
-  void pause() {
-    const auto task = ++task_;
-    fleet_.later(fleet_.drawn(0ms, 150ms), [this, task] {
-      if (task == task_ && !stopped_) next();
-    });
-  }
-
-  void next() {
-    const auto choice = fleet_.drawn(20);
-    if (choice < 11) return new_configuration();
-    if (choice < 14) return read_then([this] { pause(); });
-    if (choice < 17 && !zone_.empty()) return zone_order();
-    if (choice < 19 && last_taken_) return send_again();
-    invalid_configuration();
-  }
-
-  void new_configuration() {
-    const auto version = believed_ + 1 + fleet_.drawn(2);
-    const auto text = configuration_body(version, believed_, "s" + std::to_string(++records_.bodies));
-    const auto content = nlohmann::json::parse(text).dump();
-    begin({records_.history.configuration_order(version, believed_, content), ChangeKind::replace, text,
-           version, fleet_.now()});
-  }
-
-  void invalid_configuration() {
-    const auto text = configuration_body(believed_, believed_, "invalid");
-    const auto content = nlohmann::json::parse(text).dump() + std::to_string(++records_.bodies);
-    begin({records_.history.configuration_order(believed_, believed_, content, false), ChangeKind::replace,
-           text, believed_, fleet_.now()});
-  }
-
-  void zone_order() {
-    const bool evacuate = fleet_.drawn(2) == 0;
-    begin({records_.history.zone_order(zone_, evacuate),
-           evacuate ? ChangeKind::evacuate : ChangeKind::readmit, zone_, 0, fleet_.now()});
-  }
-
-  void send_again() {
-    auto order = *last_taken_;
-    order.since = fleet_.now();
-    begin(order);
-  }
-
-  void begin(const Order& order) {
-    ++task_;
-    attempt(order);
-  }
-
-  void trace(const Order& order, const std::string& what) const {
-    if (!fleet_.on_trace) return;
-    const auto subject = order.kind == ChangeKind::replace    ? "version " + std::to_string(order.version)
-                         : order.kind == ChangeKind::evacuate ? "evacuation of " + order.text
-                                                              : "readmission of " + order.text;
-    fleet_.trace("  order " + std::to_string(order.id) + " (" + subject + ") " + what);
-  }
-
-  MemberIndex any_member() {
-    MemberIndex member = 0;
-    do {
-      member = fleet_.drawn(fleet_.size());
-    } while (fleet_.member(member).removed);
-    return member;
-  }
-
-  void attempt(const Order& order) {
-    const auto task = task_;
-    if (fleet_.now() >= order.since + kGiveUp) return read_then([this] { pause(); });
-    const auto at = any_member();
-    const auto sent = records_.history.send(order.id, fleet_.now());
-    trace(order, "sent to " + fleet_.member(at).address);
-    fleet_.later(fleet_.drawn(0ms, 3ms), [this, order, at, sent, task] {
-      const bool listens = fleet_.propose(at, order.kind, text_at(at, order),
-                                          [this, order, sent, task](int status, const auto&) {
-                                            if (fleet_.chance(kAnswersLost)) return;
-                                            // An order for a zone has no identity: what comes after the operator has gone on is told to nobody.
-                                            if (task != task_ && order.kind != ChangeKind::replace) return;
-                                            records_.history.answer(sent, fleet_.now(), status);
-                                            trace(order, "answered " + std::to_string(status));
-                                            if (status == 200 && order.kind == ChangeKind::replace)
-                                              note_acknowledged(order);
-                                            if (task == task_) answered(order, status);
-                                          });
-      if (!listens && task == task_) again(order, fleet_.drawn(20ms, 200ms));
-    });
-    fleet_.later(kSilence, [this, order, task] {
-      if (task == task_) again(order, fleet_.drawn(20ms, 200ms));
-    });
-  }
-
-  // What a registry beside the member makes of an order: one for a zone gets the place that is known there.
-  std::string text_at(MemberIndex at, const Order& order) const {
-    if (order.kind == ChangeKind::replace) return order.text;
-    const auto& replica = fleet_.member(at).replica;
-    return configuration::encode({order.text, replica ? replica->state().position : 0});
-  }
-
-  void again(const Order& order, Duration after) {
-    const auto task = ++task_;
-    fleet_.later(after, [this, order, task] {
-      if (task == task_) attempt(order);
-    });
-  }
-
-  void note_acknowledged(const Order& order) {
-    if (!acknowledged_.insert(order.id).second) return;
-    ++records_.acknowledged;
-    last_taken_ = order;
-    if (records_.on_acknowledged) records_.on_acknowledged();
-  }
-
-  void answered(const Order& order, int status) {
-    if (status == 200 && order.kind == ChangeKind::replace) {
-      believed_ = std::max(believed_, order.version);
-      if (wanted_) std::exchange(wanted_, nullptr)();
-    }
-    if (status == 503) return again(order, fleet_.drawn(20ms, 200ms));
-    ++task_;
-    if (status == 200) return pause();
-    const bool is_wanted = wanted_ != nullptr;
-    read_then([this, is_wanted] { is_wanted ? new_configuration() : pause(); });
-  }
-
-  void read_then(std::function<void()> then) {
-    ++task_;
-    read_attempt(fleet_.now(), std::move(then));
-  }
-
-  void read_attempt(Time since, std::function<void()> then) {
-    const auto task = task_;
-    if (fleet_.now() >= since + kGiveUp) return then();
-    const auto at = any_member();
-    const auto read = records_.history.begin_read(fleet_.now());
-    const auto retry = [this, since, then, task](Duration after) {
-      if (task != task_) return;
-      const auto next_task = ++task_;
-      fleet_.later(after, [this, since, then, next_task] {
-        if (next_task == task_) read_attempt(since, then);
-      });
-    };
-    fleet_.later(fleet_.drawn(0ms, 3ms), [this, at, read, then, task, retry] {
-      const bool listens = fleet_.propose(
-          at, ChangeKind::nothing, "", [this, at, read, then, task, retry](int status, const auto& state) {
-            if (status != 200) return retry(fleet_.drawn(20ms, 200ms));
-            records_.history.end_read(
-                read, fleet_.now(),
-                {state.version(), content_of(state), {state.evacuated.begin(), state.evacuated.end()}});
-            believed_ = std::max(believed_, state.version());
-            if (fleet_.on_trace)
-              fleet_.trace("  read at " + fleet_.member(at).address + ": position " +
-                           std::to_string(state.position));
-            if (task != task_) return;
-            ++task_;
-            then();
-          });
-      if (!listens) retry(fleet_.drawn(20ms, 200ms));
-    });
-    fleet_.later(kSilence, [retry] { retry(20ms); });
-  }
-
-  ControlFleet& fleet_;
-  Records& records_;
-  std::string zone_;
-  std::uint64_t believed_ = 0;
-  std::uint64_t task_ = 0;  // what belongs to an earlier one is stale
-  bool stopped_ = false;
-  std::optional<Order> last_taken_;
-  std::set<OperatorHistory::OrderId> acknowledged_;
-  std::function<void()> wanted_;
-};
-
 // Brings faults about and counts which machines are lost, as the operators' page does.
 class Faults {
  public:
