Followers notice a core that stands before them; torn writes may leave a file's length

A registry or proxy that is ahead of the core holds what the core has lost; it kept it, confirmed as the newest, until the core's log had passed its place, and no line said so.

Change: with each question a follower remembers where its copy stood. An answer of a majority that stands before it means that something agreed is lost: the answer confirms nothing, a line says so, and the core's state is taken. What has come only after the question may lie beyond the answer and is no sign. Before, Confirmation counted such a copy as confirmed (position <= own).

--- a/src/system/fleet/confirmation.cpp
+++ b/src/system/fleet/confirmation.cpp
@@ -5,16 +5,26 @@
 namespace docklift::fleet {
 namespace {
 constexpr std::size_t kMostPending = 16;   // answers that wait for the copy; the oldest are met first
+constexpr std::size_t kMostAsked = 64;     // questions whose answer may still come: some half a minute's
 constexpr std::size_t kMostRequests = 16;  // of one proxy; the newest are worth most
 }  // namespace
 
-void Confirmation::answered(Time sent, std::uint64_t position, std::uint64_t own_position) {
-  if (at_ && sent <= *at_) return;
+void Confirmation::asked(Time sent, std::uint64_t own_position) {
+  if (asked_.size() == kMostAsked) asked_.pop_front();
+  asked_.push_back({sent, own_position});
+}
+
+bool Confirmation::answered(Time sent, std::uint64_t position, std::uint64_t own_position) {
+  const auto question = std::ranges::find(asked_, sent, &Pending::sent);
+  // Of a copy that was given up meanwhile nothing is left to be wrong.
+  if (question != asked_.end() && position < question->position && position < own_position) return false;
+  if (at_ && sent <= *at_) return true;
   if (position <= own_position) {
     at_ = sent;
   } else if (pending_.size() < kMostPending) {
     pending_.push_back({sent, position});
   }
+  return true;
 }
 
 void Confirmation::advanced(std::uint64_t own_position) {
--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -88,7 +88,7 @@
         fleet::put(out.frame().initHello(), self_, clock_.now());
         link->send(out.message());
         follower_.on_linked(ip);
-        request_confirmation(*link, confirm_tokens_.sent(clock_.now()));
+        request_confirmation(*link, new_confirm_token());
         check_holder();
       },
       [this, ip](const Failure& why) {
@@ -116,7 +116,7 @@
   fleet::Outgoing out;
   self_.stamp++, self_.heard = clock_.now();
   fleet::put(out.frame().initHello(), self_, clock_.now());
-  const auto token = confirm_tokens_.sent(clock_.now());
+  const auto token = new_confirm_token();
   for (auto& [ip, d] : links_) {
     if (!d->up()) continue;
     d->link()->send(out.message());
@@ -124,6 +124,12 @@
   }
 }
 
+std::uint64_t ControlClient::new_confirm_token() {
+  const Time now = clock_.now();
+  confirmation_.asked(now, changes_.position());
+  return confirm_tokens_.sent(now);
+}
+
 void ControlClient::request_confirmation(Link& link, std::uint64_t token) {
   fleet::Outgoing out;
   out.frame().setConfirm(token);
@@ -134,7 +140,9 @@
 void ControlClient::on_confirmed(wire::Confirmed::Reader confirmed) {
   const auto sent = confirm_tokens_.of(confirmed.getToken());
   if (!sent) return;
-  confirmation_.answered(*sent, confirmed.getPosition(), changes_.position());
+  const auto position = confirmed.getPosition();
+  if (!confirmation_.answered(*sent, position, changes_.position()))
+    return follower_.on_core_behind(position);
   tell_confirmed();
 }
 
--- a/src/system/proxy/control_client.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -55,6 +55,7 @@
   void on_confirmed(wire::Confirmed::Reader confirmed);
   void on_log_advanced();
   void tell_confirmed();
+  std::uint64_t new_confirm_token();
   void request_confirmation(Link& link, std::uint64_t token);
   void send_to(const std::string& ip, fleet::Outgoing& out);
   void renew();
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -316,6 +316,7 @@
 // A read barrier at a store: a majority states, after the store has got the question, what it has accepted.
 void Registry::begin_read_barrier() {
   const Time begun = clock_.now();
+  confirmation_.asked(begun, changes_.position());
   propose(configuration::ChangeKind::nothing, "",
           [this, begun](int status, const std::string&, std::uint64_t position) {
             if (status == 200) end_read_barrier(begun, position);
@@ -324,7 +325,8 @@
 
 void Registry::end_read_barrier(Time begun, std::uint64_t position) {
   const bool was_confirmed = confirmed_once();
-  confirmation_.answered(begun, position, changes_.position());
+  if (!confirmation_.answered(begun, position, changes_.position()))
+    return follower_.on_core_behind(position);
   if (!was_confirmed && confirmed_once()) bring_proxies_up_to_date();
   for (auto& [link, p] : proxies_) {
     const auto token = p.confirm_requests.answerable(begun);
--- a/src/system/transfer/change_follower.cpp
+++ b/src/system/transfer/change_follower.cpp
@@ -59,12 +59,21 @@
 
 // The sources hold what the core has agreed on: what is here is given up for theirs.
 ChangeFollower::News ChangeFollower::on_other_history(const std::string& source) {
-  note_("the log of " + source + " holds other changes than the " + std::to_string(changes_.position()) +
-        " here: something that was agreed is lost; its state is taken");
+  give_up("the log of " + source + " holds other changes than the " + std::to_string(changes_.position()) +
+          " here");
+  return News::other_history;
+}
+
+void ChangeFollower::on_core_behind(std::uint64_t position) {
+  give_up("the core stands at change " + std::to_string(position) + ", before the " +
+          std::to_string(changes_.position()) + " here");
+}
+
+void ChangeFollower::give_up(const std::string& why) {
+  note_(why + ": something that was agreed is lost; the core's state is taken");
   changes_.forget();
   pulled_.clear();
   follow_all();
-  return News::other_history;
 }
 
 ChangeFollower::News ChangeFollower::on_part(Time now, const std::string& source,
--- a/src/system/transfer/change_follower.hpp
+++ b/src/system/transfer/change_follower.hpp
@@ -27,12 +27,16 @@
   // The source has told of changes that have not come from it.
   void on_newer(const std::string& source);
 
+  // The core has told that it stands at `position`, before what is here: this copy is given up for the core's.
+  void on_core_behind(std::uint64_t position);
+
   const fleet::ChangeLog& changes() const { return changes_; }
 
  private:
   News on_batch(const std::string& source, wire::ChangeBatch::Reader batch);
   News on_part(Time now, const std::string& source, wire::SnapshotPart::Reader frame);
   News on_other_history(const std::string& source);
+  void give_up(const std::string& why);
   void carry_out(const SnapshotReceiver::Step& step);
   void follow(const std::string& source);
   void follow_all();
--- a/tests/system/contact_test.cpp
+++ b/tests/system/contact_test.cpp
@@ -158,6 +158,21 @@
   BOOST_TEST((requests.answerable(begun + 1ms) == 2u));
 }
 
+BOOST_AUTO_TEST_CASE(given_a_core_that_stands_before_a_copy_when_it_was_asked_then_nothing_is_confirmed) {
+  fleet::Confirmation copy;
+  const Time start{1h};
+  copy.asked(start, 8);
+  BOOST_TEST(!copy.answered(start, 7, 8));
+  BOOST_TEST(!copy.at().has_value());
+  // What has come here only after the question may lie beyond the answer.
+  copy.asked(start + 1s, 8);
+  BOOST_TEST(copy.answered(start + 1s, 8, 9));
+  BOOST_TEST((copy.at() == start + 1s));
+  // A copy that was given up after the question says nothing against the core.
+  copy.asked(start + 2s, 9);
+  BOOST_TEST(copy.answered(start + 2s, 5, 0));
+}
+
 BOOST_AUTO_TEST_CASE(given_more_requests_than_are_remembered_when_an_old_one_is_answered_then_it_is_unknown) {
   SendTimes times(2);
   const auto first = times.sent(Time{1h});
--- a/tests/system/simulated_files.cpp
+++ b/tests/system/simulated_files.cpp
@@ -90,6 +90,8 @@
     const std::size_t kept = fate == 1 ? write.size() : random() % (write.size() + 1);
     contents.append(write, 0, kept);
     zeros.append(write.size() - kept, '\0');
+    // The file may have its length already, or only what is kept and what is kept after it.
+    if (random() % 2 == 0) contents += std::exchange(zeros, {});
   }
   return contents;
 }
--- a/tests/system/transfer_test.cpp
+++ b/tests/system/transfer_test.cpp
@@ -380,6 +380,27 @@
   BOOST_TEST(net.notes.front().find("holds other changes") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(given_a_follower_ahead_of_the_core_when_it_is_told_so_then_it_takes_the_cores_state) {
+  Net net(1);
+  net.change_at(0, wire::Change::REPLACE, config_body(1, 0));
+  fleet::ChangeLog ahead;
+  push(ahead, wire::Change::REPLACE, config_body(1, 0));
+  push(ahead, wire::Change::REPLACE, config_body(2, 1, "lost"));
+  const auto core = net.sources[0].log;
+  net.sources[0].log = ahead;
+  net.link(0);
+  net.run(1s);
+  net.sources[0].log = core;
+  net.sources[0].peer = {};
+  BOOST_TEST(net.follower.changes().state().version() == 2u);
+  net.follower.on_core_behind(core.position());
+  net.run(1s);
+  BOOST_TEST(net.follower.changes().state().version() == 1u);
+  BOOST_TEST(bytes_of_state(net.follower.changes()) == bytes_of_state(core));
+  BOOST_REQUIRE(!net.notes.empty());
+  BOOST_TEST(net.notes.front().find("stands at change 1, before the 2 here") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(given_a_sender_when_the_state_moves_on_then_it_keeps_two_snapshots_and_drops_idle_ones) {
   SnapshotSender sender;
   fleet::ChangeLog log;
