Stores: a disk that refuses to be read is not set aside as damaged

Found by reading the change again. A good disk would have been given up.

Change: a Disk tells damage (corruption, something missing) from a refusal. Damage is set aside; on a refusal the store ends with 1 and reads at its next start, or tries again in service.

Before (the iterator's status not looked at): "check failed(Disk::open(...)) has failed": the disk opens as one without any write.

--- a/src/system/disk/disk.cpp
+++ b/src/system/disk/disk.cpp
@@ -52,9 +52,7 @@
 }  // namespace
 
 Disk::Disk(std::string folder, leveldb::Env& env, std::unique_ptr<leveldb::DB> db)
-    : folder_(std::move(folder)), env_(env), db_(std::move(db)) {
-  find_last_write();
-}
+    : folder_(std::move(folder)), env_(env), db_(std::move(db)) {}
 Disk::~Disk() = default;
 
 // A write that was torn by a loss of power is no more than a bad record at a log's end, which LevelDB passes over if it
@@ -74,7 +72,9 @@
     if (status.IsCorruption()) return begin_anew(folder);
   }
   if (!status.ok()) return Failure{"open the disk", folder, status.ToString()};
-  return std::unique_ptr<Disk>(new Disk(folder, env, std::unique_ptr<leveldb::DB>(db)));
+  std::unique_ptr<Disk> disk(new Disk(folder, env, std::unique_ptr<leveldb::DB>(db)));
+  if (auto found = disk->find_last_write(); failed(found)) return failure(found);
+  return disk;
 }
 
 // Both names are durable before the new disk is used: else the old one could come back under it.
@@ -93,24 +93,36 @@
   return std::unique_ptr<Disk>(new Disk(folder, durable_env(), std::unique_ptr<leveldb::DB>(db)));
 }
 
-void Disk::find_last_write() {
+Failure Disk::unreadable(const leveldb::Status& status) {
+  damaged_ = status.IsCorruption();
+  return {"read the disk", folder_, status.ToString()};
+}
+
+Failure Disk::damage(const std::string& what) {
+  damaged_ = true;
+  return {"read the disk", folder_, what};
+}
+
+// Damage is left to read() to tell.
+Result<std::monostate> Disk::find_last_write() {
   const std::unique_ptr<leveldb::Iterator> it(db_->NewIterator(verified()));
   for (it->Seek(kWritePrefix); it->Valid() && it->key().starts_with(kWritePrefix); it->Next())
     last_write_ = place_of(it->key(), kWritePrefix.size());
+  if (!it->status().ok() && !it->status().IsCorruption()) return unreadable(it->status());
+  return std::monostate{};
 }
 
 // The last writes are there one after another; older ones may be there as well, where a disk was mended.
-Result<std::monostate> Disk::check_writes() const {
+Result<std::monostate> Disk::check_writes() {
   auto expected = last_write_ > kWritesRemembered ? last_write_ - kWritesRemembered + 1 : 1;
   const std::unique_ptr<leveldb::Iterator> it(db_->NewIterator(verified()));
   for (it->Seek(key_of(kWritePrefix.data(), expected)); it->Valid() && it->key().starts_with(kWritePrefix);
        it->Next()) {
     const auto number = place_of(it->key(), kWritePrefix.size());
-    if (number != expected)
-      return Failure{"read the disk", folder_, "write " + std::to_string(expected) + " is missing"};
+    if (number != expected) return damage("write " + std::to_string(expected) + " is missing");
     ++expected;
   }
-  if (!it->status().ok()) return Failure{"read the disk", folder_, it->status().ToString()};
+  if (!it->status().ok()) return unreadable(it->status());
   return std::monostate{};
 }
 
@@ -131,7 +143,8 @@
 
 }  // namespace
 
-Result<agreement::Kept> Disk::read() const {
+Result<agreement::Kept> Disk::read() {
+  damaged_ = false;
   if (auto checked = check_writes(); failed(checked)) return failure(checked);
   agreement::Kept kept;
   const std::unique_ptr<leveldb::Iterator> it(db_->NewIterator(verified()));
@@ -159,10 +172,10 @@
       auto entry = agreement::decode_entry(value);
       if ((read = entry.has_value())) kept.log.push_back(std::move(*entry));
     }
-    if (!read) return Failure{"read the disk", folder_, "a record is damaged: " + key.ToString()};
+    if (!read) return damage("a record is damaged: " + key.ToString());
   }
-  if (!it->status().ok()) return Failure{"read the disk", folder_, it->status().ToString()};
-  if (const auto missing = missing_part(kept)) return Failure{"read the disk", folder_, *missing};
+  if (!it->status().ok()) return unreadable(it->status());
+  if (const auto missing = missing_part(kept)) return damage(*missing);
   return kept;
 }
 
@@ -256,18 +269,25 @@
   auto& env = disk_->env();
   const auto last_write = disk_->last_write();
   disk_.reset();
-  auto opened = Disk::open(folder, env);
-  while (failed(opened)) {
+  while (true) {
+    auto opened = Disk::open(folder, env);
+    if (!failed(opened)) {
+      disk_ = std::move(value(opened));
+      auto kept = disk_->read();
+      if (!failed(kept)) break;
+      if (disk_->is_damaged()) return set_aside(failure(kept));
+      disk_.reset();
+    }
     std::this_thread::sleep_for(kRetryOpen);
     if (ends()) return false;
-    opened = Disk::open(folder, env);
   }
-  disk_ = std::move(value(opened));
-  auto kept = disk_->read();
-  const bool lacks_writes = disk_->last_write() < last_write;
-  if (!failed(kept) && !lacks_writes) return true;
-  const auto why = failed(kept) ? failure(kept)
-                                : Failure{"open the disk again", folder, "writes are missing"};
+  if (disk_->last_write() >= last_write) return true;
+  return set_aside({"open the disk again", folder, "writes are missing"});
+}
+
+// The thread ends with it.
+bool DiskThread::set_aside(const Failure& why) {
+  const auto folder = disk_->folder();
   disk_.reset();
   Disk::begin_anew(folder);  // where that fails the next start finds what is missing
   lost_(why);
--- a/src/system/disk/disk.hpp
+++ b/src/system/disk/disk.hpp
@@ -20,7 +20,8 @@
 
 namespace leveldb {
 class DB;
-}
+class Status;
+}  // namespace leveldb
 
 namespace docklift {
 
@@ -32,8 +33,11 @@
   ~Disk();
   // Sets aside (`*.damaged`) what can't be read, and opens an empty one. Of the machine's files only.
   static Result<std::unique_ptr<Disk>> begin_anew(const std::string& folder);
-  // A failure: a record can't be read, or writes are missing among others.
-  Result<agreement::Kept> read() const;
+  // A failure: the disk refused to be read, or it is_damaged().
+  Result<agreement::Kept> read();
+  // The last read() found a record that can't be understood, or writes missing among others. A disk that only refuses
+  // is not damaged: it may be read later.
+  bool is_damaged() const { return damaged_; }
   Result<std::monostate> write(const agreement::Write& w);
   std::uint64_t last_write() const { return last_write_; }  // its number; 0: none
   const std::string& folder() const { return folder_; }
@@ -41,12 +45,15 @@
 
  private:
   Disk(std::string folder, leveldb::Env& env, std::unique_ptr<leveldb::DB> db);
-  void find_last_write();
-  Result<std::monostate> check_writes() const;
+  Result<std::monostate> find_last_write();
+  Result<std::monostate> check_writes();
+  Failure unreadable(const leveldb::Status& status);
+  Failure damage(const std::string& what);
   std::string folder_;
   leveldb::Env& env_;
   std::unique_ptr<leveldb::DB> db_;
   std::uint64_t last_write_ = 0;
+  bool damaged_ = false;
 };
 
 // Writes in order on a thread of its own. A write that fails is tried again until it succeeds: `done` is
@@ -64,6 +71,7 @@
   void run();
   bool write_until_done(const agreement::Write& w);
   bool open_again();
+  bool set_aside(const Failure& why);
   bool ends() const;
   std::unique_ptr<Disk> disk_;
   Lost lost_;
--- a/src/system/store/main.cpp
+++ b/src/system/store/main.cpp
@@ -22,6 +22,8 @@
                        auto disk = Disk::open(folder);
                        if (failed(disk)) return log.error(failure(disk).shown()), 1;
                        auto kept = value(disk)->read();
+                       if (failed(kept) && !value(disk)->is_damaged())
+                         return log.error(failure(kept).shown()), 1;
                        if (failed(kept)) {  // a store whose disk was lost reads the others' memory
                          log.error(failure(kept).shown() + "; it is set aside");
                          value(disk).reset();
--- a/tests/system/disk_power_test.cpp
+++ b/tests/system/disk_power_test.cpp
@@ -140,6 +140,7 @@
   }
   auto disk = Disk::open("/disk", files);
   auto kept = value(disk)->read();
+  BOOST_TEST(value(disk)->is_damaged() == failed(kept));
   return failed(kept) ? failure(kept).shown() : "read";
 }
 
@@ -149,6 +150,26 @@
   BOOST_TEST(read_without("write/", 40) == "read");
 }
 
+// One that only refuses is to be read later; it must not be set aside.
+BOOST_AUTO_TEST_CASE(given_a_disk_that_refuses_to_be_read_when_it_is_opened_then_it_is_not_called_damaged) {
+  SimulatedFiles files;
+  std::mt19937_64 random(1);
+  constexpr std::uint64_t kHeld = 3;
+  {
+    auto disk = Disk::open("/disk", files);
+    for (std::uint64_t i = 1; i <= kHeld; ++i)
+      BOOST_REQUIRE(!failed(value(disk)->write(write_of(i, random))));
+  }
+  BOOST_REQUIRE(!failed(Disk::open("/disk", files)));  // the log becomes a table
+  files.fail_reads(1);
+  BOOST_TEST(failed(Disk::open("/disk", files)));
+  auto disk = Disk::open("/disk", files);
+  BOOST_REQUIRE(!failed(disk));
+  BOOST_TEST(value(disk)->last_write() == kHeld);
+  BOOST_TEST(!failed(value(disk)->read()));
+  BOOST_TEST(!value(disk)->is_damaged());
+}
+
 BOOST_AUTO_TEST_CASE(given_a_disk_when_more_is_written_than_is_remembered_then_it_is_whole) {
   SimulatedFiles files;
   std::mt19937_64 random(1);
--- a/tests/system/simulated_files.cpp
+++ b/tests/system/simulated_files.cpp
@@ -151,6 +151,11 @@
   writes_to_fail_ = how_many;
 }
 
+void SimulatedFiles::fail_reads(std::uint64_t how_many) {
+  const std::lock_guard held(lock_);
+  reads_to_fail_ = how_many;
+}
+
 void SimulatedFiles::begin_operation() {
   if (operations_to_loss_ == 0 || --operations_to_loss_ > 0) return;
   at_loss_();
@@ -224,6 +229,10 @@
   const std::lock_guard held(lock_);
   const auto found = entries_.find(path);
   if (found == entries_.end()) return not_found(path);
+  if (reads_to_fail_ > 0) {
+    --reads_to_fail_;
+    return Status::IOError(path, "the disk refuses");
+  }
   *file = new RandomReader(found->second->contents());
   return Status::OK();
 }
--- a/tests/system/simulated_files.hpp
+++ b/tests/system/simulated_files.hpp
@@ -40,6 +40,7 @@
   FolderEntries copy() const;
   void put_back(FolderEntries entries);
   void fail_writes(std::uint64_t how_many);
+  void fail_reads(std::uint64_t how_many);  // of tables that are opened
 
   leveldb::Status sync_folder(const std::string& folder);
   leveldb::Status NewSequentialFile(const std::string& path, leveldb::SequentialFile** file) override;
@@ -79,7 +80,7 @@
   std::vector<EntryChange> changes_;
   std::optional<FolderEntries> left_;  // by a loss of power
   std::uint64_t operations_to_loss_ = 0;
-  std::uint64_t writes_to_fail_ = 0;
+  std::uint64_t writes_to_fail_ = 0, reads_to_fail_ = 0;
   std::mt19937_64 random_;
   std::function<void()> at_loss_;
 };
