Tests: counts beside broken calls are compared within one quota window

The test sends 16 requests in some 40 ms and compares what was counted with what was served, while the module's windows of 0.64 and 0.8 s end by the clock. Where one ended in between, the last 4 units of each of two windows were missing, or the broken call and the new window's first one took the counter for down.

Ruled out: a fault of the module. What an ended window lacks is not added later by design; its count is of no use.

Change: the test was wrong to compare over two windows. It now has windows of 40 s, asserts that one window was called for and, where one ends in between, sends the requests as another member. Both bounds are as they were.

--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -451,17 +451,39 @@
   std::map<std::string, double> totals;
 };
 
-// Calls that break and were never added are not taken off for good: the count holds what is spent.
+struct CountedRequests {
+  double served = 0, counted = 0;
+  std::size_t windows = 0;  // whose counts were called for
+};
+
+// Calls that break and were never added are not taken off for good: the count holds what is spent. That holds for
+// each window until it ends, so the requests must fall into one. Windows of 40 s make it all but sure that they do;
+// where one ends in between, another member, whose windows end at another time, sends them.
 TEST_F(OutageTest, CountsKeepUpWithWhatIsSpentWhileCallsBreak) {
+  constexpr double kRateOfLongWindows = 0.5;  // requests a second: a burst of 20 makes windows of 40 s
+  for (auto& plan : module_settings.plans) plan.rate = kRateOfLongWindows;
   int calls = 0;
   count = [&, add = count](const std::string& call) { return ++calls % 3 == 2 ? std::string() : add(call); };
   start();
-  const auto member = client();
-  double served = 0, counted = 0;
-  for (int i = 0; i < 16; ++i) member->send(Ask{}.text()), served += status(member) == 200;
-  for (const auto& [name, total] : totals) counted += total;
-  EXPECT_GE(served, 8);
-  EXPECT_GE(counted + 4, served);  // what broke last is added with the next call
+  const auto ask_as = [&](const std::string& cookie) {
+    CountedRequests outcome;
+    const auto member = client();
+    for (int i = 0; i < 16; ++i) {
+      member->send(Ask{.cookie = cookie}.text());
+      outcome.served += status(member) == 200;
+    }
+    for (const auto& [name, total] : totals) outcome.counted += total;
+    outcome.windows = totals.size();
+    return outcome;
+  };
+  auto outcome = ask_as("client=00000000b4d65521");
+  if (outcome.windows > 1) {
+    totals.clear();
+    outcome = ask_as("client=00000000b4d65522");
+  }
+  ASSERT_EQ(outcome.windows, 1u);
+  EXPECT_GE(outcome.served, 8);
+  EXPECT_GE(outcome.counted + 4, outcome.served);  // what broke last is added with the next call
 }
 
 TEST_F(OutageTest, UnitsLeasedFromTheFirstRequestsOnCarryAMemberOverIt) {
