Tests: plays of the whole core on the stores' own disks, over files that lose what is unsynced

Each was played alone: replicas on records in memory that are kept or lost from the front, and one store's disk under losses of power. Nothing played a core whose disks are LevelDB.

A disk that lacks something is a violation.

Ruled out with it: a hole that only several stores and their restarts bring about.

--- a/tests/system/control_fleet.cpp
+++ b/tests/system/control_fleet.cpp
@@ -57,6 +57,10 @@
 
 // ---- disk ----------------------------------------------------------------------------------------
 
+SimulatedDisk::SimulatedDisk(DiskKind kind) : kind_(kind) {
+  if (kind != DiskKind::records) files_ = std::make_unique<StoreFiles>(kind == DiskKind::files);
+}
+
 void SimulatedDisk::submit(agreement::Write write, bool wants_completion) {
   submitted_.push_back({std::move(write), wants_completion});
 }
@@ -64,6 +68,10 @@
 bool SimulatedDisk::complete_first() {
   auto first = std::move(submitted_.front());
   submitted_.pop_front();
+  if (files_) {
+    files_->write(first.write);
+    return first.wants_completion;
+  }
   const bool durable = first.write.durable;
   written_.push_back(std::move(first.write));
   if (durable) {
@@ -73,23 +81,34 @@
   return first.wants_completion;
 }
 
-void SimulatedDisk::hand_over_some(std::mt19937_64& random) {
-  for (auto count = random() % (submitted_.size() + 1); count > 0; --count) complete_first();
+std::size_t SimulatedDisk::draw_handed_over(std::mt19937_64& random) const {
+  return random() % (submitted_.size() + 1);
+}
+
+void SimulatedDisk::hand_over(std::size_t count) {
+  for (; count > 0; --count) complete_first();
   submitted_.clear();
 }
 
-void SimulatedDisk::kill(std::mt19937_64& random) { hand_over_some(random); }
+void SimulatedDisk::kill(std::mt19937_64& random) {
+  hand_over(draw_handed_over(random));
+  if (files_) files_->close();
+}
 
 void SimulatedDisk::lose_power(std::mt19937_64& random) {
-  hand_over_some(random);
+  const auto handed_over = draw_handed_over(random);
+  if (files_) files_->lose_power_within(handed_over, random);
+  hand_over(handed_over);
+  if (files_) return files_->lose_power(random);
   const auto kept = random() % (written_.size() + 1);
   for (std::size_t i = 0; i < kept; ++i) apply(written_[i]);
   written_.clear();
 }
 
-void SimulatedDisk::wipe() { *this = SimulatedDisk(); }
+void SimulatedDisk::wipe() { *this = SimulatedDisk(kind_); }
 
-agreement::Kept SimulatedDisk::open() {
+Result<agreement::Kept> SimulatedDisk::open(std::mt19937_64& random) {
+  if (files_) return files_->open(random);
   for (const auto& write : written_) apply(write);
   written_.clear();
   auto kept = kept_;
@@ -241,7 +260,7 @@
   options.chance = random_();
   options.new_disk = std::max<std::uint64_t>(random_(), configuration::kBootstrapDisk + 1);
   if (on_options) on_options(index, options);
-  auto kept = member.disk.open();
+  auto kept = read_disk(index);
   if (on_read_disk) on_read_disk(index, kept);
   ++member.life;
   member.disk_busy = false;
@@ -252,6 +271,18 @@
   tick(index, member.life);
 }
 
+// A disk that lacks something counts as lost, as the store takes it; no play asks for that.
+agreement::Kept ControlFleet::read_disk(MemberIndex index) {
+  auto& member = members_[index];
+  auto kept = member.disk.open(random_);
+  if (!failed(kept)) return std::move(value(kept));
+  contradictions_.push_back("the disk of " + member.address + " is damaged: " + failure(kept).shown());
+  trace(contradictions_.back());
+  member.disk.wipe();
+  kept = member.disk.open(random_);
+  return std::move(value(kept));
+}
+
 void ControlFleet::tick(MemberIndex index, std::uint64_t life) {
   later(kTick, [this, index, life] {
     at_member(index, life, [this, index, life] {
@@ -283,6 +314,7 @@
   member.address = "10.0.0." + std::to_string(index + 1);
   member.zone = zone;
   member.sync_time = options_.sync_time;
+  member.disk = SimulatedDisk(options_.disks);
   members_.push_back(std::move(member));
   return index;
 }
--- a/tests/system/control_fleet.hpp
+++ b/tests/system/control_fleet.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "store_files.hpp"
 #include "system/agreement/replica.hpp"
 #include "system/transfer/snapshot.hpp"
 
@@ -21,10 +22,19 @@
 
 using MemberIndex = std::size_t;
 
+// How a play's disks are made.
+enum class DiskKind {
+  records,         // in memory
+  files,           // a store's own code over simulated files
+  unsynced_files,  // the same, and no folder is ever synced: a planted fault
+};
+
 // What a replica has on its disk. Writes are handled one after another in the order of submission; a durable
-// one makes all before it durable.
+// one makes all before it durable, on files each one.
 class SimulatedDisk {
  public:
+  explicit SimulatedDisk(DiskKind kind = DiskKind::records);
+
   struct Submitted {
     agreement::Write write;
     bool wants_completion = false;
@@ -42,12 +52,16 @@
   // Of what was not made durable, a part from the front is kept.
   void lose_power(std::mt19937_64& random);
   void wipe();
-  agreement::Kept open();
+  // A failure: it lacks something that it had made durable.
+  Result<agreement::Kept> open(std::mt19937_64& random);
 
  private:
-  void hand_over_some(std::mt19937_64& random);
+  std::size_t draw_handed_over(std::mt19937_64& random) const;
+  void hand_over(std::size_t count);
   void apply(const agreement::Write& write);
 
+  DiskKind kind_;
+  std::unique_ptr<StoreFiles> files_;      // none: the records below are what it holds
   std::deque<Submitted> submitted_;        // not yet in the file
   std::vector<agreement::Write> written_;  // in the file, not durable
   agreement::Kept kept_;
@@ -65,6 +79,7 @@
   Duration most_delay = std::chrono::milliseconds(3);
   Duration sync_time = std::chrono::milliseconds(1);
   bool trace_messages = false;
+  DiskKind disks = DiskKind::records;
 };
 
 // A message between two members, as a planted fault sees it.
@@ -171,6 +186,7 @@
   void at_member(MemberIndex member, std::uint64_t life, std::function<void()> input);
   void end(MemberIndex member);
   void boot(MemberIndex member, bool bootstrap);
+  agreement::Kept read_disk(MemberIndex member);
   void tick(MemberIndex member, std::uint64_t life);
   void carry_out(MemberIndex member, agreement::Out out);
   void release(MemberIndex member, agreement::Out out);
--- a/tests/system/control_play.cpp
+++ b/tests/system/control_play.cpp
@@ -545,6 +545,7 @@
   fleet_options.tolerated = options.tolerated;
   fleet_options.seed = options.seed;
   fleet_options.trace_messages = options.trace_messages;
+  fleet_options.disks = options.disks;
   std::mt19937_64 random(options.seed * 31);
   fleet_options.loss = random() % 3 == 0 ? 0.05 : 0;
   fleet_options.duplicate = random() % 3 == 0 ? 0.05 : 0;
--- a/tests/system/control_play.hpp
+++ b/tests/system/control_play.hpp
@@ -58,6 +58,7 @@
   std::function<void(ControlFleet&)> plant;               // a planted fault
   std::function<void(const std::string&)> trace;
   bool trace_messages = false;
+  DiskKind disks = DiskKind::records;
 };
 
 struct PlayResult {
--- a/tests/system/control_plays_test.cpp
+++ b/tests/system/control_plays_test.cpp
@@ -119,5 +119,39 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// The same on the stores' own disk code over files that lose what was not synced, also in the middle of a write or of
+// a start.
+BOOST_AUTO_TEST_SUITE(file_plays)
+
+constexpr std::uint64_t kPlaysOnFiles = 60;
+
+BOOST_AUTO_TEST_CASE(given_disks_on_files_when_faults_come_that_must_be_borne_then_what_was_told_holds) {
+  run_plays(setting("DOCKLIFT_FIRST_SEED", 1), setting("DOCKLIFT_PLAYS", kPlaysOnFiles),
+            [](PlayOptions& options) { options.disks = DiskKind::files; });
+}
+
+BOOST_AUTO_TEST_CASE(given_disks_on_files_when_power_is_lost_again_and_again_then_what_was_told_holds) {
+  run_plays(
+      setting("DOCKLIFT_FIRST_SEED", 1), setting("DOCKLIFT_PLAYS", kPlaysOnFiles), [](PlayOptions& options) {
+        options.disks = DiskKind::files;
+        options.faults = {Fault::power_loss,     Fault::power_loss_all,           Fault::zone_power_loss,
+                          Fault::power_loss_all, Fault::disk_loss_and_power_loss, Fault::replace};
+      });
+}
+
+// Names that are not durable: the plays must find what that loses.
+BOOST_AUTO_TEST_CASE(given_folders_that_are_not_synced_when_power_is_lost_then_the_plays_find_it) {
+  std::size_t found = 0;
+  for (std::uint64_t seed = 1; seed <= kPlaysOnFiles / 4; ++seed) {
+    auto options = options_of(seed);
+    options.disks = DiskKind::unsynced_files;
+    options.faults = {Fault::power_loss, Fault::power_loss_all, Fault::zone_power_loss};
+    found += !play(options).violations.empty();
+  }
+  BOOST_TEST(found > kPlaysOnFiles / 8);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace docklift::test
