Stores: a disk that refuses something while it is mended loses nothing

A disk with a torn manifest or log that refused one operation then opened with an older state. Writes missing at the end leave no gap in their numbers, so the store voted on without its last promises and acceptances.

Brought about: a test tears a manifest or log and refuses each of the first 40 operations of the opening.

Change: FailStopEnv. Once something was refused, every later operation of that opening is, so that nothing is put away or removed; the opening fails and the next one finds all. A disk that is never strict about failures is not used. The simulated files can refuse the n-th read or write of any sort; plays of the core on files refuse something at one start of four.

--- a/src/system/disk/disk.cpp
+++ b/src/system/disk/disk.cpp
@@ -51,28 +51,44 @@
 
 }  // namespace
 
-Disk::Disk(std::string folder, leveldb::Env& env, std::unique_ptr<leveldb::DB> db)
-    : folder_(std::move(folder)), env_(env), db_(std::move(db)) {}
+Disk::Disk(std::string folder, leveldb::Env& env)
+    : folder_(std::move(folder)), env_(env), files_(std::make_unique<FailStopEnv>(env)) {}
 Disk::~Disk() = default;
 
+leveldb::Status Disk::open_database(bool strict) {
+  auto how = options(*files_);
+  how.paranoid_checks = strict;
+  leveldb::DB* db = nullptr;
+  auto status = leveldb::DB::Open(how, folder_, &db);
+  db_.reset(db);
+  // LevelDB may pass over what was refused, where it is not strict.
+  if (!files_->has_failed()) return status;
+  db_.reset();
+  return status.IsIOError() ? status : leveldb::Status::IOError("refused while it was opened");
+}
+
 // A write that was torn by a loss of power is no more than a bad record at a log's end, which LevelDB passes over if it
 // is not told to be strict. A torn manifest has to be made anew from what is there. Whether either has lost more than
-// the last write shows by the numbers of the writes.
+// the last write shows by the numbers of the writes. What is refused meanwhile ends it, so that the next try finds all
+// that was there.
+leveldb::Status Disk::open_database() {
+  constexpr bool kStrict = true;
+  auto status = open_database(kStrict);
+  if (status.IsCorruption()) status = open_database(!kStrict);
+  if (!status.IsCorruption()) return status;
+  status = leveldb::RepairDB(folder_, options(*files_));
+  if (files_->has_failed()) return leveldb::Status::IOError("refused while it was mended");
+  return status.ok() ? open_database(kStrict) : status;
+}
+
 Result<std::unique_ptr<Disk>> Disk::open(const std::string& folder, leveldb::Env& env) {
-  leveldb::DB* db = nullptr;
-  auto status = leveldb::DB::Open(options(env), folder, &db);
-  if (status.IsCorruption()) {
-    auto lenient = options(env);
-    lenient.paranoid_checks = false;
-    status = leveldb::DB::Open(lenient, folder, &db);
-  }
+  std::unique_ptr<Disk> disk(new Disk(folder, env));
+  const auto status = disk->open_database();
   if (status.IsCorruption()) {
-    status = leveldb::RepairDB(folder, options(env));
-    if (status.ok()) status = leveldb::DB::Open(options(env), folder, &db);
-    if (status.IsCorruption()) return begin_anew(folder);
+    disk.reset();
+    return begin_anew(folder);
   }
   if (!status.ok()) return Failure{"open the disk", folder, status.ToString()};
-  std::unique_ptr<Disk> disk(new Disk(folder, env, std::unique_ptr<leveldb::DB>(db)));
   if (auto found = disk->find_last_write(); failed(found)) return failure(found);
   return disk;
 }
@@ -87,10 +103,10 @@
   const auto parent = std::filesystem::path(folder).parent_path().string();
   auto status = sync_folder(parent.empty() ? "." : parent);
   if (!status.ok()) return Failure{"set a damaged disk aside", folder, status.ToString()};
-  leveldb::DB* db = nullptr;
-  status = leveldb::DB::Open(options(durable_env()), folder, &db);
+  std::unique_ptr<Disk> disk(new Disk(folder, durable_env()));
+  status = disk->open_database();
   if (!status.ok()) return Failure{"open the disk", folder, status.ToString()};
-  return std::unique_ptr<Disk>(new Disk(folder, durable_env(), std::unique_ptr<leveldb::DB>(db)));
+  return disk;
 }
 
 Failure Disk::unreadable(const leveldb::Status& status) {
--- a/src/system/disk/disk.hpp
+++ b/src/system/disk/disk.hpp
@@ -17,6 +17,7 @@
 #include "system/agreement/messages.hpp"
 #include "system/base/result.hpp"
 #include "system/disk/durable_env.hpp"
+#include "system/disk/fail_stop_env.hpp"
 
 namespace leveldb {
 class DB;
@@ -44,14 +45,19 @@
   leveldb::Env& env() const { return env_; }
 
  private:
-  Disk(std::string folder, leveldb::Env& env, std::unique_ptr<leveldb::DB> db);
+  using Database = std::unique_ptr<leveldb::DB>;
+
+  Disk(std::string folder, leveldb::Env& env);
+  leveldb::Status open_database();
+  leveldb::Status open_database(bool strict);
   Result<std::monostate> find_last_write();
   Result<std::monostate> check_writes();
   Failure unreadable(const leveldb::Status& status);
   Failure damage(const std::string& what);
   std::string folder_;
   leveldb::Env& env_;
-  std::unique_ptr<leveldb::DB> db_;
+  std::unique_ptr<FailStopEnv> files_;  // of this opening, over `env_`
+  Database db_;
   std::uint64_t last_write_ = 0;
   bool damaged_ = false;
 };
--- a/tests/system/disk_power_test.cpp
+++ b/tests/system/disk_power_test.cpp
@@ -170,6 +170,63 @@
   BOOST_TEST(!value(disk)->is_damaged());
 }
 
+constexpr std::string_view kManifest = "/disk/MANIFEST-";
+constexpr std::string_view kWriteAheadLog = ".log";
+// A record of LevelDB's with a length of 1 and a checksum that its byte doesn't have.
+constexpr std::string_view kTornRecord("\1\2\3\4\1\0\1x", 8);
+
+// A loss of power has torn the end of each file of this sort.
+void tear(SimulatedFiles& files, const std::function<bool(const std::string& path)>& is_torn) {
+  auto torn = files.copy();
+  for (auto& [path, file] : torn)
+    if (is_torn(path)) file->synced += kTornRecord;
+  files.put_back(std::move(torn));
+}
+
+using Refuse = std::function<void(SimulatedFiles& files)>;
+
+// The last write that a torn disk holds which refuses the n-th operation of its first opening; none: it is damaged.
+// What it holds is read once the disk no longer refuses.
+std::optional<std::uint64_t> last_write_after_refusal(
+    std::uint64_t held, const std::function<bool(const std::string& path)>& is_torn, const Refuse& refuse) {
+  SimulatedFiles files;
+  std::mt19937_64 random(1);
+  {
+    auto disk = Disk::open("/disk", files);
+    for (std::uint64_t i = 1; i <= held; ++i) BOOST_REQUIRE(!failed(value(disk)->write(write_of(i, random))));
+  }
+  tear(files, is_torn);
+  refuse(files);
+  Disk::open("/disk", files);
+  files.fail_writes(0), files.fail_reads(0);
+  auto disk = Disk::open("/disk", files);
+  if (failed(disk) || failed(value(disk)->read())) return std::nullopt;
+  return value(disk)->last_write();
+}
+
+// What can't be mended now must be there for the next try.
+BOOST_AUTO_TEST_CASE(given_a_torn_disk_when_it_refuses_while_it_is_mended_then_nothing_is_lost) {
+  constexpr std::uint64_t kHeld = 9;
+  constexpr std::uint64_t kMostOperations = 40;
+  const auto is_manifest = [](const std::string& path) { return path.starts_with(kManifest); };
+  const auto is_log = [](const std::string& path) { return path.ends_with(kWriteAheadLog); };
+  for (std::uint64_t passed = 0; passed < kMostOperations; ++passed) {
+    const auto refuse_writes = [&](SimulatedFiles& files) { files.fail_writes(1, passed); };
+    const auto refuse_reads = [&](SimulatedFiles& files) { files.fail_reads(1, passed); };
+    for (const auto& torn : {std::function<bool(const std::string&)>(is_manifest),
+                             std::function<bool(const std::string&)>(is_log)}) {
+      const auto where = std::string(torn("/disk/MANIFEST-1") ? "manifest" : "log") + " torn, operation " +
+                         std::to_string(passed + 1) + " refused";
+      for (const auto& refuse : {Refuse(refuse_writes), Refuse(refuse_reads)}) {
+        const auto last = last_write_after_refusal(kHeld, torn, refuse);
+        BOOST_TEST((last == kHeld), where << ": "
+                                          << (last ? "the disk ends at write " + std::to_string(*last)
+                                                   : "the disk is called damaged"));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(given_a_disk_when_more_is_written_than_is_remembered_then_it_is_whole) {
   SimulatedFiles files;
   std::mt19937_64 random(1);
--- a/tests/system/simulated_files.cpp
+++ b/tests/system/simulated_files.cpp
@@ -13,11 +13,14 @@
 std::string name_of(const std::string& path) { return path.substr(path.rfind('/') + 1); }
 
 Status not_found(const std::string& path) { return Status::NotFound(path, "no such file"); }
+Status refused(const std::string& path) { return Status::IOError(path, "the disk refuses"); }
 
 class SequentialReader : public leveldb::SequentialFile {
  public:
-  explicit SequentialReader(std::string bytes) : bytes_(std::move(bytes)) {}
+  SequentialReader(SimulatedFiles& files, std::string path, std::string bytes)
+      : files_(files), path_(std::move(path)), bytes_(std::move(bytes)) {}
   Status Read(std::size_t size, Slice* result, char* scratch) override {
+    if (auto refused = files_.begin_read(path_); !refused.ok()) return refused;
     size = std::min(size, bytes_.size() - at_);
     std::copy_n(bytes_.data() + at_, size, scratch);
     at_ += size;
@@ -30,6 +33,8 @@
   }
 
  private:
+  SimulatedFiles& files_;
+  std::string path_;
   std::string bytes_;
   std::size_t at_ = 0;
 };
@@ -146,14 +151,29 @@
   changes_.clear();
 }
 
-void SimulatedFiles::fail_writes(std::uint64_t how_many) {
+void SimulatedFiles::fail_writes(std::uint64_t how_many, std::uint64_t passed) {
+  const std::lock_guard held(lock_);
+  write_refusals_ = {passed, how_many};
+}
+
+void SimulatedFiles::fail_reads(std::uint64_t how_many, std::uint64_t passed) {
   const std::lock_guard held(lock_);
-  writes_to_fail_ = how_many;
+  read_refusals_ = {passed, how_many};
 }
 
-void SimulatedFiles::fail_reads(std::uint64_t how_many) {
+bool SimulatedFiles::Refusals::refuses_next() {
+  if (how_many == 0) return false;
+  if (passed > 0) {
+    --passed;
+    return false;
+  }
+  --how_many;
+  return true;
+}
+
+Status SimulatedFiles::begin_read(const std::string& path) {
   const std::lock_guard held(lock_);
-  reads_to_fail_ = how_many;
+  return read_refusals_.refuses_next() ? refused(path) : Status::OK();
 }
 
 void SimulatedFiles::begin_operation() {
@@ -199,10 +219,7 @@
 Status SimulatedFiles::append(const std::string& path, const SimulatedFilePtr& file, std::string bytes) {
   const std::lock_guard held(lock_);
   begin_operation();
-  if (writes_to_fail_ > 0) {
-    --writes_to_fail_;
-    return Status::IOError(path, "the disk refuses");
-  }
+  if (write_refusals_.refuses_next()) return refused(path);
   file->unsynced.push_back(std::move(bytes));
   return Status::OK();
 }
@@ -211,6 +228,7 @@
 Status SimulatedFiles::sync(const std::string& path, const SimulatedFilePtr& file) {
   const std::lock_guard held(lock_);
   begin_operation();
+  if (write_refusals_.refuses_next()) return refused(path);
   if (name_of(path).starts_with("MANIFEST")) sync_entries(folder_of(path));
   file->synced = file->contents();
   file->unsynced.clear();
@@ -221,7 +239,8 @@
   const std::lock_guard held(lock_);
   const auto found = entries_.find(path);
   if (found == entries_.end()) return not_found(path);
-  *file = new SequentialReader(found->second->contents());
+  if (read_refusals_.refuses_next()) return refused(path);
+  *file = new SequentialReader(*this, path, found->second->contents());
   return Status::OK();
 }
 
@@ -229,10 +248,7 @@
   const std::lock_guard held(lock_);
   const auto found = entries_.find(path);
   if (found == entries_.end()) return not_found(path);
-  if (reads_to_fail_ > 0) {
-    --reads_to_fail_;
-    return Status::IOError(path, "the disk refuses");
-  }
+  if (read_refusals_.refuses_next()) return refused(path);
   *file = new RandomReader(found->second->contents());
   return Status::OK();
 }
@@ -240,6 +256,7 @@
 Status SimulatedFiles::NewWritableFile(const std::string& path, leveldb::WritableFile** file) {
   const std::lock_guard held(lock_);
   begin_operation();
+  if (write_refusals_.refuses_next()) return refused(path);
   const auto made = std::make_shared<SimulatedFile>();
   change({"", path, made});
   *file = new Writer(*this, path, made);
@@ -294,6 +311,7 @@
   const auto found = entries_.find(from);
   if (found == entries_.end()) return not_found(from);
   begin_operation();
+  if (write_refusals_.refuses_next()) return refused(from);
   change({from, to, found->second});
   return Status::OK();
 }
--- a/tests/system/simulated_files.hpp
+++ b/tests/system/simulated_files.hpp
@@ -36,11 +36,12 @@
   // Loses the power now, unless that has happened; then the files are what was left.
   void restart(std::uint64_t seed, const std::function<void()>& at_loss);
   bool power_lost() const;
-  // Faults of the disk itself: its files are put back to what they were, and the next writes fail.
+  // Faults of the disk itself: its files are put back to what they were, and so many writes or reads fail after
+  // `passed` that don't. A file that is opened to be read is one read, each read of a log or manifest another.
   FolderEntries copy() const;
   void put_back(FolderEntries entries);
-  void fail_writes(std::uint64_t how_many);
-  void fail_reads(std::uint64_t how_many);  // of tables that are opened
+  void fail_writes(std::uint64_t how_many, std::uint64_t passed = 0);
+  void fail_reads(std::uint64_t how_many, std::uint64_t passed = 0);
 
   leveldb::Status sync_folder(const std::string& folder);
   leveldb::Status NewSequentialFile(const std::string& path, leveldb::SequentialFile** file) override;
@@ -61,8 +62,15 @@
   // For the files that were opened.
   leveldb::Status append(const std::string& path, const SimulatedFilePtr& file, std::string bytes);
   leveldb::Status sync(const std::string& path, const SimulatedFilePtr& file);
+  leveldb::Status begin_read(const std::string& path);
 
  private:
+  // Operations of one sort that fail after some that don't.
+  struct Refusals {
+    std::uint64_t passed = 0;
+    std::uint64_t how_many = 0;
+    bool refuses_next();
+  };
   // A file that was made, renamed or removed since the last sync of its folder.
   struct EntryChange {
     std::string removed;    // path; empty: none
@@ -80,7 +88,7 @@
   std::vector<EntryChange> changes_;
   std::optional<FolderEntries> left_;  // by a loss of power
   std::uint64_t operations_to_loss_ = 0;
-  std::uint64_t writes_to_fail_ = 0, reads_to_fail_ = 0;
+  Refusals write_refusals_, read_refusals_;
   std::mt19937_64 random_;
   std::function<void()> at_loss_;
 };
--- a/tests/system/store_files.cpp
+++ b/tests/system/store_files.cpp
@@ -8,6 +8,7 @@
 constexpr std::uint64_t kOperationsOfAWrite = 2;   // an append and a sync
 constexpr std::uint64_t kOperationsOfAStart = 24;  // of the files, at most
 constexpr std::uint64_t kLossAtAStart = 4;         // one start of so many loses its power
+constexpr std::uint64_t kRefusalAtAStart = 4;      // and one of so many meets a disk that refuses something
 
 void nothing_to_note() {}
 
@@ -30,9 +31,23 @@
     if (auto kept = open_once(); failed(kept)) return kept;
     lose_power(random);
   }
+  if (random() % kRefusalAtAStart == 0) open_while_refusing(random);
   return open_once();
 }
 
+// Whatever comes of it; the next opening must find all that was there.
+void StoreFiles::open_while_refusing(std::mt19937_64& random) {
+  constexpr std::uint64_t kRefused = 1;
+  if (random() % 2 == 0) {
+    files_.fail_writes(kRefused, random() % kOperationsOfAStart);
+  } else {
+    files_.fail_reads(kRefused, random() % kOperationsOfAStart);
+  }
+  open_once();
+  close();
+  files_.fail_writes(0), files_.fail_reads(0);
+}
+
 void StoreFiles::write(const agreement::Write& write) {
   const auto written = disk_->write(write);
   BOOST_TEST_REQUIRE(!failed(written));
--- a/tests/system/store_files.hpp
+++ b/tests/system/store_files.hpp
@@ -16,7 +16,7 @@
   // Without `syncs_folders` LevelDB's files are as it makes them: a planted fault.
   explicit StoreFiles(bool syncs_folders);
 
-  // Power may be lost during this start, which is then made once more. A failure: the disk could not be read, or lacks
+  // Power may be lost during this start, or the disk refuse something, and it is made once more. A failure: the disk could not be read, or lacks
   // something, and would be set aside.
   Result<agreement::Kept> open(std::mt19937_64& random);
   // Durable when it returns. The disk must be open and refuses nothing.
@@ -29,6 +29,7 @@
 
  private:
   Result<agreement::Kept> open_once();
+  void open_while_refusing(std::mt19937_64& random);
 
   SimulatedFiles files_;
   DurableEnv durable_;
