Tests: the checker of zone orders doesn't branch where nothing can be gained

Need: its search for a sequential order is bounded at 200,000 steps.

Change: an operation that must be in the order, may come now and leaves the value as it is comes now, unless an optional one would then no longer fit before it. No verdict of the search changes; the bound stays.

--- a/tests/system/history_checker.cpp
+++ b/tests/system/history_checker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 #include "system/configuration/configuration.hpp"
 
@@ -46,18 +47,41 @@
     }
     if (!open) return true;
     if (!seen_.insert({done_, value}).second) return false;
+    if (const auto same = find_without_effect(value, first_end)) return search_after(*same, value);
     for (std::size_t i = 0; i < operations_.size(); ++i) {
       const auto& operation = operations_[i];
       if (done_[i] || operation.begin > first_end) continue;
       if (operation.is_read && operation.value != value) continue;
       if (operation.optional && !may_still_happen(i)) continue;
-      done_[i] = true;
-      if (search(operation.value)) return true;
-      done_[i] = false;
+      if (search_after(i, operation.value)) return true;
     }
     return false;
   }
 
+  bool search_after(std::size_t index, bool value) {
+    done_[index] = true;
+    if (search(value)) return true;
+    done_[index] = false;
+    return false;
+  }
+
+  // One that must be in the order, may come now and leaves the value as it is. Any order that has it later has it now as
+  // well, so that nothing else need be tried; unless an optional one could then no longer come before it.
+  std::optional<std::size_t> find_without_effect(bool value, Time first_end) const {
+    for (std::size_t i = 0; i < operations_.size(); ++i) {
+      const auto& operation = operations_[i];
+      if (done_[i] || operation.optional || operation.begin > first_end) continue;
+      if (operation.value == value && !ends_an_option(operation)) return i;
+    }
+    return std::nullopt;
+  }
+
+  bool ends_an_option(const ZoneOperation& operation) const {
+    for (std::size_t i = 0; i < operations_.size(); ++i)
+      if (!done_[i] && operations_[i].optional && operations_[i].end < operation.begin) return true;
+    return false;
+  }
+
   // An optional operation has to come before whatever began after its end.
   bool may_still_happen(std::size_t index) const {
     for (std::size_t i = 0; i < operations_.size(); ++i)
