Agreement: the successors of lost disks have their votes before the next loss may come

Causes, each seen in a trace, with its mend: - A change of voters was proposed with the losses known then and stayed as it was, so that the second vote needed another round. It is proposed once a quorum can be had, follows what is known until it is offered, and waits 300 ms for a successor that lacks a change. - A learner was ready only if its last status, up to 500 ms old, had the newest position. It tells its status with each change and as soon as it has a state; after a change of voters statuses are asked for at once. - Calls of others took place after place meanwhile. They wait for the successors of lost disks, a second at most. - Proposers that crossed came back within 120 ms, with slow disks sooner than a ballot takes. The pause doubles. - A learner at one lost voter's address was planned in another's place; the change had two voters at one address and no effect (test). - Who decided a change of voters told its new number at once, the change itself after its disk. Lost in between, it left a survivor that had accepted the change, knew of a higher number and so never counted itself as a quorum. A store one place further shows by its digest what was decided there; what was accepted here is then known (test). - The time for which a successor is watched began anew with each voter lost at its address; it counts since it has a state. That a disk is lost is durable before anything goes on.

Ruled out: a longer time for the losses (that is the operators' bound), dropping the watch on successors (it guards against a former voter that was cut off).

--- a/src/system/agreement/membership.cpp
+++ b/src/system/agreement/membership.cpp
@@ -37,12 +37,14 @@
     const bool all_known = std::ranges::none_of(voters_,
                                                 [](const VoterReport& voter) { return voter.zone.empty(); });
     if (voters_.size() < 2 || !all_known || zones_of(voters_) > 1) return;
-    const auto other_zone = std::ranges::find_if(
-        ready_, [&](const ReadyLearner& learner) { return learner.zone != voters_.front().zone; });
+    const auto other_zone = std::ranges::find_if(ready_, [&](const ReadyLearner& learner) {
+      return learner.zone != voters_.front().zone && !is_at_voter(learner);
+    });
     if (other_zone != ready_.end()) put(voters_.size() - 1, other_zone);
   }
 
   void grow(std::size_t wanted) {
+    std::erase_if(ready_, [&](const ReadyLearner& learner) { return is_at_voter(learner); });
     while (voters_.size() + 2 <= wanted && ready_.size() >= 2) {
       add();
       add();
@@ -63,14 +65,24 @@
     const auto& old = voters_[index];
     auto found = std::ranges::find_if(
         ready_, [&](const ReadyLearner& learner) { return learner.voter.address == old.voter.address; });
-    if (found == ready_.end()) found = std::ranges::find(ready_, old.zone, &ReadyLearner::zone);
     if (found == ready_.end())
       found = std::ranges::find_if(ready_, [&](const ReadyLearner& learner) {
-        return old.health == VoterHealth::gone || zones_after(voters_, index, learner) >= zones_of(voters_);
+        return learner.zone == old.zone && !is_at_voter(learner);
+      });
+    if (found == ready_.end())
+      found = std::ranges::find_if(ready_, [&](const ReadyLearner& learner) {
+        const bool keeps_zones = zones_after(voters_, index, learner) >= zones_of(voters_);
+        return !is_at_voter(learner) && (old.health == VoterHealth::gone || keeps_zones);
       });
     if (found != ready_.end()) put(index, found);
   }
 
+  // A learner at a voter's address is the successor of that one alone: no two voters have one address.
+  bool is_at_voter(const ReadyLearner& learner) const {
+    return std::ranges::any_of(
+        voters_, [&](const VoterReport& voter) { return voter.voter.address == learner.voter.address; });
+  }
+
   void put(std::size_t index, Learner learner) {
     voters_[index] = {learner->voter, learner->zone, VoterHealth::well};
     ready_.erase(learner);
--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -12,7 +12,8 @@
 constexpr std::size_t kQueued = 256;               // proposals that wait; more get 503 at once
 constexpr Duration kFetchGap = 100ms;              // a log that was asked for is waited for so long
 constexpr Duration kResolveAfter = 150ms;  // a proposer of a half decided change is left so long to end it
-constexpr Duration kLeastPause = 10ms, kMostPause = 120ms;  // after ballots that crossed
+constexpr Duration kLeastPause = 10ms, kMostPause = 120ms;  // after ballots that crossed first
+constexpr unsigned kMostDoublings = 3;                      // of the longest pause, where they cross again
 constexpr Duration kStoodStill = 400ms;  // a tick that is late by this: the process was stopped
 constexpr std::uint64_t kWhole = std::numeric_limits<std::uint64_t>::max();  // Fetch::after: a snapshot
 
@@ -155,6 +156,7 @@
   }
   if (judgement.status == 400) needs_barrier = false;  // a newer state would refuse it as well
   if (judgement.status == 200 && changes) {
+    if (proposal.kind != ChangeKind::membership && waits_for_voters(now)) return false;
     begin_ballot(now);
     ballot_for_first_ = true;
     return false;
@@ -192,7 +194,7 @@
   if (m.promised != ballot_) {
     round_ = std::max(round_, m.promised.round);
     refusals_.insert(voter);
-    if (refusals_.size() * 2 >= state_.voters.size()) pause(now);
+    if (refusals_.size() * 2 >= state_.voters.size()) pause_after_crossing(now);
     return;
   }
   promises_.insert(voter);
@@ -221,7 +223,7 @@
   if (m.promised != ballot_) {
     round_ = std::max(round_, m.promised.round);
     refusals_.insert(voter);
-    if (!is_quorum(acceptances_) && refusals_.size() * 2 >= state_.voters.size()) pause(now);
+    if (!is_quorum(acceptances_) && refusals_.size() * 2 >= state_.voters.size()) pause_after_crossing(now);
     return;
   }
   acceptances_.insert(voter);
@@ -246,9 +248,16 @@
       send(voter.address, Accept{slot_, ballot_, offered_});
 }
 
-void Replica::pause(Time now) {
+void Replica::pause(Time now, Duration most) {
   phase_ = Phase::pausing;
-  resume_at_ = now + chance(kLeastPause, kMostPause);
+  resume_at_ = now + chance(kLeastPause, most);
+}
+
+// Another proposer's ballot was in the way. Longer each time at one place: with slow disks a ballot takes longer than a
+// short pause, and two that come back soon cross each other for ever.
+void Replica::pause_after_crossing(Time now) {
+  pause(now, kMostPause * (1u << std::min(crossings_, kMostDoublings)));
+  ++crossings_;
 }
 
 // A ballot under way goes on without the call that it was begun for. A call may be late behind one that is not.
@@ -275,6 +284,7 @@
   const bool durable_here = accepted != accepted_.end() && accepted->second.change == change;
   const auto membership = state_.membership;
   const bool took_effect = configuration::apply(state_, change.kind, change.text);
+  crossings_ = 0;
   digests_.note(state_.position, state_.log_digest);
   log_.push({slot, change});
   std::erase_if(accepted_, [&](const auto& entry) { return entry.first <= slot; });
@@ -283,8 +293,13 @@
   out_.write.forget_accepted = slot;
   // From an acceptance the voters of this place learn it again; the voters after it may be others.
   const bool voters_changed = state_.membership != membership;
-  if (voters_changed) change_needed_since_.reset();  // what is needed next is proposed in turn again
+  if (voters_changed) {
+    change_needed_since_.reset();  // what is needed next is proposed in turn again
+    successors_since_.reset();
+    next_confirm_ = now;  // by what the others say now
+  }
   if (!durable_here || voters_changed) out_.write.durable = true;
+  if (!votes()) announce_status();  // a learner stands ready only with all changes
   note_logged({slot, change});
   if (snapshot_policy_.is_due(logged_, state_bytes_)) {
     begin_log();
@@ -352,8 +367,10 @@
   out_.write.log.clear();
   out_.write.forget_accepted = state_.position;
   out_.write.durable = true;
-  if (first)
+  if (first) {
     out_.notes.push_back("the others' state is here up to change " + std::to_string(state_.position));
+    announce_status();
+  }
   if (ballot_runs()) phase_ = Phase::idle;
 }
 
@@ -367,6 +384,19 @@
   after_learning(now);
 }
 
+// A store that stands one place further says by its digest which change it found decided there. If that is what was
+// accepted here, it need not come again; where its sender has lost its disk since, it never would.
+void Replica::learn_by_digest(Time now, const Sender& sender) {
+  if (!has_state() || sender.position != state_.position + 1) return;
+  const auto accepted = accepted_.find(sender.position);
+  if (accepted == accepted_.end()) return;
+  const auto change = accepted->second.change;
+  const auto digest = configuration::digest_after(state_.log_digest, static_cast<std::uint8_t>(change.kind),
+                                                  change.text);
+  if (digest == configuration::kDigestNotKnown || digest != sender.log_digest) return;
+  choose(now, sender.position, change);
+}
+
 void Replica::after_learning(Time now) {
   if (confirming_ && target_ && state_.position >= *target_) end_confirm(now);
   drive(now);
@@ -420,6 +450,7 @@
   notice_history(from, envelope.sender);
   if (is_contradicting(from, envelope.sender)) return std::exchange(out_, {});
   peers_[from].heard = now;
+  learn_by_digest(now, envelope.sender);
   seen_membership_ = std::max(seen_membership_, envelope.sender.membership);
   std::visit([&](const auto& message) { on(now, from, envelope.sender, message); }, envelope.message);
   return std::exchange(out_, {});
@@ -446,9 +477,10 @@
       if (!confirming_ || now >= confirm_began_ + options_.confirm_every) begin_confirm(now);
     }
   }
-  if (phase_ == Phase::preparing && now >= phase_since_ + options_.round_limit) pause(now);
+  if (phase_ == Phase::preparing && now >= phase_since_ + options_.round_limit) pause(now, kMostPause);
   const bool stuck = !is_quorum(acceptances_) || !refusals_.empty();
-  if (phase_ == Phase::accepting && now >= phase_since_ + options_.round_limit && stuck) pause(now);
+  if (phase_ == Phase::accepting && now >= phase_since_ + options_.round_limit && stuck)
+    pause(now, kMostPause);
   if (phase_ == Phase::accepting && now >= accept_sent_at_ + options_.round_limit) {
     accept_sent_at_ = now;
     resend_accept();
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -117,6 +117,7 @@
     bool linked = false;
     bool told = false;  // a status has come from it in this life
     std::uint64_t disk = 0;
+    std::optional<Time> has_state_since;  // told by that disk in this life
     Status status;
     std::optional<std::uint64_t> contradicting_disk;  // whose log holds other changes than this one
     Time heard{};
@@ -130,7 +131,8 @@
   void begin_accept(Time now);
   void try_decide(Time now);
   void resend_accept();
-  void pause(Time now);
+  void pause(Time now, Duration most);
+  void pause_after_crossing(Time now);
   void settle(int status, std::string why);
   void give_up_late(Time now);
   bool ballot_runs() const { return phase_ == Phase::preparing || phase_ == Phase::accepting; }
@@ -142,6 +144,7 @@
   void note_logged(const LogEntry& entry);
   void take_snapshot(const State& snapshot);
   void after_learning(Time now);
+  void learn_by_digest(Time now, const Sender& sender);
   void fetch_from(Time now, const std::string& address);
 
   // Read barriers (replica_quorum.cpp).
@@ -149,6 +152,7 @@
   void count_statuses(Time now);
   void end_confirm(Time now);
   Status status(std::uint64_t round) const;
+  void announce_status();
 
   // Quorums and membership (replica_quorum.cpp).
   bool is_voter(const Voter& voter) const;
@@ -158,13 +162,18 @@
   bool is_contradicting(const std::string& from, const Sender& sender) const;
   void note_contradiction(const std::string& from, std::uint64_t disk, std::uint64_t position);
   void note_lost_voter(Time now, const std::string& address);
-  void note_destroyed(Time now, const Voter& voter, const std::string& why);
+  void note_destroyed(Time in_sight_since, const Voter& voter, const std::string& why);
   void notice_destroyed(Time now, const std::string& from, const Sender& sender, const Status& status);
   bool is_survivor_quorum(const std::set<Voter>& voters) const;
+  bool may_have_quorum() const;
   bool outlives_a_zone(Time now, const std::set<Voter>& acceptors) const;
   bool lost_for(Time now, const std::string& address, Duration limit) const;
   void watch_contact(Time now);
   void propose_membership(Time now);
+  void withdraw_membership();
+  bool waits_for_voters(Time now);
+  bool has_successor(const Voter& voter) const;
+  bool is_replaceable(const Voter& voter) const;
   std::size_t rank(Time now) const;
   VoterHealth health_of(Time now, const Voter& voter) const;
   std::vector<VoterReport> voter_reports(Time now) const;
@@ -207,6 +216,7 @@
   std::uint64_t numbers_ = 0;
   Phase phase_ = Phase::idle;
   Time phase_since_{}, resume_at_{}, accept_sent_at_{};
+  unsigned crossings_ = 0;  // of ballots with others' at the present place
   std::uint64_t slot_ = 0, round_ = 0;
   Ballot ballot_;
   Change offered_;
@@ -225,7 +235,9 @@
   Time now_{};                         // of the last call
   Time contact_since_{};               // a majority of the voters has been heard all the time since
   std::optional<Time> change_needed_since_;
-  std::map<Voter, Time> destroyed_;    // voters whose disks are lost; since when that is known in this life
+  std::optional<Time> successors_since_;  // a lost disk's successor has been in sight, under this membership
+  // Voters whose disks are lost; since when their successors have been in sight in this life.
+  std::map<Voter, Time> destroyed_;
   std::uint64_t seen_membership_ = 0;  // the highest number that any message told
   bool leaving_ = false;
   Time leaving_since_{};
--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -11,6 +11,9 @@
 constexpr Duration kRecently = 1200ms;  // two rounds of statuses: heard within it, a store is in contact
 constexpr Duration kHearsay = 1500ms;   // a store with a new disk has heard the others' membership by then
 constexpr Duration kHandOverAfter = 400ms;  // the machine's registry has passed its lease on by then
+constexpr std::uint64_t kUnaskedRound = 0;  // of a status that nobody asked for; the first question has 1
+constexpr Duration kVotersFirst = 1000ms;   // calls wait so long for the successors of lost disks
+constexpr Duration kTogether = 300ms;       // a successor that lacks a change yet is waited for
 constexpr Duration kTurn = 400ms;           // between the voters that may propose a change of voters, by rank
 
 }  // namespace
@@ -87,6 +90,12 @@
   }
 }
 
+// To all that can be reached: what was lost at this address, and that a learner is ready, is known at once.
+void Replica::announce_status() {
+  for (const auto& [address, peer] : peers_)
+    if (peer.linked && address != options_.self) send(address, status(kUnaskedRound));
+}
+
 void Replica::request_statuses() {
   ++status_round_;
   statuses_.clear();
@@ -108,6 +117,8 @@
 void Replica::on(Time now, const std::string& from, const Sender& sender, const Status& m) {
   auto& peer = peers_[from];
   peer.told = true;
+  if (peer.disk != sender.disk) peer.has_state_since.reset();
+  if (m.has_state && !peer.has_state_since) peer.has_state_since = now;
   peer.disk = sender.disk;
   peer.status = m;
   peer.status.accepted.clear();
@@ -199,13 +210,14 @@
   if (!status.has_state || status.membership < state_.membership) return;
   for (const auto& voter : state_.voters) {
     if (voter.address != from || voter.disk == sender.disk) continue;
-    note_destroyed(now, voter, "is lost");
+    note_destroyed(peers_[from].has_state_since.value_or(now), voter, "is lost");
   }
 }
 
-void Replica::note_destroyed(Time now, const Voter& voter, const std::string& why) {
-  if (!destroyed_.try_emplace(voter, now).second) return;
+void Replica::note_destroyed(Time in_sight_since, const Voter& voter, const std::string& why) {
+  if (!destroyed_.try_emplace(voter, in_sight_since).second) return;
   out_.write.destroyed.push_back(voter);
+  out_.write.durable = true;
   out_.notes.push_back("the disk of voter " + voter.address + " " + why);
 }
 
@@ -232,6 +244,15 @@
   return lost_zones.size() == 1 && !lost_zones.contains("");
 }
 
+// Of the voters whose disks are not lost. A change of voters that is begun before is accepted by them all the same and
+// stays as it is, though more disks are found lost and more learners ready until it can be decided.
+bool Replica::may_have_quorum() const {
+  std::set<Voter> survivors;
+  for (const auto& voter : state_.voters)
+    if (!is_destroyed(voter)) survivors.insert(voter);
+  return is_quorum(survivors);
+}
+
 // Whether the loss of one zone's disks would leave the change on another disk. A zone in which no voter has
 // been heard for long is lost already.
 bool Replica::outlives_a_zone(Time now, const std::set<Voter>& acceptors) const {
@@ -298,18 +319,51 @@
 void Replica::propose_membership(Time now) {
   if (!has_state()) return;
   const auto next = next_voters(voter_reports(now), ready_learners(now), 2 * options_.tolerated + 1);
-  if (!next) {
+  if (!may_have_quorum()) withdraw_membership();
+  if (!next || !may_have_quorum()) {
     change_needed_since_.reset();
     return;
   }
   if (!change_needed_since_) change_needed_since_ = now;
-  if (now < *change_needed_since_ + kTurn * static_cast<int>(rank(now))) return;
-  const bool waits = std::ranges::any_of(
-      queue_, [](const Proposal& proposal) { return proposal.kind == ChangeKind::membership; });
-  if (waits) return;
-  out_.notes.push_back("proposes membership " + std::to_string(state_.membership + 1));
+  const Time turn = *change_needed_since_ + kTurn * static_cast<int>(rank(now));
+  const bool one_too_few = std::ranges::any_of(*next,
+                                               [&](const Voter& voter) { return is_replaceable(voter); });
+  if (now < (one_too_few ? turn + kTogether : turn)) return;
   const auto text = configuration::encode(configuration::MembershipChange{state_.membership, *next});
-  queue_.push_front({0, ChangeKind::membership, text, now, false});
+  const auto waiting = std::ranges::find(queue_, ChangeKind::membership, &Proposal::kind);
+  if (waiting == queue_.end()) {
+    out_.notes.push_back("proposes membership " + std::to_string(state_.membership + 1));
+    queue_.push_front({0, ChangeKind::membership, text, now, false});
+  } else if (phase_ != Phase::accepting) {
+    waiting->text = text;  // what is known by now; nobody has been offered the earlier one in this ballot
+  }
+}
+
+// Another disk at the voter's address, whose store has the others' state and may vote.
+bool Replica::has_successor(const Voter& voter) const {
+  if (voter.address == options_.self) return options_.votes && !leaving_;
+  const auto peer = peers_.find(voter.address);
+  if (peer == peers_.end() || !peer->second.told || peer->second.disk == voter.disk) return false;
+  return peer->second.status.has_state && peer->second.status.eligible;
+}
+
+bool Replica::is_replaceable(const Voter& voter) const { return is_destroyed(voter) && has_successor(voter); }
+
+// The successors of lost disks get their votes before anything else is decided, as until then the next loss may be one
+// too many. Each other change would also put off the moment at which they have all that is decided.
+bool Replica::waits_for_voters(Time now) {
+  const bool to_replace = std::ranges::any_of(
+      state_.voters, [&](const Voter& voter) { return is_destroyed(voter) && has_successor(voter); });
+  if (!to_replace || !may_have_quorum()) return false;
+  if (!successors_since_) successors_since_ = now;
+  return now < *successors_since_ + kVotersFirst;
+}
+
+// A proposal of a change that is not needed any more, or can't be decided yet; unless it has been offered.
+void Replica::withdraw_membership() {
+  if (phase_ == Phase::accepting || queue_.empty() || queue_.front().kind != ChangeKind::membership) return;
+  queue_.pop_front();
+  ballot_for_first_ = false;
 }
 
 bool Replica::may_end(Time now) const {
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -476,6 +476,49 @@
   }
 }
 
+// Who decided may lose its disk with the news still unsent, while its number of membership is known: without the
+// change itself the survivor could never go on.
+BOOST_AUTO_TEST_CASE(
+    given_an_accepted_change_when_another_store_stands_behind_it_then_it_is_known_as_decided) {
+  docklift::agreement::Kept kept;
+  kept.any = true;
+  kept.disk = 1;
+  kept.state.voters = {{"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
+  const docklift::configuration::MembershipChange next{0,
+                                                       {{"10.0.0.1", 7}, {"10.0.0.2", 1}, {"10.0.0.3", 1}}};
+  const docklift::agreement::Change change{ChangeKind::membership, docklift::configuration::encode(next),
+                                           "10.0.0.2", 1};
+  kept.accepted = {{1, {{1, "10.0.0.2", 1}, change}}};
+  auto after = kept.state;
+  BOOST_REQUIRE(docklift::configuration::apply(after, change.kind, change.text));
+  docklift::agreement::Options options;
+  options.self = "10.0.0.3", options.zone = "b";
+  const auto position_after = [&](std::uint64_t digest) {
+    Replica store(options, kept);
+    store.start(Time{1h});
+    const docklift::agreement::Sender decider{1, after.membership, after.position, digest};
+    store.receive(Time{1h} + 1ms, "10.0.0.2", {decider, docklift::agreement::StatusRequest{1}});
+    return store.state().position;
+  };
+  BOOST_TEST(position_after(after.log_digest) == 1u);
+  BOOST_TEST(position_after(after.log_digest + 1) == 0u);
+}
+
+// Else one voter's successor takes another's place, and two voters have one address.
+BOOST_AUTO_TEST_CASE(
+    given_a_learner_at_a_lost_voters_address_when_voters_are_planned_then_it_succeeds_that_one) {
+  using docklift::agreement::VoterHealth;
+  const std::vector<docklift::agreement::VoterReport> present = {
+      {{"10.0.0.1", 1}, "a", VoterHealth::destroyed},
+      {{"10.0.0.2", 1}, "a", VoterHealth::destroyed},
+      {{"10.0.0.3", 1}, "b", VoterHealth::well}};
+  const auto next = docklift::agreement::next_voters(present, {{{"10.0.0.2", 9}, "a"}}, 3);
+  BOOST_REQUIRE(next.has_value());
+  const std::vector<docklift::configuration::Voter> expected = {
+      {"10.0.0.1", 1}, {"10.0.0.2", 9}, {"10.0.0.3", 1}};
+  BOOST_TEST((*next == expected));
+}
+
 BOOST_AUTO_TEST_CASE(given_a_proposer_when_it_asks_with_a_ballot_then_its_own_promise_is_durable_first) {
   // Else one that loses its power and comes back could offer another change under the same ballot.
   docklift::agreement::Kept kept;
