Agreement: an answer to a question of a former life doesn't count in the next one

A machine that stood still could answer round 7 of the former life just before the next life asks its round 7, with what it held before.

Change: rounds are counted from a drawn number. Elsewhere: confirmations, units, leases and verdicts are answered on the asker's own link and end with it; ballots name a round that is durable before it is used.

--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -46,6 +46,7 @@
   for (const auto& voter : kept.destroyed) destroyed_[voter] = {};
   round_ = promised_.round;
   numbers_ = rng_();
+  status_round_ = rng_();
   if (kept.any) return;
   if (options_.bootstrap) state_.voters = bootstrap_voters(options_.seeds);
   const bool is_seed = std::ranges::find(options_.seeds, options_.self) != options_.seeds.end();
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -224,7 +224,7 @@
   std::optional<AcceptedChange> highest_;
   std::set<Voter> promises_, acceptances_, refusals_;
 
-  std::uint64_t status_round_ = 0;
+  std::uint64_t status_round_ = 0;       // drawn at the start: an answer to an earlier life has another
   std::optional<std::uint64_t> target_;  // the place that must be decided here; none: not known yet
   bool confirming_ = false;
   std::uint64_t confirm_membership_ = 0;
--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -11,7 +11,7 @@
 constexpr Duration kRecently = 1200ms;  // two rounds of statuses: heard within it, a store is in contact
 constexpr Duration kHearsay = 1500ms;   // a store with a new disk has heard the others' membership by then
 constexpr Duration kHandOverAfter = 400ms;  // the machine's registry has passed its lease on by then
-constexpr std::uint64_t kUnaskedRound = 0;  // of a status that nobody asked for; the first question has 1
+constexpr std::uint64_t kUnaskedRound = 0;  // of a status that nobody asked for
 constexpr Duration kVotersFirst = 1000ms;   // calls wait so long for the successors of lost disks
 constexpr Duration kTogether = 300ms;       // a successor that lacks a change yet is waited for
 constexpr Duration kTurn = 400ms;           // between the voters that may propose a change of voters, by rank
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -476,6 +476,29 @@
   }
 }
 
+// A peer that stood still may answer the question of an earlier life when the next one asks, with what it held between.
+BOOST_AUTO_TEST_CASE(given_a_store_that_starts_again_when_it_asks_then_no_answer_to_its_former_life_counts) {
+  docklift::agreement::Kept kept;
+  kept.any = true;
+  kept.disk = 1;
+  kept.state.voters = {{"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
+  const auto rounds_of = [&](std::uint64_t chance) {
+    docklift::agreement::Options options;
+    options.self = "10.0.0.3", options.zone = "b", options.chance = chance;
+    Replica store(options, kept);
+    store.start(Time{1h});
+    std::set<std::uint64_t> rounds;
+    for (auto now = Time{1h}; now < Time{1h} + 5s; now += 50ms)
+      for (const auto& send : store.tick(now).immediate)
+        if (const auto* asked = std::get_if<docklift::agreement::StatusRequest>(&send.envelope.message))
+          rounds.insert(asked->round);
+    return rounds;
+  };
+  const auto former = rounds_of(1);
+  BOOST_TEST(former.size() > 5u);
+  for (const auto round : rounds_of(2)) BOOST_TEST(!former.contains(round));
+}
+
 // Who decided may lose its disk with the news still unsent, while its number of membership is known: without the
 // change itself the survivor could never go on.
 BOOST_AUTO_TEST_CASE(
