Configuration: names of hosts are the same in upper and lower case

Brought about: two of three ways to write a host find no route before; two routes of one place were taken where the hosts differed in case alone.

Change: hosts are compared in lower case, in requests and where a configuration is judged. What is forwarded is as the client sent it.

Result: the three are found, another host is not, the same place twice is refused.

--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -62,6 +62,15 @@
   return out;
 }
 
+// Names of hosts are the same in upper and lower case (RFC 3986, 3.2.2).
+std::string lower_case(std::string_view host) {
+  constexpr char kToLower = 'a' - 'A';
+  std::string lower(host);
+  for (auto& letter : lower)
+    if (letter >= 'A' && letter <= 'Z') letter = static_cast<char>(letter + kToLower);
+  return lower;
+}
+
 Kind kind_of(const Json& rule) {
   const auto name = text(rule, "kind");
   if (name == "idempotent") return Kind::idempotent;
@@ -137,7 +146,7 @@
     std::set<std::string> names;
     std::set<std::pair<std::string, std::string>> places;  // host and prefix
     for (const auto& l : list(document, "listeners")) {
-      const auto host = text(l, "vhost");
+      const auto host = lower_case(text(l, "vhost"));
       for (const auto& r : list(l, "policy")) {
         Route one;
         one.name = text(r, "name"), one.host = host, one.kind = kind_of(r);
@@ -187,7 +196,7 @@
 
 const Route* Configuration::route(std::string_view host, std::string_view target) const {
   if (const auto colon = host.rfind(':'); colon != std::string_view::npos) host = host.substr(0, colon);
-  const auto found = by_host_.find(std::string(host));
+  const auto found = by_host_.find(lower_case(host));
   if (found == by_host_.end()) return nullptr;
   const auto path = target.substr(0, target.find('?'));
   for (const auto i : found->second)
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -141,6 +141,23 @@
   BOOST_TEST(value(read)->route("x.example", "/a/") == nullptr);
 }
 
+// Names of hosts are the same in upper and lower case.
+BOOST_AUTO_TEST_CASE(given_a_host_in_other_letters_when_a_route_is_looked_up_then_it_is_found) {
+  auto document = nlohmann::json::parse(config_body(5, 0));
+  document["listeners"][0]["vhost"] = "Gates.Example";
+  const auto read = configuration::read(document);
+  BOOST_REQUIRE(!failed(read));
+  const auto prefix = document["listeners"][0]["policy"][0]["match"]["pfx"].get<std::string>();
+  for (const auto* host : {"Gates.Example", "gates.example", "GATES.EXAMPLE:8080"})
+    BOOST_TEST((std::get<0>(read)->route(host, prefix + "x") != nullptr), host);
+  BOOST_TEST((std::get<0>(read)->route("gate.example", prefix + "x") == nullptr));
+  auto same_place = document;
+  same_place["listeners"].push_back(document["listeners"][0]);
+  same_place["listeners"][1]["vhost"] = "gates.example";
+  same_place["listeners"][1]["policy"][0]["name"] = "another";
+  BOOST_TEST(failed(configuration::read(same_place)));
+}
+
 BOOST_AUTO_TEST_CASE(given_many_changes_when_an_early_body_is_sent_again_then_it_is_known_and_no_other_is) {
   State s;
   constexpr std::uint64_t kVersions = 300;  // what a day may hold
