Agreement: the change of voters stands in a file of its own

Change: replica_membership.cpp holds the last one; heard_recently() and hands_over() replace what stood in several places.

--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -154,7 +154,7 @@
   Status status(std::uint64_t round) const;
   void announce_status();
 
-  // Quorums and membership (replica_quorum.cpp).
+  // Histories and quorums (replica_quorum.cpp).
   bool is_voter(const Voter& voter) const;
   bool is_quorum(const std::set<Voter>& voters) const;
   bool is_destroyed(const Voter& voter) const;
@@ -169,17 +169,21 @@
   bool outlives_a_zone(Time now, const std::set<Voter>& acceptors) const;
   bool lost_for(Time now, const std::string& address, Duration limit) const;
   void watch_contact(Time now);
+  bool heard_recently(const Peer& peer) const;
+  std::string zone_of(const std::string& address) const;
+  void request_statuses();
+
+  // Change of voters (replica_membership.cpp).
   void propose_membership(Time now);
   void withdraw_membership();
+  bool hands_over() const;
   bool waits_for_voters(Time now);
   bool has_successor(const Voter& voter) const;
   bool is_replaceable(const Voter& voter) const;
   std::size_t rank(Time now) const;
   VoterHealth health_of(Time now, const Voter& voter) const;
   std::vector<VoterReport> voter_reports(Time now) const;
-  std::vector<ReadyLearner> ready_learners(Time now) const;
-  std::string zone_of(const std::string& address) const;
-  void request_statuses();
+  std::vector<ReadyLearner> ready_learners() const;
 
   void on(Time now, const std::string& from, const Sender& sender, const Prepare& m);
   void on(Time now, const std::string& from, const Sender& sender, const Promise& m);
