--- a/src/system/disk/fail_stop_env.cpp
+++ b/src/system/disk/fail_stop_env.cpp
@@ -60,7 +60,7 @@
 // Opens a file and wraps it.
 template <class Wrapped, class File, class Open>
 Status open_wrapped(FailStopEnv& env, File** file, Open open) {
-  const auto status = env.run(open);
+  auto status = env.run(open);
   if (status.ok()) *file = new Wrapped(env, *file);
   return status;
 }
--- a/src/system/disk/fail_stop_env.hpp
+++ b/src/system/disk/fail_stop_env.hpp
@@ -33,7 +33,7 @@
   template <class Operation>
   leveldb::Status run(Operation operation) {
     if (failed_) return leveldb::Status::IOError("an earlier operation of the disk failed");
-    const leveldb::Status status = operation();
+    leveldb::Status status = operation();
     if (!status.ok() && !status.IsNotFound()) failed_ = true;
     return status;
   }
