Agreement: a successor of a lost disk is watched anew after a gap in contact

Cause (found on reading the change again): since the 1.5 s in which a successor may tell of a newer membership count from when it first had a state. They ran on while it was not heard, so that a former voter which came back could have counted itself as all that is left at once, with nothing heard since.

Change: the time begins anew where the successor was not heard for 1.2 s. The condition of waits_for_voters() is is_replaceable(), which stood there twice.

--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -450,7 +450,9 @@
   notice_time(now);
   notice_history(from, envelope.sender);
   if (is_contradicting(from, envelope.sender)) return std::exchange(out_, {});
-  peers_[from].heard = now;
+  auto& peer = peers_[from];
+  if (!heard_recently(peer)) peer.has_state_since.reset();  // what it has heard meanwhile is not known here
+  peer.heard = now;
   learn_by_digest(now, envelope.sender);
   seen_membership_ = std::max(seen_membership_, envelope.sender.membership);
   std::visit([&](const auto& message) { on(now, from, envelope.sender, message); }, envelope.message);
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -117,7 +117,7 @@
     bool linked = false;
     bool told = false;  // a status has come from it in this life
     std::uint64_t disk = 0;
-    std::optional<Time> has_state_since;  // told by that disk in this life
+    std::optional<Time> has_state_since;  // told by that disk, and heard without a gap since
     Status status;
     std::optional<std::uint64_t> contradicting_disk;  // whose log holds other changes than this one
     Time heard{};
--- a/src/system/agreement/replica_membership.cpp
+++ b/src/system/agreement/replica_membership.cpp
@@ -100,8 +100,8 @@
 // The successors of lost disks get their votes before anything else is decided, as until then the next loss may be one
 // too many. Each other change would also put off the moment at which they have all that is decided.
 bool Replica::waits_for_voters(Time now) {
-  const bool to_replace = std::ranges::any_of(
-      state_.voters, [&](const Voter& voter) { return is_destroyed(voter) && has_successor(voter); });
+  const bool to_replace = std::ranges::any_of(state_.voters,
+                                              [&](const Voter& voter) { return is_replaceable(voter); });
   if (!to_replace || !may_have_quorum()) return false;
   if (!successors_since_) successors_since_ = now;
   return now < *successors_since_ + kVotersFirst;
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -527,6 +527,61 @@
   BOOST_TEST(position_after(after.log_digest + 1) == 0u);
 }
 
+// The stores at lost voters' addresses have 1.5 s to tell of a newer membership. What was in sight before a silence has
+// told nothing in it.
+BOOST_AUTO_TEST_CASE(
+    given_successors_in_sight_before_a_silence_when_voters_are_lost_then_they_are_watched_anew) {
+  namespace agreement = docklift::agreement;
+  constexpr std::uint64_t kSuccessorDisk = 9;
+  agreement::Kept kept;
+  kept.any = true;
+  kept.disk = 1;
+  kept.state.voters = {{"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
+  agreement::Options options;
+  options.self = "10.0.0.3", options.zone = "b";
+  Replica store(options, kept);
+  Time now{1h};
+  store.linked("10.0.0.1", "a"), store.linked("10.0.0.2", "a");
+  std::deque<agreement::Envelope> own;
+  const auto keep_own = [&](const agreement::Out& out) {
+    for (const auto& send : out.sends)
+      if (send.to == options.self) own.push_back(send.envelope);
+  };
+  const auto run = [&](Duration span) {
+    for (const auto until = now + span; now < until; now += 50ms) {
+      keep_own(store.tick(now));
+      for (; !own.empty(); own.pop_front()) keep_own(store.receive(now, options.self, own.front()));
+    }
+  };
+  const auto successors_tell = [&] {
+    agreement::Status status;
+    status.has_state = true;
+    status.position = store.state().position, status.membership = store.state().membership;
+    const agreement::Sender sender{kSuccessorDisk, status.membership, status.position,
+                                   store.state().log_digest};
+    for (const auto* address : {"10.0.0.1", "10.0.0.2"})
+      keep_own(store.receive(now, address, {sender, status}));
+  };
+  keep_own(store.start(now));
+  successors_tell();
+  run(5s);
+  const agreement::Change change{ChangeKind::membership,
+                                 docklift::configuration::encode(docklift::configuration::MembershipChange{
+                                     0, {{"10.0.0.1", 8}, {"10.0.0.2", 8}, {"10.0.0.3", 1}}}),
+                                 "10.0.0.1", 1};
+  const agreement::Sender decider{kSuccessorDisk, 0, 0, kept.state.log_digest};
+  keep_own(store.receive(now, "10.0.0.1", {decider, agreement::LogEntry{1, change}}));
+  const auto place = store.state().position;
+  successors_tell();
+  keep_own(
+      store.propose(now, 1, ChangeKind::evacuate,
+                    docklift::configuration::encode(docklift::configuration::EvacuationOrder{"a", place})));
+  run(1s);
+  BOOST_TEST(store.state().position == place);
+  run(3s);
+  BOOST_TEST(store.state().position > place);
+}
+
 // Else one voter's successor takes another's place, and two voters have one address.
 BOOST_AUTO_TEST_CASE(
     given_a_learner_at_a_lost_voters_address_when_voters_are_planned_then_it_succeeds_that_one) {
