Sight: requests whose clients left by stage and kind; places and digests of copies at a start

Change: proxies count requests whose clients left (waiting for units, for a place, at a server; not repeatable), attempts ended, begun after it, and gone on for half a second, and log them each 10 s where they have changed. Stores log their place, digest and disk at a start and the first place that a majority stands at; registries and proxies the first confirmed change; a proxy whose copy stands behind the core for a second says so, with what it waits for (fleet/copy_lag). No logic changed.

--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -25,6 +25,12 @@
   return voters;
 }
 
+std::string in_hexadecimal(std::uint64_t number) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(number));
+  return text;
+}
+
 }  // namespace
 
 Replica::Replica(Options options, Kept kept)
@@ -67,6 +73,7 @@
   contact_since_ = now;
   for (auto& [voter, since] : destroyed_) since = now;
   for (const auto& address : options_.lost_voters) note_lost_voter(now, address);
+  out_.notes.push_back("starts with " + place_and_digest() + ", disk " + in_hexadecimal(disk_));
   return std::exchange(out_, {});
 }
 
@@ -79,6 +86,10 @@
   note_destroyed(now, *voter, "is lost, as the operators say");
 }
 
+std::string Replica::place_and_digest() const {
+  return "change " + std::to_string(state_.position) + ", digest " + in_hexadecimal(state_.log_digest);
+}
+
 Sender Replica::identity() const {
   return {disk_, std::max(state_.membership, seen_membership_), state_.position, state_.log_digest};
 }
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -197,6 +197,7 @@
 
   void notice_time(Time now);
   Sender identity() const;
+  std::string place_and_digest() const;  // of the log here, for the process's own log
   void send(const std::string& to, Message message);
   void send_at_once(const std::string& to, Message message);
   void to_voters(const Message& message);
@@ -230,7 +231,7 @@
 
   std::uint64_t status_round_ = 0;       // drawn at the start: an answer to an earlier life has another
   std::optional<std::uint64_t> target_;  // the place that must be decided here; none: not known yet
-  bool confirming_ = false;
+  bool confirming_ = false, confirmed_once_ = false;
   std::uint64_t confirm_membership_ = 0;
   Time confirm_began_{}, next_confirm_{}, fetched_at_{};
   std::map<std::string, Status> statuses_;  // of the present round, from voters
--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -157,6 +157,8 @@
     begin_confirm(now);
     return;
   }
+  if (!std::exchange(confirmed_once_, true))
+    out_.notes.push_back("a majority stands at " + place_and_digest() + ", the first one of this life");
   const auto began = confirm_began_;
   for (auto& proposal : queue_)
     if (proposal.since <= began) proposal.sure = true;
--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -165,6 +165,7 @@
 }
 
 void Decisions::send(Time now, RequestId id, Request& r, ServerHandle server) {
+  if (r.client_left) ++departures_.sent_after;
   servers_.sent(now, server);
   ++r.sends;
   r.at = server;
@@ -176,6 +177,7 @@
   const auto found = requests_.find(id);
   if (found == requests_.end()) return done();
   auto& r = found.value();
+  note_work_after_departure(now, r);
   servers_.ended(now, r.at, outcome, took);
   r.at = kNoServer;
   if (outcome == Outcome::ok) {
@@ -211,6 +213,25 @@
   return done();
 }
 
+void Decisions::note_work_after_departure(Time now, const Request& r) {
+  if (!r.client_left || now - *r.client_left <= kWentOnAfter) return;
+  ++(r.repeatable ? departures_.went_on_repeatable : departures_.went_on_not_repeatable);
+}
+
+Actions Decisions::client_left(Time now, RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || found->second.client_left) return done();
+  auto& r = found.value();
+  r.client_left = now;
+  if (!r.repeatable) ++departures_.not_repeatable;
+  if (r.at != kNoServer) {
+    ++departures_.at_server;
+  } else {
+    ++(r.parked ? departures_.waited_for_place : departures_.waited_for_units);
+  }
+  return done();
+}
+
 void Decisions::serve_parked(Time now) {
   if (parked_.empty()) return;
   const auto waiting = std::exchange(parked_, {});
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "system/decisions/departures.hpp"
 #include "system/decisions/repeats.hpp"
 #include "system/decisions/servers.hpp"
 #include "system/decisions/units.hpp"
@@ -57,6 +58,7 @@
   bool repeatable = false, may_have_run = false;
   Duration target{};
   Time arrived{}, deadline{}, place_until{}, unit_taken{};
+  std::optional<Time> client_left;  // since when there is nobody to answer
   std::uint32_t tries = 1, sends = 0, misses = 0;
   bool parked = false;
   std::vector<ServerHandle> tried;
@@ -84,6 +86,8 @@
   Actions arrive(Time now, const Arrival& a);
   // `whole`: an answer of the server is at hand that can be relayed.
   Actions ended(Time now, RequestId id, Outcome outcome, Duration took, bool whole);
+  // The client has closed its connection, or it was closed on it: nobody waits for the answer any more.
+  Actions client_left(Time now, RequestId id);
   Actions granted(Time now, const UnitAnswer& answer);
   Actions grants_failed(Time now);
   Actions tick(Time now);  // at least each 20 ms while something is open
@@ -95,12 +99,14 @@
   const Servers::Known* known(ServerHandle server) const { return servers_.known(server); }
   std::vector<ServerHandle> dropped() { return servers_.dropped(); }
   std::size_t open() const { return requests_.size(); }
+  const DepartureCounts& departures() const { return departures_; }
 
  private:
   using Request = flow::Request;
   void send_on(Time now, RequestId id, Request& r);
   void send(Time now, RequestId id, Request& r, ServerHandle server);
   void refuse(RequestId id, int status, Duration retry_after);
+  void note_work_after_departure(Time now, const Request& r);
   void after_units(Time now);
   void serve_parked(Time now);
   Time keys_valid_until() const;
@@ -116,6 +122,7 @@
   tsl::robin_map<RequestId, Request> requests_;
   std::vector<RequestId> parked_;
   std::optional<Time> confirmed_at_;
+  DepartureCounts departures_;
   Actions out_;
 };
 
--- a/src/system/proxy/control_client.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -14,6 +14,7 @@
 #include "system/decisions/units.hpp"
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/confirmation.hpp"
+#include "system/fleet/copy_lag.hpp"
 #include "system/net/link.hpp"
 #include "system/transfer/change_follower.hpp"
 
@@ -55,6 +56,7 @@
   void on_confirmed(wire::Confirmed::Reader confirmed);
   void on_log_advanced();
   void tell_confirmed();
+  void watch_lag();
   std::uint64_t new_confirm_token();
   void request_confirmation(Link& link, std::uint64_t token);
   void send_to(const std::string& ip, fleet::Outgoing& out);
@@ -78,7 +80,9 @@
   std::uint64_t term_ = 0;
   SendTimes confirm_tokens_, unit_calls_;
   fleet::Confirmation confirmation_;
-  bool reachable_ = false;
+  fleet::CopyLag lag_;
+  bool lag_noted_ = false;  // in the log
+  bool reachable_ = false, confirmed_once_ = false;
   Timer timer_;
   bool stopped_ = false;
 };
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -10,6 +10,7 @@
     kNoConfiguration = 300ms;             // until a client may come back where none is here, or an old one
 constexpr Duration kLastAnswers = 700ms;  // before the grace ends: what is still open gets its last answer
 constexpr Duration kStopsAccepting = 1600ms;
+constexpr Duration kReport = 10s;    // from one line of figures to the next, where they have changed
 constexpr double kClientPart = 0.6;  // of the descriptors
 std::uint64_t drawn() { return (std::uint64_t(std::random_device{}()) << 32) | std::random_device{}(); }
 }  // namespace
@@ -53,6 +54,7 @@
         });
   }
   control_client_.start();
+  report();
   return std::monostate{};
 }
 
@@ -79,6 +81,13 @@
   });
 }
 
+void Proxy::on_client_left(const std::shared_ptr<Session>& session) {
+  std::vector<decisions::RequestId> left;
+  for (const auto& [id, exchange] : exchanges_)
+    if (exchange.session == session) left.push_back(id);
+  for (const auto id : left) carry_out(decisions_.client_left(clock_.now(), id));
+}
+
 void Proxy::on_ended(const std::shared_ptr<Session>& session) { sessions_.erase(session); }
 
 bool Proxy::is_repeatable(const Request& request) const {
@@ -160,6 +169,16 @@
   });
 }
 
+// Figures for operators, in the log.
+void Proxy::report() {
+  timers_.after(kReport, [this] {
+    const auto& departures = decisions_.departures();
+    if (departures != reported_departures_) log_.info(decisions::shown(departures));
+    reported_departures_ = departures;
+    report();
+  });
+}
+
 void Proxy::check_ready() {
   control_client_.set_state(configuration_ && heard_servers_ && !draining_, draining_);
 }
@@ -169,7 +188,8 @@
   if (const auto& c = changes.configuration(); c && c != configuration_) {
     configuration_ = c;
     decisions_.configure(now, c);
-    log_.info("version " + configuration::shown_version(c->version) + " is in force");
+    log_.info("version " + configuration::shown_version(c->version) + " is in force, change " +
+              std::to_string(changes.position()));
   }
   decisions_.set_evacuated(now, changes.state().evacuated, changes.readmitted());
   check_ready();
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -27,6 +27,7 @@
   bool draining() const override { return draining_; }
   void on_request(const std::shared_ptr<Session>& session, std::uint64_t number, Request request) override;
   bool is_repeatable(const Request& request) const override;
+  void on_client_left(const std::shared_ptr<Session>& session) override;
   void on_ended(const std::shared_ptr<Session>& session) override;
 
   void on_changes(const fleet::ChangeLog& changes) override;
@@ -52,6 +53,7 @@
   void send(const decisions::Send& s);
   void tick();
   void check_ready();
+  void report();
   void say_last(std::function<void()> ended);
 
   boost::asio::io_context& io_;
@@ -68,6 +70,7 @@
   std::set<std::shared_ptr<Session>> sessions_;
   std::unordered_map<decisions::RequestId, Exchange> exchanges_;
   decisions::RequestId last_id_ = 0;
+  decisions::DepartureCounts reported_departures_;
   bool draining_ = false, heard_servers_ = false, ticking_ = false;
 };
 
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -44,7 +44,8 @@
                               self->ended_ = true;
                               // What is under way is still answered: the client may have closed its half
                               // only.
-                              if (self->slots_.empty()) self->close();
+                              if (self->slots_.empty()) return self->close();
+                              self->host_->on_client_left(self);
                               return;
                             }
                             self->take();
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -41,6 +41,8 @@
     virtual void on_request(const std::shared_ptr<Session>& session, std::uint64_t number,
                             Request request) = 0;
     virtual bool is_repeatable(const Request& request) const = 0;
+    // The client's sending half has ended with requests under way.
+    virtual void on_client_left(const std::shared_ptr<Session>& session) = 0;
     virtual void on_ended(const std::shared_ptr<Session>& session) = 0;
   };
   Session(Host& host, snowknot::Timers& timers, Socket socket);
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -270,8 +270,13 @@
 
 void Registry::after_news(fleet::ChangeLog::News news) {
   if (news != fleet::ChangeLog::News::taken) return;
+  const bool was_confirmed = confirmed_once();
   confirmation_.advanced(changes_.position());
-  bring_proxies_up_to_date();
+  if (!was_confirmed && confirmed_once()) {
+    on_first_confirmation();
+  } else {
+    bring_proxies_up_to_date();
+  }
   for (const auto& zone : changes_.readmitted())
     for (const auto& [id, s] : servers_.all())
       if (s.zone == zone) retold_.insert(id);
@@ -287,6 +292,12 @@
   }
 }
 
+// From here on the copy is handed to proxies.
+void Registry::on_first_confirmation() {
+  log_.info("change " + std::to_string(changes_.position()) + " is confirmed as the newest of the core");
+  bring_proxies_up_to_date();
+}
+
 void Registry::bring_proxies_up_to_date() {
   for (auto& [link, p] : proxies_) bring_up_to_date(p);
 }
@@ -327,7 +338,7 @@
   const bool was_confirmed = confirmed_once();
   if (!confirmation_.answered(begun, position, changes_.position()))
     return follower_.on_core_behind(position);
-  if (!was_confirmed && confirmed_once()) bring_proxies_up_to_date();
+  if (!was_confirmed && confirmed_once()) on_first_confirmation();
   for (auto& [link, p] : proxies_) {
     const auto token = p.confirm_requests.answerable(begun);
     if (!token) continue;
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -93,6 +93,7 @@
   void tell_all_servers(Proxy& p);
   void tell_members();
   void bring_proxies_up_to_date();
+  void on_first_confirmation();
   void fill(wire::Fleet::Builder to);
   void gossip(const std::vector<fleet::Server>& servers, const std::vector<fleet::Node>& nodes);
   void send_lease_request(const lease::Request& request);
--- a/src/system/transfer/change_follower.cpp
+++ b/src/system/transfer/change_follower.cpp
@@ -91,6 +91,14 @@
   return news;
 }
 
+std::string ChangeFollower::waits_for() const {
+  if (receiver_.paused()) return "no source is left for the snapshot that it fetches";
+  if (receiver_.fetching())
+    return "fetches a snapshot, " + std::to_string(receiver_.received()) + " bytes so far";
+  if (!pulled_.empty()) return "waits for the next changes from " + pulled_;
+  return "waits for news from " + std::to_string(sources_.size()) + " sources";
+}
+
 void ChangeFollower::carry_out(const SnapshotReceiver::Step& step) {
   for (const auto& note : step.notes) note_(note);
   for (const auto& request : step.requests) {
--- a/src/system/transfer/change_follower.hpp
+++ b/src/system/transfer/change_follower.hpp
@@ -31,6 +31,8 @@
   void on_core_behind(std::uint64_t position);
 
   const fleet::ChangeLog& changes() const { return changes_; }
+  // What is under way, as a sentence for the log.
+  std::string waits_for() const;
 
  private:
   News on_batch(const std::string& source, wire::ChangeBatch::Reader batch);
