--- a/standins/system/server.hpp
+++ b/standins/system/server.hpp
@@ -55,6 +55,8 @@
     accept();
   }
   std::vector<Seen>& seen() { return *seen_; }
+  // How many callers have closed their connection while their answer was held.
+  std::size_t left() const { return *left_; }
   void release() {
     for (const auto& go_on : std::exchange(*held_, {})) go_on();
   }
@@ -63,8 +65,12 @@
   using Held = std::vector<std::function<void()>>;
   struct Session : std::enable_shared_from_this<Session> {
     Session(Socket s, std::shared_ptr<Script> says, std::shared_ptr<std::vector<Seen>> into,
-            std::shared_ptr<Held> holds)
-        : socket(std::move(s)), script(std::move(says)), seen(std::move(into)), held(std::move(holds)) {}
+            std::shared_ptr<Held> holds, std::shared_ptr<std::size_t> leaves)
+        : socket(std::move(s)),
+          script(std::move(says)),
+          seen(std::move(into)),
+          held(std::move(holds)),
+          left(std::move(leaves)) {}
     void read() {
       socket.async_read_some(boost::asio::buffer(chunk),
                              [self = shared_from_this()](boost::system::error_code failed, std::size_t n) {
@@ -83,8 +89,16 @@
       seen->push_back({in.substr(0, r.used), in.substr(r.used, length), number});
       in.erase(0, r.used + length);
       const auto reply = (*script)(seen->back());
-      if (reply.hold) return held->push_back([self = shared_from_this(), reply] { self->write(reply); });
-      write(reply);
+      if (!reply.hold) return write(reply);
+      held->push_back([self = shared_from_this(), reply] { self->write(reply); });
+      watch_caller();
+    }
+    // Readable without a byte to read: the caller has closed.
+    void watch_caller() {
+      socket.async_wait(Socket::wait_read, [self = shared_from_this()](boost::system::error_code failed) {
+        boost::system::error_code broken;
+        if (!failed && self->socket.available(broken) == 0) ++*self->left;
+      });
     }
     void write(const Reply& reply) {
       out = reply.bytes;
@@ -100,6 +114,7 @@
     std::shared_ptr<Script> script;
     std::shared_ptr<std::vector<Seen>> seen;
     std::shared_ptr<Held> held;
+    std::shared_ptr<std::size_t> left;
     std::string in, out;
     std::uint64_t number = 0;
     char chunk[4096];
@@ -107,7 +122,7 @@
   void accept() {
     acceptor_.async_accept([this](boost::system::error_code failed, Socket socket) {
       if (failed) return;
-      const auto session = std::make_shared<Session>(std::move(socket), script_, seen_, held_);
+      const auto session = std::make_shared<Session>(std::move(socket), script_, seen_, held_, left_);
       session->number = ++connections_;
       session->read();
       accept();
@@ -117,6 +132,7 @@
   std::uint64_t connections_ = 0;
   std::shared_ptr<Script> script_;
   std::shared_ptr<Held> held_ = std::make_shared<Held>();
+  std::shared_ptr<std::size_t> left_ = std::make_shared<std::size_t>(0);
   std::shared_ptr<std::vector<Seen>> seen_ = std::make_shared<std::vector<Seen>>();
 };
 
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -1,80 +1,13 @@
 // The decision module: which server, whether again, what is refused. Events in, actions out; nothing else.
-#include "system/decisions/decisions.hpp"
-
 #include <boost/test/unit_test.hpp>
 #include <deque>
-#include <nlohmann/json.hpp>
 #include <set>
 
+#include "decisions_world.hpp"
+
 namespace docklift::test {
 namespace {
 
-using namespace std::chrono_literals;
-using namespace decisions;
-using configuration::Configuration;
-
-const std::map<std::string, std::string> kZones = {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}};
-
-struct Setup {
-  std::string kind = "idempotent", homes = "[]", tenant_homes = "[]";
-  int tries = 2;
-  double cold_per_s = 10, per_s = 0;
-  bool strict = false;
-};
-
-std::shared_ptr<const Configuration> configured(const Setup& s) {
-  const auto text = R"({"gen":"00000001","accts":[{"name":"t","apikeys":["k"],"per_s":)" +
-                    std::to_string(s.per_s) + R"(,"burst":10,"pin_regions":)" + s.tenant_homes +
-                    R"(}],"listeners":[{"vhost":"h","policy":[{"name":"r","kind":")" + s.kind +
-                    R"(","target_ms":500,"match":{"pfx":"/a/"},"action":{"svc":"s","tmo_ms":2000,"tries":)" +
-                    std::to_string(s.tries) + R"(,"pin_regions":)" + s.homes +
-                    R"(}}]}],"clusters":[{"name":"s","max_conns":80,"warmup_s":3,"cold_per_s":)" +
-                    std::to_string(s.cold_per_s) + "}]}";
-  auto read = configuration::read(nlohmann::json::parse(text));
-  BOOST_REQUIRE(!failed(read));
-  return value(read);
-}
-
-struct World {
-  explicit World(const Setup& s = {}, std::uint64_t seed = 1, const std::string& name = "p1",
-                 const std::string& zone = "a1")
-      : c(configured(s)), d({name, zone, kZones.at(zone)}, kZones, bounds(s), seed) {
-    d.configure(now, c);
-    d.proxies({"a1/p1", "a1/p2", "a2/p3", "b1/p4", "b1/p5", "b1/p6", "b1/p7"});
-    d.confirmed(now);
-  }
-  static Bounds bounds(const Setup& s) {
-    Bounds b;
-    b.strict_revoke = s.strict;
-    return b;
-  }
-  void list(const std::string& server, const std::string& zone, fleet::Phase phase = fleet::Phase::READY,
-            Duration cold = {}) {
-    fleet::Server r;
-    r.id = server, r.service = "s", r.address = "10.0.0.1:80", r.zone = zone, r.cap = 4, r.phase = phase,
-    r.calls = ++calls, r.heard = now;
-    r.cold_until = cold > Duration{} ? now + cold : Time{};
-    d.servers(now, {r});
-  }
-  Action one(Actions actions) {
-    BOOST_REQUIRE(actions.size() == 1);
-    return actions[0];
-  }
-  Actions ask(Duration left = 1s) { return d.arrive(now, {++id, &c->routes[0], &c->tenants[0], left}); }
-  std::string server_of(const Action& a) {
-    const auto* s = std::get_if<Send>(&a);
-    BOOST_REQUIRE(s != nullptr);
-    return d.known(s->server)->id;
-  }
-  Action end(Outcome o, bool whole = true) { return one(d.ended(now, id, o, 50ms, whole)); }
-
-  Time now{1h};
-  std::shared_ptr<const Configuration> c;
-  Decisions d;
-  RequestId id = 0;
-  std::uint64_t calls = 0;
-};
-
 BOOST_AUTO_TEST_SUITE(decisions_suite)
 
 BOOST_AUTO_TEST_CASE(given_servers_near_and_far_when_a_request_comes_then_it_goes_to_the_near_one) {
