--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -143,22 +143,26 @@
   return done();
 }
 
+void Decisions::give_unit_back(Time now, const Request& r) {
+  if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
+}
+
 void Decisions::send_on(Time now, RequestId id, Request& r) {
   if (now >= keys_valid_until()) {
-    if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
+    give_unit_back(now, r);
     return refuse(id, 503, back_off(r));
   }
   ServerHandle server = kNoServer;
   switch (servers_.choose(now, r.service, r.regions, r.tried, server)) {
     case Servers::Pick::server: return send(now, id, r, server);
     case Servers::Pick::none: {
-      if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
+      give_unit_back(now, r);
       return refuse(id, 503, back_off(r));
     }
     case Servers::Pick::full: break;
   }
   if (now >= r.place_until) {
-    if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
+    give_unit_back(now, r);
     return refuse(id, 503, back_off(r));
   }
   if (!std::exchange(r.parked, true)) parked_.push_back(id);
@@ -177,10 +181,13 @@
   const auto found = requests_.find(id);
   if (found == requests_.end()) return done();
   auto& r = found.value();
-  note_work_after_departure(now, r);
   servers_.ended(now, r.at, outcome, took);
   r.at = kNoServer;
-  if (outcome == Outcome::ok) {
+  if (r.client_left) {
+    note_end_after_departure(now, r, outcome);
+    if (proves_not_run(outcome) && !r.may_have_run) give_unit_back(now, r);
+    drop(id);
+  } else if (outcome == Outcome::ok) {
     out_.push_back(Relay{id});
     requests_.erase(id);
   } else {
@@ -197,7 +204,7 @@
     if (again) {
       send(now, id, r, server);
     } else if (!r.may_have_run) {
-      if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
+      give_unit_back(now, r);
       refuse(id, 503, back_off(r));
     } else {
       if (whole && outcome == Outcome::error) {
@@ -213,8 +220,20 @@
   return done();
 }
 
-void Decisions::note_work_after_departure(Time now, const Request& r) {
-  if (!r.client_left || now - *r.client_left <= kWentOnAfter) return;
+void Decisions::note_departure(Time now, Request& r) {
+  r.client_left = now;
+  if (!r.repeatable) ++departures_.not_repeatable;
+  if (r.at != kNoServer) {
+    ++departures_.at_server;
+  } else {
+    ++(r.parked ? departures_.waited_for_place : departures_.waited_for_units);
+  }
+}
+
+void Decisions::note_end_after_departure(Time now, const Request& r, Outcome outcome) {
+  if (outcome == Outcome::cancelled) ++departures_.cancelled;
+  if (outcome == Outcome::cancelled_unsent) ++departures_.cancelled_unsent;
+  if (now - *r.client_left <= kWentOnAfter) return;
   ++(r.repeatable ? departures_.went_on_repeatable : departures_.went_on_not_repeatable);
 }
 
@@ -222,16 +241,26 @@
   const auto found = requests_.find(id);
   if (found == requests_.end() || found->second.client_left) return done();
   auto& r = found.value();
-  r.client_left = now;
-  if (!r.repeatable) ++departures_.not_repeatable;
+  note_departure(now, r);
   if (r.at != kNoServer) {
-    ++departures_.at_server;
+    out_.push_back(Cancel{id, !r.repeatable});
+    return done();
+  }
+  if (r.parked) {
+    give_unit_back(now, r);
   } else {
-    ++(r.parked ? departures_.waited_for_place : departures_.waited_for_units);
+    units_.forget(r.tenant, id);
   }
+  drop(id);
+  after_units(now);
   return done();
 }
 
+void Decisions::drop(RequestId id) {
+  out_.push_back(Drop{id});
+  requests_.erase(id);
+}
+
 void Decisions::serve_parked(Time now) {
   if (parked_.empty()) return;
   const auto waiting = std::exchange(parked_, {});
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -1,6 +1,6 @@
 // Every decision of a proxy: which server a request goes to, whether it is sent again, what is refused.
 // Fronts carry bytes. Pure: events with their time go in, actions come out; the same seed and events give the
-// same actions. An arrived request gets exactly one final action (Refuse, Fail or Relay); each Send is
+// same actions. An arrived request gets exactly one final action (Refuse, Fail, Relay or Drop); each Send is
 // followed by one ended().
 #pragma once
 
@@ -45,10 +45,19 @@
 struct Relay {  // the last answer of a server, as it is
   RequestId request{};
 };
+struct Drop {  // its client has left: there is nobody to answer
+  RequestId request{};
+};
+// The attempt that is out is to be ended, `unsent_only`: if not a byte of it was written. ended() follows at once
+// where it was, with an outcome that says whether it had been sent.
+struct Cancel {
+  RequestId request{};
+  bool unsent_only = false;
+};
 struct RequestUnits {  // units, of the holder of the counts
   std::vector<UnitOrder> orders;
 };
-using Action = std::variant<Send, Refuse, Fail, Relay, RequestUnits>;
+using Action = std::variant<Send, Refuse, Fail, Relay, Drop, Cancel, RequestUnits>;
 using Actions = std::vector<Action>;
 
 namespace flow {  // complete before the tables of them
@@ -86,7 +95,8 @@
   Actions arrive(Time now, const Arrival& a);
   // `whole`: an answer of the server is at hand that can be relayed.
   Actions ended(Time now, RequestId id, Outcome outcome, Duration took, bool whole);
-  // The client has closed its connection, or it was closed on it: nobody waits for the answer any more.
+  // The client has closed its connection, or it was closed on it: nobody waits for the answer any more. What may run
+  // again ends wherever it is; what may not is still sent to nobody, and ends where a server is at work on it.
   Actions client_left(Time now, RequestId id);
   Actions granted(Time now, const UnitAnswer& answer);
   Actions grants_failed(Time now);
@@ -106,7 +116,10 @@
   void send_on(Time now, RequestId id, Request& r);
   void send(Time now, RequestId id, Request& r, ServerHandle server);
   void refuse(RequestId id, int status, Duration retry_after);
-  void note_work_after_departure(Time now, const Request& r);
+  void note_departure(Time now, Request& r);
+  void note_end_after_departure(Time now, const Request& r, Outcome outcome);
+  void give_unit_back(Time now, const Request& r);
+  void drop(RequestId id);
   void after_units(Time now);
   void serve_parked(Time now);
   Time keys_valid_until() const;
--- a/src/system/decisions/servers.cpp
+++ b/src/system/decisions/servers.cpp
@@ -21,6 +21,7 @@
 constexpr double kFull = 2.5;          // times its slots, as estimated, from which a server gets no more
 constexpr double kSilent = 6;  // times the usual answer without a word, with requests out: it is avoided
 constexpr Duration kSilentLeast = 700ms;
+constexpr Duration kSilenceKept = 2s;    // that it was silent to requests that were cancelled is remembered
 constexpr std::size_t kColdSharers = 5;  // proxies that may use a server while it is cold
 constexpr double kColdPart = 0.85;       // of its told rate that is used
 constexpr double kConnPart = 0.9;        // of max_conns that all proxies together may hold
@@ -30,7 +31,8 @@
 }  // namespace
 
 bool proves_not_run(Outcome o) {
-  return o == Outcome::not_run || o == Outcome::other_instance || o == Outcome::connect_failed;
+  return o == Outcome::not_run || o == Outcome::other_instance || o == Outcome::connect_failed ||
+         o == Outcome::cancelled_unsent;
 }
 
 Servers::Servers(Place self, std::map<std::string, std::string> regions_of_zones, const Bounds& bounds,
@@ -143,7 +145,7 @@
   s.known.listed = false;
   by_id_.erase(s.known.id);
   std::erase(services_[s.known.service].servers, h);
-  if (s.in_flight == 0) s.used = false, dropped_.push_back(h), free_.push_back(h);
+  release_if_unlisted(h);
 }
 
 const Servers::Known* Servers::known(ServerHandle server) const {
@@ -166,6 +168,20 @@
   return s.credit >= 1;
 }
 
+// How long requests have waited there without a word of it. Those of clients that left count as well: a server that
+// is dark would otherwise look idle as soon as its clients give up.
+Duration Servers::silence(Time now, const Server& s) {
+  const bool remembered = now - s.cancelled_at <= kSilenceKept;
+  return (remembered ? s.silent_before : Duration{}) + (s.in_flight > 0 ? now - s.silent_since : Duration{});
+}
+
+void Servers::note_cancelled(Time now, Server& s) {
+  if (s.in_flight > 0) return;
+  s.silent_before = now - s.cancelled_at <= kSilenceKept ? s.silent_before : Duration{};
+  s.silent_before += now - s.silent_since;
+  s.cancelled_at = now;
+}
+
 // Seconds that a request to it is expected to take, with the price of the way in seconds.
 double Servers::cost(Time now, const Server& s, const Service& service) {
   const double usual = service.usual > 0 ? service.usual : kFirstUsual;
@@ -176,10 +192,7 @@
   const double load = (s.in_flight + 1) * sharers / s.cap;
   double c = usual * s.slowness * (1 + 0.1 * load + std::max(0.0, load - kQueueFrom));
   c /= std::max(0.1, s.success);
-  if (s.in_flight > 0) {
-    const double silent = seconds(now - s.busy_since);
-    if (silent > std::max(kSilent * usual, seconds(kSilentLeast))) c *= 10;
-  }
+  if (seconds(silence(now, s)) > std::max(kSilent * usual, seconds(kSilentLeast))) c *= 10;
   if (s.known.zone != self_.zone) c += s.region == self_.region ? kSameRegion : kOtherRegion;
   return c * (1 + 0.05 * static_cast<double>(rng_() >> 11) * 0x1.0p-53);
 }
@@ -219,17 +232,21 @@
 void Servers::sent(Time now, ServerHandle server) {
   auto& s = servers_[server];
   if (is_cold(now, s)) s.credit -= 1;
-  if (s.in_flight++ == 0) s.busy_since = now;
+  if (s.in_flight++ == 0) s.silent_since = now;
 }
 
 void Servers::ended(Time now, ServerHandle server, Outcome outcome, Duration took) {
   if (server >= servers_.size() || !servers_[server].used) return;
   auto& s = servers_[server];
   if (s.in_flight > 0) --s.in_flight;
+  if (outcome == Outcome::cancelled || outcome == Outcome::cancelled_unsent) {
+    note_cancelled(now, s);
+    return release_if_unlisted(server);
+  }
   auto& service = services_[s.known.service];
   const bool good = outcome == Outcome::ok;
   const bool answered = good || outcome == Outcome::error || outcome == Outcome::not_run;
-  if (answered) s.busy_since = now;
+  if (answered) s.silent_since = now, s.silent_before = {};
   if (good) {
     const double t = seconds(took);
     service.usual += (service.usual == 0 ? 1 : kUsualGain) * (t - service.usual);
@@ -245,6 +262,11 @@
   }
   // Its address belongs to another: it ended without a word. A later beat of its own would list it again.
   if (outcome == Outcome::other_instance) unlist(server);
+  release_if_unlisted(server);
+}
+
+void Servers::release_if_unlisted(ServerHandle server) {
+  auto& s = servers_[server];
   if (!s.known.listed && s.in_flight == 0 && s.used)
     s.used = false, dropped_.push_back(server), free_.push_back(server);
 }
--- a/src/system/decisions/servers.hpp
+++ b/src/system/decisions/servers.hpp
@@ -32,6 +32,9 @@
   reset,           // the connection ended or was silent; it may have run
   garbled,         // no answer to this request; it may have run
   timeout,         // its time was up
+  // Ended here, as its client had left: says nothing of the server.
+  cancelled_unsent,  // before a byte of it was written; not run
+  cancelled,         // it may have run
 };
 bool proves_not_run(Outcome o);
 
@@ -54,7 +57,10 @@
   std::uint32_t cap = 1, in_flight = 0;
   Time heard{}, cold_until{}, unsure_since{};
   double success = 1, slowness = 1;
-  Time ejected_until{}, busy_since{};
+  Time ejected_until{};
+  Time silent_since{};       // with requests out: the last word of it, or when the first of them was sent
+  Duration silent_before{};  // it was silent so long to requests that were cancelled, since its last word
+  Time cancelled_at{};       // when the last of them was
   Duration ejection{};
   double credit = 0;
   Time credit_at{};
@@ -106,7 +112,10 @@
   bool may_take_cold(Time now, Server& s, const Service& service);
   void rank(Server& s) const;
   double cost(Time now, const Server& s, const Service& service);
+  static Duration silence(Time now, const Server& s);
+  static void note_cancelled(Time now, Server& s);
   void unlist(ServerHandle h);
+  void release_if_unlisted(ServerHandle server);  // as soon as nothing is out there
 
   Place self_;
   std::map<std::string, std::string> regions_;
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -81,15 +81,15 @@
   });
 }
 
-void Proxy::on_client_left(const std::shared_ptr<Session>& session) {
+void Proxy::on_ended(const std::shared_ptr<Session>& session) {
+  sessions_.erase(session);
+  if (!session->has_requests()) return;
   std::vector<decisions::RequestId> left;
   for (const auto& [id, exchange] : exchanges_)
     if (exchange.session == session) left.push_back(id);
   for (const auto id : left) carry_out(decisions_.client_left(clock_.now(), id));
 }
 
-void Proxy::on_ended(const std::shared_ptr<Session>& session) { sessions_.erase(session); }
-
 bool Proxy::is_repeatable(const Request& request) const {
   const auto* route = configuration_ ? configuration_->route(request.host, request.target) : nullptr;
   return route && route->kind != configuration::Kind::mutating;
@@ -125,6 +125,10 @@
     } else if (const auto* f = std::get_if<decisions::Fail>(&action)) {
       if (const auto x = exchanges_.extract(f->request))
         x.mapped().session->answer(x.mapped().number, {f->status});
+    } else if (const auto* drop = std::get_if<decisions::Drop>(&action)) {
+      exchanges_.erase(drop->request);
+    } else if (const auto* attempt = std::get_if<decisions::Cancel>(&action)) {
+      cancel(*attempt);
     } else if (const auto* relay = std::get_if<decisions::Relay>(&action)) {
       if (auto x = exchanges_.extract(relay->request))
         x.mapped().session->answer(x.mapped().number, std::move(x.mapped().last.reply),
@@ -148,18 +152,29 @@
   a.head += "Deadline: " + std::to_string(std::max(1u, millis(s.timeout))) +
             "\r\nWant-Instance: " + server->id + "\r\n";
   if (!x.tenant.empty()) a.head += "Tenant: " + x.tenant + "\r\n";
-  upstream_.start(std::move(a), [this, id = s.request](Answered answered) {
+  x.attempt = upstream_.start(std::move(a), [this, id = s.request](Answered answered) {
     const auto open = exchanges_.find(id);
     if (open == exchanges_.end()) return;
     const auto outcome = answered.outcome;
     const auto took = answered.took;
     const bool whole = answered.status != 0;
     open->second.last = std::move(answered);
-    carry_out(decisions_.ended(clock_.now(), id, outcome, took, whole));
-    for (const auto h : decisions_.dropped()) upstream_.forget(h);
+    end_attempt(id, outcome, took, whole);
   });
 }
 
+void Proxy::cancel(const decisions::Cancel& attempt) {
+  const auto open = exchanges_.find(attempt.request);
+  if (open == exchanges_.end()) return;
+  const auto outcome = upstream_.cancel(open->second.attempt, attempt.unsent_only);
+  if (outcome) end_attempt(attempt.request, *outcome, {}, false);
+}
+
+void Proxy::end_attempt(decisions::RequestId id, decisions::Outcome outcome, Duration took, bool whole) {
+  carry_out(decisions_.ended(clock_.now(), id, outcome, took, whole));
+  for (const auto h : decisions_.dropped()) upstream_.forget(h);
+}
+
 void Proxy::tick() {
   ticking_ = true;
   timers_.after(kTick, [this] {
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -27,7 +27,6 @@
   bool draining() const override { return draining_; }
   void on_request(const std::shared_ptr<Session>& session, std::uint64_t number, Request request) override;
   bool is_repeatable(const Request& request) const override;
-  void on_client_left(const std::shared_ptr<Session>& session) override;
   void on_ended(const std::shared_ptr<Session>& session) override;
 
   void on_changes(const fleet::ChangeLog& changes) override;
@@ -47,10 +46,13 @@
     std::string tenant;
     Time deadline{};
     Answered last;
+    Upstream::Handle attempt;
   };
   void accept();
   void carry_out(decisions::Actions actions);
   void send(const decisions::Send& s);
+  void cancel(const decisions::Cancel& attempt);
+  void end_attempt(decisions::RequestId id, decisions::Outcome outcome, Duration took, bool whole);
   void tick();
   void check_ready();
   void report();
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -1,5 +1,7 @@
 #include "system/proxy/session.hpp"
 
+#include <poll.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -12,6 +14,7 @@
 constexpr std::size_t kAhead = std::size_t{64} * 1024;  // bytes read behind requests that are under way
 constexpr std::size_t kTogether = 16;                   // requests of one connection under way
 constexpr Duration kWrite = std::chrono::seconds(20);
+constexpr Duration kCloseWatch = std::chrono::milliseconds(250);  // of a connection that is not read
 }  // namespace
 
 Session::Session(Host& host, snowknot::Timers& timers, Socket socket)
@@ -32,27 +35,46 @@
 }
 
 void Session::read() {
-  if (reading_ || closed_ || ended_ || (!slots_.empty() && in_.size() > kAhead)) return;
+  if (reading_ || closed_) return;
+  if (!slots_.empty() && in_.size() > kAhead) return watch_for_close();
   reading_ = true;
   // Not into in_ itself: what is behind a request is taken from it while a read is out.
   socket_.async_read_some(asio::buffer(chunk_),
                           [self = shared_from_this()](error_code failed, std::size_t n) {
                             self->reading_ = false;
                             if (self->closed_) return;
+                            if (failed) return self->close();
                             self->in_.append(self->chunk_.data(), n);
-                            if (failed) {
-                              self->ended_ = true;
-                              // What is under way is still answered: the client may have closed its half
-                              // only.
-                              if (self->slots_.empty()) return self->close();
-                              self->host_->on_client_left(self);
-                              return;
-                            }
-                            self->take();
                             self->read();
+                            self->take_in_next_turn();
                           });
 }
 
+// A close that came with the bytes is seen before: what a client has given up while this process stood still is not
+// begun.
+void Session::take_in_next_turn() {
+  if (std::exchange(taking_, true)) return;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->taking_ = false;
+    if (self->closed_) return;
+    self->take();
+    self->read();
+  });
+}
+
+// While nothing more is read, a close behind what was not read must show all the same.
+void Session::watch_for_close() {
+  if (std::exchange(watching_, true)) return;
+  timers_.after(kCloseWatch, [self = shared_from_this()] {
+    self->watching_ = false;
+    if (self->closed_) return;
+    pollfd state{self->socket_.native_handle(), POLLRDHUP, 0};
+    if (::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+      return self->close();
+    self->read();
+  });
+}
+
 // Hands over whole requests as long as there are any and they may be under way.
 void Session::take() {
   while (!closed_ && !whole_ && keep_ && slots_.size() < kTogether) {
@@ -176,7 +198,7 @@
   if (writing_ || closed_ || slots_.empty() || !slots_.front().done) return;
   auto& slot = slots_.front();
   const bool nothing_more = slots_.size() == 1 && in_.empty() && !whole_;
-  const bool last = slot.last || (ended_ && nothing_more) || (host_->draining() && nothing_more);
+  const bool last = slot.last || (host_->draining() && nothing_more);
   if (last) slot.reply.insert(slot.body_at, "Connection: close\r\n"), keep_ = false;
   out_ = std::move(slot.reply);
   writing_ = true;
@@ -198,7 +220,6 @@
         self->take();
         if (self->closed_) return;
         if (self->slots_.empty()) {
-          if (self->ended_) return self->close();
           const bool idle = self->in_.empty() && !self->in_body_;
           self->wait_for(idle ? self->host_->limits().idle_ms : self->host_->limits().header_ms, idle);
         }
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -1,4 +1,5 @@
 // A client's connection: whole requests are read and handed over in order; answers go out in that order.
+// A client that closes its sending half counts as gone, as its close can't be told from that of the whole connection.
 // Repeatable requests that are sent behind each other are under way together; any other one waits until it is
 // alone, as a client sends again, whatever its kind, what stands behind an answer that closes the connection.
 #pragma once
@@ -41,8 +42,7 @@
     virtual void on_request(const std::shared_ptr<Session>& session, std::uint64_t number,
                             Request request) = 0;
     virtual bool is_repeatable(const Request& request) const = 0;
-    // The client's sending half has ended with requests under way.
-    virtual void on_client_left(const std::shared_ptr<Session>& session) = 0;
+    // The connection has ended; of requests that are still under way nobody takes the answer.
     virtual void on_ended(const std::shared_ptr<Session>& session) = 0;
   };
   Session(Host& host, snowknot::Timers& timers, Socket socket);
@@ -53,9 +53,12 @@
   void answer(std::uint64_t number, const OwnAnswer& own);
   void drain();  // ends when nothing is under way
   void close();
+  bool has_requests() const { return !slots_.empty(); }  // under way
 
  private:
   void read();
+  void take_in_next_turn();
+  void watch_for_close();
   void take();
   bool take_body();
   void begin();
@@ -81,8 +84,8 @@
   bool whole_ = false;  // request_ is read, and waits to be alone
   stream::BodyDecoder decoder_;
   std::string body_;
-  bool reading_ = false, in_body_ = false, repeatable_ = true, keep_ = true, closed_ = false, ended_ = false,
-       writing_ = false;
+  bool reading_ = false, in_body_ = false, repeatable_ = true, keep_ = true, closed_ = false,
+       writing_ = false, taking_ = false, watching_ = false;
   snowknot::Timers::Handle limit_;
 };
 
--- a/src/system/proxy/upstream.cpp
+++ b/src/system/proxy/upstream.cpp
@@ -46,7 +46,10 @@
 
   void send() {
     const Time now = up->timers_.now();
-    if (now >= attempt.deadline || now >= attempt.valid_until) return end(Outcome::connect_failed);
+    if (now >= attempt.deadline || now >= attempt.valid_until)
+      return asio::post(socket.get_executor(),
+                        [self = shared_from_this()] { self->end(Outcome::connect_failed); });
+    sent = true;
     sent_at = now;
     skipped = 0;
     limit = up->timers_.at(attempt.deadline, [self = shared_from_this()] {
@@ -188,6 +191,12 @@
     told(std::move(a));
   }
 
+  void abandon() {
+    busy = false;
+    done = nullptr;
+    close();
+  }
+
   void close() {
     if (std::exchange(closed, true)) return;
     const auto self = shared_from_this();
@@ -207,7 +216,8 @@
   Time sent_at{};
   Duration keep_for = kIdle;
   snowknot::Timers::Handle limit;
-  bool busy = true, closed = false, surplus = false, writing = false, write_failed = false;
+  std::uint64_t number = 0;  // of the attempt
+  bool busy = true, sent = false, closed = false, surplus = false, writing = false, write_failed = false;
   std::size_t skipped = 0;
 };
 
@@ -221,7 +231,8 @@
   }
 }
 
-void Upstream::start(Attempt attempt, Done done) {
+Upstream::Handle Upstream::start(Attempt attempt, Done done) {
+  const auto number = ++attempts_;
   auto& pool = pools_[attempt.server];
   if (pool.address != attempt.address) {
     for (const auto& c : std::exchange(pool.idle, {})) c->close();
@@ -231,16 +242,28 @@
     const auto c = pool.idle.back();
     pool.idle.pop_back();
     timers_.cancel(c->limit);
-    c->busy = true, c->attempt = std::move(attempt), c->done = std::move(done);
+    c->number = number;
+    c->busy = true, c->sent = false, c->attempt = std::move(attempt), c->done = std::move(done);
     c->send();
-    return;
+    return {c, number};
   }
   const auto c = std::make_shared<Connection>(*this, attempt.server);
   all_.insert(c);
   ++open_;
+  c->number = number;
   c->attempt = std::move(attempt), c->done = std::move(done);
   c->sent_at = timers_.now();
   c->connect(c->attempt.address);
+  return {c, number};
+}
+
+std::optional<Outcome> Upstream::cancel(const Handle& attempt, bool unsent_only) {
+  const auto c = attempt.connection.lock();
+  if (!c || c->closed || !c->busy || c->number != attempt.number) return std::nullopt;
+  if (unsent_only && c->sent) return std::nullopt;
+  const auto outcome = c->sent ? Outcome::cancelled : Outcome::cancelled_unsent;
+  c->abandon();
+  return outcome;
 }
 
 void Upstream::forget(ServerHandle server) {
--- a/src/system/proxy/upstream.hpp
+++ b/src/system/proxy/upstream.hpp
@@ -1,9 +1,10 @@
 // Connections to servers: pools, one attempt at a time on each, and what an answer must show to be the one to
-// this request. Callbacks run on the io_context's thread, never from within start().
+// this request. Callbacks run on the io_context's thread, never from within start() or cancel().
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -38,16 +39,25 @@
 };
 
 class Upstream {
+  struct Connection;
+
  public:
   using Done = std::function<void(Answered)>;
+  // One attempt, until it has ended.
+  struct Handle {
+    std::weak_ptr<Connection> connection;
+    std::uint64_t number = 0;  // of the attempt: a connection serves one after another
+  };
   Upstream(boost::asio::io_context& io, snowknot::Timers& timers);
   ~Upstream();
-  void start(Attempt attempt, Done done);
+  Handle start(Attempt attempt, Done done);
+  // Ends an attempt and closes its connection; `done` is not called. `unsent_only`: only if not a byte of the request
+  // was written. The outcome tells whether any was; none: nothing was ended.
+  std::optional<Outcome> cancel(const Handle& attempt, bool unsent_only);
   void forget(ServerHandle server);  // closes its idle connections
   std::size_t connections() const { return open_; }
 
  private:
-  struct Connection;
   struct Pool {
     std::string address;
     std::vector<std::shared_ptr<Connection>> idle;
@@ -59,6 +69,7 @@
   std::unordered_map<ServerHandle, Pool> pools_;
   std::set<std::shared_ptr<Connection>> all_;
   std::size_t open_ = 0;
+  std::uint64_t attempts_ = 0;
 };
 
 }  // namespace docklift::proxy
