--- a/standins/system/server.hpp
+++ b/standins/system/server.hpp
@@ -90,6 +90,7 @@
       in.erase(0, r.used + length);
       const auto reply = (*script)(seen->back());
       if (!reply.hold) return write(reply);
+      holding = true;
       held->push_back([self = shared_from_this(), reply] { self->write(reply); });
       watch_caller();
     }
@@ -97,10 +98,11 @@
     void watch_caller() {
       socket.async_wait(Socket::wait_read, [self = shared_from_this()](boost::system::error_code failed) {
         boost::system::error_code broken;
-        if (!failed && self->socket.available(broken) == 0) ++*self->left;
+        if (!failed && self->holding && self->socket.available(broken) == 0) ++*self->left;
       });
     }
     void write(const Reply& reply) {
+      holding = false;
       out = reply.bytes;
       boost::asio::async_write(
           socket, boost::asio::buffer(out),
@@ -117,6 +119,7 @@
     std::shared_ptr<std::size_t> left;
     std::string in, out;
     std::uint64_t number = 0;
+    bool holding = false;  // an answer
     char chunk[4096];
   };
   void accept() {
