--- a/tests/system/transfer_test.cpp
+++ b/tests/system/transfer_test.cpp
@@ -578,6 +578,43 @@
   }
 }
 
+// Everything starts at once: sources learn what the core has at their own pace, a follower without a copy links to them,
+// and links end at any frame. Nothing new is agreed meanwhile, so that no later push makes up for a lost one.
+BOOST_AUTO_TEST_CASE(
+    given_a_start_of_everything_when_links_end_at_any_frame_then_the_copy_is_whole_without_news) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    std::mt19937_64 random(seed);
+    Net net(3, random() % 2 == 0 ? 2e6 : 1e9, random() % 2 == 0 ? 1ms : 55ms);
+    std::vector<std::pair<wire::Change, std::string>> history;
+    const auto changes = 1 + random() % 12;
+    for (std::uint64_t version = 1; version <= changes; ++version)
+      history.emplace_back(wire::Change::REPLACE,
+                           many_routes(version, version - 1, random() % 3 == 0 ? 300 : 3));
+    const auto learn = [&](std::size_t i) {
+      const auto at = net.sources[i].log.position();
+      if (at < history.size()) net.change_at(i, history[at].first, history[at].second);
+    };
+    for (std::size_t i = 0; i < 3; ++i)
+      for (auto known = random() % (history.size() + 1); known > 0; --known) learn(i);
+    for (int event = 0; event < 120; ++event) {
+      const auto i = random() % 3;
+      if (random() % 12 == 0) net.cut(i);
+      if (random() % 6 == 0) net.link(i);
+      if (random() % 4 == 0) learn(i);
+      net.run(std::chrono::milliseconds(random() % 4));
+    }
+    // From here on nothing ends any more; what was cut is linked again, and at least one source has all.
+    for (std::size_t n = 0; n < history.size(); ++n) learn(0);
+    for (std::size_t i = 0; i < 3; ++i) {
+      net.run(std::chrono::milliseconds(random() % 30));
+      net.link(i);
+    }
+    BOOST_TEST(
+        net.run_until([&] { return net.caught_up(); }, 10s),
+        "seed " << seed << " stands at " << net.follower.changes().position() << " of " << history.size());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
