Copies behind the core: watched, asked anew, and not gone by once they may be old

A proxy whose copy lacks a change that may have been acknowledged apply_ms ago answers 503 with when to come back and is not ready; one that only can't reach the core serves on. Ready needs a word of the core in this life.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -68,6 +68,10 @@
   return configuration_ && confirmed_at_ && now < *confirmed_at_ + from_millis(bounds_.apply_ms);
 }
 
+bool Decisions::is_outdated(Time now) const {
+  return behind_ && (!confirmed_at_ || now >= *confirmed_at_ + from_millis(bounds_.apply_ms));
+}
+
 // Until then no acknowledged change can have taken a key away for so long that its requests must not run.
 Time Decisions::keys_valid_until() const {
   if (!bounds_.strict_revoke || !configuration_ || !configuration_->has_tenants()) return Time::max();
@@ -117,7 +121,7 @@
     }
   }
   // Keys that were taken away must end here too, also where this proxy is cut off from the core.
-  if (now >= keys_valid_until() || homeless) {
+  if (now >= keys_valid_until() || is_outdated(now) || homeless) {
     out_.push_back(Refuse{a.request, 503, back_off(r)});
     return done();
   }
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -90,6 +90,8 @@
   Actions new_holder(Time now, std::uint64_t term);
   // As of `at`, a majority of the core knew of no configuration that is not here.
   void confirmed(Time at);
+  // Whether the configuration here is known to lack a change that was agreed.
+  void set_behind(bool behind) { behind_ = behind; }
 
   // ---- requests
   Actions arrive(Time now, const Arrival& a);
@@ -105,6 +107,9 @@
   // Whether "not allowed" may be told by the configuration here: only where it was the newest `apply_ms` ago at most.
   // A change that was acknowledged before allows what is asked for, perhaps.
   bool may_deny(Time now) const;
+  // The configuration here lacks a change that may have been acknowledged `apply_ms` ago: nothing is to be handled by
+  // it. One that only could not be confirmed, as the core is out of reach, is used on.
+  bool is_outdated(Time now) const;
 
   const Servers::Known* known(ServerHandle server) const { return servers_.known(server); }
   std::vector<ServerHandle> dropped() { return servers_.dropped(); }
@@ -135,6 +140,7 @@
   tsl::robin_map<RequestId, Request> requests_;
   std::vector<RequestId> parked_;
   std::optional<Time> confirmed_at_;
+  bool behind_ = false;
   DepartureCounts departures_;
   Actions out_;
 };
--- a/src/system/fleet/copy_lag.hpp
+++ b/src/system/fleet/copy_lag.hpp
@@ -17,17 +17,19 @@
   // The copy has come to `own_position`.
   void advanced(std::uint64_t own_position);
 
-  // Since when the copy has lacked something that it had been told of; none: it lacks nothing.
-  std::optional<Time> behind_since() const;
+  // Since when the copy has lacked something that it has been told of, also lately; none: it is not known to lack
+  // anything.
+  std::optional<Time> behind_since(Time now) const;
   // The newest position that was told.
   std::uint64_t newest() const { return newest_; }
 
  private:
-  struct Told {
-    Time at{};
+  struct Missing {
     std::uint64_t position = 0;
+    Time first_told{};
+    Time last_told{};  // of this position or a later one
   };
-  std::deque<Told> missing_;  // by position; the first one is what the copy lacks longest
+  std::deque<Missing> missing_;  // by position; the first one is what the copy has lacked longest
   std::uint64_t newest_ = 0;
 };
 
--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -11,7 +11,6 @@
 constexpr std::size_t kTokens = 64;      // that may still be answered: some half a minute's
 constexpr std::size_t kUnitCalls = 256;  // at once; an answer to an older one is void
 constexpr std::size_t kLinks = 3;        // registries that one proxy is linked to
-constexpr Duration kLagNoted = 1s;       // a copy that is behind for so long is told of in the log
 constexpr Duration kGivenUp = 2000ms;    // without a link for so long: another registry is linked instead
 }  // namespace
 
@@ -142,7 +141,8 @@
   const auto sent = confirm_tokens_.of(confirmed.getToken());
   if (!sent) return;
   const auto position = confirmed.getPosition();
-  lag_.told(clock_.now(), position, changes_.position());
+  follower_.on_core_at(clock_.now(), position);
+  tell_lag();
   if (!confirmation_.answered(*sent, position, changes_.position()))
     return follower_.on_core_behind(position);
   tell_confirmed();
@@ -150,7 +150,7 @@
 
 void ControlClient::on_log_advanced() {
   confirmation_.advanced(changes_.position());
-  lag_.advanced(changes_.position());
+  tell_lag();
   listener_.on_changes(changes_);
   tell_confirmed();
 }
@@ -163,21 +163,7 @@
   listener_.on_confirmed(*at);
 }
 
-// One line when the copy has stood behind the core for long, and one when it has caught up.
-void ControlClient::watch_lag() {
-  const Time now = clock_.now();
-  const auto since = lag_.behind_since();
-  const bool behind = since && now - *since >= kLagNoted;
-  if (behind == lag_noted_) return;
-  lag_noted_ = behind;
-  const auto own = "the copy here at change " + std::to_string(changes_.position());
-  if (behind) {
-    log_.warn("the core stands at change " + std::to_string(lag_.newest()) + ", " + own + " for " +
-              std::to_string(millis(now - *since)) + " ms; " + follower_.waits_for());
-  } else {
-    log_.info("has caught up: " + own);
-  }
-}
+void ControlClient::tell_lag() { listener_.on_behind(follower_.behind_since(clock_.now()).has_value()); }
 
 void ControlClient::tick() {
   timer_.expires_after(kRenew);
@@ -185,7 +171,8 @@
     if (failed_wait || stopped_) return;
     renew();
     choose_registries();
-    watch_lag();
+    follower_.watch(clock_.now());
+    tell_lag();
     tick();
   });
 }
--- a/src/system/proxy/control_client.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -14,7 +14,6 @@
 #include "system/decisions/units.hpp"
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/confirmation.hpp"
-#include "system/fleet/copy_lag.hpp"
 #include "system/net/link.hpp"
 #include "system/transfer/change_follower.hpp"
 
@@ -29,6 +28,8 @@
     virtual void on_proxies(const std::vector<std::string>& zone_and_id) = 0;
     // As of `at` the configuration here was the newest.
     virtual void on_confirmed(Time at) = 0;
+    // Whether the configuration here is known to lack a change that was agreed.
+    virtual void on_behind(bool behind) = 0;
     virtual void on_holder(bool reachable) = 0;
     virtual void on_new_holder(std::uint64_t term) = 0;
     virtual void on_grants(const decisions::UnitAnswer& answer) = 0;
@@ -56,7 +57,7 @@
   void on_confirmed(wire::Confirmed::Reader confirmed);
   void on_log_advanced();
   void tell_confirmed();
-  void watch_lag();
+  void tell_lag();
   std::uint64_t new_confirm_token();
   void request_confirmation(Link& link, std::uint64_t token);
   void send_to(const std::string& ip, fleet::Outgoing& out);
@@ -80,8 +81,6 @@
   std::uint64_t term_ = 0;
   SendTimes confirm_tokens_, unit_calls_;
   fleet::Confirmation confirmation_;
-  fleet::CopyLag lag_;
-  bool lag_noted_ = false;  // in the log
   bool reachable_ = false, confirmed_once_ = false;
   Timer timer_;
   bool stopped_ = false;
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -49,8 +49,7 @@
         io_, value(where), http::ServerLimits{},
         [this](const http::Call& call, const http::Server::Respond& respond) {
           if (call.path() != "/readyz") return respond({404, ""});
-          const bool serves = configuration_ && heard_servers_ && !draining_;
-          respond({serves ? 200 : 503, ""});
+          respond({serves() ? 200 : 503, ""});
         });
   }
   control_client_.start();
@@ -194,8 +193,23 @@
   });
 }
 
-void Proxy::check_ready() {
-  control_client_.set_state(configuration_ && heard_servers_ && !draining_, draining_);
+// With a configuration that was confirmed in this life and is not known to be old.
+bool Proxy::serves() const {
+  return configuration_ && confirmed_ && heard_servers_ && !draining_ &&
+         !decisions_.is_outdated(clock_.now());
+}
+
+void Proxy::check_ready() { control_client_.set_state(serves(), draining_); }
+
+void Proxy::on_confirmed(Time at) {
+  confirmed_ = true;
+  decisions_.confirmed(at);
+  check_ready();
+}
+
+void Proxy::on_behind(bool behind) {
+  decisions_.set_behind(behind);
+  check_ready();
 }
 
 void Proxy::on_changes(const fleet::ChangeLog& changes) {
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -32,7 +32,8 @@
   void on_changes(const fleet::ChangeLog& changes) override;
   void on_servers(const std::vector<fleet::Server>& changed) override;
   void on_proxies(const std::vector<std::string>& zone_and_id) override;
-  void on_confirmed(Time at) override { decisions_.confirmed(at); }
+  void on_confirmed(Time at) override;
+  void on_behind(bool behind) override;
   void on_holder(bool reachable) override;
   void on_new_holder(std::uint64_t term) override;
   void on_grants(const decisions::UnitAnswer& answer) override;
@@ -54,6 +55,7 @@
   void cancel(const decisions::Cancel& attempt);
   void end_attempt(decisions::RequestId id, decisions::Outcome outcome, Duration took, bool whole);
   void tick();
+  bool serves() const;
   void check_ready();
   void report();
   void say_last(std::function<void()> ended);
@@ -73,7 +75,7 @@
   std::unordered_map<decisions::RequestId, Exchange> exchanges_;
   decisions::RequestId last_id_ = 0;
   decisions::DepartureCounts reported_departures_;
-  bool draining_ = false, heard_servers_ = false, ticking_ = false;
+  bool draining_ = false, heard_servers_ = false, confirmed_ = false, ticking_ = false;
 };
 
 }  // namespace docklift::proxy
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -335,6 +335,7 @@
 }
 
 void Registry::end_read_barrier(Time begun, std::uint64_t position) {
+  follower_.on_core_at(clock_.now(), position);
   const bool was_confirmed = confirmed_once();
   if (!confirmation_.answered(begun, position, changes_.position()))
     return follower_.on_core_behind(position);
@@ -607,7 +608,10 @@
     lease_.observe_voters(now, {changes_.state().membership, voter_ips()}, confirmation_.at());
     if (const auto request = lease_.tick(now, draw_life() / 1'000'000, linked)) send_lease_request(*request);
     check_lease();
-    if (ticks_ % kBarrierTicks == 0) begin_read_barrier();
+    if (ticks_ % kBarrierTicks == 0) {
+      follower_.watch(now);
+      begin_read_barrier();
+    }
     feed_.expire(now);
     if (ticks_ % kFlushTicks == 0) flush();
     if (ticks_ % kSaveTicks == 0) save_records();
--- a/src/system/transfer/change_follower.cpp
+++ b/src/system/transfer/change_follower.cpp
@@ -1,6 +1,12 @@
 #include "system/transfer/change_follower.hpp"
 
 namespace docklift::transfer {
+namespace {
+using namespace std::chrono_literals;
+constexpr Duration kLagNoted = 1s;  // a copy that is behind for so long is told of in the log
+constexpr Duration
+    kStalled = 1500ms;  // behind, and neither a change nor a part of a snapshot: something was lost
+}  // namespace
 
 void ChangeFollower::follow(const std::string& source) {
   fleet::Outgoing out;
@@ -32,9 +38,11 @@
 
 ChangeFollower::News ChangeFollower::on_frame(Time now, const std::string& source,
                                               wire::Frame::Reader frame) {
-  if (frame.isChanges()) return on_batch(source, frame.getChanges());
-  if (frame.isSnapshotPart()) return on_part(now, source, frame.getSnapshotPart());
-  return News::none;
+  auto news = News::none;
+  if (frame.isChanges()) news = on_batch(source, frame.getChanges());
+  if (frame.isSnapshotPart()) news = on_part(now, source, frame.getSnapshotPart());
+  lag_.advanced(changes_.position());
+  return news;
 }
 
 ChangeFollower::News ChangeFollower::on_batch(const std::string& source, wire::ChangeBatch::Reader batch) {
@@ -91,10 +99,46 @@
   return news;
 }
 
+// ---- the watch on what is missing
+
+void ChangeFollower::on_core_at(Time now, std::uint64_t position) {
+  lag_.told(now, position, changes_.position());
+}
+
+void ChangeFollower::watch(Time now) {
+  if (changes_.position() != seen_position_ || receiver_.received() != seen_bytes_) progress_at_ = now;
+  seen_position_ = changes_.position();
+  seen_bytes_ = receiver_.received();
+  const auto since = lag_.behind_since(now);
+  if (!since) {
+    if (std::exchange(lag_noted_, false))
+      note_("has caught up with change " + std::to_string(seen_position_));
+    return;
+  }
+  if (now - *since >= kLagNoted && !std::exchange(lag_noted_, true)) note_lag(now, *since);
+  if (now - std::max(*since, progress_at_) >= kStalled) ask_anew(now);
+}
+
+void ChangeFollower::note_lag(Time now, Time since) {
+  note_("the core stands at change " + std::to_string(lag_.newest()) + ", the copy here at change " +
+        std::to_string(changes_.position()) + " for " + std::to_string(millis(now - since)) + " ms; " +
+        waits_for());
+}
+
+void ChangeFollower::ask_anew(Time now) {
+  note_("nothing has come for " + std::to_string(millis(kStalled)) + " ms; " + waits_for() +
+        "; all sources are asked anew");
+  progress_at_ = now;
+  pulled_.clear();
+  if (receiver_.fetching()) carry_out(receiver_.on_source_lost(now, receiver_.source()));
+  follow_all();
+}
+
 std::string ChangeFollower::waits_for() const {
   if (receiver_.paused()) return "no source is left for the snapshot that it fetches";
   if (receiver_.fetching())
-    return "fetches a snapshot, " + std::to_string(receiver_.received()) + " bytes so far";
+    return "fetches a snapshot from " + receiver_.source() + ", " + std::to_string(receiver_.received()) +
+           " bytes so far";
   if (!pulled_.empty()) return "waits for the next changes from " + pulled_;
   return "waits for news from " + std::to_string(sources_.size()) + " sources";
 }
--- a/src/system/transfer/change_follower.hpp
+++ b/src/system/transfer/change_follower.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "system/fleet/change_log.hpp"
+#include "system/fleet/copy_lag.hpp"
 #include "system/transfer/snapshot_receiver.hpp"
 
 namespace docklift::transfer {
@@ -30,9 +31,15 @@
   // The core has told that it stands at `position`, before what is here: this copy is given up for the core's.
   void on_core_behind(std::uint64_t position);
 
+  // A majority has told that the core stands at `position`.
+  void on_core_at(Time now, std::uint64_t position);
+  // To be called about each half second: a copy that stays behind what the core has told is noted, and where nothing
+  // comes any more all sources are asked anew.
+  void watch(Time now);
+  // Since when the copy has been known to lack something; none: it is not known to.
+  std::optional<Time> behind_since(Time now) const { return lag_.behind_since(now); }
+
   const fleet::ChangeLog& changes() const { return changes_; }
-  // What is under way, as a sentence for the log.
-  std::string waits_for() const;
 
  private:
   News on_batch(const std::string& source, wire::ChangeBatch::Reader batch);
@@ -40,6 +47,9 @@
   News on_other_history(const std::string& source);
   void give_up(const std::string& why);
   void carry_out(const SnapshotReceiver::Step& step);
+  void note_lag(Time now, Time since);
+  void ask_anew(Time now);
+  std::string waits_for() const;
   void follow(const std::string& source);
   void follow_all();
   bool catching_up() const { return (receiver_.fetching() && !receiver_.paused()) || !pulled_.empty(); }
@@ -49,7 +59,11 @@
   fleet::ChangeLog changes_;
   SnapshotReceiver receiver_;
   std::set<std::string> sources_;  // that are linked
-  std::string pulled_;             // the source that was asked for more batches; empty: none
+  fleet::CopyLag lag_;
+  bool lag_noted_ = false;
+  std::uint64_t seen_position_ = 0, seen_bytes_ = 0;  // at the last watch, of the copy and of a snapshot
+  Time progress_at_{};
+  std::string pulled_;  // the source that was asked for more batches; empty: none
 };
 
 }  // namespace docklift::transfer
--- a/src/system/transfer/snapshot_receiver.hpp
+++ b/src/system/transfer/snapshot_receiver.hpp
@@ -46,6 +46,7 @@
   bool fetching() const { return active_; }
   bool paused() const { return active_ && source_.empty(); }  // no source is left to fetch from
   bool fetching_from(const std::string& source) const { return active_ && source_ == source; }
+  const std::string& source() const { return source_; }  // empty: none is left
   std::uint64_t received() const { return bytes_.size(); }
 
  private:
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -250,6 +250,25 @@
   BOOST_TEST(std::holds_alternative<Refuse>(w.one(w.d.tick(w.now))));
 }
 
+BOOST_AUTO_TEST_CASE(
+    given_a_configuration_known_to_be_old_when_it_may_be_so_for_long_then_nothing_goes_by_it) {
+  World w;
+  w.list("one", "a1");
+  const Time confirmed = w.now;
+  const Duration bound = 2500ms;  // apply_ms
+  w.d.set_behind(true);
+  w.now = confirmed + bound - 1ms;
+  BOOST_TEST(std::holds_alternative<Send>(w.one(w.ask())));
+  w.now = confirmed + bound;
+  BOOST_TEST(std::get<Refuse>(w.one(w.ask())).status == 503);
+  // Not confirmed for as long, but not known to be old: the core is out of reach.
+  w.d.set_behind(false);
+  BOOST_TEST(std::holds_alternative<Send>(w.one(w.ask())));
+  w.d.set_behind(true);
+  w.d.confirmed(w.now - 1s);
+  BOOST_TEST(std::holds_alternative<Send>(w.one(w.ask())));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/system/transfer_test.cpp
+++ b/tests/system/transfer_test.cpp
@@ -53,6 +53,7 @@
     ChangeFeed feed;
     ChangeFeed::Follower peer;
     bool linked = false;
+    bool deaf = false;       // what is said to it is lost
     std::uint64_t link = 0;  // rises with each cut: what was under way is lost
     Time free_up{}, free_down{};
     std::uint64_t bytes_down = 0, frames_up = 0;
@@ -162,7 +163,7 @@
     ++s.frames_up;
     s.free_up = std::max(s.free_up, now) + time_for(words->asBytes().size());
     later(s.free_up + delay_, [this, i, words, link = s.link] {
-      if (sources[i].link != link) return;
+      if (sources[i].link != link || sources[i].deaf) return;
       capnp::FlatArrayMessageReader reader(words->asPtr());
       on_word(i, reader.getRoot<wire::Frame>());
     });
@@ -578,6 +579,32 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(given_a_copy_that_stays_behind_when_nothing_comes_then_all_sources_are_asked_anew) {
+  for (const std::size_t routes : {3, 400}) {  // one part, many parts
+    Net net(2);
+    net.change(wire::Change::REPLACE, many_routes(1, 0, routes));
+    net.link(0);
+    if (routes > 3) net.run_until([&] { return net.sources[0].bytes_down > 0; });
+    net.sources[0].deaf = true;
+    net.run(1s);
+    BOOST_TEST(net.follower.changes().position() == 0u);  // its question was lost, or that for further parts
+    const auto watched = [&](Duration time) {
+      for (const Time until = net.now + time; net.now < until; net.run(500ms)) {
+        net.follower.on_core_at(net.now, 1);
+        net.follower.watch(net.now);
+      }
+    };
+    net.sources[0].deaf = false;
+    watched(1s);
+    BOOST_TEST(net.follower.changes().position() == 0u);  // patience: a far source may be slow
+    BOOST_TEST(net.follower.behind_since(net.now).has_value());
+    watched(2s);
+    BOOST_TEST(net.follower.changes().position() == 1u);
+    BOOST_TEST(!net.follower.behind_since(net.now).has_value());
+    BOOST_TEST(net.notes.size() >= 3u);  // behind, asked anew, caught up
+  }
+}
+
 // Everything starts at once: sources learn what the core has at their own pace, a follower without a copy links to them,
 // and links end at any frame. Nothing new is agreed meanwhile, so that no later push makes up for a lost one.
 BOOST_AUTO_TEST_CASE(
