--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -57,6 +57,10 @@
   void when_at(std::uint64_t position, std::function<void(bool)> done);
 
  private:
+  static constexpr Duration kLease = std::chrono::milliseconds(
+      2500);                                  // a member that has not renewed is none
+  static constexpr std::size_t kRanges = 64;  // of ids, for digests
+
   struct Proxy {
     std::shared_ptr<Link> link;
     std::string id;
@@ -105,8 +109,14 @@
   std::vector<std::string> core_ips() const;
   std::vector<std::string> voter_ips() const;
   std::vector<std::string> linked_voters() const;
+  // A frame, filled by `fill`, to all registries that are linked.
   template <class Fill>
-  void to_registries(Fill fill);
+  void to_registries(Fill fill) {
+    fleet::Outgoing out;
+    fill(out.frame());
+    for (auto& [ip, d] : registries_)
+      if (d->up()) d->link()->send(out.message());
+  }
 
   boost::asio::io_context& io_;
   SystemSettings settings_;
