--- a/standins/system/server.hpp
+++ b/standins/system/server.hpp
@@ -54,6 +54,8 @@
     acceptor_.listen();
     accept();
   }
+  // Answers that are still held hold their sessions, and those this list.
+  ~Server() { const auto let_go = std::exchange(*held_, {}); }
   std::vector<Seen>& seen() { return *seen_; }
   // How many callers have closed their connection while their answer was held.
   std::size_t left() const { return *left_; }
@@ -123,16 +125,18 @@
     char chunk[4096];
   };
   void accept() {
-    acceptor_.async_accept([this](boost::system::error_code failed, Socket socket) {
-      if (failed) return;
-      const auto session = std::make_shared<Session>(std::move(socket), script_, seen_, held_, left_);
-      session->number = ++connections_;
-      session->read();
-      accept();
-    });
+    acceptor_.async_accept(
+        [this, alive = std::weak_ptr(alive_)](boost::system::error_code failed, Socket socket) {
+          if (failed || alive.expired()) return;
+          const auto session = std::make_shared<Session>(std::move(socket), script_, seen_, held_, left_);
+          session->number = ++connections_;
+          session->read();
+          accept();
+        });
   }
   Acceptor acceptor_;
   std::uint64_t connections_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::shared_ptr<Script> script_;
   std::shared_ptr<Held> held_ = std::make_shared<Held>();
   std::shared_ptr<std::size_t> left_ = std::make_shared<std::size_t>(0);
