Agreement: a read barrier's question goes out again on links that come up after it

Ruled out: readiness (proxies have the configuration at the same time), the lease (it follows the confirmation).

Change: Replica::linked asks a store that has not answered the present round. An answer that is stated later than others is stated after the round began, so the barrier holds as before.

--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -172,6 +172,7 @@
   bool heard_recently(const Peer& peer) const;
   std::string zone_of(const std::string& address) const;
   void request_statuses();
+  void ask_late(const std::string& address);
 
   // Change of voters (replica_membership.cpp).
   void propose_membership(Time now);
--- a/src/system/agreement/replica_quorum.cpp
+++ b/src/system/agreement/replica_quorum.cpp
@@ -18,12 +18,20 @@
 
 void Replica::linked(const std::string& address, const std::string& zone) {
   auto& peer = peers_[address];
-  peer.linked = true;
+  const bool was_linked = std::exchange(peer.linked, true);
+  if (!was_linked) ask_late(address);
   if (peer.zone == zone) return;
   peer.zone = zone;
   out_.write.zones.push_back({address, zone});
 }
 
+// A question of the present round that was put before the link stood was lost. What is answered later than the others
+// counts as well: it was stated after the round began.
+void Replica::ask_late(const std::string& address) {
+  const bool asks = confirming_ || !has_state();
+  if (asks && !statuses_.contains(address)) send_at_once(address, StatusRequest{status_round_});
+}
+
 void Replica::unlinked(const std::string& address) {
   if (const auto peer = peers_.find(address); peer != peers_.end()) peer->second.linked = false;
 }
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -722,6 +722,20 @@
   BOOST_TEST(found > 10u);
 }
 
+BOOST_AUTO_TEST_CASE(
+    given_a_store_whose_links_come_up_late_when_it_is_read_then_no_further_round_is_waited_for) {
+  CoreFleet f({"a", "a", "b"}, 1);
+  BOOST_TEST(f.put(0, 1, 0) == 200);
+  f.kill(2);
+  f.cut(0, 2), f.cut(1, 2);
+  f.start(2);
+  const auto read = f.propose(2, ChangeKind::nothing, "");  // its question reaches nobody
+  f.run(60ms);
+  BOOST_TEST(f.answers[read].status == 0);
+  f.heal();
+  BOOST_TEST(f.settled(read, 200ms) == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
