--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -41,10 +41,10 @@
     : io_(io),
       settings_(settings),
       replica_(options_of(settings, std::move(lost_voters)), std::move(kept)),
-      disk_(std::move(disk), [this](const Failure& why) { on_disk_lost(why); }),
       log_("store"),
       timer_(io.get_executor()),
-      leave_timer_(io.get_executor()) {}
+      leave_timer_(io.get_executor()),
+      disk_(std::move(disk), [this](const Failure& why) { on_disk_lost(why); }) {}
 
 void Store::start() {
   const auto ip = boost::asio::ip::make_address(settings_.bind_ip);
@@ -69,10 +69,10 @@
 // The process ends, and starts again as one whose disk was lost. On the disk's thread.
 void Store::on_disk_lost(const Failure& why) {
   log_.error(why.shown() + "; it is set aside");
-  boost::asio::post(io_, [this] {
+  boost::asio::post(io_, lifetime_.bind([this] {
     stop();
     io_.stop();
-  });
+  }));
 }
 
 void Store::set_seeds(const std::vector<std::string>& seeds) {
@@ -225,12 +225,12 @@
   }
   ++writes_out_;
   const auto later = std::make_shared<agreement::Out>(std::move(out));
-  disk_.write(std::move(write), [this, later] {
-    boost::asio::post(io_, [this, later] {
-      --writes_out_;
-      if (!stopped_) release(*later);
-    });
+  auto written = lifetime_.bind([this, later] {
+    --writes_out_;
+    if (!stopped_) release(*later);
   });
+  disk_.write(std::move(write),
+              [&io = io_, written]() mutable { boost::asio::post(io, std::move(written)); });
 }
 
 void Store::release(const agreement::Out& out) {
@@ -250,9 +250,9 @@
 
 void Store::send(const std::string& to, const agreement::Envelope& envelope) {
   if (to == settings_.bind_ip) {  // in a turn of its own: the agreement's calls must not nest
-    boost::asio::post(io_, [this, envelope] {
+    boost::asio::post(io_, lifetime_.bind([this, envelope] {
       if (!stopped_) carry_out(replica_.receive(clock_.now(), settings_.bind_ip, envelope));
-    });
+    }));
     return;
   }
   const auto it = stores_.find(to);
@@ -308,22 +308,22 @@
   leave_timer_.expires_after(replica_.may_end(clock_.now()) ? kLastWords : kTick);
   const bool ends = replica_.may_end(clock_.now());
   leave_timer_.async_wait(
-      [this, ends, ended = std::move(ended)](boost::system::error_code cancelled) mutable {
+      lifetime_.bind([this, ends, ended = std::move(ended)](boost::system::error_code cancelled) mutable {
         if (cancelled) return;
         if (!ends) return leave(std::move(ended));
         stop();
         ended();
-      });
+      }));
 }
 
 void Store::tick() {
   timer_.expires_after(kTick);
-  timer_.async_wait([this](boost::system::error_code failed_wait) {
+  timer_.async_wait(lifetime_.bind([this](boost::system::error_code failed_wait) {
     if (failed_wait || stopped_) return;
     feed_.expire(clock_.now());
     if (disk_.waiting() <= kWritesWaiting) carry_out(replica_.tick(clock_.now()));
     tick();
-  });
+  }));
 }
 
 }  // namespace docklift
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "system/agreement/replica.hpp"
+#include "system/base/lifetime.hpp"
 #include "system/base/log.hpp"
 #include "system/base/settings.hpp"
 #include "system/disk/disk.hpp"
@@ -72,7 +73,6 @@
   ReplicaChanges changes_{replica_};
   transfer::ChangeFeed feed_;            // of the registries, and of stores that need a snapshot
   transfer::SnapshotReceiver receiver_;  // of another store's snapshot
-  DiskThread disk_;
   Log log_;
   std::unique_ptr<LinkListener> listener_;
   std::map<std::string, std::shared_ptr<Dialer>> stores_;  // by ip
@@ -84,6 +84,8 @@
   Timer timer_, leave_timer_;
   bool stopped_ = false;
   bool leaving_ = false;
+  Lifetime lifetime_;
+  DiskThread disk_;  // the last member: its thread uses the others until it is joined
 };
 
 }  // namespace docklift
