Cold ranks on demand: a change of members costs a proxy no hash of each server

Ruled out: ranking in parts over several turns; few servers are cold. Change: a proxy is ranked for a server when it is cold and looked at, once for each list; the ids are hashed once. Connections for each proxy follow from the service, no longer from each server.

--- a/src/system/decisions/servers.cpp
+++ b/src/system/decisions/servers.cpp
@@ -28,6 +28,12 @@
 constexpr Duration kUnsure = 4s;  // a taken-back zone's server that tells nothing counts as cold for so long
 constexpr double kFirstUsual = 0.1;  // seconds, before the first answer
 
+std::uint64_t id_hash(std::string_view id) {
+  std::uint64_t h = 0;
+  for (const char c : id) h = mix(h ^ static_cast<unsigned char>(c));
+  return h;
+}
+
 }  // namespace
 
 bool proves_not_run(Outcome o) {
@@ -46,44 +52,41 @@
     auto& service = services_[s.name];
     service.cold_per_s = s.cold_per_s, service.max_conns = s.max_conns;
   }
-  set_proxies([&] {
-    std::vector<std::string> all;
-    for (const auto& [zone, id] : proxies_) {
-      all.push_back(zone);
-      all.back().append("/").append(id);
-    }
-    return all;
-  }());
 }
 
 void Servers::set_proxies(const std::vector<std::string>& zone_and_id) {
   proxies_.clear(), proxies_in_.clear();
   for (const auto& name : zone_and_id) {
     const auto slash = name.find('/');
-    if (slash != std::string::npos) proxies_.emplace_back(name.substr(0, slash), name.substr(slash + 1));
+    if (slash == std::string::npos) continue;
+    const auto id = name.substr(slash + 1);
+    proxies_.push_back({name.substr(0, slash), id_hash(id)});
   }
-  if (std::ranges::find(proxies_, self_.id, &std::pair<std::string, std::string>::second) == proxies_.end())
-    proxies_.emplace_back(self_.zone, self_.id);
-  for (const auto& [zone, id] : proxies_) ++proxies_in_[zone];
-  for (auto& s : servers_)
-    if (s.used) rank(s);
+  if (std::ranges::find(proxies_, id_hash(self_.id), &ProxyMember::hash) == proxies_.end())
+    proxies_.push_back({self_.zone, id_hash(self_.id)});
+  for (const auto& proxy : proxies_) ++proxies_in_[proxy.zone];
+  ++proxies_generation_;
 }
 
-// Which proxies use a server while it is cold, and how many connections each may hold there.
-void Servers::rank(Server& s) const {
-  const auto score = [&](const std::pair<std::string, std::string>& p) {
-    std::uint64_t h = 0;
-    for (const char c : s.known.id + "/" + p.second) h = mix(h ^ static_cast<unsigned char>(c));
-    return std::pair(p.first != s.known.zone, h);  // those of its own zone first
+// Whether this proxy is one of those that use a server while it is cold: rendezvous hashing, those of the server's own
+// zone first. Ranked when it is asked for: of all servers few are cold, and the members change often.
+bool Servers::shares_cold(Server& s) const {
+  if (s.ranked_generation == proxies_generation_) return s.sharer;
+  const auto server = id_hash(s.known.id);
+  const auto score = [&](const ProxyMember& p) {
+    return std::pair(p.zone != s.known.zone, mix(server ^ p.hash));
   };
-  const auto own = score({self_.zone, self_.id});
+  const auto own = score({self_.zone, id_hash(self_.id)});
   const auto before = std::ranges::count_if(proxies_, [&](const auto& p) { return score(p) < own; });
   s.sharer = static_cast<std::size_t>(before) < kColdSharers;
-  const auto service = services_.find(s.known.service);
-  const double all = service == services_.end() ? 0 : service->second.max_conns;
-  s.known.max_conns = all <= 0 ? 0
-                               : static_cast<std::uint32_t>(
-                                     std::max(1.0, kConnPart * all / static_cast<double>(proxies_.size())));
+  s.ranked_generation = proxies_generation_;
+  return s.sharer;
+}
+
+// Requests that this proxy may have at one server of the service at once.
+double Servers::connections_allowed(const Service& service) const {
+  if (service.max_conns == 0) return std::numeric_limits<double>::infinity();
+  return std::max(1.0, std::floor(kConnPart * service.max_conns / static_cast<double>(proxies_.size())));
 }
 
 void Servers::set_evacuated(const std::vector<std::string>& zones) { evacuated_ = zones; }
@@ -120,7 +123,6 @@
       s.credit = static_cast<double>(rng_() >> 11) * 0x1.0p-53, s.credit_at = now;
       by_id_[r.id] = h;
       services_[r.service].servers.push_back(h);
-      rank(s);
     } else {
       h = found->second;
       if (r.calls < servers_[h].calls) continue;
@@ -160,7 +162,7 @@
 // request at most.
 bool Servers::may_take_cold(Time now, Server& s, const Service& service) {
   if (service.cold_per_s <= 0) return true;
-  if (!s.sharer) return false;
+  if (!shares_cold(s)) return false;
   const double sharers = static_cast<double>(std::min(kColdSharers, proxies_.size()));
   const double rate = kColdPart * service.cold_per_s / sharers;
   s.credit = std::min(1.0, s.credit + rate * seconds(now - s.credit_at));
@@ -202,6 +204,7 @@
   const auto found = services_.find(name);
   if (found == services_.end()) return Pick::none;
   const auto& service = found->second;
+  const double connections = connections_allowed(service);
   bool any = false;
   double best = std::numeric_limits<double>::infinity();
   double best_bad = best;
@@ -215,7 +218,7 @@
     if (std::ranges::find(tried, h) != tried.end()) continue;
     any = true;
     if (is_cold(now, s) && !may_take_cold(now, s, service)) continue;
-    if (s.known.max_conns > 0 && s.in_flight >= s.known.max_conns) continue;
+    if (s.in_flight >= connections) continue;
     if (s.in_flight >= kFull * s.cap) continue;
     const double c = cost(now, s, service);
     if (now < s.ejected_until) {
--- a/src/system/decisions/servers.hpp
+++ b/src/system/decisions/servers.hpp
@@ -45,7 +45,6 @@
 struct Known {
   std::string id, address, service, zone;
   bool listed = false;
-  std::uint32_t max_conns = 0;  // of this proxy; 0: no bound
 };
 
 namespace servers {  // complete before the tables of them
@@ -64,14 +63,19 @@
   Duration ejection{};
   double credit = 0;
   Time credit_at{};
-  bool sharer = false;  // may send to it while it is cold
-  bool used = false;    // the slot
+  bool sharer = false;                  // may send to it while it is cold
+  std::uint64_t ranked_generation = 0;  // of the proxies, as of which `sharer` holds; 0: none
+  bool used = false;                    // the slot
 };
 struct Service {
   std::vector<ServerHandle> servers;
   double usual = 0;  // seconds: EWMA of answers
   double cold_per_s = 0;
-  std::uint32_t max_conns = 0;
+  std::uint32_t max_conns = 0;  // at each server, of all proxies together; 0: no bound
+};
+struct ProxyMember {
+  std::string zone;
+  std::uint64_t hash = 0;  // of its id
 };
 }  // namespace servers
 
@@ -108,9 +112,11 @@
  private:
   using Server = servers::Server;
   using Service = servers::Service;
+  using ProxyMember = servers::ProxyMember;
   bool is_cold(Time now, const Server& s) const;
   bool may_take_cold(Time now, Server& s, const Service& service);
-  void rank(Server& s) const;
+  bool shares_cold(Server& s) const;
+  double connections_allowed(const Service& service) const;
   double cost(Time now, const Server& s, const Service& service);
   static Duration silence(Time now, const Server& s);
   static void note_cancelled(Time now, Server& s);
@@ -125,7 +131,8 @@
   std::vector<ServerHandle> free_, dropped_;
   tsl::robin_map<std::string, ServerHandle> by_id_;
   tsl::robin_map<std::string, Service> services_;
-  std::vector<std::pair<std::string, std::string>> proxies_;  // zone, id
+  std::vector<ProxyMember> proxies_;
+  std::uint64_t proxies_generation_ = 0;  // how often they were told
   std::map<std::string, std::size_t> proxies_in_;
   std::vector<std::string> evacuated_;
 };
