Links send frames that are encoded once and shared

Cause: a registry encoded a message anew for each of its proxies, 295 of them, and kept a copy in each queue. Ruled out: packed encoding; it costs more time than it saves here. Change: encode() gives a shared frame, Link::send takes it.

--- a/src/system/net/link.cpp
+++ b/src/system/net/link.cpp
@@ -12,6 +12,7 @@
 
 namespace docklift {
 namespace {
+constexpr std::size_t kLengthBytes = 4;         // before each frame, lowest byte first
 constexpr std::size_t kPieceBytes = 32u << 10;  // 0.13 s at 2 Mbit/s
 }  // namespace
 namespace asio = boost::asio;
@@ -44,17 +45,21 @@
   tick();
 }
 
-void Link::send(capnp::MessageBuilder& message) {
-  if (!open_) return;
+EncodedFrame encode(capnp::MessageBuilder& message) {
   const auto words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
-  if (queued_ + bytes.size() > limits_.queued_bytes) return fail("send", "the peer does not read");
   const auto n = static_cast<std::uint32_t>(bytes.size());
-  std::string out(4 + bytes.size(), '\0');
-  for (std::size_t i = 0; i < 4; ++i) out[i] = static_cast<char>((n >> (8 * i)) & 0xff);
-  std::memcpy(out.data() + 4, bytes.begin(), bytes.size());
-  queued_ += out.size();
-  out_.push_back(std::move(out));
+  const auto out = std::make_shared<std::string>(kLengthBytes + bytes.size(), '\0');
+  for (std::size_t i = 0; i < kLengthBytes; ++i) (*out)[i] = static_cast<char>((n >> (8 * i)) & 0xff);
+  std::memcpy(out->data() + kLengthBytes, bytes.begin(), bytes.size());
+  return out;
+}
+
+void Link::send(EncodedFrame frame) {
+  if (!open_) return;
+  if (queued_ + frame->size() > limits_.queued_bytes) return fail("send", "the peer does not read");
+  queued_ += frame->size();
+  out_.push_back(std::move(frame));
   if (writing_) return;
   // What is said in one turn of the loop goes out together.
   writing_ = true;
@@ -68,7 +73,7 @@
   out_.clear();
   std::vector<asio::const_buffer> buffers;
   buffers.reserve(sending_.size());
-  for (const auto& s : sending_) buffers.push_back(asio::buffer(s));
+  for (const auto& frame : sending_) buffers.push_back(asio::buffer(*frame));
   asio::async_write(socket_, buffers, [self = shared_from_this()](error_code failed, std::size_t sent) {
     self->queued_ -= std::min(self->queued_, sent);
     if (failed) return self->fail("write", failed.message());
--- a/src/system/net/link.hpp
+++ b/src/system/net/link.hpp
@@ -41,6 +41,10 @@
   std::size_t frame_bytes = 96u << 20, queued_bytes = 128u << 20;
 };
 
+// A frame as it goes on the wire, with its length. Shared by the links that it is sent on.
+using EncodedFrame = std::shared_ptr<const std::string>;
+EncodedFrame encode(capnp::MessageBuilder& message);
+
 class Link : public std::enable_shared_from_this<Link> {
  public:
   using OnFrame = std::function<void(wire::Frame::Reader)>;
@@ -50,7 +54,8 @@
   ~Link();
 
   void start(OnFrame on_frame, OnClosed on_closed);
-  void send(capnp::MessageBuilder& message);  // taken at once; copied
+  void send(capnp::MessageBuilder& message) { send(encode(message)); }
+  void send(EncodedFrame frame);
   void close();
   bool open() const { return open_; }
   const std::string& peer() const { return peer_; }  // its ip
@@ -74,8 +79,8 @@
   std::chrono::steady_clock::time_point heard_{}, said_{};
   unsigned char length_[4] = {};
   std::vector<capnp::word> body_;
-  std::deque<std::string> out_;
-  std::vector<std::string> sending_;
+  std::deque<EncodedFrame> out_;
+  std::vector<EncodedFrame> sending_;
   std::size_t queued_ = 0;
 };
 
