Members are told as changes, news of servers every 20 ms

Each beat of a server that is new went to each proxy as a message of its own. Ruled out: counts by zone in place of names: cold servers are shared out by name. Change: fleet/members: ToldMembers tells what has changed, MemberViews holds who is a member for any registry that is linked; the whole list goes out once on each link. Changed servers are gathered for 20 ms.

--- /dev/null
+++ b/src/system/fleet/members.cpp
@@ -0,0 +1,67 @@
+#include "system/fleet/members.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace docklift::fleet {
+
+MemberChange ToldMembers::update(std::set<std::string> members) {
+  MemberChange change;
+  std::ranges::set_difference(members, all_, std::back_inserter(change.joined));
+  std::ranges::set_difference(all_, members, std::back_inserter(change.left));
+  all_ = std::move(members);
+  return change;
+}
+
+bool MemberViews::replace(const std::string& source, std::set<std::string> members) {
+  auto& view = views_[source];
+  const auto before = std::exchange(view, std::move(members));
+  bool changed = false;
+  for (const auto& member : view) changed |= add(member);  // first: who stays is at no time missing
+  for (const auto& member : before) changed |= remove(member);
+  const auto lost = std::exchange(lost_, {});
+  if (!lost.empty() && lost != source) changed |= forget(lost);
+  return changed;
+}
+
+bool MemberViews::change(const std::string& source, const MemberChange& change) {
+  const auto view = views_.find(source);
+  if (view == views_.end()) return false;
+  bool changed = false;
+  for (const auto& member : change.joined)
+    if (view->second.insert(member).second) changed |= add(member);
+  for (const auto& member : change.left)
+    if (view->second.erase(member) > 0) changed |= remove(member);
+  return changed;
+}
+
+bool MemberViews::forget(const std::string& source) {
+  if (views_.size() < 2) {
+    if (views_.contains(source)) lost_ = source;
+    return false;
+  }
+  const auto view = views_.extract(source);
+  if (!view) return false;
+  bool changed = false;
+  for (const auto& member : view.mapped()) changed |= remove(member);
+  return changed;
+}
+
+std::vector<std::string> MemberViews::all() const {
+  std::vector<std::string> members;
+  members.reserve(views_with_.size());
+  for (const auto& [member, views] : views_with_) members.push_back(member);
+  return members;
+}
+
+bool MemberViews::add(const std::string& member) { return ++views_with_[member] == 1; }
+
+bool MemberViews::remove(const std::string& member) {
+  const auto views = views_with_.find(member);
+  if (--views->second > 0) return false;
+  views_with_.erase(views);
+  return true;
+}
+
+}  // namespace docklift::fleet
--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -95,6 +95,7 @@
         log_.debug(why.shown());
         follower_.on_lost(clock_.now(), ip);
         failing_since_.try_emplace(ip, clock_.now());
+        if (proxies_.forget(ip)) listener_.on_proxies(proxies_.all());
         check_holder();
       });
   links_[ip] = dialer;
@@ -229,6 +230,19 @@
   listener_.on_grants(grants);
 }
 
+// Whether the live proxies have changed.
+bool ControlClient::take_members(const std::string& ip, wire::Fleet::Reader f) {
+  if (f.getProxies().size() > 0) {
+    std::set<std::string> proxies;
+    for (const auto p : f.getProxies()) proxies.emplace(p.cStr());
+    return proxies_.replace(ip, std::move(proxies));
+  }
+  fleet::MemberChange change;
+  for (const auto p : f.getProxiesJoined()) change.joined.emplace_back(p.cStr());
+  for (const auto p : f.getProxiesLeft()) change.left.emplace_back(p.cStr());
+  return !change.empty() && proxies_.change(ip, change);
+}
+
 void ControlClient::on_fleet(const std::string& ip, wire::Fleet::Reader f) {
   const Time now = clock_.now();
   if (f.getServers().size() > 0) {
@@ -236,11 +250,7 @@
     for (const auto s : f.getServers()) changed.push_back(fleet::get(s, now));
     listener_.on_servers(changed);
   }
-  if (f.getProxies().size() > 0) {
-    std::vector<std::string> proxies;
-    for (const auto p : f.getProxies()) proxies.emplace_back(p.cStr());
-    if (proxies != proxies_) listener_.on_proxies(proxies_ = proxies);
-  }
+  if (take_members(ip, f)) listener_.on_proxies(proxies_.all());
   if (f.getRegistries().size() > 0)
     for (const auto r : f.getRegistries())
       if (std::ranges::find(registries_, r.cStr()) == registries_.end()) registries_.emplace_back(r.cStr());
--- a/src/system/proxy/control_client.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -14,6 +14,7 @@
 #include "system/decisions/units.hpp"
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/confirmation.hpp"
+#include "system/fleet/members.hpp"
 #include "system/net/link.hpp"
 #include "system/transfer/change_follower.hpp"
 
@@ -52,6 +53,7 @@
   bool fails_for_long(const std::string& ip) const;
   void leave_failing();
   void on_frame(const std::string& ip, wire::Frame::Reader frame);
+  bool take_members(const std::string& ip, wire::Fleet::Reader f);
   void on_fleet(const std::string& ip, wire::Fleet::Reader f);
   void on_unit_grants(const std::string& ip, wire::UnitGrants::Reader answer);
   void on_confirmed(wire::Confirmed::Reader confirmed);
@@ -76,7 +78,7 @@
   std::map<std::string, std::shared_ptr<Dialer>> links_;  // by ip
   std::map<std::string, Time> failing_since_;             // of links_: since when nothing came
   std::vector<std::string> registries_;  // as they have told, those first that were linked first
-  std::vector<std::string> proxies_;
+  fleet::MemberViews proxies_;           // by registry
   std::string holder_;
   std::uint64_t term_ = 0;
   SendTimes confirm_tokens_, unit_calls_;
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -31,6 +31,7 @@
       lease_(lease::Terms{}, settings.bind_ip, draw_life(), settings.bootstrap, clock_.now()),
       counts_({settings.bounds.quota_win_s, settings.bounds.quota_excess, settings.bounds.quota_slack}),
       record_cache_(std::move(record_cache)),
+      news_timer_(io.get_executor()),
       timer_(io.get_executor()) {
   self_.id = settings.hostname, self_.zone = settings.zone, self_.address = settings.bind_ip;
   self_.role = fleet::Role::REGISTRY, self_.life = draw_life(), self_.ready = true;
@@ -166,7 +167,7 @@
       node.heard = now;
       lease_.observe_term(node.term);
       if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
-        auto& p = proxies_[link.get()] = {link, node.id, {}, {}, false};
+        auto& p = proxies_[link.get()] = {link, node.id, {}, {}, false, false};
         tell_all_servers(p);
         if (!first_proxy_at_) first_proxy_at_ = now;
       }
@@ -294,14 +295,15 @@
   told_term_ = lease_.term();
   fleet::Outgoing out;
   fill(out.frame().initFleet());
-  for (auto& [link, p] : proxies_) p.link->send(out.message());
+  const auto frame = encode(out.message());
+  for (auto& [link, p] : proxies_) p.link->send(frame);
 }
 
 // ---- time ----------------------------------------------------------------------------------------
 
 void Registry::tick() {
   timer_.expires_after(kTick);
-  timer_.async_wait([this](boost::system::error_code failed_wait) {
+  timer_.async_wait(lifetime_.bind([this](boost::system::error_code failed_wait) {
     if (failed_wait || stopped_) return;
     const Time now = clock_.now();
     ++ticks_;
@@ -356,7 +358,7 @@
     });
     for (const auto& done : late) done(false);
     tick();
-  });
+  }));
 }
 
 void Registry::stop(std::function<void()> ended) {
@@ -369,6 +371,8 @@
   if (const auto request = lease_.release(now, successor)) send_lease_request(*request);
   self_.leaving = true, self_.ready = false;
   flush();
+  news_timer_.cancel();
+  if (!server_news_.empty()) send_server_news();
   stopped_ = true;
   timer_.expires_after(300ms);
   timer_.async_wait([this, ended = std::move(ended)](boost::system::error_code) {
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -10,12 +10,14 @@
 #include <set>
 #include <string>
 
+#include "system/base/lifetime.hpp"
 #include "system/base/log.hpp"
 #include "system/base/settings.hpp"
 #include "system/counts/counts.hpp"
 #include "system/disk/record_cache.hpp"
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/confirmation.hpp"
+#include "system/fleet/members.hpp"
 #include "system/fleet/records.hpp"
 #include "system/lease/holder_lease.hpp"
 #include "system/net/link.hpp"
@@ -67,6 +69,7 @@
     transfer::ChangeFeed::Follower changes{};
     fleet::ConfirmRequests confirm_requests;
     bool asked_to_confirm = false;
+    bool knows_members = false;  // was told all of them
   };
   struct Pending {
     configuration::ChangeKind kind{};
@@ -95,7 +98,10 @@
   bool is_abandoned(const Pending& p) const;
   void tell_servers(const std::vector<fleet::Server>& changed);
   void tell_all_servers(Proxy& p);
+  void send_server_news();
   void tell_members();
+  void send_member_change(const fleet::MemberChange& change);
+  void send_all_members();
   void bring_proxies_up_to_date();
   void on_first_confirmation();
   void fill(wire::Fleet::Builder to);
@@ -114,8 +120,9 @@
   void to_registries(Fill fill) {
     fleet::Outgoing out;
     fill(out.frame());
+    const auto frame = encode(out.message());
     for (auto& [ip, d] : registries_)
-      if (d->up()) d->link()->send(out.message());
+      if (d->up()) d->link()->send(frame);
   }
 
   boost::asio::io_context& io_;
@@ -143,14 +150,18 @@
   std::uint64_t counting_term_ = 0;
   std::uint64_t told_term_ = 0;
   bool members_changed_ = false, servers_changed_ = false;
+  fleet::ToldMembers told_proxies_;
+  std::vector<std::string> told_registries_;
+  std::map<std::string, fleet::Server> server_news_;  // by id, to be told to the proxies
   std::unique_ptr<RecordCache> record_cache_;
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t calls_ = 0;
   std::vector<std::tuple<std::uint64_t, Time, std::function<void(bool)>>> waiting_;
-  Timer timer_;
+  Timer news_timer_, timer_;
   std::uint64_t ticks_ = 0;
   fleet::Node self_;
   bool stopped_ = false;
+  Lifetime lifetime_;
 };
 
 }  // namespace docklift
--- a/src/system/registry/registry_records.cpp
+++ b/src/system/registry/registry_records.cpp
@@ -8,6 +8,17 @@
 #include "system/registry/registry.hpp"
 
 namespace docklift {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Duration kNewsDelay = 20ms;
+
+void put(capnp::List<capnp::Text>::Builder to, const auto& texts) {
+  unsigned i = 0;
+  for (const std::string& text : texts) to.set(i++, text);
+}
+
+}  // namespace
 
 using fleet::Merged;
 
@@ -76,15 +87,29 @@
   to.setPosition(confirmed_once() ? changes_.position() : 0);
 }
 
+// What changes within kNewsDelay goes out as one message.
 void Registry::tell_servers(const std::vector<fleet::Server>& changed) {
-  const Time now = clock_.now();
   servers_changed_ = true;
+  const bool due = !server_news_.empty();
+  for (const auto& server : changed) server_news_.insert_or_assign(server.id, server);
+  if (due || server_news_.empty()) return;
+  news_timer_.expires_after(kNewsDelay);
+  news_timer_.async_wait(lifetime_.bind([this](boost::system::error_code failed_wait) {
+    if (!failed_wait) send_server_news();
+  }));
+}
+
+void Registry::send_server_news() {
+  const Time now = clock_.now();
+  const auto news = std::exchange(server_news_, {});
   fleet::Outgoing out;
   auto f = out.frame().initFleet();
   fill(f);
-  auto list = f.initServers(static_cast<unsigned>(changed.size()));
-  for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], changed[i], now);
-  for (auto& [link, p] : proxies_) p.link->send(out.message());
+  auto list = f.initServers(static_cast<unsigned>(news.size()));
+  unsigned i = 0;
+  for (const auto& [id, server] : news) fleet::put(list[i++], server, now);
+  const auto frame = encode(out.message());
+  for (auto& [link, p] : proxies_) p.link->send(frame);
 }
 
 void Registry::tell_all_servers(Proxy& p) {
@@ -99,21 +124,42 @@
 }
 
 void Registry::tell_members() {
-  fleet::Outgoing out;
-  auto f = out.frame().initFleet();
-  fill(f);
-  std::vector<std::string> proxies;
+  std::set<std::string> proxies;
   std::vector<std::string> registries{settings_.bind_ip};
   for (const auto& [id, n] : nodes_.all()) {
-    if (n.role == fleet::Role::PROXY) proxies.push_back(n.zone + "/" + id);
+    if (n.role == fleet::Role::PROXY) proxies.insert(n.zone + "/" + id);
     if (n.role == fleet::Role::REGISTRY && !n.leaving && n.address != settings_.bind_ip)
       registries.push_back(n.address);
   }
-  auto p = f.initProxies(static_cast<unsigned>(proxies.size()));
-  for (unsigned i = 0; i < p.size(); ++i) p.set(i, proxies[i]);
-  auto r = f.initRegistries(static_cast<unsigned>(registries.size()));
-  for (unsigned i = 0; i < r.size(); ++i) r.set(i, registries[i]);
-  for (auto& [link, proxy] : proxies_) proxy.link->send(out.message());
+  const auto change = told_proxies_.update(std::move(proxies));
+  const bool registries_changed = std::exchange(told_registries_, registries) != registries;
+  if (!change.empty() || registries_changed) send_member_change(change);
+  send_all_members();
+}
+
+void Registry::send_member_change(const fleet::MemberChange& change) {
+  fleet::Outgoing out;
+  auto f = out.frame().initFleet();
+  fill(f);
+  put(f.initProxiesJoined(static_cast<unsigned>(change.joined.size())), change.joined);
+  put(f.initProxiesLeft(static_cast<unsigned>(change.left.size())), change.left);
+  put(f.initRegistries(static_cast<unsigned>(told_registries_.size())), told_registries_);
+  const auto frame = encode(out.message());
+  for (auto& [link, p] : proxies_)
+    if (p.knows_members) p.link->send(frame);
+}
+
+// To those that have not been told yet.
+void Registry::send_all_members() {
+  if (std::ranges::all_of(proxies_, [](const auto& p) { return p.second.knows_members; })) return;
+  fleet::Outgoing out;
+  auto f = out.frame().initFleet();
+  fill(f);
+  put(f.initProxies(static_cast<unsigned>(told_proxies_.all().size())), told_proxies_.all());
+  put(f.initRegistries(static_cast<unsigned>(told_registries_.size())), told_registries_);
+  const auto frame = encode(out.message());
+  for (auto& [link, p] : proxies_)
+    if (!std::exchange(p.knows_members, true)) p.link->send(frame);
 }
 
 // Servers as they are known now, for this registry's next life. Their beats come anew within seconds; until
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -119,11 +119,13 @@
 # What a registry knows, to a proxy: changed records, or all.
 struct Fleet {
   servers @0 :List(Server);
-  proxies @1 :List(Text);     # ids of the live proxies of the fleet; empty: as told before
+  proxies @1 :List(Text);     # the live proxies of the fleet, as ZONE/ID: all of them, once on each link; empty: as told before
   registries @2 :List(Text);  # ips of registries that are up
   holder @3 :Text;            # ip of the registry that holds the counts; empty: none is known
   term @4 :UInt64;            # of its lease; rises with each holder
   position @5 :UInt64;        # of the newest change that the registry has
+  proxiesJoined @6 :List(Text);  # since the last word of `proxies` on this link
+  proxiesLeft @7 :List(Text);
 }
 
 # Between registries: records merged both ways; a digest of ranges asks for what differs.
