--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -4,7 +4,7 @@
 set -eu
 missing=""
 for package in cmake g++ make nlohmann-json3-dev libtomlplusplus-dev libcli11-dev libssl-dev libsodium-dev libxxhash-dev \
-  libcxxopts-dev liblog4cxx-dev robin-map-dev capnproto libcapnp-dev libleveldb-dev "$@"; do
+  libcxxopts-dev liblog4cxx-dev robin-map-dev capnproto libcapnp-dev libleveldb-dev libzstd-dev "$@"; do
   dpkg -s "$package" >/dev/null 2>&1 || missing="$missing $package"
 done
 update=""
--- a/src/system/fleet/frames.cpp
+++ b/src/system/fleet/frames.cpp
@@ -6,6 +6,12 @@
 
 namespace docklift::fleet {
 
+void put_hello(Outgoing& out, const Node& self, Time now) {
+  auto hello = out.frame().initHello();
+  put(hello, self, now);
+  hello.setReadsCompressed(true);
+}
+
 void put(wire::Snapshot::Builder to, const configuration::State& s) {
   to.setPosition(s.position);
   if (!s.document.is_null()) to.setDocument(data_of(s.document.dump()));
--- a/src/system/fleet/frames.hpp
+++ b/src/system/fleet/frames.hpp
@@ -24,6 +24,9 @@
   wire::Frame::Builder frame_;
 };
 
+// A member's first word on a link, and its renewals.
+void put_hello(Outgoing& out, const Node& self, Time now);
+
 inline capnp::Data::Reader data_of(std::string_view s) {
   return {reinterpret_cast<const kj::byte*>(s.data()), s.size()};
 }
--- a/src/system/net/link.cpp
+++ b/src/system/net/link.cpp
@@ -12,7 +12,6 @@
 
 namespace docklift {
 namespace {
-constexpr std::size_t kLengthBytes = 4;         // before each frame, lowest byte first
 constexpr std::size_t kPieceBytes = 32u << 10;  // 0.13 s at 2 Mbit/s
 }  // namespace
 namespace asio = boost::asio;
@@ -41,25 +40,16 @@
 void Link::start(OnFrame on_frame, OnClosed on_closed) {
   on_frame_ = std::move(on_frame), on_closed_ = std::move(on_closed);
   heard_ = said_ = std::chrono::steady_clock::now();
-  read_length();
+  read_header();
   tick();
 }
 
-EncodedFrame encode(capnp::MessageBuilder& message) {
-  const auto words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
-  const auto n = static_cast<std::uint32_t>(bytes.size());
-  const auto out = std::make_shared<std::string>(kLengthBytes + bytes.size(), '\0');
-  for (std::size_t i = 0; i < kLengthBytes; ++i) (*out)[i] = static_cast<char>((n >> (8 * i)) & 0xff);
-  std::memcpy(out->data() + kLengthBytes, bytes.begin(), bytes.size());
-  return out;
-}
-
-void Link::send(EncodedFrame frame) {
+void Link::send(const EncodedFramePtr& frame) {
   if (!open_) return;
-  if (queued_ + frame->size() > limits_.queued_bytes) return fail("send", "the peer does not read");
-  queued_ += frame->size();
-  out_.push_back(std::move(frame));
+  const std::string_view bytes = compresses_ ? frame->shortest() : frame->plain();
+  if (queued_ + bytes.size() > limits_.queued_bytes) return fail("send", "the peer does not read");
+  queued_ += bytes.size();
+  out_.push_back({frame, bytes});
   if (writing_) return;
   // What is said in one turn of the loop goes out together.
   writing_ = true;
@@ -73,7 +63,7 @@
   out_.clear();
   std::vector<asio::const_buffer> buffers;
   buffers.reserve(sending_.size());
-  for (const auto& frame : sending_) buffers.push_back(asio::buffer(*frame));
+  for (const auto& queued : sending_) buffers.push_back(asio::buffer(queued.bytes));
   asio::async_write(socket_, buffers, [self = shared_from_this()](error_code failed, std::size_t sent) {
     self->queued_ -= std::min(self->queued_, sent);
     if (failed) return self->fail("write", failed.message());
@@ -82,40 +72,49 @@
   });
 }
 
-void Link::read_length() {
-  asio::async_read(socket_, asio::buffer(length_),
+void Link::read_header() {
+  asio::async_read(socket_, asio::buffer(header_),
                    [self = shared_from_this()](error_code failed, std::size_t) {
                      if (failed) return self->fail("read", failed.message());
-                     std::uint32_t n = 0;
-                     for (std::size_t i = 0; i < 4; ++i)
-                       n |= static_cast<std::uint32_t>(self->length_[i]) << (8 * i);
-                     if (n == 0 || n % sizeof(capnp::word) != 0 || n > self->limits_.frame_bytes)
+                     const auto header = read_frame_header(self->header_);
+                     const bool whole_words = header.compressed || header.bytes % sizeof(capnp::word) == 0;
+                     if (header.bytes == 0 || !whole_words || header.bytes > self->limits_.frame_bytes)
                        return self->fail("read", "no length of a frame");
-                     self->read_body(n);
+                     self->read_body(header);
                    });
 }
 
-void Link::read_body(std::uint32_t bytes) {
+void Link::read_body(FrameHeader header) {
   if (!open_) return;
-  body_.resize(bytes / sizeof(capnp::word));
+  reads_compressed_ = header.compressed;
+  body_bytes_ = header.bytes;
+  body_.resize((body_bytes_ + sizeof(capnp::word) - 1) / sizeof(capnp::word));
   read_piece(0);
 }
 
 // Each piece that arrives counts as heard: on a slow path a whole frame takes longer than `silence`.
 void Link::read_piece(std::size_t offset) {
-  const auto total = body_.size() * sizeof(capnp::word);
-  const auto piece = std::min(kPieceBytes, total - offset);
+  const auto piece = std::min(kPieceBytes, body_bytes_ - offset);
   auto* const bytes = reinterpret_cast<unsigned char*>(body_.data());
   asio::async_read(socket_, asio::buffer(bytes + offset, piece),
                    [self = shared_from_this(), next = offset + piece](error_code failed, std::size_t) {
                      if (failed) return self->fail("read", failed.message());
                      if (!self->open_) return;
                      self->heard_ = std::chrono::steady_clock::now();
-                     if (next < self->body_.size() * sizeof(capnp::word)) return self->read_piece(next);
-                     self->take_frame();
+                     if (next < self->body_bytes_) return self->read_piece(next);
+                     self->take_body();
                    });
 }
 
+void Link::take_body() {
+  if (reads_compressed_) {
+    auto words = decompress({reinterpret_cast<const char*>(body_.data()), body_bytes_}, limits_.frame_bytes);
+    if (!words) return fail("read", "no compressed frame");
+    body_ = std::move(*words);
+  }
+  take_frame();
+}
+
 void Link::take_frame() {
   try {
     capnp::ReaderOptions options;
@@ -127,7 +126,7 @@
     return fail("read", x.getDescription().cStr());
   }
   if (body_.capacity() > (1u << 16)) std::vector<capnp::word>().swap(body_);
-  if (open_) read_length();
+  if (open_) read_header();
 }
 
 void Link::tick() {
--- a/src/system/net/link.hpp
+++ b/src/system/net/link.hpp
@@ -19,6 +19,7 @@
 #include "net/net.hpp"
 #include "system/base/result.hpp"
 #include "system/base/time.hpp"
+#include "system/net/encoded_frame.hpp"
 #include "system/wire/fleet.capnp.h"
 
 namespace docklift {
@@ -41,10 +42,6 @@
   std::size_t frame_bytes = 96u << 20, queued_bytes = 128u << 20;
 };
 
-// A frame as it goes on the wire, with its length. Shared by the links that it is sent on.
-using EncodedFrame = std::shared_ptr<const std::string>;
-EncodedFrame encode(capnp::MessageBuilder& message);
-
 class Link : public std::enable_shared_from_this<Link> {
  public:
   using OnFrame = std::function<void(wire::Frame::Reader)>;
@@ -54,16 +51,19 @@
   ~Link();
 
   void start(OnFrame on_frame, OnClosed on_closed);
-  void send(capnp::MessageBuilder& message) { send(encode(message)); }
-  void send(EncodedFrame frame);
+  void send(capnp::MessageBuilder& message) { send(std::make_shared<EncodedFrame>(message)); }
+  void send(const EncodedFramePtr& frame);
+  // The peer has said that it reads compressed frames: it is sent them from now on.
+  void compress() { compresses_ = true; }
   void close();
   bool open() const { return open_; }
   const std::string& peer() const { return peer_; }  // its ip
 
  private:
-  void read_length();
-  void read_body(std::uint32_t bytes);
+  void read_header();
+  void read_body(FrameHeader header);
   void read_piece(std::size_t offset);
+  void take_body();
   void take_frame();
   void write();
   void tick();
@@ -77,10 +77,17 @@
   OnClosed on_closed_;
   bool open_ = true, writing_ = false;
   std::chrono::steady_clock::time_point heard_{}, said_{};
-  unsigned char length_[4] = {};
+  unsigned char header_[kFrameHeaderBytes] = {};
+  std::size_t body_bytes_ = 0;
   std::vector<capnp::word> body_;
-  std::deque<EncodedFrame> out_;
-  std::vector<EncodedFrame> sending_;
+  struct Queued {
+    EncodedFramePtr frame;
+    std::string_view bytes;  // of the frame, as it is sent here
+  };
+  std::deque<Queued> out_;
+  std::vector<Queued> sending_;
+  bool compresses_ = false;
+  bool reads_compressed_ = false;  // the frame whose bytes are read now is compressed
   std::size_t queued_ = 0;
 };
 
--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -85,7 +85,7 @@
       [this, ip](const std::shared_ptr<Link>& link) {
         fleet::Outgoing out;
         self_.stamp++, self_.heard = clock_.now();
-        fleet::put(out.frame().initHello(), self_, clock_.now());
+        fleet::put_hello(out, self_, clock_.now());
         link->send(out.message());
         follower_.on_linked(ip);
         request_confirmation(*link, new_confirm_token());
@@ -116,7 +116,7 @@
 void ControlClient::renew() {
   fleet::Outgoing out;
   self_.stamp++, self_.heard = clock_.now();
-  fleet::put(out.frame().initHello(), self_, clock_.now());
+  fleet::put_hello(out, self_, clock_.now());
   const auto token = new_confirm_token();
   for (auto& [ip, d] : links_) {
     if (!d->up()) continue;
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -100,7 +100,7 @@
   const auto hello = [this](const std::shared_ptr<Link>& link) {
     fleet::Outgoing out;
     self_.heard = clock_.now();
-    fleet::put(out.frame().initHello(), self_, clock_.now());
+    fleet::put_hello(out, self_, clock_.now());
     link->send(out.message());
   };
   if (!stores_.contains(ip)) {
@@ -163,6 +163,7 @@
   const Time now = clock_.now();
   switch (frame.which()) {
     case wire::Frame::HELLO: {
+      if (frame.getHello().getReadsCompressed()) link->compress();
       auto node = fleet::get(frame.getHello(), now);
       node.heard = now;
       lease_.observe_term(node.term);
@@ -295,7 +296,7 @@
   told_term_ = lease_.term();
   fleet::Outgoing out;
   fill(out.frame().initFleet());
-  const auto frame = encode(out.message());
+  const auto frame = std::make_shared<EncodedFrame>(out.message());
   for (auto& [link, p] : proxies_) p.link->send(frame);
 }
 
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -120,7 +120,7 @@
   void to_registries(Fill fill) {
     fleet::Outgoing out;
     fill(out.frame());
-    const auto frame = encode(out.message());
+    const auto frame = std::make_shared<EncodedFrame>(out.message());
     for (auto& [ip, d] : registries_)
       if (d->up()) d->link()->send(frame);
   }
--- a/src/system/registry/registry_records.cpp
+++ b/src/system/registry/registry_records.cpp
@@ -108,7 +108,7 @@
   auto list = f.initServers(static_cast<unsigned>(news.size()));
   unsigned i = 0;
   for (const auto& [id, server] : news) fleet::put(list[i++], server, now);
-  const auto frame = encode(out.message());
+  const auto frame = std::make_shared<EncodedFrame>(out.message());
   for (auto& [link, p] : proxies_) p.link->send(frame);
 }
 
@@ -144,7 +144,7 @@
   put(f.initProxiesJoined(static_cast<unsigned>(change.joined.size())), change.joined);
   put(f.initProxiesLeft(static_cast<unsigned>(change.left.size())), change.left);
   put(f.initRegistries(static_cast<unsigned>(told_registries_.size())), told_registries_);
-  const auto frame = encode(out.message());
+  const auto frame = std::make_shared<EncodedFrame>(out.message());
   for (auto& [link, p] : proxies_)
     if (p.knows_members) p.link->send(frame);
 }
@@ -157,7 +157,7 @@
   fill(f);
   put(f.initProxies(static_cast<unsigned>(told_proxies_.all().size())), told_proxies_.all());
   put(f.initRegistries(static_cast<unsigned>(told_registries_.size())), told_registries_);
-  const auto frame = encode(out.message());
+  const auto frame = std::make_shared<EncodedFrame>(out.message());
   for (auto& [link, p] : proxies_)
     if (!std::exchange(p.knows_members, true)) p.link->send(frame);
 }
--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -154,6 +154,7 @@
   switch (frame.which()) {
     case wire::Frame::HELLO: {
       const auto node = frame.getHello();
+      if (node.getReadsCompressed()) link->compress();
       if (node.getRole() == wire::Role::STORE) {
         const std::string ip = node.getAddress().cStr();
         peers_[link.get()] = ip;
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -20,6 +20,7 @@
   leaving @7 :Bool;
   ageMs @8 :UInt32;   # since its last renewal was heard by whom it renewed at
   term @9 :UInt64;    # the highest term of the lease on the unit counts that it knows of
+  readsCompressed @10 :Bool;  # may be sent compressed frames on this link (net/encoded_frame)
 }
 
 # A server's record. Mergeable by id: the higher `calls`; `gone` wins over all.
--- a/tests/system/link_test.cpp
+++ b/tests/system/link_test.cpp
@@ -15,14 +15,7 @@
 namespace asio = boost::asio;
 
 // The bytes of one frame as a link sends them, its length ahead.
-std::string frame_bytes(fleet::Outgoing&& out) {
-  constexpr std::size_t kLengthField = 4;
-  const auto words = capnp::messageToFlatArray(out.message());
-  const auto bytes = words.asBytes();
-  std::string text(kLengthField, '\0');
-  for (std::size_t i = 0; i < kLengthField; ++i) text[i] = static_cast<char>(bytes.size() >> (8 * i) & 0xff);
-  return text.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
-}
+std::string frame_bytes(fleet::Outgoing&& out) { return EncodedFrame(out.message()).plain(); }
 
 // A raw peer of one link that sends a text in pieces, one each `pause`.
 struct PacedPeer {
@@ -91,8 +84,81 @@
   return frame_bytes(std::move(out));
 }
 
+// Server records as a registry tells them: names repeat, ids and addresses differ.
+EncodedFrame server_list(unsigned servers) {
+  fleet::Outgoing out;
+  auto list = out.frame().initFleet().initServers(servers);
+  for (unsigned i = 0; i < servers; ++i) {
+    fleet::Server server;
+    std::uint64_t id = mix(i);
+    server.id = "i-" + std::to_string(id % 10'000'000'000),
+    server.service = "service-" + std::to_string(i % 3);
+    server.address = "10.4." + std::to_string(id % 256) + "." + std::to_string(i % 256) + ":8421";
+    server.zone = "zone-" + std::to_string(i % 9), server.cap = 6, server.calls = i;
+    fleet::put(list[i], server, Time{});
+  }
+  return EncodedFrame(out.message());
+}
+
+std::string body_of(const std::string& frame) { return frame.substr(kFrameHeaderBytes); }
+
 BOOST_AUTO_TEST_SUITE(link)
 
+BOOST_AUTO_TEST_CASE(given_a_list_of_800_servers_when_it_is_compressed_then_it_is_a_third_and_the_same) {
+  const auto frame = server_list(800);
+  const auto& compressed = frame.shortest();
+  BOOST_TEST(compressed.size() * 3 < frame.plain().size());
+  const auto words = decompress(body_of(compressed), 1u << 20);
+  BOOST_REQUIRE(words.has_value());
+  const std::string text(reinterpret_cast<const char*>(words->data()), words->size() * sizeof(capnp::word));
+  BOOST_TEST((text == body_of(frame.plain())));
+}
+
+BOOST_AUTO_TEST_CASE(given_a_short_frame_or_one_without_repeats_when_it_is_sent_then_it_is_not_compressed) {
+  fleet::Outgoing alive;
+  alive.frame().setAlive();
+  const EncodedFrame short_frame(alive.message());
+  BOOST_TEST(short_frame.shortest() == short_frame.plain());
+  std::string noise;
+  for (std::uint64_t i = 0; i < 1000; ++i) {
+    const auto word = mix(i);
+    noise.append(reinterpret_cast<const char*>(&word), sizeof word);
+  }
+  fleet::Outgoing random;
+  random.frame().initProposal().setText(fleet::data_of(noise));
+  const EncodedFrame random_frame(random.message());
+  BOOST_TEST((random_frame.shortest() == random_frame.plain()));
+}
+
+BOOST_AUTO_TEST_CASE(given_a_compressed_body_that_is_cut_damaged_or_too_large_then_it_is_none) {
+  const auto body = body_of(server_list(100).shortest());
+  BOOST_TEST(decompress(body, 1u << 20).has_value());
+  for (std::size_t size = 0; size < body.size(); size += 7)
+    BOOST_TEST(!decompress(body.substr(0, size), 1u << 20).has_value());
+  BOOST_TEST(!decompress(body, 1000).has_value());
+  BOOST_TEST(!decompress(std::string(200, 'x'), 1u << 20).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(given_a_peer_that_sends_compressed_frames_when_they_come_in_pieces_then_they_are_read) {
+  LinkAndPeer t(LinkLimits{}, 5ms);
+  const auto frame = server_list(400);
+  BOOST_TEST((frame.shortest() != frame.plain()));
+  t.peer.send(frame.shortest() + frame.plain() + frame.shortest(), 12);
+  BOOST_TEST(t.run_until([&] { return t.frames == 3 || t.closed; }));
+  BOOST_TEST(t.frames == 3);
+  BOOST_TEST(t.closed.value_or("") == "");
+}
+
+BOOST_AUTO_TEST_CASE(given_a_damaged_compressed_frame_when_it_is_read_then_the_link_ends) {
+  LinkAndPeer t(LinkLimits{}, 5ms);
+  auto frame = server_list(400).shortest();
+  for (std::size_t i = kFrameHeaderBytes; i < frame.size(); i += 3) frame[i] = 'x';
+  t.peer.send(frame, 2);
+  BOOST_TEST(t.run_until([&] { return t.closed.has_value(); }, 5s));
+  BOOST_TEST(t.closed.value_or("").find("no compressed frame") != std::string::npos);
+  BOOST_TEST(t.frames == 0);
+}
+
 BOOST_AUTO_TEST_CASE(given_a_frame_that_takes_longer_than_the_silence_when_its_bytes_arrive_then_it_is_read) {
   LinkLimits limits;
   limits.silence = 600ms;
