Proxies spread over the registries; one hash of names in place of three

Cause: each proxy linked the first three core machines by address, so that of five registries three carried all 295 proxies. Ruled out: by zone; a proxy does not know a registry's zone before it is linked, and three of five span two zones here in any case. Change: rendezvous_order (fleet/members): each proxy has its own order. base/hash.hpp replaces two hash functions that stood twice. Result: of 300 proxies with three links each of five registries carries 150 to 210; only those that had the one that is gone move. members, path, shares, decisions_suite pass.

--- a/src/system/decisions/servers.cpp
+++ b/src/system/decisions/servers.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "system/base/hash.hpp"
+
 namespace docklift::decisions {
 namespace {
 
@@ -28,12 +30,6 @@
 constexpr Duration kUnsure = 4s;  // a taken-back zone's server that tells nothing counts as cold for so long
 constexpr double kFirstUsual = 0.1;  // seconds, before the first answer
 
-std::uint64_t id_hash(std::string_view id) {
-  std::uint64_t h = 0;
-  for (const char c : id) h = mix(h ^ static_cast<unsigned char>(c));
-  return h;
-}
-
 }  // namespace
 
 bool proves_not_run(Outcome o) {
@@ -60,10 +56,10 @@
     const auto slash = name.find('/');
     if (slash == std::string::npos) continue;
     const auto id = name.substr(slash + 1);
-    proxies_.push_back({name.substr(0, slash), id_hash(id)});
+    proxies_.push_back({name.substr(0, slash), hash_of(id)});
   }
-  if (std::ranges::find(proxies_, id_hash(self_.id), &ProxyMember::hash) == proxies_.end())
-    proxies_.push_back({self_.zone, id_hash(self_.id)});
+  if (std::ranges::find(proxies_, hash_of(self_.id), &ProxyMember::hash) == proxies_.end())
+    proxies_.push_back({self_.zone, hash_of(self_.id)});
   for (const auto& proxy : proxies_) ++proxies_in_[proxy.zone];
   ++proxies_generation_;
 }
@@ -72,11 +68,11 @@
 // zone first. Ranked when it is asked for: of all servers few are cold, and the members change often.
 bool Servers::shares_cold(Server& s) const {
   if (s.ranked_generation == proxies_generation_) return s.sharer;
-  const auto server = id_hash(s.known.id);
+  const auto server = hash_of(s.known.id);
   const auto score = [&](const ProxyMember& p) {
     return std::pair(p.zone != s.known.zone, mix(server ^ p.hash));
   };
-  const auto own = score({self_.zone, id_hash(self_.id)});
+  const auto own = score({self_.zone, hash_of(self_.id)});
   const auto before = std::ranges::count_if(proxies_, [&](const auto& p) { return score(p) < own; });
   s.sharer = static_cast<std::size_t>(before) < kColdSharers;
   s.ranked_generation = proxies_generation_;
--- a/src/system/fleet/members.cpp
+++ b/src/system/fleet/members.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "system/base/hash.hpp"
+
 namespace docklift::fleet {
 
 MemberChange ToldMembers::update(std::set<std::string> members) {
@@ -64,4 +66,10 @@
   return true;
 }
 
+std::vector<std::string> rendezvous_order(const std::string& member, std::vector<std::string> names) {
+  const auto own = hash_of(member);
+  std::ranges::sort(names, {}, [own](const std::string& name) { return mix(own ^ hash_of(name)); });
+  return names;
+}
+
 }  // namespace docklift::fleet
--- a/src/system/fleet/members.hpp
+++ b/src/system/fleet/members.hpp
@@ -44,4 +44,8 @@
   std::string lost_;                                    // the last source, lost and still held; empty: none
 };
 
+// Names in an order of the member's own (rendezvous hashing): members that take the first few spread evenly, and one name
+// more or less moves few of them.
+std::vector<std::string> rendezvous_order(const std::string& member, std::vector<std::string> names);
+
 }  // namespace docklift::fleet
--- a/src/system/fleet/records.cpp
+++ b/src/system/fleet/records.cpp
@@ -2,17 +2,13 @@
 
 #include <algorithm>
 
+#include "system/base/hash.hpp"
+
 namespace docklift::fleet {
 namespace {
 
 constexpr Duration kColdSlop = std::chrono::milliseconds(250);  // told remainders differ by delays alone
 
-std::uint64_t hash(const std::string& s, std::uint64_t seed = 0) {
-  std::uint64_t h = 0xcbf29ce484222325ULL ^ seed;
-  for (const char c : s) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return mix(h);
-}
-
 bool cold_differs(const Server& a, const Server& b, Time now) {
   const bool a_is_cold = a.cold_until > now;
   const bool b_is_cold = b.cold_until > now;
@@ -71,13 +67,14 @@
   return lost;
 }
 
-std::size_t Servers::range_of(const std::string& id, std::size_t ranges) { return hash(id) % ranges; }
+std::size_t Servers::range_of(const std::string& id, std::size_t ranges) { return hash_of(id) % ranges; }
 
 std::vector<std::uint64_t> Servers::digests(std::size_t ranges) const {
   std::vector<std::uint64_t> out(ranges);
   for (const auto& [id, s] : all_) {
     if (s.from_cache) continue;
-    out[range_of(id, ranges)] ^= mix(hash(id) ^ hash(s.address, 7) ^ static_cast<std::uint64_t>(s.phase));
+    out[range_of(id, ranges)] ^= mix(hash_of(id) ^ hash_of(s.address, 7) ^
+                                     static_cast<std::uint64_t>(s.phase));
   }
   return out;
 }
--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -36,6 +36,7 @@
 
 void ControlClient::start() {
   registries_ = settings_.seed_ips();
+  order_registries();
   choose_registries();
   tick();
 }
@@ -46,6 +47,11 @@
   for (auto& [ip, d] : links_) d->stop();
 }
 
+// Each proxy has an order of its own, so that they spread over the registries.
+void ControlClient::order_registries() {
+  registries_ = fleet::rendezvous_order(settings_.hostname, std::move(registries_));
+}
+
 // Links stay where they are; missing ones are made up for, the holder of the counts is always linked. One that has
 // failed for long counts as missing, and is left when enough others stand.
 void ControlClient::choose_registries() {
@@ -251,9 +257,9 @@
     listener_.on_servers(changed);
   }
   if (take_members(ip, f)) listener_.on_proxies(proxies_.all());
-  if (f.getRegistries().size() > 0)
-    for (const auto r : f.getRegistries())
-      if (std::ranges::find(registries_, r.cStr()) == registries_.end()) registries_.emplace_back(r.cStr());
+  for (const auto r : f.getRegistries())
+    if (std::ranges::find(registries_, r.cStr()) == registries_.end()) registries_.emplace_back(r.cStr());
+  if (f.getRegistries().size() > 0) order_registries();
   if (f.getTerm() > term_) {
     term_ = self_.term = f.getTerm(), holder_ = f.getHolder().cStr();
     choose_registries();
--- a/src/system/proxy/control_client.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -48,6 +48,7 @@
 
  private:
   void dial(const std::string& ip);
+  void order_registries();
   void choose_registries();
   std::size_t standing_links() const;  // those that do not fail for long
   bool fails_for_long(const std::string& ip) const;
@@ -77,7 +78,7 @@
   fleet::Node self_;
   std::map<std::string, std::shared_ptr<Dialer>> links_;  // by ip
   std::map<std::string, Time> failing_since_;             // of links_: since when nothing came
-  std::vector<std::string> registries_;  // as they have told, those first that were linked first
+  std::vector<std::string> registries_;  // as they have told, those first that are linked first
   fleet::MemberViews proxies_;           // by registry
   std::string holder_;
   std::uint64_t term_ = 0;
--- a/tests/system/members_test.cpp
+++ b/tests/system/members_test.cpp
@@ -110,6 +110,27 @@
   BOOST_TEST(names == 260u);
 }
 
+BOOST_AUTO_TEST_CASE(given_300_members_and_five_names_when_each_takes_three_then_they_spread_and_few_move) {
+  const NameList names{"10.4.1.1", "10.4.1.2", "10.4.2.1", "10.4.2.2", "10.4.3.1"};
+  const NameList fewer(names.begin(), names.end() - 1);
+  std::map<std::string, int> taken;
+  int moved = 0;
+  for (int i = 0; i < 300; ++i) {
+    const auto member = "edge-" + std::to_string(i);
+    const auto order = fleet::rendezvous_order(member, names);
+    const auto order_of_fewer = fleet::rendezvous_order(member, fewer);
+    for (int place = 0; place < 3; ++place) ++taken[order[static_cast<std::size_t>(place)]];
+    const Names first_three(order.begin(), order.begin() + 3);
+    const Names of_fewer(order_of_fewer.begin(), order_of_fewer.begin() + 3);
+    moved += first_three != of_fewer;
+  }
+  for (const auto& name : names) {
+    BOOST_TEST(taken[name] > 150, name);
+    BOOST_TEST(taken[name] < 210, name);
+  }
+  BOOST_TEST(moved == taken[names.back()]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
