One registry tells a proxy all servers, the others what differs

Cause: each of three or four registries told each proxy all 809 servers at every link, 0.1 MB each (0.03 compressed): at a start of all machines the list came three times over an edge link of 2 Mbit/s, and across a region. Ruled out: news from one registry alone: what a registry in reach of a majority is told must come to all proxies in touch, and one that is cut off can't pass it on. Change: a proxy asks for records (fleet/record_requests): the first registry for all, another one where it is late or lost, then each for the ranges of ids whose digests differ; so after each new link as well. Older proxies are told all at once as before. Ready when all are known.

--- a/src/system/fleet/frames.cpp
+++ b/src/system/fleet/frames.cpp
@@ -10,6 +10,7 @@
   auto hello = out.frame().initHello();
   put(hello, self, now);
   hello.setReadsCompressed(true);
+  hello.setRequestsRecords(true);
 }
 
 void put(wire::Snapshot::Builder to, const configuration::State& s) {
--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -95,6 +95,7 @@
         link->send(out.message());
         follower_.on_linked(ip);
         request_confirmation(*link, new_confirm_token());
+        request_records(record_requests_.linked(clock_.now(), ip));
         check_holder();
       },
       [this, ip](const Failure& why) {
@@ -102,6 +103,7 @@
         follower_.on_lost(clock_.now(), ip);
         failing_since_.try_emplace(ip, clock_.now());
         if (proxies_.forget(ip)) listener_.on_proxies(proxies_.all());
+        request_records(record_requests_.lost(clock_.now(), ip));
         check_holder();
       });
   links_[ip] = dialer;
@@ -179,6 +181,7 @@
     renew();
     choose_registries();
     follower_.watch(clock_.now());
+    request_records(record_requests_.tick(clock_.now()));
     tell_lag();
     tick();
   });
@@ -236,6 +239,32 @@
   listener_.on_grants(grants);
 }
 
+void ControlClient::request_records(const fleet::RecordRequests::Registries& registries) {
+  if (registries.empty()) return;
+  fleet::Outgoing out;
+  auto request = out.frame().initRecordsRequest();
+  if (record_requests_.complete()) {
+    const auto& digests = records_.digests();
+    auto list = request.initDigests(static_cast<unsigned>(digests.size()));
+    for (unsigned i = 0; i < list.size(); ++i) list.set(i, digests[i]);
+  }
+  for (const auto& ip : registries) send_to(ip, out);
+}
+
+void ControlClient::take_servers(const std::string& ip, wire::Fleet::Reader f) {
+  const Time now = clock_.now();
+  std::vector<fleet::Server> changed;
+  for (const auto s : f.getServers()) {
+    changed.push_back(fleet::get(s, now));
+    records_.take(changed.back());
+  }
+  fleet::RecordRequests::Registries next;
+  if (f.getComplete()) next = record_requests_.answered(ip);
+  const bool first_known = f.getComplete() && records_.size() > 0;
+  if (!changed.empty() || first_known) listener_.on_servers(changed, record_requests_.complete());
+  request_records(next);
+}
+
 // Whether the live proxies have changed.
 bool ControlClient::take_members(const std::string& ip, wire::Fleet::Reader f) {
   if (f.getProxies().size() > 0) {
@@ -250,12 +279,7 @@
 }
 
 void ControlClient::on_fleet(const std::string& ip, wire::Fleet::Reader f) {
-  const Time now = clock_.now();
-  if (f.getServers().size() > 0) {
-    std::vector<fleet::Server> changed;
-    for (const auto s : f.getServers()) changed.push_back(fleet::get(s, now));
-    listener_.on_servers(changed);
-  }
+  take_servers(ip, f);
   if (take_members(ip, f)) listener_.on_proxies(proxies_.all());
   for (const auto r : f.getRegistries())
     if (std::ranges::find(registries_, r.cStr()) == registries_.end()) registries_.emplace_back(r.cStr());
--- a/src/system/proxy/control_client.hpp
+++ b/src/system/proxy/control_client.hpp
@@ -15,6 +15,7 @@
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/confirmation.hpp"
 #include "system/fleet/members.hpp"
+#include "system/fleet/record_requests.hpp"
 #include "system/net/link.hpp"
 #include "system/transfer/change_follower.hpp"
 
@@ -25,7 +26,8 @@
   struct Listener {
     virtual ~Listener() = default;
     virtual void on_changes(const fleet::ChangeLog& changes) = 0;
-    virtual void on_servers(const std::vector<fleet::Server>& changed) = 0;
+    // `all_known`: one registry has told all its servers, with these or before.
+    virtual void on_servers(const std::vector<fleet::Server>& changed, bool all_known) = 0;
     virtual void on_proxies(const std::vector<std::string>& zone_and_id) = 0;
     // As of `at` the configuration here was the newest.
     virtual void on_confirmed(Time at) = 0;
@@ -54,6 +56,8 @@
   bool fails_for_long(const std::string& ip) const;
   void leave_failing();
   void on_frame(const std::string& ip, wire::Frame::Reader frame);
+  void take_servers(const std::string& ip, wire::Fleet::Reader f);
+  void request_records(const fleet::RecordRequests::Registries& registries);
   bool take_members(const std::string& ip, wire::Fleet::Reader f);
   void on_fleet(const std::string& ip, wire::Fleet::Reader f);
   void on_unit_grants(const std::string& ip, wire::UnitGrants::Reader answer);
@@ -80,6 +84,8 @@
   std::map<std::string, Time> failing_since_;             // of links_: since when nothing came
   std::vector<std::string> registries_;  // as they have told, those first that are linked first
   fleet::MemberViews proxies_;           // by registry
+  fleet::KnownRecords records_;          // of servers
+  fleet::RecordRequests record_requests_;
   std::string holder_;
   std::uint64_t term_ = 0;
   SendTimes confirm_tokens_, unit_calls_;
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -224,8 +224,8 @@
   check_ready();
 }
 
-void Proxy::on_servers(const std::vector<fleet::Server>& changed) {
-  heard_servers_ = true;
+void Proxy::on_servers(const std::vector<fleet::Server>& changed, bool all_known) {
+  heard_servers_ = all_known;
   decisions_.servers(clock_.now(), changed);
   for (const auto h : decisions_.dropped()) upstream_.forget(h);
   check_ready();
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -30,7 +30,7 @@
   void on_ended(const std::shared_ptr<Session>& session) override;
 
   void on_changes(const fleet::ChangeLog& changes) override;
-  void on_servers(const std::vector<fleet::Server>& changed) override;
+  void on_servers(const std::vector<fleet::Server>& changed, bool all_known) override;
   void on_proxies(const std::vector<std::string>& zone_and_id) override;
   void on_confirmed(Time at) override;
   void on_behind(bool behind) override;
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -169,7 +169,8 @@
       lease_.observe_term(node.term);
       if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
         auto& p = proxies_[link.get()] = {link, node.id, {}, {}, false, false};
-        tell_all_servers(p);
+        if (!frame.getHello().getRequestsRecords()) tell_servers_that_differ(p, {});
+        members_changed_ = true;
         if (!first_proxy_at_) first_proxy_at_ = now;
       }
       if (node.role == fleet::Role::REGISTRY && !peers_.contains(link.get())) {
@@ -200,6 +201,11 @@
         on_confirm(p->second, frame.getConfirm());
       break;
     }
+    case wire::Frame::RECORDS_REQUEST: {
+      if (const auto p = proxies_.find(link.get()); p != proxies_.end())
+        tell_servers_that_differ(p->second, frame.getRecordsRequest().getDigests());
+      break;
+    }
     case wire::Frame::UNIT_REQUEST: {
       if (const auto p = proxies_.find(link.get()); p != proxies_.end())
         on_unit_request(p->second, frame.getUnitRequest());
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -18,6 +18,7 @@
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/confirmation.hpp"
 #include "system/fleet/members.hpp"
+#include "system/fleet/record_requests.hpp"
 #include "system/fleet/records.hpp"
 #include "system/lease/holder_lease.hpp"
 #include "system/net/link.hpp"
@@ -97,7 +98,7 @@
   void send_pending(std::uint64_t call, Pending& p);
   bool is_abandoned(const Pending& p) const;
   void tell_servers(const std::vector<fleet::Server>& changed);
-  void tell_all_servers(Proxy& p);
+  void tell_servers_that_differ(Proxy& p, capnp::List<std::uint64_t>::Reader digests);
   void send_server_news();
   void tell_members();
   void send_member_change(const fleet::MemberChange& change);
--- a/src/system/registry/registry_records.cpp
+++ b/src/system/registry/registry_records.cpp
@@ -112,15 +112,26 @@
   for (auto& [link, p] : proxies_) p.link->send(frame);
 }
 
-void Registry::tell_all_servers(Proxy& p) {
+// All servers of the ranges in which what is known here differs from `digests`; of all where these are none.
+void Registry::tell_servers_that_differ(Proxy& p, capnp::List<std::uint64_t>::Reader digests) {
+  fleet::RecordDigests own;
+  for (const auto& [id, s] : servers_.all())
+    if (s.phase != fleet::Phase::GONE) own.toggle(id, s.address, s.phase);
+  const auto differs = [&](const std::string& id) {
+    const auto range = fleet::Servers::range_of(id, fleet::kRecordRanges);
+    return digests.size() != fleet::kRecordRanges ||
+           own.all()[range] != digests[static_cast<unsigned>(range)];
+  };
+  std::vector<const fleet::Server*> told;
+  for (const auto& [id, s] : servers_.all())
+    if (differs(id)) told.push_back(&s);
   fleet::Outgoing out;
   auto f = out.frame().initFleet();
   fill(f);
-  auto list = f.initServers(static_cast<unsigned>(servers_.all().size()));
-  unsigned i = 0;
-  for (const auto& [id, s] : servers_.all()) fleet::put(list[i++], s, clock_.now());
+  f.setComplete(true);
+  auto list = f.initServers(static_cast<unsigned>(told.size()));
+  for (unsigned i = 0; i < list.size(); ++i) fleet::put(list[i], *told[i], clock_.now());
   p.link->send(out.message());
-  members_changed_ = true;
 }
 
 void Registry::tell_members() {
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -21,6 +21,7 @@
   ageMs @8 :UInt32;   # since its last renewal was heard by whom it renewed at
   term @9 :UInt64;    # the highest term of the lease on the unit counts that it knows of
   readsCompressed @10 :Bool;  # may be sent compressed frames on this link (net/encoded_frame)
+  requestsRecords @11 :Bool;  # asks for the records of servers (RecordsRequest); others are told all at once
 }
 
 # A server's record. Mergeable by id: the higher `calls`; `gone` wins over all.
@@ -127,6 +128,12 @@
   position @5 :UInt64;        # of the newest change that the registry has
   proxiesJoined @6 :List(Text);  # since the last word of `proxies` on this link
   proxiesLeft @7 :List(Text);
+  complete @8 :Bool;          # the answer to a RecordsRequest
+}
+
+# A proxy asks for all servers whose records differ from those that it knows.
+struct RecordsRequest {
+  digests @0 :List(UInt64);   # of ranges of ids (src/system/fleet/record_requests); empty: it knows none
 }
 
 # Between registries: records merged both ways; a digest of ranges asks for what differs.
@@ -167,5 +174,6 @@
     changes @16 :ChangeBatch;
     snapshotPart @17 :SnapshotPart;
     snapshotPartRequest @18 :SnapshotPartRequest;
+    recordsRequest @19 :RecordsRequest;   # proxy to registry
   }
 }
