A cached record that a beat confirms unchanged is not told to all proxies again

Cause: after a loss of power registries know 809 servers from their caches and tell them; then each first beat counted as a change and went to every proxy from three registries, 0.1 MB each over a link of 2 Mbit/s, while clients wait. Ruled out: telling nothing from the cache; it is what shortens a return. Change: a record that takes a cached one's place is a change where its phase, address, service, cap or cold time differ, and heard otherwise.

--- a/src/system/fleet/records.cpp
+++ b/src/system/fleet/records.cpp
@@ -24,11 +24,8 @@
   auto& known = it->second;
   if (known.phase == Phase::GONE || s.from_cache) return Merged::nothing;
   const bool as_new = s.calls > known.calls || (s.calls == known.calls && s.phase >= known.phase);
-  if (known.from_cache && s.phase != Phase::GONE && as_new) {
-    known = s;
-    return Merged::changed;
-  }
-  if (s.phase != Phase::GONE &&
+  const bool confirms_cache = known.from_cache && s.phase != Phase::GONE && as_new;
+  if (!confirms_cache && s.phase != Phase::GONE &&
       (s.calls < known.calls || (s.calls == known.calls && s.phase <= known.phase))) {
     if (s.calls == known.calls && s.heard > known.heard) return known.heard = s.heard, Merged::heard;
     return Merged::nothing;
