Registry: short steps in place of one long tick, dial and frame switch

Need: tick() had grown to 70 lines with nine duties, dial() to 60, the switch over frames held the greeting and the lease's reply. Ruled out: a class of its own for members; its state is the registry's. Change: on_tick with a function for each duty, dial_store, dial_registry, on_hello, on_lease_request; what is sent of records stands together in registry_records.cpp. No behaviour changes.

--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -93,59 +93,53 @@
 }
 
 void Registry::dial(const std::string& ip) {
-  const auto address = boost::asio::ip::make_address(ip);
-  const auto port = [&](std::uint16_t offset) {
-    return static_cast<std::uint16_t>(settings_.first_port + offset);
-  };
-  const auto hello = [this](const std::shared_ptr<Link>& link) {
-    fleet::Outgoing out;
-    self_.heard = clock_.now();
-    fleet::put_hello(out, self_, clock_.now());
-    link->send(out.message());
-  };
-  if (!stores_.contains(ip)) {
-    const auto dialer = std::make_shared<Dialer>(
-        io_, Tcp::endpoint(address, port(kStorePort)), LinkLimits{},
-        [this, ip](wire::Frame::Reader frame) { on_store_frame(ip, frame); },
-        [this, hello, ip](const std::shared_ptr<Link>& link) {
-          hello(link);
-          follower_.on_linked(ip);
-          for (auto& [call, p] : pending_)
-            if (p.store.empty()) send_pending(call, p);
-          begin_read_barrier();
-        },
-        [this, ip](const Failure& why) {
-          log_.debug(why.shown());
-          follower_.on_lost(clock_.now(), ip);
-          for (auto& [call, p] : pending_)
-            if (p.store == ip) p.store.clear(), send_pending(call, p);
-        });
-    stores_[ip] = dialer;
-    dialer->start();
-  }
-  if (ip != settings_.bind_ip && !registries_.contains(ip)) {
-    const auto dialer = std::make_shared<Dialer>(
-        io_, Tcp::endpoint(address, port(kRegistryPort)), LinkLimits{},
-        [this, ip](wire::Frame::Reader frame) { on_peer_frame(ip, frame); },
-        [this, hello](const std::shared_ptr<Link>& link) {
-          hello(link);
-          fleet::Outgoing out;  // all that is known here
-          auto g = out.frame().initGossip();
-          std::vector<const fleet::Server*> heard;  // what only the cache tells may be long gone
-          for (const auto& [id, s] : servers_.all())
-            if (!s.from_cache) heard.push_back(&s);
-          auto servers = g.initServers(static_cast<unsigned>(heard.size()));
-          unsigned i = 0;
-          for (const auto* s : heard) fleet::put(servers[i++], *s, clock_.now());
-          auto nodes = g.initNodes(static_cast<unsigned>(nodes_.all().size()));
-          i = 0;
-          for (const auto& [id, n] : nodes_.all()) fleet::put(nodes[i++], n, clock_.now());
-          link->send(out.message());
-        },
-        [this](const Failure& why) { log_.debug(why.shown()); });
-    registries_[ip] = dialer;
-    dialer->start();
-  }
+  if (!stores_.contains(ip)) dial_store(ip);
+  if (ip != settings_.bind_ip && !registries_.contains(ip)) dial_registry(ip);
+}
+
+Tcp::endpoint Registry::inner_endpoint(const std::string& ip, std::uint16_t offset) const {
+  return {boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(settings_.first_port + offset)};
+}
+
+void Registry::send_hello(Link& link) {
+  fleet::Outgoing out;
+  self_.heard = clock_.now();
+  fleet::put_hello(out, self_, clock_.now());
+  link.send(out.message());
+}
+
+void Registry::dial_store(const std::string& ip) {
+  const auto dialer = std::make_shared<Dialer>(
+      io_, inner_endpoint(ip, kStorePort), LinkLimits{},
+      [this, ip](wire::Frame::Reader frame) { on_store_frame(ip, frame); },
+      [this, ip](const std::shared_ptr<Link>& link) {
+        send_hello(*link);
+        follower_.on_linked(ip);
+        for (auto& [call, p] : pending_)
+          if (p.store.empty()) send_pending(call, p);
+        begin_read_barrier();
+      },
+      [this, ip](const Failure& why) {
+        log_.debug(why.shown());
+        follower_.on_lost(clock_.now(), ip);
+        for (auto& [call, p] : pending_)
+          if (p.store == ip) p.store.clear(), send_pending(call, p);
+      });
+  stores_[ip] = dialer;
+  dialer->start();
+}
+
+void Registry::dial_registry(const std::string& ip) {
+  const auto dialer = std::make_shared<Dialer>(
+      io_, inner_endpoint(ip, kRegistryPort), LinkLimits{},
+      [this, ip](wire::Frame::Reader frame) { on_peer_frame(ip, frame); },
+      [this](const std::shared_ptr<Link>& link) {
+        send_hello(*link);
+        send_all_records(*link);
+      },
+      [this](const Failure& why) { log_.debug(why.shown()); });
+  registries_[ip] = dialer;
+  dialer->start();
 }
 
 void Registry::accepted(const std::shared_ptr<Link>& link) {
@@ -162,26 +156,7 @@
 void Registry::on_frame(const std::shared_ptr<Link>& link, wire::Frame::Reader frame) {
   const Time now = clock_.now();
   switch (frame.which()) {
-    case wire::Frame::HELLO: {
-      if (frame.getHello().getReadsCompressed()) link->compress();
-      auto node = fleet::get(frame.getHello(), now);
-      node.heard = now;
-      lease_.observe_term(node.term);
-      if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
-        auto& p = proxies_[link.get()] = {link, node.id, {}, {}, false, false};
-        if (!frame.getHello().getRequestsRecords()) tell_servers_that_differ(p, {});
-        members_changed_ = true;
-        if (!first_proxy_at_) first_proxy_at_ = now;
-      }
-      if (node.role == fleet::Role::REGISTRY && !peers_.contains(link.get())) {
-        peers_[link.get()] = node.address;
-        dial(node.address);
-      }
-      const auto merged = nodes_.merge(node);
-      if (merged == Merged::changed) members_changed_ = true, gossip({}, {node});
-      if (merged == Merged::heard) heard_nodes_[node.id] = node;
-      break;
-    }
+    case wire::Frame::HELLO: on_hello(link, frame.getHello()); break;
     case wire::Frame::FOLLOW: {
       const auto p = proxies_.find(link.get());
       if (p == proxies_.end()) break;
@@ -212,23 +187,45 @@
       break;
     }
     case wire::Frame::GOSSIP: on_gossip(frame.getGossip(), link); break;
-    case wire::Frame::LEASE_REQUEST: {
-      const auto a = frame.getLeaseRequest();
-      const auto reply = lease_.on_request(
-          now, {a.getTerm(), a.getHolder().cStr(), a.getSuccessor().cStr(), a.getRelease(), a.getHolds(),
-                a.getLife(), a.getMembership(), a.getRound()});
-      fleet::Outgoing out;
-      auto to = out.frame().initLeaseReply();
-      to.setTerm(reply.term), to.setGranted(reply.granted), to.setBlank(reply.blank);
-      to.setHolder(reply.holder), to.setMembership(reply.membership), to.setRound(reply.round);
-      link->send(out.message());
-      check_lease();
-      break;
-    }
+    case wire::Frame::LEASE_REQUEST: on_lease_request(*link, frame.getLeaseRequest()); break;
     default: break;
   }
 }
 
+void Registry::on_hello(const std::shared_ptr<Link>& link, wire::Node::Reader hello) {
+  const Time now = clock_.now();
+  if (hello.getReadsCompressed()) link->compress();
+  auto node = fleet::get(hello, now);
+  node.heard = now;
+  lease_.observe_term(node.term);
+  if (node.role == fleet::Role::PROXY && !proxies_.contains(link.get())) {
+    auto& p = proxies_[link.get()] = {link, node.id, {}, {}, false, false};
+    if (!hello.getRequestsRecords()) tell_servers_that_differ(p, {});
+    members_changed_ = true;
+    if (!first_proxy_at_) first_proxy_at_ = now;
+  }
+  if (node.role == fleet::Role::REGISTRY && !peers_.contains(link.get())) {
+    peers_[link.get()] = node.address;
+    dial(node.address);
+  }
+  const auto merged = nodes_.merge(node);
+  if (merged == Merged::changed) members_changed_ = true, gossip({}, {node});
+  if (merged == Merged::heard) heard_nodes_[node.id] = node;
+}
+
+void Registry::on_lease_request(Link& link, wire::LeaseRequest::Reader request) {
+  const auto reply = lease_.on_request(
+      clock_.now(),
+      {request.getTerm(), request.getHolder().cStr(), request.getSuccessor().cStr(), request.getRelease(),
+       request.getHolds(), request.getLife(), request.getMembership(), request.getRound()});
+  fleet::Outgoing out;
+  auto to = out.frame().initLeaseReply();
+  to.setTerm(reply.term), to.setGranted(reply.granted), to.setBlank(reply.blank);
+  to.setHolder(reply.holder), to.setMembership(reply.membership), to.setRound(reply.round);
+  link.send(out.message());
+  check_lease();
+}
+
 void Registry::on_peer_frame(const std::string& ip, wire::Frame::Reader frame) {
   if (stopped_) return;
   if (frame.isLeaseReply()) {
@@ -312,62 +309,76 @@
   timer_.expires_after(kTick);
   timer_.async_wait(lifetime_.bind([this](boost::system::error_code failed_wait) {
     if (failed_wait || stopped_) return;
-    const Time now = clock_.now();
-    ++ticks_;
-    const auto linked = linked_voters();
-    if (reaches_majority()) met_majority_ = true;
-    lease_.observe_voters(now, {changes_.state().membership, voter_ips()}, confirmation_.at());
-    if (const auto request = lease_.tick(now, draw_life() / 1'000'000, linked)) send_lease_request(*request);
-    check_lease();
-    if (ticks_ % kBarrierTicks == 0) {
-      follower_.watch(now);
-      begin_read_barrier();
-    }
-    feed_.expire(now);
-    if (ticks_ % kFlushTicks == 0) flush();
-    if (ticks_ % kSaveTicks == 0) save_records();
-    if (ticks_ % kDigestTicks == 0) {
-      to_registries([&](wire::Frame::Builder& frame) {
-        const auto digests = servers_.digests(kRanges);
-        auto list = frame.initGossip().initDigests(static_cast<unsigned>(digests.size()));
-        for (unsigned i = 0; i < list.size(); ++i) list.set(i, digests[i]);
-      });
-      counts_.sweep(now);
-    }
-    // Only who hears all others can tell a silent server from its own isolation.
-    const bool alone = std::ranges::any_of(registries_, [](const auto& r) { return !r.second->up(); });
-    if (alone || alone_since_ == Time{}) alone_since_ = now;
-    const auto silence = from_millis(kSilentBeats * settings_.beat_ms);
-    const auto lost = servers_.expire(now, now - alone_since_ > silence ? silence : Duration{}, kKept);
-    if (!lost.empty()) {
-      auto told = lost;
-      for (auto& s : told) s.phase = fleet::Phase::GONE, log_.info("server " + s.id + " is silent");
-      tell_servers(told);
-    }
-    const auto left = nodes_.expire(now, kLease);
-    for (const auto& n : left) log_.info("member " + n.id + " has not renewed");
-    if (!left.empty()) members_changed_ = true;
-    if (std::exchange(members_changed_, false)) tell_members();
-    for (auto it = pending_.begin(); it != pending_.end();) {
-      if (now < it->second.until) {
-        ++it;
-        continue;
-      }
-      const auto done = std::move(it->second.done);
-      it = pending_.erase(it);
-      done(503, "no store has answered", 0);
-    }
-    std::vector<std::function<void(bool)>> late;
-    std::erase_if(waiting_, [&](auto& w) {
-      if (now < std::get<1>(w)) return false;
-      late.push_back(std::move(std::get<2>(w)));
-      return true;
-    });
-    for (const auto& done : late) done(false);
+    on_tick(clock_.now());
     tick();
   }));
 }
 
+void Registry::on_tick(Time now) {
+  ++ticks_;
+  keep_lease(now);
+  if (ticks_ % kBarrierTicks == 0) {
+    follower_.watch(now);
+    begin_read_barrier();
+  }
+  feed_.expire(now);
+  if (ticks_ % kFlushTicks == 0) flush();
+  if (ticks_ % kSaveTicks == 0) save_records();
+  if (ticks_ % kDigestTicks == 0) {
+    gossip_digests();
+    counts_.sweep(now);
+  }
+  expire_servers(now);
+  expire_members(now);
+  expire_calls(now);
+}
+
+void Registry::keep_lease(Time now) {
+  const auto linked = linked_voters();
+  if (reaches_majority()) met_majority_ = true;
+  lease_.observe_voters(now, {changes_.state().membership, voter_ips()}, confirmation_.at());
+  if (const auto request = lease_.tick(now, draw_life() / 1'000'000, linked)) send_lease_request(*request);
+  check_lease();
+}
+
+// Only who hears all others can tell a silent server from its own isolation.
+void Registry::expire_servers(Time now) {
+  const bool alone = std::ranges::any_of(registries_, [](const auto& r) { return !r.second->up(); });
+  if (alone || alone_since_ == Time{}) alone_since_ = now;
+  const auto silence = from_millis(kSilentBeats * settings_.beat_ms);
+  auto lost = servers_.expire(now, now - alone_since_ > silence ? silence : Duration{}, kKept);
+  if (lost.empty()) return;
+  for (auto& s : lost) s.phase = fleet::Phase::GONE, log_.info("server " + s.id + " is silent");
+  tell_servers(lost);
+}
+
+void Registry::expire_members(Time now) {
+  const auto left = nodes_.expire(now, kLease);
+  for (const auto& n : left) log_.info("member " + n.id + " has not renewed");
+  if (!left.empty()) members_changed_ = true;
+  if (std::exchange(members_changed_, false)) tell_members();
+}
+
+// Proposals that no store has answered, and calls that wait for a place in the log.
+void Registry::expire_calls(Time now) {
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    if (now < it->second.until) {
+      ++it;
+      continue;
+    }
+    const auto done = std::move(it->second.done);
+    it = pending_.erase(it);
+    done(503, "no store has answered", 0);
+  }
+  std::vector<std::function<void(bool)>> late;
+  std::erase_if(waiting_, [&](auto& w) {
+    if (now < std::get<1>(w)) return false;
+    late.push_back(std::move(std::get<2>(w)));
+    return true;
+  });
+  for (const auto& done : late) done(false);
+}
+
 void Registry::stop(std::function<void()> ended) {
   const Time now = clock_.now();
   std::string successor;
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -83,6 +83,8 @@
   };
   void accepted(const std::shared_ptr<Link>& link);
   void on_frame(const std::shared_ptr<Link>& link, wire::Frame::Reader frame);
+  void on_hello(const std::shared_ptr<Link>& link, wire::Node::Reader hello);
+  void on_lease_request(Link& link, wire::LeaseRequest::Reader request);
   void on_store_frame(const std::string& ip, wire::Frame::Reader frame);
   void on_peer_frame(const std::string& ip, wire::Frame::Reader frame);
   void on_gossip(wire::Gossip::Reader g, const std::shared_ptr<Link>& answer_on);
@@ -92,6 +94,11 @@
   void send_to_store(const std::string& ip, fleet::Outgoing& out);
   void dial(const std::string& ip);
   void dial_all();
+  void dial_store(const std::string& ip);
+  void dial_registry(const std::string& ip);
+  Tcp::endpoint inner_endpoint(const std::string& ip, std::uint16_t offset) const;
+  void send_hello(Link& link);
+  void send_all_records(Link& link);
   void begin_read_barrier();
   void end_read_barrier(Time begun, std::uint64_t position);
   void on_confirm(Proxy& p, std::uint64_t token);
@@ -110,6 +117,12 @@
   void send_lease_request(const lease::Request& request);
   void check_lease();
   void tick();
+  void on_tick(Time now);
+  void keep_lease(Time now);
+  void expire_servers(Time now);
+  void expire_members(Time now);
+  void expire_calls(Time now);
+  void gossip_digests();
   void flush();
   void save_records();
   void load_records();
--- a/src/system/registry/registry_records.cpp
+++ b/src/system/registry/registry_records.cpp
@@ -79,6 +79,30 @@
   });
 }
 
+// To a registry: all that was heard. What only the cache tells may be long gone.
+void Registry::send_all_records(Link& link) {
+  fleet::Outgoing out;
+  auto g = out.frame().initGossip();
+  std::vector<const fleet::Server*> heard;
+  for (const auto& [id, s] : servers_.all())
+    if (!s.from_cache) heard.push_back(&s);
+  auto servers = g.initServers(static_cast<unsigned>(heard.size()));
+  unsigned i = 0;
+  for (const auto* s : heard) fleet::put(servers[i++], *s, clock_.now());
+  auto nodes = g.initNodes(static_cast<unsigned>(nodes_.all().size()));
+  i = 0;
+  for (const auto& [id, n] : nodes_.all()) fleet::put(nodes[i++], n, clock_.now());
+  link.send(out.message());
+}
+
+void Registry::gossip_digests() {
+  to_registries([&](wire::Frame::Builder& frame) {
+    const auto digests = servers_.digests(kRanges);
+    auto list = frame.initGossip().initDigests(static_cast<unsigned>(digests.size()));
+    for (unsigned i = 0; i < list.size(); ++i) list.set(i, digests[i]);
+  });
+}
+
 // ---- what proxies are told -----------------------------------------------------------------------
 
 void Registry::fill(wire::Fleet::Builder to) {
