An order whose wish holds is agreed on too, so that older opposite ones end

The evacuation that came next was 200 after a read barrier, as the zone was still evacuated; 160 ms later the older readmission was decided and took effect. Nothing had moved the zone on. Ruled out: shorter lives of queued calls; any life is too long here. Change: such an order gets its place in the log and the zone's position. Followers count a zone as taken back only where it was evacuated before. Mixed releases: a core machine of an older release does not move the zone on; machines of one core should be replaced in one go.

--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -152,7 +152,6 @@
     case ChangeKind::evacuate:
     case ChangeKind::readmit:
       judgement = configuration::judge_evacuation(state_, proposal.kind, proposal.text);
-      changes = !judgement.in_force;
       break;
     case ChangeKind::membership: {
       const auto change = configuration::decode_membership(proposal.text);
--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -419,16 +419,15 @@
 
 namespace {
 
-// At state.position, which is the order's own already.
+// At state.position, which is the order's own already. An order whose wish holds moves the zone on as well: an opposite
+// one from before that is still on its way has no effect after it.
 bool apply_evacuation(State& state, ChangeKind kind, const std::string& text) {
   const auto judged = judge_evacuation(state, kind, text);
-  if (judged.status != 200 || judged.in_force) return false;
+  if (judged.status != 200) return false;
   const auto zone = decode_evacuation(text)->zone;
-  if (kind == ChangeKind::evacuate) {
+  if (!judged.in_force && kind == ChangeKind::evacuate)
     state.evacuated.insert(std::ranges::lower_bound(state.evacuated, zone), zone);
-  } else {
-    std::erase(state.evacuated, zone);
-  }
+  if (!judged.in_force && kind == ChangeKind::readmit) std::erase(state.evacuated, zone);
   state.zone_changes[zone] = state.position;
   return true;
 }
--- a/src/system/fleet/change_log.cpp
+++ b/src/system/fleet/change_log.cpp
@@ -1,5 +1,8 @@
 #include "system/fleet/change_log.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 namespace docklift::fleet {
 
 void ChangeLog::forget() {
@@ -41,10 +44,10 @@
     gap = r.getPosition() != state_.position + 1;
     if (gap) break;
     auto e = get(r);
+    const auto evacuated_before = state_.evacuated;
     const bool effect = apply(state_, e);
     document = document || (effect && (e.change == wire::Change::REPLACE || e.change == wire::Change::PATCH));
-    if (effect && e.change == wire::Change::READMIT)
-      readmitted_.push_back(configuration::decode_evacuation(e.text)->zone);
+    std::ranges::set_difference(evacuated_before, state_.evacuated, std::back_inserter(readmitted_));
     taken = true;
     digests_.note(state_.position, state_.log_digest);
     recent_.push(e);
--- a/tests/system/history_checker_test.cpp
+++ b/tests/system/history_checker_test.cpp
@@ -182,6 +182,30 @@
   BOOST_TEST(!story.holds());
 }
 
+// The second evacuation's wish holds when it is sent, and no longer when it takes effect.
+BOOST_AUTO_TEST_CASE(
+    given_a_readmission_without_an_answer_when_it_takes_effect_during_the_next_evacuation_then_the_history_holds) {
+  Story story;
+  story.told(story.history.zone_order("a", true), 1, 2, 200);
+  story.history.send(story.history.zone_order("a", false), at(3));
+  story.told(story.history.zone_order("a", true), 6, 10, 200);
+  story.read(7, 8, 0, {});
+  story.read(11, 12, 0, {"a"});
+  BOOST_TEST(story.holds());
+}
+
+BOOST_AUTO_TEST_CASE(
+    given_a_readmission_without_an_answer_when_it_takes_effect_after_an_evacuation_whose_wish_held_then_it_is_found) {
+  Story story;
+  story.told(story.history.zone_order("a", true), 1, 2, 200);
+  story.history.send(story.history.zone_order("a", false), at(3));
+  story.told(story.history.zone_order("a", true), 4, 5, 200);
+  story.read(6, 7, 0, {"a"});
+  BOOST_TEST(story.holds());
+  story.read(8, 9, 0, {});
+  BOOST_TEST(!story.holds());
+}
+
 BOOST_AUTO_TEST_CASE(given_an_acknowledged_evacuation_when_it_is_lost_then_it_is_found) {
   Story story;
   story.told(story.history.zone_order("a", true), 1, 2, 200);
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -204,6 +204,25 @@
     BOOST_TEST(configuration::judge_evacuation(s, ChangeKind::evacuate, text).status == 400, text);
 }
 
+// An order that was given up by its caller may still lie in a store's queue when a newer one is acknowledged.
+BOOST_AUTO_TEST_CASE(
+    given_an_order_whose_wish_holds_when_it_is_agreed_then_opposite_ones_from_before_have_no_effect) {
+  State s;
+  using configuration::ChangeKind;
+  configuration::apply(s, ChangeKind::evacuate, zone_order("z", 0));
+  const auto given_up = zone_order("z", 1);  // to readmit; held up
+  BOOST_TEST(
+      configuration::apply(s, ChangeKind::evacuate, zone_order("z", 1)));  // acknowledged: z is evacuated
+  BOOST_TEST(configuration::judge_evacuation(s, ChangeKind::readmit, given_up).status == 503);
+  BOOST_TEST(!configuration::apply(s, ChangeKind::readmit, given_up));
+  BOOST_TEST(s.evacuated == std::vector<std::string>{"z"}, boost::test_tools::per_element());
+  BOOST_TEST(configuration::apply(s, ChangeKind::readmit, zone_order("z", 3)));  // a newer one has
+  BOOST_TEST(s.evacuated.empty());
+  const auto given_up_too = zone_order("z", 4);  // to evacuate
+  BOOST_TEST(configuration::apply(s, ChangeKind::readmit, zone_order("z", 4)));
+  BOOST_TEST(!configuration::apply(s, ChangeKind::evacuate, given_up_too));
+}
+
 // ---- records
 
 fleet::Server server(const std::string& id, std::uint64_t calls, fleet::Phase phase = fleet::Phase::READY) {
