Load by the zone's other proxies follows from the own mean, not the next request

Cause: the cost of a server of the own zone counted (own requests + 1) for each proxy of the zone, as if all sent their next request to the same server at once. Ruled out: a cap on the number of proxies that count; it has no meaning. Change: the others of the zone have at each of its servers what this proxy has there in the mean, times their number.

--- a/src/system/decisions/servers.cpp
+++ b/src/system/decisions/servers.cpp
@@ -180,14 +180,25 @@
   s.cancelled_at = now;
 }
 
+// What the other proxies of this zone have at each server of it, by the own mean: they serve like clients.
+double Servers::load_by_others(const Service& service) const {
+  double in_flight = 0;
+  double in_zone = 0;
+  for (const auto h : service.servers) {
+    const auto& s = servers_[h];
+    if (s.known.zone != self_.zone || s.phase != fleet::Phase::READY) continue;
+    in_flight += s.in_flight;
+    ++in_zone;
+  }
+  const auto proxies = proxies_in_.find(self_.zone);
+  if (in_zone == 0 || proxies == proxies_in_.end()) return 0;
+  return in_flight / in_zone * static_cast<double>(proxies->second - 1);
+}
+
 // Seconds that a request to it is expected to take, with the price of the way in seconds.
-double Servers::cost(Time now, const Server& s, const Service& service) {
+double Servers::cost(Time now, const Server& s, const Service& service, double by_others) {
   const double usual = service.usual > 0 ? service.usual : kFirstUsual;
-  const auto in_zone = proxies_in_.find(s.known.zone);
-  const double sharers = s.known.zone == self_.zone && in_zone != proxies_in_.end()
-                             ? static_cast<double>(in_zone->second)
-                             : 1;
-  const double load = (s.in_flight + 1) * sharers / s.cap;
+  const double load = (s.in_flight + 1 + (s.known.zone == self_.zone ? by_others : 0)) / s.cap;
   double c = usual * s.slowness * (1 + 0.1 * load + std::max(0.0, load - kQueueFrom));
   c /= std::max(0.1, s.success);
   if (seconds(silence(now, s)) > std::max(kSilent * usual, seconds(kSilentLeast))) c *= 10;
@@ -201,6 +212,7 @@
   if (found == services_.end()) return Pick::none;
   const auto& service = found->second;
   const double connections = connections_allowed(service);
+  const double by_others = load_by_others(service);
   bool any = false;
   double best = std::numeric_limits<double>::infinity();
   double best_bad = best;
@@ -216,7 +228,7 @@
     if (is_cold(now, s) && !may_take_cold(now, s, service)) continue;
     if (s.in_flight >= connections) continue;
     if (s.in_flight >= kFull * s.cap) continue;
-    const double c = cost(now, s, service);
+    const double c = cost(now, s, service, by_others);
     if (now < s.ejected_until) {
       if (c < best_bad) best_bad = c, bad = h;
       continue;
--- a/src/system/decisions/servers.hpp
+++ b/src/system/decisions/servers.hpp
@@ -117,7 +117,8 @@
   bool may_take_cold(Time now, Server& s, const Service& service);
   bool shares_cold(Server& s) const;
   double connections_allowed(const Service& service) const;
-  double cost(Time now, const Server& s, const Service& service);
+  double load_by_others(const Service& service) const;
+  double cost(Time now, const Server& s, const Service& service, double by_others);
   static Duration silence(Time now, const Server& s);
   static void note_cancelled(Time now, Server& s);
   void unlist(ServerHandle h);
