--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -119,8 +119,9 @@
 struct Judgement {
   int status = 200;  // 200, 400 or 412; 503 for an order that has no effect and may be given anew
   std::string why;
-  bool already = false;   // 200 for a body that was taken before: final, nothing to agree on
-  bool in_force = false;  // 200 for a wish that holds in this state; agreed on all the same, against older orders
+  bool already = false;  // 200 for a body that was taken before: final, nothing to agree on
+  bool in_force =
+      false;  // 200 for a wish that holds in this state; agreed on all the same, against older orders
 };
 // What a body would be answered on top of a state; on 200 and not `already`, `after` (if not null) is the
 // document.
