--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -27,26 +27,27 @@
   BOOST_TEST(used.contains("next"));
 }
 
+// Forty proxies in one zone, twelve servers in it and twelve in another region.
+struct CrowdedZone : World {
+  CrowdedZone() {
+    std::vector<std::string> proxies;
+    for (int i = 1; i <= 40; ++i) proxies.push_back("a1/p" + std::to_string(i));
+    d.proxies(proxies);
+    for (int i = 0; i < 12; ++i) list("near" + std::to_string(i), "a1");
+    for (int i = 0; i < 12; ++i) list("far" + std::to_string(i), "b1");
+  }
+};
+
 // Each proxy took its own next request for one of all proxies of the zone at the same server, and sent it to an idle one
 // of another region.
 BOOST_AUTO_TEST_CASE(given_forty_proxies_in_a_zone_when_its_servers_are_idle_then_requests_stay_in_it) {
-  World w;
-  std::vector<std::string> proxies;
-  for (int i = 1; i <= 40; ++i) proxies.push_back("a1/p" + std::to_string(i));
-  w.d.proxies(proxies);
-  for (int i = 0; i < 12; ++i) w.list("near" + std::to_string(i), "a1");
-  for (int i = 0; i < 12; ++i) w.list("far" + std::to_string(i), "b1");
+  CrowdedZone w;
   BOOST_TEST(w.server_of(w.one(w.ask())).starts_with("near"));
 }
 
 BOOST_AUTO_TEST_CASE(
     given_forty_proxies_in_a_zone_when_its_servers_are_full_by_the_own_mean_then_others_are_used) {
-  World w;
-  std::vector<std::string> proxies;
-  for (int i = 1; i <= 40; ++i) proxies.push_back("a1/p" + std::to_string(i));
-  w.d.proxies(proxies);
-  for (int i = 0; i < 12; ++i) w.list("near" + std::to_string(i), "a1");
-  for (int i = 0; i < 12; ++i) w.list("far" + std::to_string(i), "b1");
+  CrowdedZone w;
   int near = 0;
   for (int i = 0; i < 12; ++i) near += w.server_of(w.one(w.ask())).starts_with("near") ? 1 : 0;
   BOOST_TEST(near > 0);
