Proxy: log lines at the steps of a drain, with what is open and by which stage

Nothing in the log told whether a proxy that leaves had work that can't end before the kill (H1), answers that wait behind others (H2) or saw SIGTERM late (H3). Now each step says how long after SIGTERM it comes, the connections, the requests by stage with the longest time left, and the answers held behind others. No decision is changed.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -260,6 +260,19 @@
   return done();
 }
 
+OpenRequests Decisions::open_requests(Time now) const {
+  OpenRequests open;
+  for (const auto& [id, r] : requests_) {
+    open.longest_left = std::max(open.longest_left, r.deadline - now);
+    if (r.at != kNoServer) {
+      ++open.at_server;
+    } else {
+      ++(r.parked ? open.wait_for_place : open.wait_for_units);
+    }
+  }
+  return open;
+}
+
 void Decisions::drop(RequestId id) {
   out_.push_back(Drop{id});
   requests_.erase(id);
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "system/decisions/departures.hpp"
+#include "system/decisions/open_requests.hpp"
 #include "system/decisions/repeats.hpp"
 #include "system/decisions/servers.hpp"
 #include "system/decisions/units.hpp"
@@ -114,6 +115,7 @@
   const Servers::Known* known(ServerHandle server) const { return servers_.known(server); }
   std::vector<ServerHandle> dropped() { return servers_.dropped(); }
   std::size_t open() const { return requests_.size(); }
+  OpenRequests open_requests(Time now) const;
   const DepartureCounts& departures() const { return departures_; }
 
  private:
--- /dev/null
+++ b/src/system/decisions/open_requests.cpp
@@ -0,0 +1,12 @@
+#include "system/decisions/open_requests.hpp"
+
+namespace docklift::decisions {
+
+std::string shown(const OpenRequests& open) {
+  const auto number = [](std::uint64_t n) { return std::to_string(n); };
+  return "requests: " + number(open.wait_for_units) + " wait for units, " + number(open.wait_for_place) +
+         " for a place, " + number(open.at_server) + " are at a server, the last ends in " +
+         number(millis(open.longest_left)) + " ms at most";
+}
+
+}  // namespace docklift::decisions
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -246,14 +246,33 @@
 void Proxy::drain(std::function<void()> ended) {
   if (std::exchange(draining_, true)) return;
   check_ready();
+  log_drain("begins");
   const auto grace = from_seconds(settings_.bounds.grace_s);
-  timers_.after(grace - kStopsAccepting, [this] {
+  const Time began = clock_.now();
+  timers_.after(grace - kStopsAccepting, [this, began] {
+    log_drain("accepts no more, " + std::to_string(millis(clock_.now() - began)) + " ms after it began");
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     const auto all = sessions_;
     for (const auto& s : all) s->drain();
   });
-  timers_.after(grace - kLastAnswers, [this, ended = std::move(ended)] { say_last(ended); });
+  timers_.after(grace - kLastAnswers, [this, began, ended = std::move(ended)] {
+    log_drain("waits for the last, " + std::to_string(millis(clock_.now() - began)) + " ms after it began");
+    say_last(ended);
+  });
+}
+
+void Proxy::log_drain(const std::string& step) const {
+  std::size_t idle = 0;
+  std::size_t held = 0;
+  for (const auto& session : sessions_) {
+    if (!session->has_requests()) ++idle;
+    held += session->answers_held();
+  }
+  log_.info("drain " + step + ": " + std::to_string(sessions_.size()) + " connections, " +
+            std::to_string(idle) + " without a request; " +
+            decisions::shown(decisions_.open_requests(clock_.now())) + "; " + std::to_string(held) +
+            " answers wait behind others");
 }
 
 // Ends when nothing is open: what waits for units or a place is refused by its own limits, what a server works on is left to the end.
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -59,6 +59,7 @@
   void check_ready();
   void report();
   void say_last(std::function<void()> ended);
+  void log_drain(const std::string& step) const;
 
   boost::asio::io_context& io_;
   SystemSettings settings_;
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -230,6 +231,12 @@
       });
 }
 
+std::size_t Session::answers_held() const {
+  if (slots_.empty()) return 0;
+  return static_cast<std::size_t>(
+      std::count_if(std::next(slots_.begin()), slots_.end(), [](const Slot& slot) { return slot.done; }));
+}
+
 void Session::drain() {
   if (slots_.empty() && in_.empty() && !in_body_ && !whole_) close();
 }
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -54,6 +54,8 @@
   void drain();  // ends when nothing is under way
   void close();
   bool has_requests() const { return !slots_.empty(); }  // under way
+  // Answers that wait until those to the requests before theirs have been written.
+  std::size_t answers_held() const;
 
  private:
   void read();
