--- a/tests/system/departed_clients_test.cpp
+++ b/tests/system/departed_clients_test.cpp
@@ -7,8 +7,8 @@
 #include <set>
 
 #include "decisions_world.hpp"
-#include "path_fleet.hpp"
 #include "play_settings.hpp"
+#include "serving_fleet.hpp"
 
 namespace docklift::test {
 namespace {
@@ -127,45 +127,6 @@
   bool asked_ = false;
 };
 
-// A client's connection with requests on it.
-class Client {
- public:
-  Client(Fleet& fleet, int proxy, const std::string& requests) : socket_(fleet.io.get_executor()) {
-    socket_.connect(*snowknot::endpoint_of(fleet.http(proxy)));
-    asio::write(socket_, asio::buffer(requests));
-  }
-  void leave() { snowknot::close_now(socket_); }
-
- private:
-  Socket socket_;
-};
-
-std::string request_to(const std::string& path, const std::string& id) {
-  return "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
-         "\r\nDeadline: 9000\r\nKey: k1\r\n\r\n";
-}
-
-// A fleet that serves, with a stand-in for a server that holds its answers to what ends in "hold".
-struct ServingFleet : Fleet {
-  ServingFleet()
-      : server(io, Fleet::server(0), [](const standin::Seen& seen) {
-          auto reply = standin::good(seen, "hello");
-          reply.hold = seen.target().ends_with("hold");
-          return reply;
-        }) {
-    BOOST_REQUIRE(until([&] { return post(ctl(1), "/Config.Replace", wide_body(3, 0)).status == 200; }));
-    BOOST_REQUIRE(beat("i-1", 0).status == 200);
-    BOOST_REQUIRE(until([&] { return ask(4, "/a/x").status == 200; }));
-  }
-  bool reaches_server(const std::string& path) {
-    return until([&] { return has_reached_server(path); });
-  }
-  bool has_reached_server(const std::string& path) {
-    return std::ranges::any_of(server.seen(), [&](const auto& seen) { return seen.target() == path; });
-  }
-  standin::Server server;
-};
-
 constexpr Duration kSoon = 3s;  // far below the time that the requests have
 
 BOOST_AUTO_TEST_SUITE(departed_clients)
--- a/tests/system/path_fleet.hpp
+++ b/tests/system/path_fleet.hpp
@@ -42,7 +42,10 @@
 
 class Fleet {
  public:
-  Fleet() : port_(static_cast<std::uint16_t>(20000 + ::getpid() % 20000)) {
+  // `proxy_settings`: further lines for the proxies, each with its line end.
+  explicit Fleet(std::string proxy_settings = "")
+      : port_(static_cast<std::uint16_t>(20000 + ::getpid() % 20000)),
+        proxy_settings_(std::move(proxy_settings)) {
     char name[] = "/tmp/docklift-path-XXXXXX";
     folder_ = ::mkdtemp(name);
     for (int i = 1; i <= 3; ++i) start_core(i);
@@ -166,24 +169,25 @@
                                                    dispatch({std::make_shared<Directory>(r)})));
   }
   void start_proxy(int machine) {
-    proxies.push_back(std::make_unique<proxy::Proxy>(io, settings(machine)));
+    proxies.push_back(std::make_unique<proxy::Proxy>(io, settings(machine, true, proxy_settings_)));
     BOOST_REQUIRE(!failed(proxies.back()->start()));
   }
 
  private:
-  SystemSettings settings(int machine, bool bootstrap = true) {
+  SystemSettings settings(int machine, bool bootstrap = true, const std::string& more = "") {
     const auto p = [&](int offset) { return std::to_string(port_ + offset); };
     auto text = "hostname=m" + std::to_string(machine) + "\nbind_ip=" + ip(machine) +
                 "\naz=z1\nrgn=r1\nazs.z1=r1\nport_range=" + p(0) + "," + p(5) + "\nseeds=" + ctl(1) + "," +
                 ctl(2) + "," + ctl(3) + "\nbootstrap=" + (bootstrap ? "true" : "false") +
                 "\nvoting=true\nhb_ms=1500\n" + "listen.ctl=" + ctl(machine) +
                 "\nlisten.dir=" + dir(machine) + "\nlisten.http=" + http(machine) +
-                "\nlimits.nofile=1024\nbounds.strict_revoke=true\n";
+                "\nlimits.nofile=1024\nbounds.strict_revoke=true\n" + more;
     auto read = parse_settings(text, "test");
     BOOST_REQUIRE(!failed(read));
     return value(read);
   }
   std::uint16_t port_;
+  std::string proxy_settings_;
   std::string folder_;
   std::uint64_t ids_ = 0, beats_ = 0;
 };
