Proxy drain by a schedule: nothing is begun that can't end before the kill

Cause: nothing between the session and the choice of a server knew how long this process lives. DrainSchedule says it; the decision module begins a request after 0.45 of the grace only if its deadline or its route's time ends before 0.9, tries again only with half of the aim left, and gives up at 0.9 what is open: 504 where a server has it, 503 where none has. The process ends when all is closed.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -15,6 +15,8 @@
 constexpr Duration
     kRevokeMargin = 700ms;  // of the time in which a removed key must end: what is under way must arrive
 constexpr double kLeastLeft = 0.12;  // of the aim that must be left for a further try to be worth a place
+constexpr double kLeastLeftInDrain = 0.5;  // of the aim, until this process gives up what is open
+constexpr Duration kOtherProxy = 10ms;  // until a client may come to another proxy, when this one is to end
 
 }  // namespace
 
@@ -125,6 +127,10 @@
     out_.push_back(Refuse{a.request, 503, back_off(r)});
     return done();
   }
+  if (drain_ && !drain_->may_begin(now, r.deadline)) {
+    out_.push_back(Refuse{a.request, 503, kOtherProxy});
+    return done();
+  }
   repeats_.request(r.service);
   auto& kept = requests_.insert_or_assign(a.request, std::move(r)).first.value();
   if (a.tenant) {
@@ -191,6 +197,8 @@
     note_end_after_departure(now, r, outcome);
     if (proves_not_run(outcome) && !r.may_have_run) give_unit_back(now, r);
     drop(id);
+  } else if (r.given_up) {
+    end_given_up(now, id, r, outcome);
   } else if (outcome == Outcome::ok) {
     out_.push_back(Relay{id});
     requests_.erase(id);
@@ -198,9 +206,8 @@
     const bool missed = outcome == Outcome::connect_failed;
     if (missed) --r.sends, ++r.misses;
     if (!proves_not_run(outcome)) r.may_have_run = true;
-    const bool in_time = now + snowknot::scaled(r.target, kLeastLeft) < r.deadline &&
-                         now < keys_valid_until();
-    bool again = in_time && (!r.may_have_run || r.repeatable) && r.sends < r.tries && r.misses < kMisses;
+    bool again = may_try_again(now, r) && (!r.may_have_run || r.repeatable) && r.sends < r.tries &&
+                 r.misses < kMisses;
     // Whom nobody was reached for has arrived nowhere, and needs none of the budget.
     ServerHandle server = kNoServer;
     again = again && servers_.choose(now, r.service, r.regions, r.tried, server) == Servers::Pick::server;
@@ -224,6 +231,46 @@
   return done();
 }
 
+// Whether there is time for a further try.
+bool Decisions::may_try_again(Time now, const Request& r) const {
+  if (now >= keys_valid_until()) return false;
+  if (drain_ && now + snowknot::scaled(r.target, kLeastLeftInDrain) >= drain_->gives_up) return false;
+  return now + snowknot::scaled(r.target, kLeastLeft) < r.deadline;
+}
+
+Actions Decisions::give_up(Time now) {
+  std::vector<RequestId> all;
+  all.reserve(requests_.size());
+  for (const auto& [id, r] : requests_) all.push_back(id);
+  for (const auto id : all) give_up(now, id);
+  return done();
+}
+
+void Decisions::give_up(Time now, RequestId id) {
+  auto& r = requests_.find(id).value();
+  r.given_up = true;
+  if (r.at != kNoServer) {
+    out_.push_back(Cancel{id, false});
+    return;
+  }
+  if (r.parked) {
+    give_unit_back(now, r);
+  } else {
+    units_.forget(r.tenant, id);
+  }
+  refuse(id, 503, kOtherProxy);
+}
+
+void Decisions::end_given_up(Time now, RequestId id, Request& r, Outcome outcome) {
+  if (!proves_not_run(outcome) || r.may_have_run) {
+    out_.push_back(Fail{id, 504});
+    requests_.erase(id);
+    return;
+  }
+  give_unit_back(now, r);
+  refuse(id, 503, kOtherProxy);
+}
+
 void Decisions::note_departure(Time now, Request& r) {
   r.client_left = now;
   if (!r.repeatable) ++departures_.not_repeatable;
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "system/decisions/departures.hpp"
+#include "system/decisions/drain_schedule.hpp"
 #include "system/decisions/open_requests.hpp"
 #include "system/decisions/repeats.hpp"
 #include "system/decisions/servers.hpp"
@@ -70,7 +71,7 @@
   Time arrived{}, deadline{}, place_until{}, unit_taken{};
   std::optional<Time> client_left;  // since when there is nobody to answer
   std::uint32_t tries = 1, sends = 0, misses = 0;
-  bool parked = false;
+  bool parked = false, given_up = false;
   std::vector<ServerHandle> tried;
   ServerHandle at = kNoServer;
 };
@@ -94,6 +95,12 @@
   // Whether the configuration here is known to lack a change that was agreed.
   void set_behind(bool behind) { behind_ = behind; }
 
+  // ---- the end of this process
+  // From here on, requests are begun only as the schedule allows, and sent again only where they can still end.
+  void begin_drain(const DrainSchedule& schedule) { drain_ = schedule; }
+  // All that is open gets its end: refused where no server has it, else its attempt is cancelled and it fails.
+  Actions give_up(Time now);
+
   // ---- requests
   Actions arrive(Time now, const Arrival& a);
   // `whole`: an answer of the server is at hand that can be relayed.
@@ -127,6 +134,9 @@
   void note_end_after_departure(Time now, const Request& r, Outcome outcome);
   void give_unit_back(Time now, const Request& r);
   void drop(RequestId id);
+  void give_up(Time now, RequestId id);
+  void end_given_up(Time now, RequestId id, Request& r, Outcome outcome);
+  bool may_try_again(Time now, const Request& r) const;
   void after_units(Time now);
   void serve_parked(Time now);
   Time keys_valid_until() const;
@@ -142,6 +152,7 @@
   tsl::robin_map<RequestId, Request> requests_;
   std::vector<RequestId> parked_;
   std::optional<Time> confirmed_at_;
+  std::optional<DrainSchedule> drain_;
   bool behind_ = false;
   DepartureCounts departures_;
   Actions out_;
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -5,11 +5,9 @@
 namespace docklift::proxy {
 namespace {
 using namespace std::chrono_literals;
-constexpr Duration kTick = 20ms;  // while requests are open
+constexpr Duration kTick = 20ms;  // while requests are open, or connections in a drain
 constexpr Duration
-    kNoConfiguration = 300ms;             // until a client may come back where none is here, or an old one
-constexpr Duration kLastAnswers = 700ms;  // before the grace ends: what is still open gets its last answer
-constexpr Duration kStopsAccepting = 1600ms;
+    kNoConfiguration = 300ms;        // until a client may come back where none is here, or an old one
 constexpr Duration kReport = 10s;    // from one line of figures to the next, where they have changed
 constexpr double kClientPart = 0.6;  // of the descriptors
 std::uint64_t drawn() { return (std::uint64_t(std::random_device{}()) << 32) | std::random_device{}(); }
@@ -195,11 +193,10 @@
 
 // With a configuration that was confirmed in this life and is not known to be old.
 bool Proxy::serves() const {
-  return configuration_ && confirmed_ && heard_servers_ && !draining_ &&
-         !decisions_.is_outdated(clock_.now());
+  return configuration_ && confirmed_ && heard_servers_ && !drain_ && !decisions_.is_outdated(clock_.now());
 }
 
-void Proxy::check_ready() { control_client_.set_state(serves(), draining_); }
+void Proxy::check_ready() { control_client_.set_state(serves(), draining()); }
 
 void Proxy::on_confirmed(Time at) {
   confirmed_ = true;
@@ -244,22 +241,41 @@
 void Proxy::on_grants_failed() { carry_out(decisions_.grants_failed(clock_.now())); }
 
 void Proxy::drain(std::function<void()> ended) {
-  if (std::exchange(draining_, true)) return;
+  if (drain_) return;
+  drained_ = std::move(ended);
+  drain_.emplace(clock_.now(), from_seconds(settings_.bounds.grace_s));
+  decisions_.begin_drain(*drain_);
   check_ready();
   log_drain("begins");
-  const auto grace = from_seconds(settings_.bounds.grace_s);
-  const Time began = clock_.now();
-  timers_.after(grace - kStopsAccepting, [this, began] {
-    log_drain("accepts no more, " + std::to_string(millis(clock_.now() - began)) + " ms after it began");
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-    const auto all = sessions_;
-    for (const auto& s : all) s->drain();
-  });
-  timers_.after(grace - kLastAnswers, [this, began, ended = std::move(ended)] {
-    log_drain("waits for the last, " + std::to_string(millis(clock_.now() - began)) + " ms after it began");
-    say_last(ended);
-  });
+  timers_.at(drain_->accepts_until, [this] { stop_accepting(); });
+  timers_.at(drain_->gives_up, [this] { give_up(); });
+}
+
+void Proxy::stop_accepting() {
+  log_drain("accepts no more");
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  end_when_closed();
+}
+
+void Proxy::give_up() {
+  if (!drained_) return;
+  log_drain("gives up what is open");
+  carry_out(decisions_.give_up(clock_.now()));
+  const auto all = sessions_;
+  for (const auto& session : all) session->take_no_more();
+}
+
+// A request that crosses the close has not been read; its client sends it to another proxy.
+void Proxy::end_when_closed() {
+  const auto all = sessions_;
+  for (const auto& session : all) session->close_if_idle();
+  const bool closed = sessions_.empty() && exchanges_.empty();
+  if (!closed && clock_.now() < drain_->ends)
+    return void(timers_.after(kTick, [this] { end_when_closed(); }));
+  log_drain("ends");
+  control_client_.stop();
+  std::exchange(drained_, nullptr)();
 }
 
 void Proxy::log_drain(const std::string& step) const {
@@ -269,24 +285,11 @@
     if (!session->has_requests()) ++idle;
     held += session->answers_held();
   }
-  log_.info("drain " + step + ": " + std::to_string(sessions_.size()) + " connections, " +
+  log_.info("drain " + step + ", " + std::to_string(millis(clock_.now() - drain_->began)) +
+            " ms after SIGTERM: " + std::to_string(sessions_.size()) + " connections, " +
             std::to_string(idle) + " without a request; " +
             decisions::shown(decisions_.open_requests(clock_.now())) + "; " + std::to_string(held) +
             " answers wait behind others");
 }
 
-// Ends when nothing is open: what waits for units or a place is refused by its own limits, what a server works on is left to the end.
-void Proxy::say_last(std::function<void()> ended) {
-  const auto all = sessions_;
-  for (const auto& s : all) s->drain();
-  if (exchanges_.empty()) {
-    timers_.after(100ms, [this, ended = std::move(ended)] {
-      control_client_.stop();
-      ended();
-    });
-    return;
-  }
-  timers_.after(50ms, [this, ended = std::move(ended)]() mutable { say_last(std::move(ended)); });
-}
-
 }  // namespace docklift::proxy
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -1,7 +1,9 @@
 // The proxy on sockets: clients' sessions, the decisions, connections to servers, news from registries.
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -19,12 +21,12 @@
   Proxy(boost::asio::io_context& io, const SystemSettings& settings);
   ~Proxy() override;
   Result<std::monostate> start();
-  // Leaves in order: is no longer given to clients, answers what is open, and calls `ended` within the grace.
+  // Leaves in order: is no longer given to clients, answers what is open, and calls `ended` within the grace. Once.
   void drain(std::function<void()> ended);
 
   configuration::Limits limits() const override;
   OwnAnswer denial(int status) const override;
-  bool draining() const override { return draining_; }
+  bool draining() const override { return drain_.has_value(); }
   void on_request(const std::shared_ptr<Session>& session, std::uint64_t number, Request request) override;
   bool is_repeatable(const Request& request) const override;
   void on_ended(const std::shared_ptr<Session>& session) override;
@@ -58,7 +60,9 @@
   bool serves() const;
   void check_ready();
   void report();
-  void say_last(std::function<void()> ended);
+  void stop_accepting();
+  void give_up();
+  void end_when_closed();
   void log_drain(const std::string& step) const;
 
   boost::asio::io_context& io_;
@@ -76,7 +80,9 @@
   std::unordered_map<decisions::RequestId, Exchange> exchanges_;
   decisions::RequestId last_id_ = 0;
   decisions::DepartureCounts reported_departures_;
-  bool draining_ = false, heard_servers_ = false, confirmed_ = false, ticking_ = false;
+  std::optional<decisions::DrainSchedule> drain_;
+  std::function<void()> drained_;
+  bool heard_servers_ = false, confirmed_ = false, ticking_ = false;
 };
 
 }  // namespace docklift::proxy
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -237,10 +237,15 @@
       std::count_if(std::next(slots_.begin()), slots_.end(), [](const Slot& slot) { return slot.done; }));
 }
 
-void Session::drain() {
+void Session::close_if_idle() {
   if (slots_.empty() && in_.empty() && !in_body_ && !whole_) close();
 }
 
+void Session::take_no_more() {
+  keep_ = false;
+  if (slots_.empty()) close();
+}
+
 void Session::close() {
   if (std::exchange(closed_, true)) return;
   timers_.cancel(limit_);
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -51,7 +51,10 @@
   // The answer to a request: whole, with the place where its fields end. Once for each number.
   void answer(std::uint64_t number, std::string reply, std::size_t body_at);
   void answer(std::uint64_t number, const OwnAnswer& own);
-  void drain();  // ends when nothing is under way
+  // The process is to end. `close_if_idle`: closes unless a request, or a part of one, has been read.
+  // `take_no_more`: closes unless answers are owed; behind the last of these.
+  void close_if_idle();
+  void take_no_more();
   void close();
   bool has_requests() const { return !slots_.empty(); }  // under way
   // Answers that wait until those to the requests before theirs have been written.
--- a/tests/system/drain_test.cpp
+++ b/tests/system/drain_test.cpp
@@ -1,6 +1,12 @@
 // What becomes of requests at a proxy that is to end (SIGTERM): in the decision module, and on sockets.
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <optional>
+#include <random>
 
+#include "decisions_world.hpp"
+#include "play_settings.hpp"
 #include "serving_fleet.hpp"
 
 namespace docklift::test {
@@ -26,6 +32,94 @@
   bool ended = false;
 };
 
+// Requests, outcomes and time by chance at a proxy that drains at a moment by chance. What is out at servers is known
+// here, as a front knows it.
+class DrainPlay {
+ public:
+  explicit DrainPlay(std::uint64_t seed)
+      : seed_(seed),
+        random_(seed),
+        world_({.kind = seed % 2 == 0 ? "idempotent" : "mutating", .tries = 3}, seed) {
+    for (const auto* server : {"one", "two"}) world_.list(server, "a1");
+  }
+
+  void run() {
+    const Time begins = world_.now + Duration(1ms) * static_cast<int>(random_() % 1000);
+    const DrainSchedule schedule(begins, 6s);
+    while (world_.now < schedule.gives_up) {
+      world_.now += Duration(1ms) * static_cast<int>(random_() % 40);
+      world_.d.confirmed(world_.now);
+      if (!schedule_ && world_.now >= begins) world_.d.begin_drain(schedule_.emplace(schedule));
+      one_event();
+    }
+    giving_up_ = true;
+    take(world_.d.give_up(world_.now));
+    BOOST_TEST(open_.empty(), "seed " << seed_);
+    BOOST_TEST(world_.d.open() == 0u, "seed " << seed_);
+    take(world_.d.arrive(world_.now, arrival(5s)));
+    BOOST_TEST(open_.empty(), "seed " << seed_);  // refused
+  }
+
+ private:
+  struct Open {
+    bool at_server = false, may_have_run = false;
+    Time deadline{};
+  };
+  Arrival arrival(Duration left) {
+    open_[++world_.id].deadline = world_.now + std::min<Duration>(left, 2s);  // the route's time
+    return {world_.id, &world_.c->routes[0], &world_.c->tenants[0], left};
+  }
+  void one_event() {
+    if (random_() % 3 != 0) return take(world_.d.arrive(world_.now, arrival(random_() % 2 == 0 ? 5s : 1s)));
+    if (open_.empty()) return take(world_.d.tick(world_.now));
+    const auto id = std::next(open_.begin(), static_cast<std::ptrdiff_t>(random_() % open_.size()))->first;
+    if (open_[id].at_server) end(id);
+  }
+  void end(RequestId id) {
+    static constexpr std::array kOutcomes = {Outcome::ok, Outcome::error, Outcome::reset, Outcome::not_run,
+                                             Outcome::connect_failed};
+    const auto outcome = kOutcomes[random_() % kOutcomes.size()];
+    note_end(id, outcome);
+    take(world_.d.ended(world_.now, id, outcome, 50ms, outcome == Outcome::ok));
+  }
+  void note_end(RequestId id, Outcome outcome) {
+    auto& open = open_.at(id);
+    open.at_server = false;
+    open.may_have_run = open.may_have_run || !proves_not_run(outcome);
+  }
+  void take(const Actions& actions) {
+    for (const auto& action : actions) std::visit([&](const auto& one) { on(one); }, action);
+  }
+  void on(const Send& sent) {
+    auto& open = open_.at(sent.request);
+    BOOST_TEST(!giving_up_, "seed " << seed_);
+    if (schedule_) BOOST_TEST(schedule_->may_begin(world_.now, open.deadline), "seed " << seed_);
+    open.at_server = true;
+  }
+  void on(const Cancel& cancel) {
+    BOOST_TEST(open_.at(cancel.request).at_server, "seed " << seed_);
+    const auto outcome = random_() % 2 == 0 ? Outcome::cancelled : Outcome::cancelled_unsent;
+    note_end(cancel.request, outcome);
+    take(world_.d.ended(world_.now, cancel.request, outcome, {}, false));
+  }
+  void on(const Refuse& refuse) {
+    BOOST_TEST(!open_.at(refuse.request).may_have_run, "seed " << seed_);
+    final_of(refuse.request);
+  }
+  void on(const Fail& fail) { final_of(fail.request); }
+  void on(const Relay& relay) { final_of(relay.request); }
+  void on(const Drop& drop) { final_of(drop.request); }
+  void on(const RequestUnits&) {}
+  void final_of(RequestId id) { BOOST_TEST(open_.erase(id) == 1u, "seed " << seed_); }
+
+  std::uint64_t seed_;
+  std::mt19937_64 random_;
+  World world_;
+  std::optional<DrainSchedule> schedule_;
+  std::map<RequestId, Open> open_;
+  bool giving_up_ = false;
+};
+
 BOOST_AUTO_TEST_SUITE(drain)
 
 BOOST_AUTO_TEST_CASE(given_a_kept_connection_when_a_request_comes_early_in_the_drain_then_it_is_served_last) {
@@ -67,6 +161,84 @@
   BOOST_TEST(f.until([&] { return client.closed(); }));
 }
 
+// A failed try of a late request went on to another server, and was killed there.
+BOOST_AUTO_TEST_CASE(given_a_failed_try_near_the_end_of_a_drain_then_the_servers_answer_is_passed_on) {
+  World w({.tries = 3});
+  w.list("one", "a1"), w.list("two", "a1");
+  w.d.begin_drain(DrainSchedule(w.now, 6s));
+  w.ask();
+  w.now += 5300ms;
+  w.d.confirmed(w.now);
+  BOOST_TEST(std::holds_alternative<Relay>(w.end(Outcome::error)));
+}
+
+BOOST_AUTO_TEST_CASE(given_a_drain_when_requests_come_then_they_are_begun_while_they_can_still_end) {
+  World w;
+  w.list("one", "a1");
+  w.d.begin_drain(DrainSchedule(w.now, 6s));
+  w.now += 2600ms;
+  BOOST_TEST(std::holds_alternative<Send>(w.one(w.ask(5s))));
+  w.now += 200ms;
+  BOOST_TEST(std::holds_alternative<Send>(w.one(w.ask(1s))));  // ends by its deadline
+  const auto late = w.one(w.ask(5s));  // and by its route's time, 2 s, which is within the rest
+  BOOST_TEST(std::holds_alternative<Send>(late));
+  w.now += 1s;
+  const auto refused = w.one(w.ask(5s));
+  BOOST_REQUIRE(std::holds_alternative<Refuse>(refused));
+  BOOST_TEST(std::get<Refuse>(refused).status == 503);
+  BOOST_TEST((std::get<Refuse>(refused).retry_after > Duration{}));
+}
+
+BOOST_AUTO_TEST_CASE(given_work_at_servers_when_a_drain_gives_up_then_only_what_has_not_run_is_refused) {
+  for (const auto* kind : {"idempotent", "mutating"}) {
+    World w({.kind = kind});
+    w.list("one", "a1");
+    w.d.begin_drain(DrainSchedule(w.now, 6s));
+    w.ask();
+    const auto sent = w.id;
+    w.ask();
+    const auto unsent = w.id;
+    const auto cancels = w.d.give_up(w.now);
+    BOOST_REQUIRE(cancels.size() == 2u);
+    for (const auto& cancel : cancels) BOOST_TEST(!std::get<Cancel>(cancel).unsent_only);
+    const auto failed_end = w.one(w.d.ended(w.now, sent, Outcome::cancelled, {}, false));
+    BOOST_REQUIRE(std::holds_alternative<Fail>(failed_end));
+    BOOST_TEST(std::get<Fail>(failed_end).status == 504);
+    BOOST_TEST(std::holds_alternative<Refuse>(
+        w.one(w.d.ended(w.now, unsent, Outcome::cancelled_unsent, {}, false))));
+    BOOST_TEST(w.d.open() == 0u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(given_drains_at_any_moment_when_they_give_up_then_each_request_has_had_one_end) {
+  for (std::uint64_t seed = 1; seed <= last_seed(200); ++seed) DrainPlay(seed).run();
+}
+
+BOOST_AUTO_TEST_CASE(given_nothing_open_when_the_drain_accepts_no_more_then_it_ends_early) {
+  DrainingFleet f;
+  Client kept(f, 4, request_to("/a/x", "kept"));
+  kept.listen();
+  BOOST_REQUIRE(f.until([&] { return kept.received_answer_to("kept"); }));
+  f.begin_drain();
+  BOOST_TEST(f.until([&] { return f.ended; }, kGrace * 2 / 3));
+  BOOST_TEST(f.until([&] { return kept.closed(); }));
+}
+
+BOOST_AUTO_TEST_CASE(given_work_to_the_end_of_the_grace_then_its_client_is_told_before_the_kill) {
+  DrainingFleet f;
+  Client client(f, 4, request_to("/a/long/hold", "long"));
+  client.listen();
+  BOOST_REQUIRE(f.reaches_server("/a/long/hold"));
+  f.begin_drain();
+  // An upload that stays half read does not hold the process.
+  Client upload(f, 4,
+                "GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: half\r\nContent-Length: 9\r\n\r\nhalf");
+  upload.listen();
+  BOOST_TEST(f.ends_within_grace());
+  BOOST_TEST(f.until([&] { return client.closed() && upload.closed(); }));
+  BOOST_TEST(client.received().starts_with("HTTP/1.1 504 "));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
