A draining proxy takes one request at a time on a connection, and closes behind it

In a drain a request is begun only when it is alone on its connection, and the answer closes the connection also when more stands behind: the client sends that again elsewhere, whatever its kind. The close waits up to 0.3 s for the client's own, as bytes that it has sent behind would reset the connection.

given_requests_behind_each_other_in_a_drain... fails before (the second request reaches the server) and passes now.

--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t kAhead = std::size_t{64} * 1024;  // bytes read behind requests that are under way
 constexpr std::size_t kTogether = 16;                   // requests of one connection under way
 constexpr Duration kWrite = std::chrono::seconds(20);
+// A connection that the client may still have sent on, after the last answer: closed at once it would be reset, and the
+// answer perhaps be lost with it.
+constexpr Duration kLinger = std::chrono::milliseconds(300);
 constexpr Duration kCloseWatch = std::chrono::milliseconds(250);  // of a connection that is not read
 }  // namespace
 
@@ -47,7 +50,7 @@
                             self->reading_ = false;
                             if (self->closed_) return;
                             if (failed) return self->close();
-                            self->in_.append(self->chunk_.data(), n);
+                            if (!self->lingering_) self->in_.append(self->chunk_.data(), n);
                             self->read();
                             self->take_in_next_turn();
                           });
@@ -96,7 +99,8 @@
 
 void Session::begin() {
   const bool repeatable = host_->is_repeatable(request_);
-  if (!slots_.empty() && !(repeatable && repeatable_)) return;  // until it is alone
+  // Until it is alone: in a drain as well, so that no answer is held behind a longer request at the end.
+  if (!slots_.empty() && (host_->draining() || !(repeatable && repeatable_))) return;
   repeatable_ = repeatable, whole_ = false;
   const auto number = ++numbers_;
   slots_.push_back({number, false, !keep_, {}, 0});
@@ -200,8 +204,8 @@
 void Session::write_next() {
   if (writing_ || closed_ || slots_.empty() || !slots_.front().done) return;
   auto& slot = slots_.front();
-  const bool nothing_more = slots_.size() == 1 && in_.empty() && !whole_;
-  const bool last = slot.last || (host_->draining() && nothing_more);
+  // What stands behind an answer that closes the connection counts as not read, and is sent again elsewhere.
+  const bool last = slot.last || (host_->draining() && slots_.size() == 1);
   if (last) slot.reply.insert(slot.body_at, "Connection: close\r\n"), keep_ = false;
   out_ = std::move(slot.reply);
   writing_ = true;
@@ -214,11 +218,8 @@
         self->timers_.cancel(self->limit_);
         self->slots_.pop_front();
         self->out_ = {};
-        if (failed || last) {
-          error_code ignored;
-          self->socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-          return self->close();
-        }
+        if (failed) return self->close();
+        if (last) return self->end_sending();
         if (self->whole_) self->begin();
         self->take();
         if (self->closed_) return;
@@ -237,13 +238,25 @@
       std::count_if(std::next(slots_.begin()), slots_.end(), [](const Slot& slot) { return slot.done; }));
 }
 
+// Behind the last answer. Nothing stands behind it outside a drain, but where the client has asked for the close.
+void Session::end_sending() {
+  error_code ignored;
+  socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (!host_->draining()) return close();
+  lingering_ = true;
+  in_.clear();
+  limit_ = timers_.after(kLinger, [self = shared_from_this()] { self->limit_.reset(), self->close(); });
+  read();
+}
+
 void Session::close_if_idle() {
+  if (lingering_) return;
   if (slots_.empty() && in_.empty() && !in_body_ && !whole_) close();
 }
 
 void Session::take_no_more() {
   keep_ = false;
-  if (slots_.empty()) close();
+  if (slots_.empty() && !lingering_) close();
 }
 
 void Session::close() {
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -68,6 +68,7 @@
   bool take_body();
   void begin();
   void write_next();
+  void end_sending();
   bool read_head();
   void refuse(const OwnAnswer& why);
   void wait_for(double ms, bool idle);
@@ -90,7 +91,7 @@
   stream::BodyDecoder decoder_;
   std::string body_;
   bool reading_ = false, in_body_ = false, repeatable_ = true, keep_ = true, closed_ = false,
-       writing_ = false, taking_ = false, watching_ = false;
+       writing_ = false, taking_ = false, watching_ = false, lingering_ = false;
   snowknot::Timers::Handle limit_;
 };
 
--- a/tests/system/drain_test.cpp
+++ b/tests/system/drain_test.cpp
@@ -214,6 +214,18 @@
   for (std::uint64_t seed = 1; seed <= last_seed(200); ++seed) DrainPlay(seed).run();
 }
 
+BOOST_AUTO_TEST_CASE(given_requests_behind_each_other_in_a_drain_then_the_second_waits_for_another_proxy) {
+  DrainingFleet f;
+  f.begin_drain();
+  Client client(f, 4, request_to("/a/1/hold", "first") + request_to("/a/2", "second"));
+  client.listen();
+  BOOST_REQUIRE(f.reaches_server("/a/1/hold"));
+  f.server.release();
+  BOOST_TEST(f.until([&] { return client.closed(); }));
+  BOOST_TEST(client.received_answer_to("first"));
+  BOOST_TEST(!f.has_reached_server("/a/2"));
+}
+
 BOOST_AUTO_TEST_CASE(given_nothing_open_when_the_drain_accepts_no_more_then_it_ends_early) {
   DrainingFleet f;
   Client kept(f, 4, request_to("/a/x", "kept"));
