A registry that ends turns new calls away and answers those under way

A server's word that it drains was acknowledged, which binds all proxies, and a change that was under way never got its verdict: the caller saw a closed connection. Now new calls get 503 at once and go to another node, verdicts of the stores are still passed on, and what has none after 250 ms gets 503. A second SIGTERM changes nothing; it ended the registry at once.

Two stories in drain_test.cpp fail before (200 in place of 503, no answer in place of 200) and pass now. That an acknowledged drain was in fact not passed on was not brought about.

--- a/src/system/registry/handlers.cpp
+++ b/src/system/registry/handlers.cpp
@@ -130,6 +130,12 @@
   return true;
 }
 
+bool EndingNode::handle(const http::Call&, const http::Server::Respond& respond) {
+  if (!registry_.ends()) return false;
+  respond({503, body_of_error("this node ends"), kRetryAfterS});
+  return true;
+}
+
 http::Server::Handle dispatch(std::vector<std::shared_ptr<Handler>> handlers) {
   return [handlers = std::move(handlers)](const http::Call& call, const http::Server::Respond& respond) {
     try {
--- a/src/system/registry/handlers.hpp
+++ b/src/system/registry/handlers.hpp
@@ -55,6 +55,16 @@
   Registry& registry_;
 };
 
+// Every call at a registry that ends: 503, so that the caller goes to another node. Stands ahead of the others.
+class EndingNode : public Handler {
+ public:
+  explicit EndingNode(const Registry& registry) : registry_(registry) {}
+  bool handle(const http::Call& call, const http::Server::Respond& respond) override;
+
+ private:
+  const Registry& registry_;
+};
+
 // Hands a call to the first handler that takes it, 404 otherwise; no handler may throw past it.
 http::Server::Handle dispatch(std::vector<std::shared_ptr<Handler>> handlers);
 
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -18,6 +18,8 @@
 constexpr double kSilentBeats = 4;          // beats that a server may miss
 constexpr Duration kKept = 60s;             // that a server is gone is remembered
 constexpr Duration kMembersRenew = 1s;      // after the first proxy has come all others have, too
+constexpr Duration kLastVerdicts = 250ms;   // from the call to end, for those of stores that are under way
+constexpr Duration kLastAnswers = 50ms;     // for what was answered to be written
 
 }  // namespace
 
@@ -360,7 +362,9 @@
 }
 
 // Proposals that no store has answered, and calls that wait for a place in the log.
-void Registry::expire_calls(Time now) {
+void Registry::expire_calls(Time now) { end_calls(now, "no store has answered"); }
+
+void Registry::end_calls(Time now, const std::string& why) {
   for (auto it = pending_.begin(); it != pending_.end();) {
     if (now < it->second.until) {
       ++it;
@@ -368,7 +372,7 @@
     }
     const auto done = std::move(it->second.done);
     it = pending_.erase(it);
-    done(503, "no store has answered", 0);
+    done(503, why, 0);
   }
   std::vector<std::function<void(bool)>> late;
   std::erase_if(waiting_, [&](auto& w) {
@@ -380,6 +384,7 @@
 }
 
 void Registry::stop(std::function<void()> ended) {
+  if (stopped_) return;
   const Time now = clock_.now();
   std::string successor;
   for (const auto& ip : voter_ips()) {
@@ -392,14 +397,23 @@
   news_timer_.cancel();
   if (!server_news_.empty()) send_server_news();
   stopped_ = true;
-  timer_.expires_after(300ms);
-  timer_.async_wait([this, ended = std::move(ended)](boost::system::error_code) {
+  timer_.expires_after(kLastVerdicts);
+  timer_.async_wait(lifetime_.bind([this, ended = std::move(ended)](boost::system::error_code) {
+    end_calls(Time::max(), "this node ends");
+    end(ended);
+  }));
+}
+
+// When the last answers are written.
+void Registry::end(const std::function<void()>& ended) {
+  timer_.expires_after(kLastAnswers);
+  timer_.async_wait(lifetime_.bind([this, ended](boost::system::error_code) {
     listener_->close();
     for (auto& [ip, d] : registries_) d->stop();
     for (auto& [ip, d] : stores_) d->stop();
     for (auto& [link, p] : proxies_) p.link->close();
     ended();
-  });
+  }));
 }
 
 }  // namespace docklift
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -34,8 +34,11 @@
            std::unique_ptr<RecordCache> record_cache);
   ~Registry();  // ends all links
   void start();
-  // Names a successor for the counts, tells others, and calls `ended` when that is out.
+  // Names a successor for the counts, tells others, and calls `ended` when that is out and each call that was taken has
+  // its answer. Once.
   void stop(std::function<void()> ended);
+  // stop() was called: no call is to be begun here any more.
+  bool ends() const { return stopped_; }
 
   // ---- for the handlers
   const SystemSettings& settings() const { return settings_; }
@@ -122,6 +125,8 @@
   void expire_servers(Time now);
   void expire_members(Time now);
   void expire_calls(Time now);
+  void end_calls(Time now, const std::string& why);  // those whose time is up
+  void end(const std::function<void()>& ended);
   void gossip_digests();
   void flush();
   void save_records();
--- a/src/system/registry/registry_changes.cpp
+++ b/src/system/registry/registry_changes.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 void Registry::on_store_frame(const std::string& ip, wire::Frame::Reader frame) {
-  if (stopped_) return;
+  if (stopped_ && frame.which() != wire::Frame::VERDICT) return;
   switch (frame.which()) {
     case wire::Frame::CHANGES:
     case wire::Frame::SNAPSHOT_PART: after_news(follower_.on_frame(clock_.now(), ip, frame)); break;
--- a/tests/system/drain_test.cpp
+++ b/tests/system/drain_test.cpp
@@ -251,6 +251,27 @@
   BOOST_TEST(client.received().starts_with("HTTP/1.1 504 "));
 }
 
+// A registry acknowledged what it was told after SIGTERM, though its links were about to end.
+BOOST_AUTO_TEST_CASE(given_a_registry_that_ends_when_a_server_says_that_it_drains_then_it_goes_to_another) {
+  ServingFleet f;
+  bool ended = false;
+  f.registries[0]->stop([&] { ended = true; });
+  BOOST_TEST(f.beat("i-1", 0, "draining").status == 503);  // at the first core machine
+  BOOST_TEST(f.until([&] { return ended; }));
+}
+
+// A change that was under way at SIGTERM was cut off without a word.
+BOOST_AUTO_TEST_CASE(given_a_change_under_way_when_its_registry_ends_then_it_has_its_answer) {
+  ServingFleet f;
+  bool ended = false;
+  int status = 0;
+  f.registries[0]->propose(configuration::ChangeKind::replace, wide_body(4, 3),
+                           [&](int answer, const std::string&, std::uint64_t) { status = answer; });
+  f.registries[0]->stop([&] { ended = true; });
+  BOOST_TEST(f.until([&] { return ended; }));
+  BOOST_TEST(status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/system/path_fleet.hpp
+++ b/tests/system/path_fleet.hpp
@@ -162,8 +162,8 @@
     r.start();
     doors.push_back(std::make_unique<http::Server>(
         io, *snowknot::endpoint_of(ctl(machine)), http::ServerLimits{},
-        dispatch({std::make_shared<Instances>(r), std::make_shared<Configurations>(r),
-                  std::make_shared<Evacuations>(r)})));
+        dispatch({std::make_shared<EndingNode>(r), std::make_shared<Instances>(r),
+                  std::make_shared<Configurations>(r), std::make_shared<Evacuations>(r)})));
     doors.push_back(std::make_unique<http::Server>(io, *snowknot::endpoint_of(dir(machine)),
                                                    http::ServerLimits{},
                                                    dispatch({std::make_shared<Directory>(r)})));
