--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -86,8 +86,9 @@
   return snowknot::scaled(std::max<Duration>(r.target, 200ms), part);
 }
 
-void Decisions::refuse(RequestId id, int status, Duration retry_after) {
-  out_.push_back(Refuse{id, status, retry_after});
+void Decisions::refuse(RequestId id, RefusalReason reason, Duration retry_after) {
+  refusals_.count(reason);
+  out_.push_back(Refuse{id, reason == RefusalReason::quota ? 429 : 503, retry_after});
   requests_.erase(id);
 }
 
@@ -124,11 +125,11 @@
   }
   // Keys that were taken away must end here too, also where this proxy is cut off from the core.
   if (now >= keys_valid_until() || is_outdated(now) || homeless) {
-    out_.push_back(Refuse{a.request, 503, back_off(r)});
+    refuse(a.request, RefusalReason::outdated, back_off(r));
     return done();
   }
   if (drain_ && !drain_->may_begin(now, r.deadline)) {
-    out_.push_back(Refuse{a.request, 503, kOtherProxy});
+    refuse(a.request, RefusalReason::draining, kOtherProxy);
     return done();
   }
   repeats_.request(r.service);
@@ -144,7 +145,9 @@
         send_on(now, a.request, kept);
         break;
       case Units::Take::waits: break;
-      case Units::Take::refused: refuse(a.request, holder_lost ? 503 : 429, retry_after); break;
+      case Units::Take::refused:
+        refuse(a.request, holder_lost ? RefusalReason::no_units : RefusalReason::quota, retry_after);
+        break;
     }
     after_units(now);
   } else {
@@ -160,20 +163,20 @@
 void Decisions::send_on(Time now, RequestId id, Request& r) {
   if (now >= keys_valid_until()) {
     give_unit_back(now, r);
-    return refuse(id, 503, back_off(r));
+    return refuse(id, RefusalReason::outdated, back_off(r));
   }
   ServerHandle server = kNoServer;
   switch (servers_.choose(now, r.service, r.regions, r.tried, server)) {
     case Servers::Pick::server: return send(now, id, r, server);
     case Servers::Pick::none: {
       give_unit_back(now, r);
-      return refuse(id, 503, back_off(r));
+      return refuse(id, RefusalReason::no_server, back_off(r));
     }
     case Servers::Pick::full: break;
   }
   if (now >= r.place_until) {
     give_unit_back(now, r);
-    return refuse(id, 503, back_off(r));
+    return refuse(id, RefusalReason::no_place, back_off(r));
   }
   if (!std::exchange(r.parked, true)) parked_.push_back(id);
 }
@@ -216,7 +219,7 @@
       send(now, id, r, server);
     } else if (!r.may_have_run) {
       give_unit_back(now, r);
-      refuse(id, 503, back_off(r));
+      refuse(id, RefusalReason::not_run, back_off(r));
     } else {
       if (whole && outcome == Outcome::error) {
         out_.push_back(Relay{id});
@@ -258,7 +261,7 @@
   } else {
     units_.forget(r.tenant, id);
   }
-  refuse(id, 503, kOtherProxy);
+  refuse(id, RefusalReason::draining, kOtherProxy);
 }
 
 void Decisions::end_given_up(Time now, RequestId id, Request& r, Outcome outcome) {
@@ -268,7 +271,7 @@
     return;
   }
   give_unit_back(now, r);
-  refuse(id, 503, kOtherProxy);
+  refuse(id, RefusalReason::draining, kOtherProxy);
 }
 
 void Decisions::note_departure(Time now, Request& r) {
@@ -347,7 +350,8 @@
       send_on(now, id, found.value());
     }
   for (const auto& t : units_.turned(now))
-    if (requests_.contains(t.request)) refuse(t.request, t.holder_lost ? 503 : 429, t.retry_after);
+    if (requests_.contains(t.request))
+      refuse(t.request, t.holder_lost ? RefusalReason::no_units : RefusalReason::quota, t.retry_after);
   if (!orders.empty()) out_.push_back(RequestUnits{std::move(orders)});
 }
 
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -16,6 +16,7 @@
 #include "system/decisions/departures.hpp"
 #include "system/decisions/drain_schedule.hpp"
 #include "system/decisions/open_requests.hpp"
+#include "system/decisions/refusals.hpp"
 #include "system/decisions/repeats.hpp"
 #include "system/decisions/servers.hpp"
 #include "system/decisions/units.hpp"
@@ -102,6 +103,8 @@
   Actions give_up(Time now);
 
   // ---- requests
+  // One was turned away because there is no configuration here yet: counted only.
+  void refused_without_configuration() { refusals_.count(RefusalReason::no_configuration); }
   Actions arrive(Time now, const Arrival& a);
   // `whole`: an answer of the server is at hand that can be relayed.
   Actions ended(Time now, RequestId id, Outcome outcome, Duration took, bool whole);
@@ -124,12 +127,13 @@
   std::size_t open() const { return requests_.size(); }
   OpenRequests open_requests(Time now) const;
   const DepartureCounts& departures() const { return departures_; }
+  const RefusalCounts& refusals() const { return refusals_; }
 
  private:
   using Request = flow::Request;
   void send_on(Time now, RequestId id, Request& r);
   void send(Time now, RequestId id, Request& r, ServerHandle server);
-  void refuse(RequestId id, int status, Duration retry_after);
+  void refuse(RequestId id, RefusalReason reason, Duration retry_after);
   void note_departure(Time now, Request& r);
   void note_end_after_departure(Time now, const Request& r, Outcome outcome);
   void give_unit_back(Time now, const Request& r);
@@ -155,6 +159,7 @@
   std::optional<DrainSchedule> drain_;
   bool behind_ = false;
   DepartureCounts departures_;
+  RefusalCounts refusals_;
   Actions out_;
 };
 
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -94,7 +94,10 @@
 
 void Proxy::on_request(const std::shared_ptr<Session>& session, std::uint64_t number, Request request) {
   const Time now = clock_.now();
-  if (!configuration_) return session->answer(number, {503, kNoConfiguration});
+  if (!configuration_) {
+    decisions_.refused_without_configuration();
+    return session->answer(number, {503, kNoConfiguration});
+  }
   const auto* route = configuration_->route(request.host, request.target);
   if (!route) return session->answer(number, denial(404));
   const auto* tenant = request.key.empty() ? nullptr : configuration_->tenant_of(request.key);
@@ -187,6 +190,9 @@
     const auto& departures = decisions_.departures();
     if (departures != reported_departures_) log_.info(decisions::shown(departures));
     reported_departures_ = departures;
+    const auto& refusals = decisions_.refusals();
+    if (refusals != reported_refusals_) log_.info(decisions::shown(refusals));
+    reported_refusals_ = refusals;
     report();
   });
 }
@@ -274,6 +280,7 @@
   if (!closed && clock_.now() < drain_->ends)
     return void(timers_.after(kTick, [this] { end_when_closed(); }));
   log_drain("ends");
+  log_.info(decisions::shown(decisions_.refusals()));
   control_client_.stop();
   std::exchange(drained_, nullptr)();
 }
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -80,6 +80,7 @@
   std::unordered_map<decisions::RequestId, Exchange> exchanges_;
   decisions::RequestId last_id_ = 0;
   decisions::DepartureCounts reported_departures_;
+  decisions::RefusalCounts reported_refusals_;
   std::optional<decisions::DrainSchedule> drain_;
   std::function<void()> drained_;
   bool heard_servers_ = false, confirmed_ = false, ticking_ = false;
--- a/tests/system/drain_test.cpp
+++ b/tests/system/drain_test.cpp
@@ -187,6 +187,7 @@
   BOOST_REQUIRE(std::holds_alternative<Refuse>(refused));
   BOOST_TEST(std::get<Refuse>(refused).status == 503);
   BOOST_TEST((std::get<Refuse>(refused).retry_after > Duration{}));
+  BOOST_TEST(w.d.refusals().of(RefusalReason::draining) == 1u);
 }
 
 BOOST_AUTO_TEST_CASE(given_work_at_servers_when_a_drain_gives_up_then_only_what_has_not_run_is_refused) {
