A seeded play of a drain on sockets: clients that speak at any moment of it

24 kept connections speak at moments by chance, one or two requests at a time; the server answers some at once, holds others to the end or to moments by chance. Each request that a server has got must have an answer when the process is gone.

--- a/tests/system/drain_test.cpp
+++ b/tests/system/drain_test.cpp
@@ -1,9 +1,12 @@
 // What becomes of requests at a proxy that is to end (SIGTERM): in the decision module, and on sockets.
+#include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
+#include <vector>
 
 #include "decisions_world.hpp"
 #include "play_settings.hpp"
@@ -23,11 +26,12 @@
   }
   // Runs the loop until so long after the drain began.
   void run_until(Duration after) {
-    until([&] { return std::chrono::steady_clock::now() - began >= after; }, after + 1s);
+    until([&] { return gone() >= after; }, after + 1s);
   }
   bool ends_within_grace() {
-    return until([&] { return ended; }, kGrace - (std::chrono::steady_clock::now() - began));
+    return until([&] { return ended; }, kGrace - gone());
   }
+  Duration gone() const { return std::chrono::steady_clock::now() - began; }  // since the drain began
   std::chrono::steady_clock::time_point began;
   bool ended = false;
 };
@@ -120,6 +124,80 @@
   bool giving_up_ = false;
 };
 
+// Clients on kept connections that speak at moments by chance, one or two requests at a time, while their proxy drains;
+// the server answers some at once and holds others, to the end or to moments by chance.
+class DrainSoak {
+ public:
+  explicit DrainSoak(std::uint64_t seed) : seed_(seed), random_(seed) {
+    for (int i = 0; i < kClients; ++i) {
+      clients_.push_back({std::make_unique<Client>(fleet_, 4, request_to("/a/x", name(i, 0)))});
+      clients_.back().client->listen();
+    }
+    BOOST_REQUIRE(fleet_.until([&] { return std::ranges::all_of(clients_, is_answered); }));
+    for (auto& one : clients_) one.speaks_at = by_chance(kGrace);
+  }
+
+  void run() {
+    fleet_.begin_drain();
+    const bool releases = random_() % 2 == 0;
+    while (!fleet_.ended && fleet_.gone() < kGrace) {
+      fleet_.io.run_one_for(std::chrono::milliseconds(5));
+      for (std::size_t i = 0; i < clients_.size(); ++i) speak(i);
+      if (releases && random_() % 50 == 0) fleet_.server.release();
+    }
+    BOOST_TEST(fleet_.ended, "seed " << seed_);
+    fleet_.proxies.erase(fleet_.proxies.begin());  // the process is gone, and its connections with it
+    BOOST_TEST(fleet_.until([&] { return std::ranges::all_of(clients_, is_closed); }), "seed " << seed_);
+    for (std::size_t i = 0; i < clients_.size(); ++i) check(i);
+  }
+
+ private:
+  static constexpr int kClients = 24;
+  struct One {
+    std::unique_ptr<Client> client;
+    Duration speaks_at{};  // after the drain began
+    std::size_t sent = 1, batch_from = 0;
+  };
+  static std::size_t answers(const One& one) {
+    std::size_t count = 0;
+    for (auto at = one.client->received().find("HTTP/1.1 "); at != std::string::npos;
+         at = one.client->received().find("HTTP/1.1 ", at + 1))
+      ++count;
+    return count;
+  }
+  static bool is_answered(const One& one) { return answers(one) == one.sent; }
+  static bool is_closed(const One& one) { return one.client->closed(); }
+  static std::string name(std::size_t client, std::size_t request) {
+    return "c" + std::to_string(client) + "-" + std::to_string(request);
+  }
+  Duration by_chance(Duration limit) {
+    return std::chrono::milliseconds(random_() %
+                                     std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+  }
+  void speak(std::size_t i) {
+    auto& one = clients_[i];
+    if (one.client->closed() || fleet_.gone() < one.speaks_at || !is_answered(one)) return;
+    std::string requests;
+    for (auto n = 1 + random_() % 2; n > 0; --n)
+      requests += request_to(random_() % 2 == 0 ? "/a/hold" : "/a/x", name(i, one.sent++));
+    one.client->send(requests);
+    one.speaks_at += by_chance(1s);
+  }
+  // What a server has got has an answer, its own or the proxy's.
+  void check(std::size_t i) {
+    const auto passed_on = std::ranges::count_if(fleet_.server.seen(), [&](const auto& seen) {
+      return seen.field("Attempt-Id").starts_with("c" + std::to_string(i) + "-");
+    });
+    BOOST_TEST(answers(clients_[i]) >= static_cast<std::size_t>(passed_on),
+               "seed " << seed_ << ", client " << i);
+  }
+
+  std::uint64_t seed_;
+  std::mt19937_64 random_;
+  DrainingFleet fleet_;
+  std::vector<One> clients_;
+};
+
 BOOST_AUTO_TEST_SUITE(drain)
 
 BOOST_AUTO_TEST_CASE(given_a_kept_connection_when_a_request_comes_early_in_the_drain_then_it_is_served_last) {
@@ -273,6 +351,10 @@
   BOOST_TEST(status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(given_clients_that_speak_at_any_moment_of_a_drain_then_what_was_passed_on_is_answered) {
+  for (std::uint64_t seed = 1; seed <= last_seed(2); ++seed) DrainSoak(seed).run();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
