Decisions: arrive() and ended() in short steps; a request without a home counts as such

What has no region that is a home of route and tenant is counted as refused for want of a server, no longer as outdated.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-// Tuned values, each with its reason.
+constexpr double kDefaultTargetMs = 1000;  // the aim of a route that names none
 constexpr double
     kUnitsWait = 0.4;  // of the aim that a request waits for units: a round trip to another region
 constexpr double kPlaceWait = 0.2;  // of the aim that it waits for a place at a server; a refusal later than
@@ -92,70 +92,92 @@
   requests_.erase(id);
 }
 
-Actions Decisions::arrive(Time now, const Arrival& a) {
-  const auto& route = *a.route;
-  Request r;
+// By the weights of the route's parts.
+const std::string& Decisions::choose_service(const configuration::Route& route) {
   double lot = static_cast<double>(rng_() >> 11) * 0x1.0p-53 * route.weights;
-  const auto* part = &route.parts.back();
-  for (const auto& p : route.parts) {
-    if (p.weight <= 0) continue;
-    part = &p;
-    if ((lot -= p.weight) < 0) break;
+  const auto* chosen = &route.parts.back();
+  for (const auto& part : route.parts) {
+    if (part.weight <= 0) continue;
+    chosen = &part;
+    if ((lot -= part.weight) < 0) break;
   }
-  r.service = configuration_->services[part->service].name;
+  return configuration_->services[chosen->service].name;
+}
+
+Decisions::Request Decisions::request_of(Time now, const Arrival& arrival) {
+  const auto& route = *arrival.route;
+  Request r;
+  r.service = choose_service(route);
   r.repeatable = route.kind != configuration::Kind::mutating;
-  r.target = from_millis(route.target_ms > 0 ? route.target_ms : 1000);
+  r.target = from_millis(route.target_ms > 0 ? route.target_ms : kDefaultTargetMs);
   r.arrived = now;
-  const Duration held = route.timeout_ms > 0 ? std::min(a.time_left, from_millis(route.timeout_ms))
-                                             : a.time_left;
+  Duration held = arrival.time_left;
+  if (route.timeout_ms > 0) held = std::min(held, from_millis(route.timeout_ms));
   r.deadline = now + held;
   r.tries = route.tries;
   r.place_until = now + snowknot::scaled(std::min(r.target, held), kPlaceWait);
   r.regions = route.regions;
-  bool homeless = false;
-  if (a.tenant && !a.tenant->regions.empty()) {
-    if (r.regions.empty()) {
-      r.regions = a.tenant->regions;
-    } else {
-      std::erase_if(r.regions, [&](const auto& one) {
-        return std::ranges::find(a.tenant->regions, one) == a.tenant->regions.end();
-      });
-      homeless = r.regions.empty();
-    }
+  return r;
+}
+
+// Where route and tenant both have homes, both bind. False: no region is a home of both.
+bool Decisions::bind_to_homes(Request& r, const configuration::Tenant* tenant) {
+  if (!tenant || tenant->regions.empty()) return true;
+  if (r.regions.empty()) {
+    r.regions = tenant->regions;
+    return true;
   }
+  std::erase_if(r.regions, [&](const auto& region) {
+    return std::ranges::find(tenant->regions, region) == tenant->regions.end();
+  });
+  return !r.regions.empty();
+}
+
+Actions Decisions::arrive(Time now, const Arrival& arrival) {
+  const auto id = arrival.request;
+  Request arrived = request_of(now, arrival);
+  const bool has_home = bind_to_homes(arrived, arrival.tenant);
   // Keys that were taken away must end here too, also where this proxy is cut off from the core.
-  if (now >= keys_valid_until() || is_outdated(now) || homeless) {
-    refuse(a.request, RefusalReason::outdated, back_off(r));
+  if (now >= keys_valid_until() || is_outdated(now)) {
+    refuse(id, RefusalReason::outdated, back_off(arrived));
     return done();
   }
-  if (drain_ && !drain_->may_begin(now, r.deadline)) {
-    refuse(a.request, RefusalReason::draining, kOtherProxy);
+  if (!has_home) {
+    refuse(id, RefusalReason::no_server, back_off(arrived));
     return done();
   }
-  repeats_.request(r.service);
-  auto& kept = requests_.insert_or_assign(a.request, std::move(r)).first.value();
-  if (a.tenant) {
-    kept.tenant = a.tenant->name;
-    Duration retry_after{};
-    bool holder_lost = false;
-    const auto wait = snowknot::scaled(std::min(kept.target, held), kUnitsWait);
-    switch (units_.take(now, kept.tenant, a.request, wait, retry_after, holder_lost)) {
-      case Units::Take::passed:
-        kept.unit_taken = now;
-        send_on(now, a.request, kept);
-        break;
-      case Units::Take::waits: break;
-      case Units::Take::refused:
-        refuse(a.request, holder_lost ? RefusalReason::no_units : RefusalReason::quota, retry_after);
-        break;
-    }
+  if (drain_ && !drain_->may_begin(now, arrived.deadline)) {
+    refuse(id, RefusalReason::draining, kOtherProxy);
+    return done();
+  }
+  repeats_.request(arrived.service);
+  auto& kept = requests_.insert_or_assign(id, std::move(arrived)).first.value();
+  if (arrival.tenant) {
+    kept.tenant = arrival.tenant->name;
+    take_unit(now, id, kept);
     after_units(now);
   } else {
-    send_on(now, a.request, kept);
+    send_on(now, id, kept);
   }
   return done();
 }
 
+void Decisions::take_unit(Time now, RequestId id, Request& r) {
+  Duration retry_after{};
+  bool holder_lost = false;
+  const auto wait = snowknot::scaled(std::min(r.target, r.deadline - now), kUnitsWait);
+  switch (units_.take(now, r.tenant, id, wait, retry_after, holder_lost)) {
+    case Units::Take::passed:
+      r.unit_taken = now;
+      send_on(now, id, r);
+      break;
+    case Units::Take::waits: break;
+    case Units::Take::refused:
+      refuse(id, holder_lost ? RefusalReason::no_units : RefusalReason::quota, retry_after);
+      break;
+  }
+}
+
 void Decisions::give_unit_back(Time now, const Request& r) {
   if (!r.tenant.empty()) units_.give_back(now, r.tenant, r.unit_taken);
 }
@@ -203,37 +225,49 @@
   } else if (r.given_up) {
     end_given_up(now, id, r, outcome);
   } else if (outcome == Outcome::ok) {
-    out_.push_back(Relay{id});
-    requests_.erase(id);
+    relay(id);
   } else {
-    const bool missed = outcome == Outcome::connect_failed;
-    if (missed) --r.sends, ++r.misses;
-    if (!proves_not_run(outcome)) r.may_have_run = true;
-    bool again = may_try_again(now, r) && (!r.may_have_run || r.repeatable) && r.sends < r.tries &&
-                 r.misses < kMisses;
-    // Whom nobody was reached for has arrived nowhere, and needs none of the budget.
-    ServerHandle server = kNoServer;
-    again = again && servers_.choose(now, r.service, r.regions, r.tried, server) == Servers::Pick::server;
-    if (again && r.sends > 0) again = repeats_.take(r.service);
-    if (again) {
-      send(now, id, r, server);
-    } else if (!r.may_have_run) {
-      give_unit_back(now, r);
-      refuse(id, RefusalReason::not_run, back_off(r));
-    } else {
-      if (whole && outcome == Outcome::error) {
-        out_.push_back(Relay{id});
-      } else {
-        out_.push_back(Fail{id, outcome == Outcome::timeout ? 504 : 502});
-      }
-      requests_.erase(id);
-    }
+    end_failed_try(now, id, r, outcome, whole);
   }
   serve_parked(now);
   after_units(now);
   return done();
 }
 
+void Decisions::relay(RequestId id) {
+  out_.push_back(Relay{id});
+  requests_.erase(id);
+}
+
+void Decisions::fail(RequestId id, int status) {
+  out_.push_back(Fail{id, status});
+  requests_.erase(id);
+}
+
+void Decisions::end_failed_try(Time now, RequestId id, Request& r, Outcome outcome, bool whole) {
+  if (outcome == Outcome::connect_failed) --r.sends, ++r.misses;
+  if (!proves_not_run(outcome)) r.may_have_run = true;
+  if (const auto server = server_for_further_try(now, r)) return send(now, id, r, *server);
+  if (!r.may_have_run) {
+    give_unit_back(now, r);
+    return refuse(id, RefusalReason::not_run, back_off(r));
+  }
+  if (whole && outcome == Outcome::error) return relay(id);
+  fail(id, outcome == Outcome::timeout ? 504 : 502);
+}
+
+std::optional<ServerHandle> Decisions::server_for_further_try(Time now, const Request& r) {
+  if (!may_try_again(now, r)) return std::nullopt;
+  if (r.may_have_run && !r.repeatable) return std::nullopt;
+  if (r.sends >= r.tries || r.misses >= kMisses) return std::nullopt;
+  ServerHandle server = kNoServer;
+  if (servers_.choose(now, r.service, r.regions, r.tried, server) != Servers::Pick::server)
+    return std::nullopt;
+  // A try that reached no server has arrived nowhere, and needs none of the budget.
+  if (r.sends > 0 && !repeats_.take(r.service)) return std::nullopt;
+  return server;
+}
+
 // Whether there is time for a further try.
 bool Decisions::may_try_again(Time now, const Request& r) const {
   if (now >= keys_valid_until()) return false;
@@ -266,9 +300,7 @@
 
 void Decisions::end_given_up(Time now, RequestId id, Request& r, Outcome outcome) {
   if (!proves_not_run(outcome) || r.may_have_run) {
-    out_.push_back(Fail{id, 504});
-    requests_.erase(id);
-    return;
+    return fail(id, 504);
   }
   give_unit_back(now, r);
   refuse(id, RefusalReason::draining, kOtherProxy);
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -105,7 +105,7 @@
   // ---- requests
   // One was turned away because there is no configuration here yet: counted only.
   void refused_without_configuration() { refusals_.count(RefusalReason::no_configuration); }
-  Actions arrive(Time now, const Arrival& a);
+  Actions arrive(Time now, const Arrival& arrival);
   // `whole`: an answer of the server is at hand that can be relayed.
   Actions ended(Time now, RequestId id, Outcome outcome, Duration took, bool whole);
   // The client has closed its connection, or it was closed on it: nobody waits for the answer any more. What may run
@@ -131,6 +131,14 @@
 
  private:
   using Request = flow::Request;
+  const std::string& choose_service(const configuration::Route& route);
+  Request request_of(Time now, const Arrival& arrival);
+  static bool bind_to_homes(Request& r, const configuration::Tenant* tenant);
+  void take_unit(Time now, RequestId id, Request& r);
+  void relay(RequestId id);
+  void fail(RequestId id, int status);
+  void end_failed_try(Time now, RequestId id, Request& r, Outcome outcome, bool whole);
+  std::optional<ServerHandle> server_for_further_try(Time now, const Request& r);
   void send_on(Time now, RequestId id, Request& r);
   void send(Time now, RequestId id, Request& r, ServerHandle server);
   void refuse(RequestId id, RefusalReason reason, Duration retry_after);
