Stories: moments of a drain at any grace; programs told to end twice end by themselves

The first guards against constants of seconds that hold for one grace only, the second against processes that the platform has to kill: a proxy, a registry and a store get SIGTERM twice and end with 0 within the grace.

--- a/tests/system/drain_test.cpp
+++ b/tests/system/drain_test.cpp
@@ -239,6 +239,20 @@
   BOOST_TEST(f.until([&] { return client.closed(); }));
 }
 
+// Constants of seconds held for one grace only.
+BOOST_AUTO_TEST_CASE(given_any_grace_then_the_moments_of_a_drain_lie_where_the_pages_ask) {
+  const Time now{1h};
+  for (Duration grace = 1s; grace <= 30s; grace += 500ms) {
+    const DrainSchedule schedule(now, grace);
+    const Duration seen_late = std::min<Duration>(300ms, grace / 20);  // the signal, after it was sent
+    BOOST_TEST((schedule.accepts_until + seen_late <= now + std::min<Duration>(3s, grace / 2)));
+    BOOST_TEST((schedule.accepts_until < schedule.gives_up));
+    BOOST_TEST((schedule.gives_up >= now + grace * 5 / 6));
+    BOOST_TEST((schedule.gives_up + seen_late < schedule.ends));
+    BOOST_TEST((schedule.ends < now + grace));
+  }
+}
+
 // A failed try of a late request went on to another server, and was killed there.
 BOOST_AUTO_TEST_CASE(given_a_failed_try_near_the_end_of_a_drain_then_the_servers_answer_is_passed_on) {
   World w({.tries = 3});
--- a/tests/system/process_fleet.cpp
+++ b/tests/system/process_fleet.cpp
@@ -173,6 +173,26 @@
   for (const auto pid : std::exchange(running, {})) ::waitpid(pid, nullptr, 0);
 }
 
+std::optional<std::vector<int>> ProcessFleet::terminate(int machine, Duration limit, bool again) {
+  auto& running = machines_.at(machine).running;
+  for (const auto pid : running) ::kill(pid, SIGTERM);
+  if (again)
+    for (const auto pid : running) ::kill(pid, SIGTERM);
+  std::vector<int> codes;
+  const auto ended = [&](pid_t pid) {
+    int status = 0;
+    if (::waitpid(pid, &status, WNOHANG) != pid) return false;
+    codes.push_back(WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status));
+    return true;
+  };
+  const auto all_ended = [&] {
+    std::erase_if(running, ended);
+    return running.empty();
+  };
+  if (!until(all_ended, limit)) return std::nullopt;
+  return codes;
+}
+
 void ProcessFleet::cut(int from, int to, bool on) {
   // What `from` sends goes along the connections that it made, and back along those that `to` made.
   for (const auto& relay : relays_.at({from, to})) relay->cut(0, on);
--- a/tests/system/process_fleet.hpp
+++ b/tests/system/process_fleet.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,6 +39,9 @@
   void start_proxy(int machine);
   // SIGKILL to its processes, and waits for their ends. Its files stay.
   void kill(int machine);
+  // SIGTERM to its processes, twice where `again`. Their exit codes when all have ended; none where that takes longer
+  // than `limit`.
+  std::optional<std::vector<int>> terminate(int machine, Duration limit, bool again = false);
   void restart(int machine);
 
   // Cuts what `from` sends to `to`, or joins it again.
--- a/tests/system/processes_test.cpp
+++ b/tests/system/processes_test.cpp
@@ -3,6 +3,7 @@
 
 #include "core_fleet.hpp"
 #include "process_fleet.hpp"
+#include "system/base/settings.hpp"
 
 namespace docklift::test {
 namespace {
@@ -145,6 +146,18 @@
   });
 }
 
+// Processes were still there at the end of the grace and were killed.
+BOOST_AUTO_TEST_CASE(given_processes_that_are_told_to_end_twice_then_each_ends_by_itself_within_the_grace) {
+  const Duration grace = from_seconds(Bounds{}.grace_s);  // the settings name none
+  const auto proxy = fleet.terminate(kProxy, grace, true);
+  BOOST_REQUIRE(proxy.has_value());
+  BOOST_TEST((*proxy == std::vector<int>{0}));
+  const auto core = fleet.terminate(1, grace, true);
+  BOOST_REQUIRE(core.has_value());
+  BOOST_TEST((*core == std::vector<int>{0, 0}));
+  BOOST_TEST(operators.next({2, 3}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
