Records of servers: phases only advance, whatever the order of the heartbeats

Callers saw: nothing yet. Cause: Servers::merge compared sequence numbers first. A drain with a lower number than a known heartbeat was passed over (and acknowledged all the same); a ready heartbeat with a higher number took a drain back at the registries. Change: a merge keeps the later phase, as the proxies' records did already.

--- a/src/system/fleet/records.cpp
+++ b/src/system/fleet/records.cpp
@@ -25,25 +25,34 @@
   if (fresh) return MergeResult::changed;
   auto& known = it->second;
   if (known.phase == Phase::GONE || s.from_cache) return MergeResult::unchanged;
-  const bool at_least_as_new = s.heartbeat_sequence > known.heartbeat_sequence ||
-                               (s.heartbeat_sequence == known.heartbeat_sequence && s.phase >= known.phase);
-  const bool confirms_cache = known.from_cache && s.phase != Phase::GONE && at_least_as_new;
-  if (!confirms_cache && s.phase != Phase::GONE &&
-      (s.heartbeat_sequence < known.heartbeat_sequence ||
-       (s.heartbeat_sequence == known.heartbeat_sequence && s.phase <= known.phase))) {
-    if (s.heartbeat_sequence == known.heartbeat_sequence && s.received_at > known.received_at)
-      return known.received_at = s.received_at, MergeResult::refreshed;
-    return MergeResult::unchanged;
-  }
-  const bool changed = known.phase != s.phase || known.address != s.address || known.service != s.service ||
-                       known.cap != s.cap || cold_differs(known, s, s.received_at);
   if (s.phase == Phase::GONE) {  // a leave carries only the id
     known.phase = Phase::GONE, known.received_at = s.received_at,
     known.heartbeat_sequence = std::max(known.heartbeat_sequence, s.heartbeat_sequence);
     known.from_cache = false;
     return MergeResult::changed;
   }
-  known = s;
+  const bool same_heartbeat = s.heartbeat_sequence == known.heartbeat_sequence;
+  const bool newer = s.heartbeat_sequence > known.heartbeat_sequence ||
+                     (same_heartbeat && s.phase > known.phase);
+  const bool confirms_cache = known.from_cache && same_heartbeat && s.phase == known.phase;
+  if (newer || confirms_cache) return replace(known, s);
+  if (s.phase > known.phase) {  // an older heartbeat, but a phase is never reverted
+    known.phase = s.phase, known.from_cache = false;
+    return MergeResult::changed;
+  }
+  if (!same_heartbeat || s.received_at <= known.received_at) return MergeResult::unchanged;
+  known.received_at = s.received_at;
+  return MergeResult::refreshed;
+}
+
+// Phases only advance: a server that drains never becomes ready again.
+MergeResult Servers::replace(Server& known, const Server& newer) {
+  const auto phase = std::max(known.phase, newer.phase);
+  const bool changed = known.phase != phase || known.address != newer.address ||
+                       known.service != newer.service || known.cap != newer.cap ||
+                       cold_differs(known, newer, newer.received_at);
+  known = newer;
+  known.phase = phase;
   return changed ? MergeResult::changed : MergeResult::refreshed;
 }
 
--- a/src/system/fleet/records.hpp
+++ b/src/system/fleet/records.hpp
@@ -43,8 +43,9 @@
 // The known servers, including tombstones of those that left.
 class Servers {
  public:
-  // The record with the higher heartbeat sequence wins, of equal ones that with the later phase; a server
-  // that is gone never returns under its id. A cached record is replaced by any that is at least as new.
+  // The record with the higher heartbeat sequence wins, of equal ones that with the later phase. Phases only
+  // advance, whatever the sequence: a server that is gone never returns under its id. A cached record is
+  // replaced by any that is at least as new.
   MergeResult merge(const Server& s);
   const Server* find(const std::string& id) const;
   // Drops tombstones older than `retention`, and removes and returns the servers without a heartbeat for
@@ -57,6 +58,7 @@
   static std::size_t range_of(const std::string& id, std::size_t ranges);
 
  private:
+  static MergeResult replace(Server& known, const Server& newer);
   std::map<std::string, Server> all_;
 };
 
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -298,6 +298,20 @@
   BOOST_TEST((newer.find("a")->phase == fleet::Phase::DRAINING));
 }
 
+// Guards against a receipt for a drain that the merge has passed over, and against a drain that is taken back.
+BOOST_AUTO_TEST_CASE(given_records_in_any_order_when_one_says_draining_then_the_merged_one_does) {
+  fleet::Servers late;
+  late.merge(server("a", 7));
+  BOOST_TEST((late.merge(server("a", 6, fleet::Phase::DRAINING)) == fleet::MergeResult::changed));
+  BOOST_TEST((late.find("a")->phase == fleet::Phase::DRAINING));
+  BOOST_TEST(late.find("a")->heartbeat_sequence == 7u);
+  fleet::Servers reverted;
+  reverted.merge(server("a", 6, fleet::Phase::DRAINING));
+  reverted.merge(server("a", 7));
+  BOOST_TEST((reverted.find("a")->phase == fleet::Phase::DRAINING));
+  BOOST_TEST(reverted.find("a")->heartbeat_sequence == 7u);
+}
+
 BOOST_AUTO_TEST_CASE(
     given_an_unresponsive_server_when_the_registry_is_not_isolated_then_it_expires_until_its_next_heartbeat) {
   fleet::Servers table;
