DRAIN: a departure is acknowledged once a majority has confirmed its record

Cause: the answer went out as soon as enough links were open. A link notices a cut after 2 s of silence, and no receipt was awaited, so for 2 s a machine that is alone promised what nobody else had heard of. Change: fleet/departure_receipts (pure): calls that report a drain or a leave wait for receipts of that record from a majority of the present voters' registries, 0.7 s at most, then 503. Departures learnt by gossip are passed on with the next flush. Why it works: a receipt is given for the record, not for the link, after it was merged; phases only advance, so whoever gave one passes the departure on to its proxies, and any proxy in touch is linked to one of the majority.

--- a/src/system/registry/handlers.cpp
+++ b/src/system/registry/handlers.cpp
@@ -19,11 +19,12 @@
 
 }  // namespace
 
-// The end of a server is acknowledged only if it is certain to reach the proxies that are linked to other
-// registries.
-http::Response InstanceHandler::acknowledge_departure() const {
-  if (registry_.reaches_majority()) return {200, "{}"};
-  return {503, error_body("this node is cut off from the others"), kRetryAfterS};
+// A departure is acknowledged only if it is certain to reach the proxies that are linked to other registries.
+void InstanceHandler::report_departure(const fleet::Server& server, const http::Server::Respond& respond) {
+  registry_.on_departure(server, [respond](bool acknowledged) {
+    if (acknowledged) return respond({200, "{}"});
+    respond({503, error_body("no majority of the core has confirmed the departure in time"), kRetryAfterS});
+  });
 }
 
 bool InstanceHandler::handle(const http::Request& call, const http::Server::Respond& respond) {
@@ -32,8 +33,7 @@
     fleet::Server s;
     if (const auto* known = registry_.servers().find(*id)) s = *known;
     s.id = *id, s.phase = fleet::Phase::GONE, s.received_at = now;
-    registry_.on_server_update(s);
-    respond(acknowledge_departure());
+    report_departure(s, respond);
     return true;
   }
   const auto id = path_after(call.path(), "/Instances.Heartbeat/");
@@ -52,8 +52,12 @@
       respond({400, error_body("svc or addr is missing")});
       return true;
     }
-    registry_.on_server_update(s);
-    respond(s.phase == fleet::Phase::READY ? http::Response{200, "{}"} : acknowledge_departure());
+    if (s.phase == fleet::Phase::DRAINING) {
+      report_departure(s, respond);
+    } else {
+      registry_.on_heartbeat(s);
+      respond({200, "{}"});
+    }
   } catch (const Json::exception& x) {
     respond({400, error_body(x.what())});
   }
--- a/src/system/registry/handlers.hpp
+++ b/src/system/registry/handlers.hpp
@@ -26,7 +26,7 @@
   bool handle(const http::Request& call, const http::Server::Respond& respond) override;
 
  private:
-  http::Response acknowledge_departure() const;
+  void report_departure(const fleet::Server& server, const http::Server::Respond& respond);
   Registry& registry_;
 };
 
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -34,6 +34,7 @@
       counts_({settings.bounds.quota_win_s, settings.bounds.quota_excess, settings.bounds.quota_slack}),
       record_cache_(std::move(record_cache)),
       update_timer_(io.get_executor()),
+      receipt_timer_(io.get_executor()),
       timer_(io.get_executor()) {
   self_.id = settings.hostname, self_.zone = settings.zone, self_.address = settings.bind_ip;
   self_.role = fleet::Role::REGISTRY, self_.incarnation = new_incarnation(), self_.ready = true;
@@ -138,6 +139,7 @@
       [this](const std::shared_ptr<Link>& link) {
         send_hello(*link);
         send_all_records(*link);
+        repeat_receipt_round(*link);
       },
       [this](const Failure& why) { log_.debug(why.to_string()); });
   registries_[ip] = dialer;
@@ -229,6 +231,7 @@
 }
 
 void Registry::on_peer_frame(const std::string& ip, wire::Frame::Reader frame) {
+  if (frame.isReceipt()) return on_receipt(ip, frame.getReceipt());
   if (stopped_) return;
   if (frame.isLeaseReply()) {
     const auto a = frame.getLeaseReply();
@@ -330,6 +333,7 @@
   if (ticks_ % kDigestTicks == 0) {
     gossip_digests();
     counts_.sweep(now);
+    receipts_.keep_known([this](const std::string& id) { return servers_.find(id) != nullptr; });
   }
   expire_servers(now);
   expire_members(now);
@@ -367,7 +371,10 @@
 }
 
 // Fails proposals that no store has answered, and calls that wait for a log position.
-void Registry::expire_calls(Time now) { fail_expired_calls(now, "no store has answered"); }
+void Registry::expire_calls(Time now) {
+  fail_expired_calls(now, "no store has answered");
+  answer_departures(now);
+}
 
 void Registry::fail_expired_calls(Time now, const std::string& why) {
   for (auto it = pending_.begin(); it != pending_.end();) {
@@ -401,10 +408,12 @@
   flush();
   update_timer_.cancel();
   if (!server_updates_.empty()) send_server_updates();
+  begin_receipt_round();
   stopped_ = true;
   timer_.expires_after(kStoreReplyGrace);
   timer_.async_wait(lifetime_.bind([this, ended = std::move(ended)](boost::system::error_code) {
     fail_expired_calls(Time::max(), "this node ends");
+    answer_departures(Time::max());
     finish_stop(ended);
   }));
 }
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -18,6 +18,7 @@
 #include "system/disk/record_cache.hpp"
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/confirmation.hpp"
+#include "system/fleet/departure_receipts.hpp"
 #include "system/fleet/members.hpp"
 #include "system/fleet/record_requests.hpp"
 #include "system/fleet/records.hpp"
@@ -51,13 +52,15 @@
   // Whether a majority has confirmed the copy of the configuration since the start: only then may it be sent
   // on.
   bool confirmed_once() const { return confirmation_.at().has_value(); }
-  // Whether a majority of the voters' registries is connected: updates sent from here then reach every proxy
-  // that is connected to the core.
+  // Whether a majority of the voters' registries is connected.
   bool reaches_majority() const;
   // Whether the fleet's members are known well enough to direct clients to them.
   bool knows_members() const;
-  // Merges a server's heartbeat or departure and forwards what changed.
-  void on_server_update(const fleet::Server& server);
+  // Merges a heartbeat of a server that is ready, and forwards what changed.
+  void on_heartbeat(const fleet::Server& server);
+  // Merges and forwards the report of a server that it drains or leaves. Calls `done(true)` once a majority of
+  // the voters' registries has confirmed to have it, `done(false)` if that takes too long or none is connected.
+  void on_departure(const fleet::Server& server, std::function<void(bool)> done);
   // Receives the verdict's status, reason and log position; 503 if no store answers in time.
   using Done = std::function<void(int status, const std::string& why, std::uint64_t position)>;
   // Proposes a change to the stores. `client_disconnected` (may be null) tells whether the caller has closed its
@@ -98,6 +101,14 @@
   void on_store_frame(const std::string& ip, wire::Frame::Reader frame);
   void on_peer_frame(const std::string& ip, wire::Frame::Reader frame);
   void on_gossip(wire::Gossip::Reader g, const std::shared_ptr<Link>& answer_on);
+  void schedule_receipt_round();
+  void begin_receipt_round();
+  void repeat_receipt_round(Link& link);
+  void put_receipt_request(wire::Gossip::Builder to, const fleet::ReceiptRound& round);
+  void on_receipt_request(std::uint64_t round, const std::shared_ptr<Link>& answer_on);
+  void on_receipt(const std::string& registry, std::uint64_t round);
+  void relay_departures(const std::vector<fleet::Server>& changed);
+  void answer_departures(Time now);
   void on_unit_request(Proxy& p, wire::UnitRequest::Reader request);
   void on_update_applied(fleet::ChangeLog::Outcome update);
   void send_changes(Proxy& proxy);
@@ -177,6 +188,10 @@
   counts::Counts counts_;
   std::uint64_t counting_term_ = 0;
   std::uint64_t announced_term_ = 0;
+  fleet::DepartureReceipts receipts_;
+  std::map<std::uint64_t, std::function<void(bool)>> departure_calls_;  // not answered yet
+  std::uint64_t last_departure_call_ = 0;
+  bool receipt_round_scheduled_ = false;
   bool members_changed_ = false, servers_changed_ = false;
   fleet::SentMembers announced_proxies_;
   std::vector<std::string> announced_registries_;
@@ -185,7 +200,7 @@
   std::map<std::uint64_t, PendingProposal> pending_;
   std::uint64_t last_call_ = 0;
   std::vector<std::tuple<std::uint64_t, Time, std::function<void(bool)>>> position_waiters_;
-  Timer update_timer_, timer_;
+  Timer update_timer_, receipt_timer_, timer_;
   std::uint64_t ticks_ = 0;
   fleet::Node self_;
   bool stopped_ = false;
--- a/src/system/registry/registry_records.cpp
+++ b/src/system/registry/registry_records.cpp
@@ -22,10 +22,9 @@
 
 using fleet::MergeResult;
 
-void Registry::on_server_update(const fleet::Server& server) {
+void Registry::on_heartbeat(const fleet::Server& server) {
   const auto merged = servers_.merge(server);
   const auto* s = servers_.find(server.id);
-  if (!s) return;
   if (merged == MergeResult::changed) {
     gossip({*s}, {});
     queue_server_updates({*s});
@@ -43,7 +42,7 @@
     const auto merged = servers_.merge(s);
     if (merged == MergeResult::changed ||
         (merged == MergeResult::refreshed && resend_on_heartbeat_.erase(s.id) > 0))
-      if (const auto* known = servers_.find(s.id)) changed.push_back(*known);
+      changed.push_back(*servers_.find(s.id));
   }
   for (const auto r : g.getNodes()) {
     const auto n = fleet::get(r, now);
@@ -54,6 +53,8 @@
     }
   }
   if (!changed.empty()) queue_server_updates(changed);
+  relay_departures(changed);
+  on_receipt_request(g.getReceipt(), answer_on);
   if (const auto digests = g.getDigests(); digests.size() == kDigestRanges && answer_on) {
     const auto own = servers_.digests(kDigestRanges);
     std::vector<const fleet::Server*> differ;
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -138,11 +138,13 @@
   digests @0 :List(UInt64);   # of ranges of ids (src/system/fleet/record_requests); empty: it has no records
 }
 
-# Between registries: records to merge. Digests of ranges of ids request the records that differ.
+# Between registries: records to merge. Digests of ranges of ids request the records that differ. A receipt
+# confirms that the receiver has all servers of the message.
 struct Gossip {
   servers @0 :List(Server);
   nodes @1 :List(Node);
   digests @2 :List(UInt64);   # over ranges of the servers' ids; empty: nothing is requested
+  receipt @3 :UInt64;         # number of the receipt that is requested; 0: none
 }
 # The lease on the unit counts. A holder needs grants from a majority of the voters, each of which grants it
 # to one candidate at a time. `membership`: number of the voter set that is asked; `round`: chosen by the
@@ -180,5 +182,6 @@
     snapshotPart @17 :SnapshotPart;
     snapshotPartRequest @18 :SnapshotPartRequest;
     recordsRequest @19 :RecordsRequest;   # proxy to registry
+    receipt @20 :UInt64;      # between registries: answers a gossip message with this number
   }
 }
--- a/tests/system/processes_test.cpp
+++ b/tests/system/processes_test.cpp
@@ -156,6 +156,32 @@
   });
 }
 
+// Guards against an acknowledged departure that no other machine has heard of: for two seconds the links of a
+// machine that was cut off still look connected.
+BOOST_AUTO_TEST_CASE(
+    given_a_machine_just_cut_off_when_a_server_leaves_there_then_only_the_majority_acknowledges) {
+  const auto report = [&](int machine, const std::string& call, const std::string& body) {
+    return fleet.exchange(fleet.ctl(machine), "POST", call, body, 1s).status;
+  };
+  const auto heartbeat = [](const std::string& phase, int calls) {
+    return R"({"svc":"alpha","addr":"127.0.0.1:9","az":"z1","cap":4,"phase":")" + phase + R"(","calls":)" +
+           std::to_string(calls) + "}";
+  };
+  for (const std::string id : {"i-1", "i-2"})
+    BOOST_TEST(report(1, "/Instances.Heartbeat/" + id, heartbeat("ready", 1)) == 200);
+  fleet.isolate(1, true);
+  BOOST_TEST(report(1, "/Instances.Leave/i-1", "") != 200);
+  BOOST_TEST(report(1, "/Instances.Heartbeat/i-2", heartbeat("draining", 2)) != 200);
+  BOOST_TEST(report(2, "/Instances.Leave/i-1", "") == 200);
+  BOOST_TEST(report(2, "/Instances.Heartbeat/i-2", heartbeat("draining", 3)) == 200);
+  fleet.isolate(1, false);
+  const auto acknowledges = [&](const std::string& call, const std::string& body) {
+    return fleet.until([&] { return report(1, call, body) == 200; }, kConvergenceTimeout);
+  };
+  BOOST_TEST(acknowledges("/Instances.Leave/i-1", ""));
+  BOOST_TEST(acknowledges("/Instances.Heartbeat/i-2", heartbeat("draining", 4)));
+}
+
 // Guards against processes that outlive the grace period and have to be killed. Under sanitizers, leaks show
 // as well.
 BOOST_AUTO_TEST_CASE(given_processes_that_are_told_to_end_twice_then_each_ends_by_itself_within_the_grace) {
