CONFIG: requests that wait for units are admitted when the limit is lifted

Change: lifting a limit admits those who wait, in order, in the turn of the change; time limits are looked at for all tenants; a call for another window is no longer waited for. Why it works: a tenant without a window has no waiting requests any more, and none can join them.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -27,7 +27,7 @@
       retry_budget_(bounds),
       rng_(random_seed ^ 0x9e3779b97f4a7c15ULL) {}
 
-void Decisions::configure(Time, std::shared_ptr<const configuration::Configuration> c) {
+Actions Decisions::configure(Time now, std::shared_ptr<const configuration::Configuration> c) {
   configuration_ = std::move(c);
   servers_.configure(*configuration_);
   std::vector<std::string> names;
@@ -36,6 +36,8 @@
     units_.set_quota(t.name, {t.per_s, t.burst});
   }
   units_.keep_only(names);
+  process_units(now);
+  return take_actions();
 }
 
 void Decisions::set_evacuated(Time now, const std::vector<std::string>& zones,
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -92,7 +92,7 @@
             std::uint64_t random_seed);
 
   // ---- updates from the registries
-  void configure(Time now, std::shared_ptr<const configuration::Configuration> c);
+  Actions configure(Time now, std::shared_ptr<const configuration::Configuration> c);
   void set_evacuated(Time now, const std::vector<std::string>& zones,
                      const std::vector<std::string>& readmitted);
   void update_servers(Time now, const std::vector<fleet::Server>& changed) { servers_.update(now, changed); }
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -31,7 +31,13 @@
   const auto window = counts::window_of(quota, tolerance_);
   if (window.length != t.window.length || window.limit < t.window.limit)
     t.leases.clear(), t.has_origin = false;
+  if (window.length != t.window.length) t.call_in_flight = false;  // it was for another window
   t.quota = quota, t.window = window;
+  if (window.length == Duration{}) admit_waiting(t);
+}
+
+void Units::admit_waiting(TenantUnits& t) {
+  for (const auto& w : std::exchange(t.waiting, {})) admitted_.push_back(w.request);
 }
 
 void Units::keep_only(const std::vector<std::string>& tenants) {
@@ -220,6 +226,14 @@
   t.waiting.clear();
 }
 
+// Requests for which no unit has come in time, whatever the reason.
+void Units::reject_overdue(Time now, TenantUnits& t) {
+  while (!t.waiting.empty() && now >= t.waiting.front().until) {
+    rejected_.push_back({t.waiting.front().request, std::max<Duration>(round_trip_, 50ms), true});
+    t.waiting.pop_front();
+  }
+}
+
 void Units::lease_ahead(Time now, const std::string& name, TenantUnits& t, std::vector<UnitRequest>& out) {
   const auto starts = start_of(t, t.current);
   const auto ends = start_of(t, t.current + 1);
@@ -258,13 +272,10 @@
     last_sweep_ = now;
     for (auto it = tenants_.begin(); it != tenants_.end(); ++it) {
       auto& t = it.value();
+      reject_overdue(now, t);
       if (t.window.length == Duration{}) continue;
       advance_window(now, t);
       if (t.call_in_flight && now >= t.called_at + kCallTimeout) t.call_in_flight = false;
-      while (!t.waiting.empty() && now >= t.waiting.front().until) {
-        rejected_.push_back({t.waiting.front().request, std::max<Duration>(round_trip_, 50ms), true});
-        t.waiting.pop_front();
-      }
       process_waiting(now, t);
       if (holder_reachable_ && t.has_origin) lease_ahead(now, it.key(), t, out);
       if (!t.waiting.empty()) mark_dirty(it.key(), t);
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -88,6 +88,7 @@
       : tolerance_(tolerance), rng_(random_seed) {}
   enum class Admission { admitted, queued, rejected };
 
+  // Requests that wait when a limit is lifted are admitted, in order.
   void set_quota(const std::string& tenant, const counts::Quota& quota);
   void keep_only(const std::vector<std::string>& tenants);
   void set_proxies(std::size_t n) { proxies_ = n > 0 ? n : 1; }
@@ -125,6 +126,8 @@
   void lease_ahead(Time now, const std::string& name, TenantUnits& t, std::vector<UnitRequest>& out);
   void mark_dirty(const std::string& name, TenantUnits& t);
   void process_waiting(Time now, TenantUnits& t);
+  void admit_waiting(TenantUnits& t);
+  void reject_overdue(Time now, TenantUnits& t);
 
   tsl::robin_map<std::string, TenantUnits> tenants_;
   counts::QuotaTolerance tolerance_;
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -222,7 +222,7 @@
   const Time now = clock_.now();
   if (const auto& newest = changes.configuration(); newest && newest != configuration_) {
     configuration_ = newest;
-    decisions_.configure(now, newest);
+    execute(decisions_.configure(now, newest));
     log_.info("version " + configuration::format_version(newest->version) + " is in force, change " +
               std::to_string(changes.position()));
   }
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -665,6 +665,22 @@
   BOOST_TEST(w.units.take_admitted().empty());
 }
 
+// Guards against requests that wait for units of a limit that is no longer there: they were never answered.
+BOOST_AUTO_TEST_CASE(given_requests_that_wait_when_the_limit_is_lifted_then_they_are_admitted_in_order) {
+  WaitingRequest w;
+  Duration retry{};
+  bool unreachable = false;
+  for (const std::uint64_t request : {2u, 3u}) w.units.acquire(w.sent, "t", request, 3s, retry, unreachable);
+  w.units.set_quota("t", {0, 0});
+  BOOST_TEST((w.units.take_admitted() == std::vector<std::uint64_t>{1, 2, 3}));
+  BOOST_TEST(w.units.take_requests(w.sent + 30ms).empty());
+  BOOST_TEST(w.units.take_rejected(w.sent + 4s).empty());
+  // Set again: the call for the former limit is no longer waited for.
+  w.units.set_quota("t", {50, 50});
+  BOOST_TEST((w.units.acquire(w.sent + 40ms, "t", 4, 3s, retry, unreachable) == Units::Admission::queued));
+  BOOST_TEST(w.units.take_requests(w.sent + 40ms).size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(given_no_holder_when_a_request_needs_a_unit_then_it_is_refused_at_once) {
   Units u(kTolerance, 1);
   u.set_quota("t", {10, 10});
