Units: a request that waits is refused at its own time limit

A request of a route with a short target behind one with a long target was refused with that one. Change: each waiting request is looked at. Result: shares/given_requests_with_different_limits_when_the_later_one_is_due_first_then_it_is_refused_first failed before and passes now.

--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -228,10 +228,11 @@
 
 // Requests for which no unit has come in time, whatever the reason.
 void Units::reject_overdue(Time now, TenantUnits& t) {
-  while (!t.waiting.empty() && now >= t.waiting.front().until) {
-    rejected_.push_back({t.waiting.front().request, std::max<Duration>(round_trip_, 50ms), true});
-    t.waiting.pop_front();
-  }
+  std::erase_if(t.waiting, [&](const Waiting& w) {
+    if (now < w.until) return false;
+    rejected_.push_back({w.request, std::max<Duration>(round_trip_, 50ms), true});
+    return true;
+  });
 }
 
 void Units::lease_ahead(Time now, const std::string& name, TenantUnits& t, std::vector<UnitRequest>& out) {
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -681,6 +681,18 @@
   BOOST_TEST(w.units.take_requests(w.sent + 40ms).size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(
+    given_requests_with_different_limits_when_the_later_one_is_due_first_then_it_is_refused_first) {
+  WaitingRequest w;
+  Duration retry{};
+  bool unreachable = false;
+  w.units.acquire(w.sent, "t", 2, 200ms, retry, unreachable);
+  w.units.take_requests(w.sent + 210ms);
+  const auto rejected = w.units.take_rejected(w.sent + 210ms);
+  BOOST_REQUIRE(rejected.size() == 1);
+  BOOST_TEST(rejected[0].request == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(given_no_holder_when_a_request_needs_a_unit_then_it_is_refused_at_once) {
   Units u(kTolerance, 1);
   u.set_quota("t", {10, 10});
