Units: a grant of another window than the tenant's present one is passed over

Callers saw: possibly a proxy that ends by itself (SIGFPE) while a limit is lifted, and a tenant refused by one proxy until the next change of its limit. Cause: a call for units may be in flight when the configuration changes the window. Its grant was applied to whatever window the tenant had by then: with none, advance_window and apply_grant divided by its length, 0; with a longer one, the grant's higher number made those of the present window look old. Evidence: two stories in suite shares failed before ('integer divide by zero'; the later grant admits nobody) and pass now: given_a_call_in_flight_when_the_limit_is_lifted_then_its_answer_changes_nothing, given_a_longer_window_when_a_grant_of_the_former_one_arrives_late_then_later_ones_count.

--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -24,6 +24,15 @@
 constexpr double kMinAheadUse = 0.25;       // requests per window below which nothing is leased ahead
 constexpr Duration kWindowEndMargin = 3ms;  // a unit spent later would arrive at the server after its window
 
+// Grants are sent in milliseconds; the lengths of windows differ by far more.
+constexpr Duration kLengthTolerance = 5ms;
+
+bool is_of_window(const UnitGrant& g, const counts::Window& window) {
+  const Duration length = g.ends - g.starts;
+  return window.length > Duration{} && length > window.length - kLengthTolerance &&
+         length < window.length + kLengthTolerance;
+}
+
 }  // namespace
 
 void Units::set_quota(const std::string& tenant, const counts::Quota& quota) {
@@ -186,10 +195,17 @@
   if (!t.waiting.empty()) mark_dirty(g.tenant, t);
 }
 
+// The holder granted it by another version of the configuration: windows of another length have other numbers
+// and times. The next sweep requests units again.
+void Units::discard_foreign_grant(TenantUnits& t, const UnitGrant& g) {
+  if (g.starts <= Duration{}) t.call_in_flight = false;
+}
+
 void Units::apply_grant(Time now, const UnitGrant& g) {
   const auto found = tenants_.find(g.tenant);
   if (found == tenants_.end()) return;
   auto& t = found.value();
+  if (!is_of_window(g, t.window)) return discard_foreign_grant(t, g);
   advance_window(now, t);
   const bool ahead = g.starts > Duration{};
   if (!ahead) {
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -120,6 +120,7 @@
   using TenantUnits = detail::TenantUnits;
   void apply_grant(Time now, const UnitGrant& g);
   void discard_grant(const UnitGrant& g);
+  static void discard_foreign_grant(TenantUnits& t, const UnitGrant& g);
   void advance_window(Time now, TenantUnits& t);
   bool spend(Time now, TenantUnits& t);
   Time start_of(const TenantUnits& t, std::int64_t window) const;
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -693,6 +693,34 @@
   BOOST_TEST(rejected[0].request == 2u);
 }
 
+// Guards against a proxy that ends with SIGFPE: it divided by the length of a window that was gone.
+BOOST_AUTO_TEST_CASE(given_a_call_in_flight_when_the_limit_is_lifted_then_its_answer_changes_nothing) {
+  WaitingRequest w;
+  w.units.set_quota("t", {0, 0});
+  w.answer(w.sent + 5ms, 1, w.sent);
+  const decisions::UnitGrant ahead{"t", 8, 5, 100, w.length / 2, w.length / 2 + w.length, Duration{}};
+  w.units.on_grants(w.sent + 6ms, {1, w.sent, {ahead}});
+  BOOST_TEST(w.units.take_requests(w.sent + 30ms).empty());
+  BOOST_TEST(w.units.take_admitted().size() == 1u);
+}
+
+// Guards against a tenant that is refused until the next change: a grant of a shorter window has a higher
+// number, and those of the present window were taken for old ones.
+BOOST_AUTO_TEST_CASE(
+    given_a_longer_window_when_a_grant_of_the_former_one_arrives_late_then_later_ones_count) {
+  WaitingRequest w;  // the answers number its windows from 7
+  const counts::Quota longer{50, 500};
+  const auto length = counts::window_of(longer, kTolerance).length;
+  BOOST_REQUIRE((length > w.length));
+  w.units.set_quota("t", longer);
+  BOOST_TEST(w.units.take_requests(w.sent + 30ms).size() == 1u);
+  w.answer(w.sent + 31ms, 1, w.sent);  // of the former window
+  BOOST_TEST(w.units.take_admitted().empty());
+  const decisions::UnitGrant present{"t", 3, 5, 100, Duration{}, length, Duration{}};
+  w.units.on_grants(w.sent + 32ms, {1, w.sent + 30ms, {present}});
+  BOOST_TEST(w.units.take_admitted().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(given_no_holder_when_a_request_needs_a_unit_then_it_is_refused_at_once) {
   Units u(kTolerance, 1);
   u.set_quota("t", {10, 10});
