Units: a call that the holder answers without a window is over

Cause: the holder answers an order for a tenant that it doesn't know yet, or whose limit it knows to be lifted, with a window of length 0. ControlClient took that for the answer to returned units and skipped it, so that the call counted as being in flight for 1.5 s and requests of a new tenant were refused meanwhile.

--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -233,7 +233,7 @@
   decisions::UnitResponse grants;
   grants.term = answer.getTerm(), grants.sent = *sent;
   for (const auto grant : answer.getGrants()) {
-    if (grant.getEndsMs() == 0) continue;  // returned units are not answered
+    if (grant.getReturned()) continue;
     grants.grants.push_back({grant.getTenant().cStr(), grant.getWindow(), grant.getUnits(), grant.getLeft(),
                              from_millis(grant.getStartsMs()), from_millis(grant.getEndsMs()),
                              from_millis(grant.getMoreMs())});
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -268,6 +268,7 @@
                                                           : counts::Quota{known->per_s, known->burst};
     list[i].setTenant(tenant);
     if (a.getUnits() < 0) {
+      list[i].setReturned(true);
       if (request.getTerm() == lease_.held_term())
         counts_.hand_back(now, tenant, quota, a.getWindow(), static_cast<std::uint32_t>(-a.getUnits()));
       continue;
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -108,6 +108,7 @@
 }
 # `term`: of the holder that granted the returned units; any other holder ignores them.
 struct UnitRequest { call @0 :UInt64; orders @1 :List(UnitOrder); term @2 :UInt64; }
+# A window of length 0: by the holder's configuration the tenant has no limit, or doesn't exist.
 struct UnitGrant {
   tenant @0 :Text;
   window @1 :Int64;
@@ -116,6 +117,7 @@
   endsMs @4 :UInt32;     # time until it ends
   left @5 :UInt32;       # remaining in the window after this grant
   moreMs @6 :UInt32;     # no more units are available for this long; 0: more may be requested
+  returned @7 :Bool;     # answers returned units and grants nothing
 }
 # `refused`: this registry does not hold the unit counts.
 struct UnitGrants { call @0 :UInt64; term @1 :UInt64; refused @2 :Bool; grants @3 :List(UnitGrant); }
