Units: a unit from before a change of the window is not returned

Cause: a request that was admitted without a limit has no unit. Change: the tenant's window has the moment since which it holds; older units are dropped.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -33,7 +33,7 @@
   std::vector<std::string> names;
   for (const auto& t : configuration_->tenants) {
     names.push_back(t.name);
-    units_.set_quota(t.name, {t.per_s, t.burst});
+    units_.set_quota(now, t.name, {t.per_s, t.burst});
   }
   units_.keep_only(names);
   process_units(now);
--- a/src/system/decisions/units.cpp
+++ b/src/system/decisions/units.cpp
@@ -35,11 +35,11 @@
 
 }  // namespace
 
-void Units::set_quota(const std::string& tenant, const counts::Quota& quota) {
+void Units::set_quota(Time now, const std::string& tenant, const counts::Quota& quota) {
   auto& t = tenants_[tenant];
   const auto window = counts::window_of(quota, tolerance_);
   if (window.length != t.window.length || window.limit < t.window.limit)
-    t.leases.clear(), t.has_origin = false;
+    t.leases.clear(), t.has_origin = false, t.previous_held = 0, t.window_set_at = now;
   if (window.length != t.window.length) t.call_in_flight = false;  // it was for another window
   t.quota = quota, t.window = window;
   if (window.length == Duration{}) admit_waiting(t);
@@ -165,7 +165,8 @@
   if (found == tenants_.end()) return;
   auto& t = found.value();
   advance_window(now, t);
-  if (t.has_origin && acquired >= start_of(t, t.current)) t.leases[t.current].held += 1;
+  if (t.has_origin && acquired >= start_of(t, t.current) && acquired >= t.window_set_at)
+    t.leases[t.current].held += 1;
   process_waiting(now, t);
 }
 
--- a/src/system/decisions/units.hpp
+++ b/src/system/decisions/units.hpp
@@ -67,6 +67,7 @@
 struct TenantUnits {
   counts::Quota quota;
   counts::Window window;
+  Time window_set_at{};                  // when the leases of the former one were dropped
   bool has_origin = false;               // the position of the windows in time is known
   std::int64_t origin = 0, current = 0;  // numbers of windows
   Time origin_start{};
@@ -89,7 +90,7 @@
   enum class Admission { admitted, queued, rejected };
 
   // Requests that wait when a limit is lifted are admitted, in order.
-  void set_quota(const std::string& tenant, const counts::Quota& quota);
+  void set_quota(Time now, const std::string& tenant, const counts::Quota& quota);
   void keep_only(const std::vector<std::string>& tenants);
   void set_proxies(std::size_t n) { proxies_ = n > 0 ? n : 1; }
   void set_holder_reachable(bool reachable);
@@ -98,7 +99,8 @@
   Admission acquire(Time now, const std::string& tenant, RequestId request, Duration wait_limit,
                     Duration& retry_after, bool& holder_unreachable);
   void cancel_waiting(const std::string& tenant, RequestId request);
-  // Returns an unused unit that was acquired at `acquired`; it can be spent until its window ends.
+  // Returns an unused unit that was acquired at `acquired`; it can be spent until its window ends. One from
+  // before the last change of the tenant's window is dropped: it may not have been leased at all.
   void release(Time now, const std::string& tenant, Time acquired);
 
   // A response that is too late after its call, or of an older term, brings no units and moves no window.
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -407,7 +407,7 @@
     for (std::size_t i = 0; i < n; ++i) {
       proxies.emplace_back(kTolerance, seed * 100 + i);
       proxies.back().set_proxies(n);
-      proxies.back().set_quota("t", q);
+      proxies.back().set_quota(now, "t", q);
       proxies.back().set_holder_reachable(true);
     }
   }
@@ -581,7 +581,7 @@
     Units u(kTolerance, 1);
     const counts::Quota q{50, 50};
     const auto length = counts::window_of(q, kTolerance).length;
-    u.set_quota("t", q);
+    u.set_quota(Time{1h}, "t", q);
     Time now{1h};
     u.set_holder_reachable(true);
     u.on_grants(now, {1, now, {{"t", 7, 20, left, Duration{}, length, left == 0 ? length : Duration{}}}});
@@ -615,7 +615,7 @@
 // One tenant's units at one proxy, with a waiting request and a call in flight.
 struct WaitingRequest {
   WaitingRequest() : units(kTolerance, 1), length(counts::window_of({50, 50}, kTolerance).length) {
-    units.set_quota("t", {50, 50});
+    units.set_quota(sent, "t", {50, 50});
     units.set_holder_reachable(true);
     Duration retry{};
     bool unreachable = false;
@@ -671,12 +671,12 @@
   Duration retry{};
   bool unreachable = false;
   for (const std::uint64_t request : {2u, 3u}) w.units.acquire(w.sent, "t", request, 3s, retry, unreachable);
-  w.units.set_quota("t", {0, 0});
+  w.units.set_quota(w.sent + 1ms, "t", {0, 0});
   BOOST_TEST((w.units.take_admitted() == std::vector<std::uint64_t>{1, 2, 3}));
   BOOST_TEST(w.units.take_requests(w.sent + 30ms).empty());
   BOOST_TEST(w.units.take_rejected(w.sent + 4s).empty());
   // Set again: the call for the former limit is no longer waited for.
-  w.units.set_quota("t", {50, 50});
+  w.units.set_quota(w.sent + 1ms, "t", {50, 50});
   BOOST_TEST((w.units.acquire(w.sent + 40ms, "t", 4, 3s, retry, unreachable) == Units::Admission::queued));
   BOOST_TEST(w.units.take_requests(w.sent + 40ms).size() == 1u);
 }
@@ -696,7 +696,7 @@
 // Guards against a proxy that ends with SIGFPE: it divided by the length of a window that was gone.
 BOOST_AUTO_TEST_CASE(given_a_call_in_flight_when_the_limit_is_lifted_then_its_answer_changes_nothing) {
   WaitingRequest w;
-  w.units.set_quota("t", {0, 0});
+  w.units.set_quota(w.sent + 1ms, "t", {0, 0});
   w.answer(w.sent + 5ms, 1, w.sent);
   const decisions::UnitGrant ahead{"t", 8, 5, 100, w.length / 2, w.length / 2 + w.length, Duration{}};
   w.units.on_grants(w.sent + 6ms, {1, w.sent, {ahead}});
@@ -712,7 +712,7 @@
   const counts::Quota longer{50, 500};
   const auto length = counts::window_of(longer, kTolerance).length;
   BOOST_REQUIRE((length > w.length));
-  w.units.set_quota("t", longer);
+  w.units.set_quota(w.sent + 1ms, "t", longer);
   BOOST_TEST(w.units.take_requests(w.sent + 30ms).size() == 1u);
   w.answer(w.sent + 31ms, 1, w.sent);  // of the former window
   BOOST_TEST(w.units.take_admitted().empty());
@@ -721,9 +721,32 @@
   BOOST_TEST(w.units.take_admitted().size() == 1u);
 }
 
+// Guards against units that were never leased: a request that was admitted without a limit has none to return.
+BOOST_AUTO_TEST_CASE(given_a_request_admitted_without_a_limit_when_it_has_not_run_then_no_unit_is_credited) {
+  WaitingRequest w;
+  w.units.set_quota(w.sent + 1ms, "t", {0, 0});
+  BOOST_TEST(w.units.take_admitted().size() == 1u);
+  w.units.set_quota(w.sent + 10ms, "t", {50, 50});
+  const decisions::UnitGrant exhausted{"t", 7, 0, 0, -w.length / 2, w.length / 2, w.length / 2};
+  w.units.on_grants(w.sent + 12ms, {1, w.sent + 10ms, {exhausted}});
+  w.units.release(w.sent + 13ms, "t", w.sent + 1ms);
+  Duration retry{};
+  bool unreachable = false;
+  BOOST_TEST(
+      (w.units.acquire(w.sent + 14ms, "t", 2, 200ms, retry, unreachable) == Units::Admission::rejected));
+}
+
+// Guards against a new tenant that is refused for the 1.5 s of a call that the holder answered without a window.
+BOOST_AUTO_TEST_CASE(
+    given_a_holder_that_does_not_know_the_tenant_yet_when_it_answers_then_units_are_requested_again) {
+  WaitingRequest w;
+  w.units.on_grants(w.sent + 5ms, {1, w.sent, {{"t", 0, 0, 0, Duration{}, Duration{}, Duration{}}}});
+  BOOST_TEST(w.units.take_requests(w.sent + 21ms).size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(given_no_holder_when_a_request_needs_a_unit_then_it_is_refused_at_once) {
   Units u(kTolerance, 1);
-  u.set_quota("t", {10, 10});
+  u.set_quota(Time{1h}, "t", {10, 10});
   Duration retry{};
   bool unreachable = false;
   BOOST_TEST((u.acquire(Time{1h}, "t", 1, 200ms, retry, unreachable) == Units::Admission::rejected));
@@ -735,7 +758,7 @@
 
 BOOST_AUTO_TEST_CASE(given_a_request_that_waits_when_the_call_is_never_answered_then_it_is_refused_in_time) {
   Units u(kTolerance, 1);
-  u.set_quota("t", {10, 10});
+  u.set_quota(Time{1h}, "t", {10, 10});
   Time now{1h};
   u.set_holder_reachable(true);
   Duration retry{};
