Decisions: a request at no server is refused when its deadline passes

Change: each 50 ms the decision module refuses requests that are at no server and past their deadline, and counts them as 'overdue' in the proxy's line of refusals.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -15,7 +15,8 @@
 constexpr double kMinDrainRetryFraction = 0.5;    // left until a drain aborts open requests
 constexpr std::uint32_t kMaxConnectFailures = 4;  // for one request
 constexpr Duration kRevokeMargin = 700ms;         // before a revoked key ends: time for requests in flight
-constexpr Duration kDrainRetryAfter = 10ms;       // a client may retry at another proxy
+constexpr Duration kAbortRetryAfter = 10ms;       // a client may retry at another proxy
+constexpr Duration kOverdueCheckInterval = 50ms;  // from one check of all requests' deadlines to the next
 
 }  // namespace
 
@@ -148,7 +149,7 @@
     return take_actions();
   }
   if (drain_ && !drain_->may_begin(now, arrived.deadline)) {
-    refuse(id, RefusalReason::draining, kDrainRetryAfter);
+    refuse(id, RefusalReason::draining, kAbortRetryAfter);
     return take_actions();
   }
   retry_budget_.on_request(arrived.service);
@@ -291,18 +292,32 @@
     actions_.push_back(Cancel{id, false});
     return;
   }
+  refuse_waiting(now, id, r, RefusalReason::draining);
+}
+
+// Refuses a request that is at no server, and so has not run.
+void Decisions::refuse_waiting(Time now, RequestId id, Request& r, RefusalReason reason) {
   if (r.queued) {
     release_unit(now, r);
   } else {
     units_.cancel_waiting(r.tenant, id);
   }
-  refuse(id, RefusalReason::draining, kDrainRetryAfter);
+  refuse(id, reason, kAbortRetryAfter);
+}
+
+void Decisions::refuse_overdue(Time now) {
+  if (now < overdue_checked_at_ + kOverdueCheckInterval) return;
+  overdue_checked_at_ = now;
+  std::vector<RequestId> overdue;
+  for (const auto& [id, r] : requests_)
+    if (r.server == kNoServer && now >= r.deadline) overdue.push_back(id);
+  for (const auto id : overdue) refuse_waiting(now, id, requests_.find(id).value(), RefusalReason::overdue);
 }
 
 void Decisions::finish_aborted(Time now, RequestId id, Request& r, Outcome outcome) {
   if (!proves_not_run(outcome) || r.may_have_run) return fail(id, 504);
   release_unit(now, r);
-  refuse(id, RefusalReason::draining, kDrainRetryAfter);
+  refuse(id, RefusalReason::draining, kAbortRetryAfter);
 }
 
 void Decisions::count_departure(Time now, Request& r) {
@@ -402,6 +417,7 @@
 Actions Decisions::tick(Time now) {
   dispatch_queued(now);
   process_units(now);
+  refuse_overdue(now);
   return take_actions();
 }
 
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -1,7 +1,8 @@
 // The request-routing decisions of a proxy: which server a request goes to, whether it is retried, and what
 // is refused. The proxy itself only moves bytes. No I/O and no clock: events come in with their time, actions
 // come out, and the same seed and events give the same actions. Each request that arrives gets exactly one
-// final action (Refuse, Fail, Relay or Drop); each Send is followed by one on_attempt_ended().
+// final action (Refuse, Fail, Relay or Drop); each Send is followed by one on_attempt_ended(). A request that is
+// at no server is refused when its deadline passes, whatever it waits for.
 #pragma once
 
 #include <tsl/robin_map.h>
@@ -157,6 +158,8 @@
   void release_unit(Time now, const Request& r);
   void drop(RequestId id);
   void abort_request(Time now, RequestId id);
+  void refuse_waiting(Time now, RequestId id, Request& r, RefusalReason reason);
+  void refuse_overdue(Time now);
   void finish_aborted(Time now, RequestId id, Request& r, Outcome outcome);
   bool has_time_to_retry(Time now, const Request& r) const;
   void process_units(Time now);
@@ -173,6 +176,7 @@
   std::mt19937_64 rng_;
   tsl::robin_map<RequestId, Request> requests_;
   std::vector<RequestId> queued_;  // for a slot at a server
+  Time overdue_checked_at_{};
   std::optional<Time> confirmed_at_;
   std::optional<DrainSchedule> drain_;
   bool lagging_ = false;
--- a/src/system/decisions/refusals.cpp
+++ b/src/system/decisions/refusals.cpp
@@ -10,7 +10,8 @@
          counted(", outdated", RefusalReason::outdated) + counted(", draining", RefusalReason::draining) +
          counted(", no server", RefusalReason::no_server) + counted(", no place", RefusalReason::no_slot) +
          counted(", not run", RefusalReason::not_run) +
-         counted(", no units in time", RefusalReason::no_units) + counted(", quota", RefusalReason::quota);
+         counted(", no units in time", RefusalReason::no_units) + counted(", quota", RefusalReason::quota) +
+         counted(", overdue", RefusalReason::overdue);
 }
 
 }  // namespace docklift::decisions
--- a/src/system/decisions/refusals.hpp
+++ b/src/system/decisions/refusals.hpp
@@ -16,6 +16,7 @@
   not_run,           // no attempt has run, and none is left
   no_units,          // none arrived in time, or the holder of the counts is unreachable
   quota,             // 429
+  overdue,  // its deadline passed while it waited: it was not woken up in time, a fault of this program
   count_of_reasons,
 };
 
