DRAIN: a server that has left is not taken back by proxies

Cause: proxies kept no mark of who has left, and took 'gone' only with a number as high as their record's. A registry that didn't know the server told its Leave without a number; one that is cut off from the core, but in the proxies' reach, could send a late beat or a cached record, and the server was used again. A draining server that fell silent was dropped without a tombstone. Change: Server.left says that a server is gone for good. Proxies heed it whatever the number and use no other record of the id for 60 s; an answer to a request for records has all that have left; a draining server that is silent leaves a tombstone.

--- a/src/system/decisions/servers.cpp
+++ b/src/system/decisions/servers.cpp
@@ -101,7 +101,7 @@
   for (const auto& r : changed) {
     const auto found = by_id_.find(r.id);
     if (r.phase == fleet::Phase::GONE) {
-      if (found != by_id_.end() && r.heartbeat_sequence >= servers_[found->second].calls)
+      if (found != by_id_.end() && (r.left || r.heartbeat_sequence >= servers_[found->second].calls))
         unlist(found->second);
       continue;
     }
--- a/src/system/fleet/record_requests.cpp
+++ b/src/system/fleet/record_requests.cpp
@@ -18,21 +18,35 @@
   digests_[Servers::range_of(id, kRecordRanges)] ^= mix(record);
 }
 
-void KnownRecords::update(const Server& received) {
+bool KnownRecords::update(Time now, const Server& received) {
+  if (received.left) {
+    remember_left(now, received.id);
+  } else if (left_.contains(received.id)) {
+    return false;
+  }
   const auto found = records_.find(received.id);
   if (found != records_.end()) {
     const auto& known = found->second;
-    if (received.heartbeat_sequence < known.heartbeat_sequence) return;
+    if (!received.left && received.heartbeat_sequence < known.heartbeat_sequence) return true;
     digests_.toggle(received.id, known.address, known.phase);
   }
   if (received.phase == Phase::GONE) {
     if (found != records_.end()) records_.erase(found);
-    return;
+    return true;
   }
   const bool was_draining = found != records_.end() && found->second.phase == Phase::DRAINING;
   const auto phase = was_draining ? Phase::DRAINING : received.phase;  // a drain is never reverted
   records_[received.id] = {received.address, phase, received.heartbeat_sequence};
   digests_.toggle(received.id, received.address, phase);
+  return true;
+}
+
+void KnownRecords::remember_left(Time now, const std::string& id) {
+  while (!left_oldest_first_.empty() && left_oldest_first_.front().first <= now) {
+    left_.erase(left_oldest_first_.front().second);
+    left_oldest_first_.pop_front();
+  }
+  if (left_.insert(id).second) left_oldest_first_.emplace_back(now + kDepartedRetention, id);
 }
 
 RecordRequests::Registries RecordRequests::linked(Time now, const std::string& registry) {
--- a/src/system/fleet/record_requests.hpp
+++ b/src/system/fleet/record_requests.hpp
@@ -6,8 +6,10 @@
 #include <tsl/robin_map.h>
 
 #include <cstdint>
+#include <deque>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "system/base/time.hpp"
@@ -30,10 +32,12 @@
   std::vector<std::uint64_t> digests_;
 };
 
-// The server records as last received.
+// The server records as last received. Servers that have left are remembered, as a registry that has not heard
+// of it may still send their records.
 class KnownRecords {
  public:
-  void update(const Server& received);  // ignores an older record
+  // Ignores an older record. Returns false if the server has left before: its record must not be used.
+  bool update(Time now, const Server& received);
   const std::vector<std::uint64_t>& digests() const { return digests_.all(); }
   std::size_t size() const { return records_.size(); }
 
@@ -43,8 +47,11 @@
     Phase phase = Phase::READY;
     std::uint64_t heartbeat_sequence = 0;
   };
+  void remember_left(Time now, const std::string& id);
   tsl::robin_map<std::string, Record> records_;  // by id, without servers that are gone
   RecordDigests digests_;
+  std::set<std::string> left_;                                  // ids
+  std::deque<std::pair<Time, std::string>> left_oldest_first_;  // when they are forgotten
 };
 
 // Selects the registries to ask; each call returns those to ask now. Until the first answer, one registry is
--- a/src/system/fleet/records.cpp
+++ b/src/system/fleet/records.cpp
@@ -22,11 +22,14 @@
 
 MergeResult Servers::merge(const Server& s) {
   const auto [it, fresh] = all_.try_emplace(s.id, s);
-  if (fresh) return MergeResult::changed;
   auto& known = it->second;
+  if (fresh) {
+    known.left = s.phase == Phase::GONE;  // silent servers are not exchanged
+    return MergeResult::changed;
+  }
   if (known.phase == Phase::GONE || s.from_cache) return MergeResult::unchanged;
   if (s.phase == Phase::GONE) {  // a leave carries only the id
-    known.phase = Phase::GONE, known.received_at = s.received_at,
+    known.phase = Phase::GONE, known.left = true, known.received_at = s.received_at,
     known.heartbeat_sequence = std::max(known.heartbeat_sequence, s.heartbeat_sequence);
     known.from_cache = false;
     return MergeResult::changed;
@@ -71,7 +74,13 @@
     }
     if (timeout > Duration{} && now - s.received_at > timeout) {
       expired.push_back(s);
-      it = all_.erase(it);  // no tombstone: the server returns with its next heartbeat
+      if (s.phase == Phase::DRAINING) {
+        s.phase = Phase::GONE, s.left = true, s.received_at = now;
+        expired.back().left = true;
+        ++it;
+      } else {
+        it = all_.erase(it);  // no tombstone: the server returns with its next heartbeat
+      }
       continue;
     }
     ++it;
@@ -126,6 +135,7 @@
   to.setCap(s.cap), to.setPhase(s.phase), to.setCalls(s.heartbeat_sequence);
   to.setColdMs(s.cold_until > now ? millis(s.cold_until - now) : 0);
   to.setAgeMs(millis(now - s.received_at));
+  to.setLeft(s.left);
 }
 
 Server get(wire::Server::Reader r, Time now) {
@@ -134,6 +144,7 @@
   s.zone = r.getZone().cStr(), s.cap = r.getCap(), s.phase = r.getPhase(),
   s.heartbeat_sequence = r.getCalls();
   s.received_at = now - from_millis(r.getAgeMs());
+  s.left = r.getLeft();
   s.cold_until = r.getColdMs() > 0 ? now + from_millis(r.getColdMs()) : Time{};
   return s;
 }
--- a/src/system/fleet/records.hpp
+++ b/src/system/fleet/records.hpp
@@ -26,6 +26,7 @@
   std::uint64_t heartbeat_sequence = 0;
   Time received_at{}, cold_until{};
   bool from_cache = false;  // read from the registry's cache on disk; not received since the registry started
+  bool left = false;        // gone for good; a server that is only silent may return
 };
 
 // A fleet member: a proxy, registry or store.
@@ -37,6 +38,9 @@
   Time received_at{};
 };
 
+// How long a server that has left is remembered: longer than any late heartbeat or older record is under way.
+inline constexpr Duration kDepartedRetention = std::chrono::seconds(60);
+
 // Effect of a merge: none; only a newer receive time; or a change that must be sent to others at once.
 enum class MergeResult { unchanged, refreshed, changed };
 
@@ -49,7 +53,7 @@
   MergeResult merge(const Server& s);
   const Server* find(const std::string& id) const;
   // Drops tombstones older than `retention`, and removes and returns the servers without a heartbeat for
-  // `timeout` (0: none).
+  // `timeout` (0: none). A draining one has left then: it leaves a tombstone.
   std::vector<Server> expire(Time now, Duration timeout, Duration retention);
   const std::map<std::string, Server>& all() const { return all_; }
   // Digests of id, phase and address for each of `ranges` ranges of ids, without cached records; equal if the
--- a/src/system/proxy/control_client.cpp
+++ b/src/system/proxy/control_client.cpp
@@ -257,8 +257,8 @@
   const Time now = clock_.now();
   std::vector<fleet::Server> changed;
   for (const auto server : fleet_state.getServers()) {
-    changed.push_back(fleet::get(server, now));
-    records_.update(changed.back());
+    auto record = fleet::get(server, now);
+    if (records_.update(now, record)) changed.push_back(std::move(record));
   }
   fleet::RecordRequests::Registries next;
   if (fleet_state.getComplete()) next = record_requests_.answered(ip);
--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -16,7 +16,6 @@
 constexpr std::uint64_t kSaveTicks = 10;       // between writes of changed records to the cache
 constexpr std::uint64_t kDigestTicks = 50;     // between gossip rounds of digests of all records
 constexpr double kMaxMissedHeartbeats = 4;     // before a server is considered unresponsive
-constexpr Duration kDepartedRetention = 60s;   // how long a departed server is remembered
 constexpr Duration kMembersRenewal = 1s;       // from the first proxy until all have reconnected
 constexpr Duration kStoreReplyGrace = 250ms;   // on stop, for replies of stores that are in flight
 constexpr Duration kResponseFlushTime = 50ms;  // for responses to be written out
@@ -359,7 +358,7 @@
   if (isolated || last_isolated_ == Time{}) last_isolated_ = now;
   const auto server_timeout = from_millis(kMaxMissedHeartbeats * settings_.heartbeat_ms);
   auto expired = servers_.expire(now, now - last_isolated_ > server_timeout ? server_timeout : Duration{},
-                                 kDepartedRetention);
+                                 fleet::kDepartedRetention);
   if (expired.empty()) return;
   for (auto& s : expired) s.phase = fleet::Phase::GONE, log_.info("server " + s.id + " is silent");
   queue_server_updates(expired);
--- a/src/system/registry/registry_records.cpp
+++ b/src/system/registry/registry_records.cpp
@@ -139,7 +139,8 @@
 }
 
 // Sends all servers of the ranges whose digests here differ from `digests`; of all ranges if there are no
-// digests.
+// digests. Digests don't hold the servers that have left, so all of these are sent: another registry may not
+// know yet that they have.
 void Registry::send_differing_servers(Proxy& p, capnp::List<std::uint64_t>::Reader digests) {
   fleet::RecordDigests own;
   for (const auto& [id, s] : servers_.all())
@@ -151,7 +152,7 @@
   };
   std::vector<const fleet::Server*> differing;
   for (const auto& [id, s] : servers_.all())
-    if (differs(id)) differing.push_back(&s);
+    if (s.phase == fleet::Phase::GONE || differs(id)) differing.push_back(&s);
   fleet::Outgoing out;
   auto f = out.frame().initFleet();
   fill_fleet_header(f);
--- a/src/system/wire/fleet.capnp
+++ b/src/system/wire/fleet.capnp
@@ -37,6 +37,7 @@
   calls @6 :UInt64;
   coldMs @7 :UInt32;  # remaining time for which it is cold
   ageMs @8 :UInt32;   # since the heartbeat was received
+  left @9 :Bool;      # phase gone: it has left and never returns under this id; otherwise it is only silent
 }
 
 enum Change { replace @0; patch @1; evacuate @2; readmit @3; membership @4; nothing @5; }
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -80,6 +80,19 @@
   BOOST_TEST(std::holds_alternative<Refuse>(f.only(f.request())));
 }
 
+// Guards against a leave that is passed over: a registry that didn't know the server tells it without a number.
+BOOST_AUTO_TEST_CASE(given_a_server_when_it_has_left_then_nothing_goes_there_whatever_the_records_number) {
+  ProxyFixture f;
+  f.report_server("one", "a1");
+  fleet::Server silent;
+  silent.id = "one", silent.phase = fleet::Phase::GONE;
+  f.d.update_servers(f.now, {silent});  // older than the proxy's record
+  BOOST_TEST(f.server_of(f.only(f.request())) == "one");
+  silent.left = true;
+  f.d.update_servers(f.now, {silent});
+  BOOST_TEST(std::holds_alternative<Refuse>(f.only(f.request())));
+}
+
 BOOST_AUTO_TEST_CASE(given_an_outdated_record_when_it_arrives_late_then_it_changes_nothing) {
   ProxyFixture f;
   f.report_server("one", "a1");
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -312,6 +312,17 @@
   BOOST_TEST(reverted.find("a")->heartbeat_sequence == 7u);
 }
 
+BOOST_AUTO_TEST_CASE(given_a_draining_server_when_it_is_silent_then_it_has_left_for_good) {
+  fleet::Servers table;
+  table.merge(server("a", 5, fleet::Phase::DRAINING));
+  const auto expired = table.expire(Time{1h} + 60s, 6s, 60s);
+  BOOST_REQUIRE(expired.size() == 1);
+  BOOST_TEST(expired[0].left);
+  BOOST_TEST((table.merge(server("a", 4)) == fleet::MergeResult::unchanged));  // a late heartbeat
+  BOOST_TEST((table.find("a")->phase == fleet::Phase::GONE));
+  BOOST_TEST(table.find("a")->left);
+}
+
 BOOST_AUTO_TEST_CASE(
     given_an_unresponsive_server_when_the_registry_is_not_isolated_then_it_expires_until_its_next_heartbeat) {
   fleet::Servers table;
--- a/tests/system/record_requests_test.cpp
+++ b/tests/system/record_requests_test.cpp
@@ -14,6 +14,8 @@
 using fleet::RecordRequests;
 using Names = RecordRequests::Registries;
 
+const Time kNow{1h};
+
 fleet::Server server(const std::string& id, std::uint64_t sequence, Phase phase = Phase::READY) {
   fleet::Server s;
   s.id = id, s.address = "10.0.0.1:" + id.substr(2), s.heartbeat_sequence = sequence, s.phase = phase;
@@ -69,19 +71,40 @@
     for (const auto& s : servers) digests.toggle(s.id, s.address, s.phase);
     return digests.all();
   };
-  known.update(server("i-1", 5));
-  known.update(server("i-2", 1));
-  known.update(server("i-1", 4, Phase::DRAINING));  // older
+  known.update(kNow, server("i-1", 5));
+  known.update(kNow, server("i-2", 1));
+  known.update(kNow, server("i-1", 4, Phase::DRAINING));  // older
   BOOST_TEST((known.digests() == digests_of({server("i-1", 5), server("i-2", 1)})));
-  known.update(server("i-1", 6, Phase::DRAINING));
-  known.update(server("i-1", 7));
+  known.update(kNow, server("i-1", 6, Phase::DRAINING));
+  known.update(kNow, server("i-1", 7));
   BOOST_TEST((known.digests() == digests_of({server("i-1", 7, Phase::DRAINING), server("i-2", 1)})));
-  known.update(server("i-1", 7, Phase::GONE));
-  known.update(server("i-3", 7, Phase::GONE));
+  known.update(kNow, server("i-1", 7, Phase::GONE));
+  known.update(kNow, server("i-3", 7, Phase::GONE));
   BOOST_TEST((known.digests() == digests_of({server("i-2", 1)})));
   BOOST_TEST(known.size() == 1u);
 }
 
+// Guards against a proxy that takes back a server that has left, from a registry that has not heard of it.
+BOOST_AUTO_TEST_CASE(given_a_server_that_has_left_when_other_records_of_it_arrive_then_they_are_not_used) {
+  KnownRecords known;
+  known.update(kNow, server("i-1", 5));
+  auto leave = server("i-1", 0, Phase::GONE);  // of a registry that didn't know the server
+  leave.left = true;
+  BOOST_TEST(known.update(kNow + 1s, leave));
+  BOOST_TEST(known.size() == 0u);
+  BOOST_TEST(!known.update(kNow + 2s, server("i-1", 9)));
+  auto unknown = server("i-2", 0, Phase::GONE);
+  unknown.left = true;
+  BOOST_TEST(known.update(kNow + 2s, unknown));
+  BOOST_TEST(!known.update(kNow + 3s, server("i-2", 1)));
+  BOOST_TEST(known.update(kNow + 3s, server("i-3", 1, Phase::GONE)));  // only silent
+  BOOST_TEST(known.update(kNow + 4s, server("i-3", 2)));
+  BOOST_TEST(known.size() == 1u);
+  leave.id = "i-4";  // later departures end the memory of former ones
+  known.update(kNow + 2s + fleet::kDepartedRetention, leave);
+  BOOST_TEST(known.update(kNow + 3s + fleet::kDepartedRetention, server("i-1", 10)));
+}
+
 // Two registries with different records: after one exchange with each, a proxy has the records of both.
 BOOST_AUTO_TEST_CASE(given_registries_that_differ_when_ranges_that_differ_are_sent_then_nothing_is_missing) {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
@@ -97,7 +120,7 @@
       if (random() % 20 == 0) second.erase(id);
       if (random() % 20 == 0) first.erase(id);
     }
-    for (const auto& [id, s] : first) proxy.update(s);
+    for (const auto& [id, s] : first) proxy.update(kNow, s);
     RecordDigests of_second;
     for (const auto& [id, s] : second) of_second.toggle(id, s.address, s.phase);
     const auto before = proxy.digests();
@@ -105,7 +128,7 @@
     for (const auto& [id, s] : second) {
       const auto range = fleet::Servers::range_of(id, fleet::kRecordRanges);
       if (before[range] == of_second.all()[range]) continue;
-      proxy.update(s);
+      proxy.update(kNow, s);
       ++received;
     }
     RecordDigests expected;
