--- a/src/system/disk/record_cache.cpp
+++ b/src/system/disk/record_cache.cpp
@@ -65,7 +65,8 @@
 void RecordCache::write(Values values, OnWritten on_written) {
   {
     const std::lock_guard guard(mutex_);
-    for (auto& [name, text] : values) pending_.insert_or_assign(name, std::move(text));
+    values.merge(pending_);  // keeps the new ones
+    pending_ = std::move(values);
     if (on_written) waiting_.push_back(std::move(on_written));
   }
   wake_up_.notify_one();
