--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -60,7 +60,8 @@
   // Merges a heartbeat of a server that is ready, and forwards what changed.
   void on_heartbeat(const fleet::Server& server);
   // Merges and forwards the report of a server that it drains or leaves. Calls `done(true)` once a majority of
-  // the voters' registries has confirmed to have it on disk, `done(false)` if that takes too long or none is connected.
+  // the voters' registries has confirmed to have it on disk, `done(false)` if that takes too long or no
+  // majority is connected.
   void on_departure(const fleet::Server& server, std::function<void(bool)> done);
   // Receives the verdict's status, reason and log position; 503 if no store answers in time.
   using Done = std::function<void(int status, const std::string& why, std::uint64_t position)>;
