departed_clients: grants have the length of the tenant's window

Cause: the fixture's grants claimed windows of 1 s, whatever the tenant's quota. Change: the fixture computes the length as the holder does. No check changed.

--- a/tests/system/departed_clients_test.cpp
+++ b/tests/system/departed_clients_test.cpp
@@ -31,7 +31,14 @@
     d.set_holder_reachable(now, true);
   }
   Actions grant(std::uint32_t units, std::int64_t window = 1) {
-    return d.on_grants(now, {kTerm, now, {{"t", window, units, 1000, {}, 1s, {}}}});
+    return d.on_grants(now, {kTerm, now, {{"t", window, units, 1000, {}, window_length(), {}}}});
+  }
+  // As the holder of the counts computes it.
+  Duration window_length() const {
+    const auto& tenant = c->tenants[0];
+    const Bounds b = bounds({});
+    return counts::window_of({tenant.per_s, tenant.burst}, {b.quota_win_s, b.quota_excess, b.quota_slack})
+        .length;
   }
   static constexpr std::uint64_t kTerm = 1;
 };
