rigs/powerloss: compares windows that end after the loss, which is what the disks are for

Cause: the check is wrong. It compares the largest window of two live plays. Traced (time of each window, six plays): the largest window always lies before the loss, in the burst at the start, where the disks change nothing: 396 to 572 with them, 634 to 656 without, and 651 against 649 in one more play. The windows that a loss can spoil were not looked at by it. Change: only windows that end after the loss are compared, with the same comparison. No bound changed; windows before the loss stay under the ceiling's check (ceiling_over_by), as before. It is stricter: a fleet that passes more after a loss than one without disks was hidden by the burst at the start.

--- a/rigs/faults/passed.hpp
+++ b/rigs/faults/passed.hpp
@@ -23,13 +23,13 @@
       n += static_cast<std::size_t>(std::lower_bound(all.begin(), all.end(), to) - std::lower_bound(all.begin(), all.end(), from));
     return n;
   }
-  // The most in any span of so many seconds.
-  std::size_t most_within(double span) const {
+  // The most in any span of so many seconds that ends at `since` or later.
+  std::size_t most_within(double span, double since = 0) const {
     std::size_t worst = 0;
     for (const auto& [member, all] : of)
       for (std::size_t from = 0, upto = 0; upto < all.size(); ++upto) {
         while (all[upto] - all[from] >= span) ++from;
-        worst = std::max(worst, upto - from + 1);
+        if (all[upto] >= since) worst = std::max(worst, upto - from + 1);
       }
     return worst;
   }
--- a/rigs/powerloss/main.cpp
+++ b/rigs/powerloss/main.cpp
@@ -35,7 +35,7 @@
 
 struct Side {
   std::uint64_t requests = 0, unanswered = 0, drains_undone = 0, starts_reused = 0, damaged = 0, damage_named = 0, stuck = 0, losses = 0, seen = 0;
-  std::size_t most_in_a_window = 0;
+  std::size_t most_in_a_window = 0;  // of windows that end after the loss
   double over_by = -1e9;
   std::vector<double> ready_ms, served_90_ms;
   std::vector<std::string> broken;
@@ -83,6 +83,7 @@
     std::vector<std::size_t> damaged;
     if (disks_ && random_.chance(0.5) && !fleet_->process(0).damage_state().empty()) damaged.push_back(0);
     const auto cut = Steady::now();
+    const double cut_s = seconds();
     std::vector<std::size_t> order(fleet_->size());
     std::iota(order.begin(), order.end(), 0);
     random_.shuffle(order);
@@ -129,7 +130,7 @@
     }
     if (const auto twice = platform.unsafe_twice()) side.broken.push_back(std::to_string(twice) + " unsafe requests ran twice");
     side.over_by = std::max(side.over_by, passed_.worst_over(kCeiling, kBurst, kSlack));
-    side.most_in_a_window = std::max(side.most_in_a_window, passed_.most_within(kWindow));
+    side.most_in_a_window = std::max(side.most_in_a_window, passed_.most_within(kWindow, cut_s));
     if (!disks_) return;
     const auto after = starts_of_all();
     for (std::size_t i = 0; i < after.size(); ++i) {
