Proxy: the bodies of requests share a bounded memory; what does not fit is refused at once

Cause: nothing bounded the sum of what all sessions hold, and each body was held twice (Session, Upstream's copy behind the head). Attempts write head and body without a copy.

--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t kMaxConnectFailures = 4;  // for one request
 constexpr Duration kRevokeMargin = 700ms;         // before a revoked key ends: time for requests in flight
 constexpr Duration kAbortRetryAfter = 10ms;       // a client may retry at another proxy
+constexpr Duration kBodyRetryAfter = 200ms;       // by then another body may have been passed on
 constexpr Duration kOverdueCheckInterval = 50ms;  // from one check of all requests' deadlines to the next
 
 }  // namespace
@@ -68,6 +69,11 @@
   if (!confirmed_at_ || at > *confirmed_at_) confirmed_at_ = at;
 }
 
+Duration Decisions::refuse_body() {
+  refusals_.count(RefusalReason::no_body_memory);
+  return kBodyRetryAfter;
+}
+
 bool Decisions::may_deny(Time now) const {
   return configuration_ && confirmed_at_ && now < *confirmed_at_ + from_millis(bounds_.apply_ms);
 }
--- a/src/system/decisions/decisions.hpp
+++ b/src/system/decisions/decisions.hpp
@@ -114,6 +114,9 @@
   // ---- requests
   // Counts a request that was rejected because no configuration has been received yet.
   void count_refusal_without_configuration() { refusals_.count(RefusalReason::no_configuration); }
+  // Counts a request that is refused while it is received, as there is no memory for its body. Returns after
+  // what time to send it again.
+  Duration refuse_body();
   Actions on_request(Time now, const Arrival& arrival);
   // `whole`: a complete response of the server is available and can be relayed.
   Actions on_attempt_ended(Time now, RequestId id, Outcome outcome, Duration took, bool whole);
--- a/src/system/decisions/refusals.cpp
+++ b/src/system/decisions/refusals.cpp
@@ -7,6 +7,7 @@
     return std::string(name) + " " + std::to_string(counts.of(reason));
   };
   return "refused: " + counted("no configuration", RefusalReason::no_configuration) +
+         counted(", no memory", RefusalReason::no_body_memory) +
          counted(", outdated", RefusalReason::outdated) + counted(", draining", RefusalReason::draining) +
          counted(", no server", RefusalReason::no_server) + counted(", no place", RefusalReason::no_slot) +
          counted(", not run", RefusalReason::not_run) +
--- a/src/system/decisions/refusals.hpp
+++ b/src/system/decisions/refusals.hpp
@@ -9,6 +9,7 @@
 
 enum class RefusalReason : std::uint8_t {
   no_configuration,  // none received yet
+  no_body_memory,    // the bodies of other requests fill it
   outdated,          // the local configuration, or its API keys, may no longer be valid
   draining,          // this process ends before the request may
   no_server,         // none is eligible
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -10,7 +10,12 @@
 constexpr Duration kUnconfiguredRetryAfter = 300ms;
 constexpr Duration kReportInterval = 10s;          // between log lines of statistics that have changed
 constexpr double kClientDescriptorFraction = 0.6;  // of the file descriptors, for client connections
+constexpr double kBodyMemoryFraction = 0.4;        // of the memory, for the bodies of requests
 std::uint64_t random_seed() { return (std::uint64_t(std::random_device{}()) << 32) | std::random_device{}(); }
+
+std::size_t body_memory(const SystemSettings& settings) {
+  return static_cast<std::size_t>(kBodyMemoryFraction * static_cast<double>(settings.memory_mb << 20));
+}
 }  // namespace
 
 Proxy::Proxy(boost::asio::io_context& io, const SystemSettings& settings)
@@ -22,7 +27,8 @@
                  random_seed()),
       upstream_(io, timers_),
       control_client_(io, settings_, clock_, *this),
-      acceptor_(io.get_executor()) {}
+      acceptor_(io.get_executor()),
+      body_budget_(std::make_shared<BodyBudget>(body_memory(settings))) {}
 
 Proxy::~Proxy() {
   const auto all = sessions_;
@@ -64,6 +70,8 @@
   return {503, kUnconfiguredRetryAfter};
 }
 
+LocalReply Proxy::refuse_body() { return {503, decisions_.refuse_body()}; }
+
 void Proxy::accept() {
   acceptor_.async_accept([this](boost::system::error_code error, Socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
--- a/src/system/proxy/proxy.hpp
+++ b/src/system/proxy/proxy.hpp
@@ -31,6 +31,8 @@
   bool draining() const override { return drain_.has_value(); }
   void on_request(const std::shared_ptr<Session>& session, std::uint64_t number, Request request) override;
   bool is_repeatable(const Request& request) const override;
+  const std::shared_ptr<BodyBudget>& body_budget() const override { return body_budget_; }
+  LocalReply refuse_body() override;
   void on_closed(const std::shared_ptr<Session>& session) override;
 
   void on_changes(const fleet::ChangeLog& changes) override;
@@ -78,6 +80,7 @@
   ControlClient control_client_;
   Acceptor acceptor_;
   std::unique_ptr<http::Server> readyz_;
+  std::shared_ptr<BodyBudget> body_budget_;
   std::shared_ptr<const configuration::Configuration> configuration_;
   std::set<std::shared_ptr<Session>> sessions_;
   std::unordered_map<decisions::RequestId, Exchange> exchanges_;
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -90,9 +90,9 @@
     in_body_ = false, request_ready_ = true;
     timers_.cancel(timeout_);
     if (request_.has_body) {
-      request_.head += "Content-Length: " + std::to_string(body_.size()) + "\r\n";
-      request_.body = std::make_shared<const std::string>(std::move(body_));
-      body_ = {};
+      request_.head += "Content-Length: " + std::to_string(body_->bytes().size()) + "\r\n";
+      request_.body = {body_, &body_->bytes()};
+      body_.reset();
     }
     dispatch();
   }
@@ -126,6 +126,11 @@
   if (kind->coding == stream::Coding::length && kind->length > limits.body_bytes)
     return reject(handler_->rejection(413)), false;
   request_ = {};
+  request_.has_body = kind->coding != stream::Coding::none;
+  if (request_.has_body) {
+    body_ = std::make_shared<RequestBody>(handler_->body_budget());
+    if (!body_->expect(kind->length)) return reject(handler_->refuse_body()), false;
+  }
   request_.method = head.method, request_.target = head.target, request_.host = *host,
   request_.attempt_id = *id;
   if (const auto key = head.unique("Key")) request_.key = *key;
@@ -141,10 +146,8 @@
     forwarded.append(field.name).append(": ").append(field.value).append("\r\n");
   }
   keep_alive_ = head.keeps_alive();
-  request_.has_body = kind->coding != stream::Coding::none;
   const bool expects_continue = request_.has_body && head.has_token("Expect", "100-continue");
   decoder_ = BodyDecoder(*kind);
-  body_.clear();
   in_body_ = true;
   input_.erase(0, parsed.consumed);
   if (expects_continue && input_.empty()) {
@@ -161,9 +164,9 @@
   while (!decoder_.done()) {
     const auto step = decoder_.next(std::string_view(input_).substr(used));
     if (step.status == BodyDecoder::Status::bad) return reject({400}), false;
-    body_.append(step.data);
     used += step.used;
-    if (body_.size() > limit) return reject(handler_->rejection(413)), false;
+    if (body_->bytes().size() + step.data.size() > limit) return reject(handler_->rejection(413)), false;
+    if (!body_->append(step.data)) return reject(handler_->refuse_body()), false;
     if (step.status == BodyDecoder::Status::more) break;
   }
   input_.erase(0, used);
@@ -194,10 +197,11 @@
   respond(number, std::move(response), fields_end);
 }
 
-// Replies to a request that can't be parsed or is too large, and closes the connection after that response.
+// Replies to a request that can't be parsed or held, and closes the connection after that response.
 void Session::reject(const LocalReply& reply) {
   if (closed_) return;
-  keep_alive_ = false;
+  keep_alive_ = false, rejected_ = true;
+  body_.reset();
   timers_.cancel(timeout_);
   const auto number = ++last_number_;
   pipeline_.push_back({number, false, true, {}, 0});
@@ -244,12 +248,12 @@
                     [](const PipelinedRequest& pipelined) { return pipelined.done; }));
 }
 
-// Ends the connection after the last response. Outside a drain no request can follow it, unless the client
-// itself has asked for the close.
+// Ends the connection after the last response. Outside a drain nothing can follow it, unless the client itself
+// has asked for the close, but for the rest of a request that was rejected.
 void Session::finish_sending() {
   error_code ignored;
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-  if (!handler_->draining()) return close();
+  if (!handler_->draining() && !rejected_) return close();
   lingering_ = true;
   input_.clear();
   timeout_ = timers_.after(kLingerTime,
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -16,6 +16,7 @@
 #include "system/configuration/configuration.hpp"
 #include "system/http/head.hpp"
 #include "system/net/link.hpp"
+#include "system/proxy/body_budget.hpp"
 
 namespace docklift::proxy {
 
@@ -46,6 +47,10 @@
     virtual void on_request(const std::shared_ptr<Session>& session, std::uint64_t number,
                             Request request) = 0;
     virtual bool is_repeatable(const Request& request) const = 0;
+    // For the bodies of all sessions.
+    virtual const std::shared_ptr<BodyBudget>& body_budget() const = 0;
+    // The reply to a request whose body the budget does not hold.
+    virtual LocalReply refuse_body() = 0;
     // The connection is closed. Responses to requests that are still open are discarded.
     virtual void on_closed(const std::shared_ptr<Session>& session) = 0;
   };
@@ -94,9 +99,10 @@
   Request request_;
   bool request_ready_ = false;  // request_ is complete and waits to be dispatched
   stream::BodyDecoder decoder_;
-  std::string body_;
+  std::shared_ptr<RequestBody> body_;  // of request_, while it is received
   bool reading_ = false, in_body_ = false, pipeline_repeatable_ = true, keep_alive_ = true, closed_ = false,
-       writing_ = false, processing_scheduled_ = false, close_check_scheduled_ = false, lingering_ = false;
+       writing_ = false, processing_scheduled_ = false, close_check_scheduled_ = false, rejected_ = false,
+       lingering_ = false;
   snowknot::Timers::Handle timeout_;
 };
 
--- a/src/system/proxy/upstream.cpp
+++ b/src/system/proxy/upstream.cpp
@@ -1,5 +1,6 @@
 #include "system/proxy/upstream.hpp"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -63,10 +64,10 @@
       self->fail(Outcome::timeout);
     });
     output = attempt.head + "\r\n";
-    if (attempt.body) output += *attempt.body;
+    const auto body = attempt.body ? asio::buffer(*attempt.body) : asio::const_buffer();
     writing = true;
-    asio::async_write(socket, asio::buffer(output),
-                      [self = shared_from_this()](error_code error, std::size_t) {
+    asio::async_write(socket, std::array{asio::const_buffer(asio::buffer(output)), asio::const_buffer(body)},
+                      [self = shared_from_this(), held = attempt.body](error_code error, std::size_t) {
                         self->writing = false;
                         // A server may respond and close before it has read the whole request; its response
                         // is read first.
@@ -190,6 +191,7 @@
     const auto self = shared_from_this();
     if (reusable) {
       input.clear();
+      attempt.body.reset();
       upstream->pools_[server].idle.push_back(self);
       timer = upstream->timers_.after(idle_timeout, [self] {
         self->timer.reset();
--- /dev/null
+++ b/tests/system/long_bodies_test.cpp
@@ -0,0 +1,96 @@
+// Tests of long request bodies at a proxy with little memory, on sockets.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <list>
+#include <string>
+
+#include "serving_fleet.hpp"
+
+namespace docklift::test {
+namespace {
+
+constexpr std::size_t kMegabyte = std::size_t{1} << 20;
+constexpr std::size_t kBodyBytes = 3 * kMegabyte;
+
+// Proxies that may hold 8 MB of bodies: 0.4 of their memory. Two long bodies fit in it, a third one doesn't.
+struct LowMemoryFleet : ServingFleet {
+  LowMemoryFleet() : ServingFleet("limits.mem_mb=20\n") {}
+
+  // Begins a request with a long body, and sends the first bytes of that.
+  Client& begin_upload(const std::string& id, const std::string& framing, std::size_t sent_bytes) {
+    clients.emplace_back(*this, 4,
+                         "POST /a/" + id + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
+                             "\r\nDeadline: 9000\r\nKey: k1\r\n" + framing + "\r\n\r\n" +
+                             std::string(sent_bytes, 'x'));
+    clients.back().start_reading();
+    return clients.back();
+  }
+  Client& begin_upload_with_length(const std::string& id) {
+    return begin_upload(id, "Content-Length: " + std::to_string(kBodyBytes), 1000);
+  }
+  bool is_refused(const Client& client) {
+    return until([&] { return client.received().starts_with("HTTP/1.1 503 "); }, kRefusalLimit) &&
+           client.received().find("Retry-After: ") != std::string::npos;
+  }
+  // Whether a request whose body is short is served.
+  bool serves_short_body() {
+    return exchange(http(4),
+                    "POST /a/short HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: short\r\nDeadline: 9000\r\n"
+                    "Key: k1\r\nContent-Length: 1000\r\n\r\n" +
+                        std::string(1000, 'x'))
+               .status == 200;
+  }
+  std::size_t longest_body_at_server() {
+    std::size_t longest = 0;
+    for (const auto& request : server.requests()) longest = std::max(longest, request.body.size());
+    return longest;
+  }
+
+  static constexpr Duration kRefusalLimit = 1s;
+  std::list<Client> clients;
+};
+
+BOOST_FIXTURE_TEST_SUITE(long_bodies, LowMemoryFleet)
+
+// Guards against a proxy that holds all long bodies that clients send at once, and is killed for its memory.
+BOOST_AUTO_TEST_CASE(
+    given_long_bodies_that_fill_the_memory_when_another_one_comes_then_it_is_refused_at_once) {
+  auto& first = begin_upload_with_length("first");
+  auto& second = begin_upload_with_length("second");
+  BOOST_TEST(serves_short_body());
+  auto& third = begin_upload_with_length("third");
+  BOOST_TEST(is_refused(third));
+  BOOST_TEST(until([&] { return third.closed(); }));
+  BOOST_TEST(serves_short_body());
+  BOOST_TEST(first.received().empty());
+  BOOST_TEST(second.received().empty());
+
+  // What a client that has left took is available again.
+  first.disconnect();
+  auto& fourth = begin_upload_with_length("fourth");
+  BOOST_TEST(!is_refused(fourth));
+  fourth.start_sending(std::string(kBodyBytes - 1000, 'x'));
+  BOOST_TEST(until([&] { return fourth.received_answer_to("fourth"); }));
+  BOOST_TEST(longest_body_at_server() == kBodyBytes);
+
+  // So is what an answered request took, though its connections stay open.
+  auto& fifth = begin_upload_with_length("fifth");
+  BOOST_TEST(!is_refused(fifth));
+}
+
+// The same for bodies whose length isn't told beforehand.
+BOOST_AUTO_TEST_CASE(given_a_chunked_body_when_it_outgrows_the_memory_then_it_is_refused_at_once) {
+  auto& chunked = begin_upload("chunked", "Transfer-Encoding: chunked", 0);
+  std::string chunks;
+  while (chunks.size() < 10 * kMegabyte) chunks += "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+  chunked.start_sending(std::move(chunks));
+  BOOST_TEST(is_refused(chunked));
+  BOOST_TEST(longest_body_at_server() == 0u);
+  BOOST_TEST(!is_refused(begin_upload_with_length("first")));
+  BOOST_TEST(!is_refused(begin_upload_with_length("second")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace docklift::test
--- a/tests/system/serving_fleet.hpp
+++ b/tests/system/serving_fleet.hpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include "path_fleet.hpp"
 
@@ -21,6 +23,11 @@
     boost::system::error_code ignored;  // the proxy may have closed
     asio::write(socket_, asio::buffer(requests), ignored);
   }
+  // Sends while the event loop runs, as much as the proxy reads.
+  void start_sending(std::string text) {
+    const auto sent = std::make_shared<const std::string>(std::move(text));
+    asio::async_write(socket_, asio::buffer(*sent), [sent](boost::system::error_code, std::size_t) {});
+  }
   void disconnect() { snowknot::close_now(socket_); }
   // Reads everything received from now on; the client must outlive the event loop's callbacks.
   void start_reading() {
