Registry: replaced machines don't keep servers from counting as silent

Cause: a registry judges silence only while it is connected to every address that it has ever dialed; a replaced machine's never answers again. Change: only registries of the present voters and those that announce themselves count. A voter that is down still stops the judgement, as before.

--- a/src/system/registry/registry.cpp
+++ b/src/system/registry/registry.cpp
@@ -350,12 +350,24 @@
   check_lease();
 }
 
+// Whether this node is not connected to a registry of the present core. Machines that were replaced are no
+// part of it, though they are still dialed.
+bool Registry::is_isolated() const {
+  std::set<std::string> core;
+  for (const auto& ip : voter_ips()) core.insert(ip);
+  for (const auto& [id, n] : nodes_.all())
+    if (n.role == fleet::Role::REGISTRY && !n.leaving) core.insert(n.address);
+  core.erase(settings_.bind_ip);
+  return std::ranges::any_of(core, [&](const std::string& ip) {
+    const auto dialer = registries_.find(ip);
+    return dialer == registries_.end() || !dialer->second->is_connected();
+  });
+}
+
 // Only a registry that is connected to all others can distinguish an unresponsive server from its own
 // isolation.
 void Registry::expire_servers(Time now) {
-  const bool isolated = std::ranges::any_of(registries_,
-                                            [](const auto& r) { return !r.second->is_connected(); });
-  if (isolated || last_isolated_ == Time{}) last_isolated_ = now;
+  if (is_isolated() || last_isolated_ == Time{}) last_isolated_ = now;
   const auto server_timeout = from_millis(kMaxMissedHeartbeats * settings_.heartbeat_ms);
   auto expired = servers_.expire(now, now - last_isolated_ > server_timeout ? server_timeout : Duration{},
                                  fleet::kDepartedRetention);
--- a/src/system/registry/registry.hpp
+++ b/src/system/registry/registry.hpp
@@ -147,6 +147,7 @@
   void tick();
   void on_tick(Time now);
   void keep_lease(Time now);
+  bool is_isolated() const;
   void expire_servers(Time now);
   void expire_members(Time now);
   void expire_calls(Time now);
--- a/tests/system/processes_test.cpp
+++ b/tests/system/processes_test.cpp
@@ -150,6 +150,20 @@
   check_proxy(fleet, operators.version);
 }
 
+// Guards against a core that waits for the link to a machine that was replaced: no server ever counted as silent.
+BOOST_AUTO_TEST_CASE(given_a_replaced_machine_when_a_server_falls_silent_then_the_core_notices) {
+  constexpr Duration kSilenceLimit = 12s;  // twice the time of four heartbeats
+  replace(1, 4, {2, 3, 4});
+  const auto
+      heartbeat = R"({"svc":"alpha","addr":"127.0.0.1:9","az":"z1","cap":4,"phase":"ready","calls":1})";
+  BOOST_TEST(fleet.exchange(fleet.ctl(2), "POST", "/Instances.Heartbeat/i-1", heartbeat, 1s).status == 200);
+  for (const int machine : {2, 3, 4})
+    BOOST_TEST(
+        fleet.until([&] { return fleet.log(machine).find("server i-1 is silent") != std::string::npos; },
+                    kSilenceLimit),
+        fleet.log(machine));
+}
+
 BOOST_AUTO_TEST_CASE(given_a_machine_cut_off_when_orders_go_to_both_sides_then_only_the_majoritys_are_taken) {
   send_commands_to_both_sides(1, {2, 3}, [&](bool blocked) { fleet.isolate(1, blocked); });
 }
