Counts: what a span has granted is kept when the length of the windows changes

In memory: 552 to 789 requests in 5 s where 306 are allowed. Cause: windows are numbered by their length; another length made the count look windows old, so it was forgotten. Change: a count keeps the grants of the last span's windows; while windows of two lengths lie in a span, its limit bounds what is granted. With one length nothing changes.

--- a/src/system/counts/counts.hpp
+++ b/src/system/counts/counts.hpp
@@ -7,13 +7,15 @@
 // length: any such span of n windows touches n + 1 of them, so a limit of what may pass in the span, divided
 // by n + 1, keeps each span within the quota. A window lasts about burst over rate: it is the longest one
 // whose limit gives the tenant its rate and a little more, as units that are leased by one proxy and not
-// spent are lost to the others.
+// spent are lost to the others. Where a changed quota changes the length, windows of both lengths lie in one
+// span: what was granted in the span before is counted then, whatever the windows were.
 #pragma once
 
 #include <tsl/robin_map.h>
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "system/base/time.hpp"
 
@@ -56,8 +58,18 @@
   double granted[kWindowsAhead + 1] = {};  // of the current window and those after it
   Time updated_at{};
 };
+// A window that is over, or that ended early with a change of the length.
+struct PastWindow {
+  Time ends{};
+  Duration length{};
+  double used = 0;
+  double span_limit = 0;  // then
+};
 struct TenantCount {
-  std::int64_t window = 0;  // the current one
+  std::int64_t window = 0;       // the current one
+  Duration length{};             // of the windows
+  double span_limit = 0;         // units that may be granted in a span
+  std::vector<PastWindow> past;  // of the last span
   double used[kWindowsAhead + 1] = {};
   double demand = 0;                               // of all shares
   tsl::robin_map<std::string, ProxyShare> shares;  // by proxy
@@ -84,7 +96,11 @@
 
  private:
   using TenantCount = detail::TenantCount;
-  TenantCount& count_at(Time now, const std::string& tenant, std::int64_t current);
+  TenantCount& count_at(Time now, const std::string& tenant, const Quota& quota, const Window& window);
+  void advance(Time now, TenantCount& c, std::int64_t current) const;
+  static void change_length(Time now, TenantCount& c, Duration length);
+  double left_in_spans(const TenantCount& c, int ahead) const;
+  double left_in_span(const TenantCount& c, int last) const;
   tsl::robin_map<std::string, TenantCount> counts_;
   QuotaTolerance tolerance_;
   Time began_{};
