Upstream: chunked responses are decoded as they arrive

Cause: each read decoded the whole body anew from its beginning. Change: a connection keeps the decoder, the decoded body and how far it is.

--- a/src/system/proxy/upstream.cpp
+++ b/src/system/proxy/upstream.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <optional>
+#include <utility>
 
 namespace docklift::proxy {
 namespace asio = boost::asio;
@@ -94,6 +96,13 @@
     read();
   }
 
+  // The body of the response at the beginning of the input, as far as it has been received.
+  struct ResponseBody {
+    BodyDecoder decoder;
+    std::string bytes;
+    std::size_t decoded_until = 0;  // offset in the input
+  };
+
   // Returns true when the attempt has ended.
   bool parse_response() {
     while (true) {
@@ -109,31 +118,41 @@
       if (!kind || kind->to_end ||
           (kind->kind.coding == stream::Coding::length && kind->kind.length > kMaxBodyBytes))
         return fail(Outcome::invalid_response), true;
-      std::string_view rest = std::string_view(input).substr(parsed.consumed);
-      if (kind->kind.coding == stream::Coding::length && rest.size() < kind->kind.length) return false;
-      BodyDecoder decoder(kind->kind);
-      std::string body;
-      while (!decoder.done()) {
-        const auto step = decoder.next(rest);
-        if (step.status == BodyDecoder::Status::bad) return fail(Outcome::invalid_response), true;
-        body.append(step.data);
-        rest.remove_prefix(step.used);
-        if (body.size() > kMaxBodyBytes) return fail(Outcome::invalid_response), true;
-        if (step.status == BodyDecoder::Status::more) return false;
-      }
+      if (kind->kind.coding == stream::Coding::length && input.size() - parsed.consumed < kind->kind.length)
+        return false;
+      if (!response_body) response_body.emplace(ResponseBody{BodyDecoder(kind->kind), {}, parsed.consumed});
+      const auto status = decode_body(*response_body);
+      if (status == BodyDecoder::Status::bad) return fail(Outcome::invalid_response), true;
+      if (status == BodyDecoder::Status::more) return false;
+      const auto body = std::move(response_body->bytes);
+      const auto end = response_body->decoded_until;
+      response_body.reset();
       const auto id = head.unique("Attempt-Id");
       if (id ? *id != attempt.attempt_id : head.has("Attempt-Id")) {  // belongs to another request
         unmatched_response = true;
         if (++unmatched_count > kMaxUnmatchedResponses) return fail(Outcome::invalid_response), true;
-        input.erase(0, input.size() - rest.size());
+        input.erase(0, end);
         if (input.empty()) return false;
         continue;
       }
-      deliver_response(head, kind->kind.coding, body, !rest.empty());
+      deliver_response(head, kind->kind.coding, body, end < input.size());
       return true;
     }
   }
 
+  // Decodes what has been received since the last call.
+  BodyDecoder::Status decode_body(ResponseBody& body) const {
+    while (!body.decoder.done()) {
+      const auto step = body.decoder.next(std::string_view(input).substr(body.decoded_until));
+      if (step.status == BodyDecoder::Status::bad) return step.status;
+      body.bytes.append(step.data);
+      body.decoded_until += step.used;
+      if (body.bytes.size() > kMaxBodyBytes) return BodyDecoder::Status::bad;
+      if (step.status == BodyDecoder::Status::more) return step.status;
+    }
+    return BodyDecoder::Status::done;
+  }
+
   void deliver_response(const http::Head& head, stream::Coding coding, const std::string& body,
                         bool has_more_input) {
     AttemptResult result;
@@ -191,6 +210,7 @@
     const auto self = shared_from_this();
     if (reusable) {
       input.clear();
+      response_body.reset();
       attempt.body.reset();
       upstream->pools_[server].idle.push_back(self);
       timer = upstream->timers_.after(idle_timeout, [self] {
@@ -226,6 +246,7 @@
   Attempt attempt;
   Done on_done;
   std::string input, output;
+  std::optional<ResponseBody> response_body;
   Time sent_at{};
   Duration idle_timeout = kDefaultIdleTimeout;
   snowknot::Timers::Handle timer;
--- a/tests/system/long_bodies_test.cpp
+++ b/tests/system/long_bodies_test.cpp
@@ -1,4 +1,4 @@
-// Tests of long request bodies at a proxy with little memory, on sockets.
+// Tests of long bodies of requests and responses at a proxy, on sockets.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <list>
@@ -92,5 +92,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(long_responses)
+
+constexpr std::size_t kResponseBytes = 7 * kMegabyte;
+
+// Responds to paths ending in "chunked" in chunks, and to others with a length.
+standin::ScriptedResponse respond_at_length(const standin::ReceivedRequest& request) {
+  auto response = standin::ok_response(request, std::string(kResponseBytes, 'x'));
+  if (!request.target().ends_with("chunked")) return response;
+  constexpr std::size_t kChunkBytes = 0x4000;
+  response.bytes = "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.field("Attempt-Id") +
+                   "\r\nSeal: s1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t sent = 0; sent < kResponseBytes; sent += kChunkBytes)
+    response.bytes += "4000\r\n" + std::string(kChunkBytes, 'x') + "\r\n";
+  response.bytes += "0\r\n\r\n";
+  return response;
+}
+
+struct LongResponsesFleet : ServingFleet {
+  LongResponsesFleet() : ServingFleet("", respond_at_length) {}
+  // The time until the whole response has come.
+  Duration time_of(const std::string& path) {
+    const auto began = std::chrono::steady_clock::now();
+    Client client(*this, 4, request_to(path, path.substr(3)));
+    client.start_reading();
+    BOOST_TEST(until([&] { return client.received().size() > kResponseBytes; }, 60s));
+    client.disconnect();
+    io.poll();
+    return std::chrono::steady_clock::now() - began;
+  }
+};
+
+// Guards against a response that is decoded from its beginning each time that more of it arrives.
+BOOST_FIXTURE_TEST_CASE(
+    given_a_long_chunked_response_when_it_is_read_then_it_takes_about_as_long_as_any_other,
+    LongResponsesFleet) {
+  const auto with_length = time_of("/a/whole");
+  const auto chunked = time_of("/a/chunked");
+  BOOST_TEST(seconds(chunked) < 4 * seconds(with_length) + 0.5,
+             "chunked: " << seconds(chunked) << " s, with a length: " << seconds(with_length) << " s");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace docklift::test
--- a/tests/system/serving_fleet.hpp
+++ b/tests/system/serving_fleet.hpp
@@ -56,14 +56,18 @@
          "\r\nDeadline: 9000\r\nKey: k1\r\n\r\n";
 }
 
-// A fleet that serves, with a stand-in server that holds its responses to paths ending in "hold".
+// Holds the responses to paths ending in "hold".
+inline standin::ScriptedResponse respond_or_hold(const standin::ReceivedRequest& request) {
+  auto response = standin::ok_response(request, "hello");
+  response.hold = request.target().ends_with("hold");
+  return response;
+}
+
+// A fleet that serves, with a stand-in server.
 struct ServingFleet : Fleet {
-  explicit ServingFleet(const std::string& proxy_settings = "")
-      : Fleet(proxy_settings), server(io, Fleet::server(0), [](const standin::ReceivedRequest& request) {
-          auto response = standin::ok_response(request, "hello");
-          response.hold = request.target().ends_with("hold");
-          return response;
-        }) {
+  explicit ServingFleet(const std::string& proxy_settings = "",
+                        standin::Server::Script script = respond_or_hold)
+      : Fleet(proxy_settings), server(io, Fleet::server(0), std::move(script)) {
     BOOST_REQUIRE(
         until([&] { return post(ctl(1), "/Config.Replace", high_quota_config(3, 0)).status == 200; }));
     BOOST_REQUIRE(heartbeat("i-1", 0).status == 200);
