--- a/tests/system/path_fleet.hpp
+++ b/tests/system/path_fleet.hpp
@@ -178,7 +178,6 @@
     BOOST_REQUIRE(!failed(proxies.back()->start()));
   }
 
- private:
   SystemSettings settings(int machine, bool bootstrap = true, const std::string& extra = "") {
     const auto port = [&](int offset) { return std::to_string(port_ + offset); };
     auto text = "hostname=m" + std::to_string(machine) + "\nbind_ip=" + ip(machine) +
@@ -191,6 +190,8 @@
     BOOST_REQUIRE(!failed(read));
     return value(read);
   }
+
+ private:
   std::uint16_t port_;
   std::string proxy_settings_;
   std::string directory_;
