Tests: the story of a machine just cut off waits until all machines serve

Cause: the test. The fleet counts as started when one machine acknowledges a configuration, while another may not serve yet; its refused connection was taken for an answer. The same way it could pass without a link that looks open, which it is about. Change: the story begins once a leave is acknowledged at each of the three machines. No check changed; it is stricter.

--- a/tests/system/processes_test.cpp
+++ b/tests/system/processes_test.cpp
@@ -69,6 +69,10 @@
     return R"({"svc":"alpha","addr":"127.0.0.1:9","az":"z1","cap":4,"phase":")" + phase + R"(","calls":)" +
            std::to_string(calls) + "}";
   };
+  // All three serve and have links to each other.
+  for (const int machine : {1, 2, 3})
+    BOOST_TEST(
+        fleet.until([&] { return report(machine, "/Instances.Leave/i-0", "") == 200; }, kStartTimeout));
   for (const std::string id : {"i-1", "i-2"})
     BOOST_TEST(report(1, "/Instances.Heartbeat/" + id, heartbeat("ready", 1)) == 200);
   fleet.isolate(1, true);
