--- a/tests/system/started_fleet.hpp
+++ b/tests/system/started_fleet.hpp
@@ -80,6 +80,7 @@
     for (const int machine : {1, 2, 3}) fleet.start_core(machine);
     fleet.start_proxy(kProxy);
     BOOST_TEST_REQUIRE(operators.commit_next({1, 2, 3}, kStartTimeout), fleet.log(1));
+    check_newest(fleet, {1, 2, 3}, operators.version);  // all serve
   }
   // Kills a machine permanently and replaces it by an empty one in its zone, which gets its sync time while
   // commands continue.
