--- a/tests/system/long_bodies_test.cpp
+++ b/tests/system/long_bodies_test.cpp
@@ -15,6 +15,14 @@
 // Proxies that may hold 8 MB of bodies: 0.4 of their memory. Two long bodies fit in it, a third one doesn't.
 struct LowMemoryFleet : ServingFleet {
   LowMemoryFleet() : ServingFleet("limits.mem_mb=20\n") {}
+  // The callbacks of the clients run while these exist.
+  ~LowMemoryFleet() {
+    for (auto& client : clients) client.disconnect();
+    io.restart();
+    io.poll();
+  }
+  LowMemoryFleet(const LowMemoryFleet&) = delete;
+  LowMemoryFleet& operator=(const LowMemoryFleet&) = delete;
 
   // Begins a request with a long body, and sends the first bytes of that.
   Client& begin_upload(const std::string& id, const std::string& framing, std::size_t sent_bytes) {
