Tests: a relay that is destroyed accepts no connection any more

Cause: the test's relay. Change: the callback is bound to the relay's lifetime (system/base/lifetime), as those of the store are.

--- a/tests/system/link_relay.cpp
+++ b/tests/system/link_relay.cpp
@@ -98,8 +98,7 @@
 }
 
 void LinkRelay::accept() {
-  acceptor_.async_accept([this](const error_code& failed, Socket from) {
-    if (failed == asio::error::operation_aborted) return;
+  acceptor_.async_accept(lifetime_.bind([this](const error_code& failed, Socket from) {
     if (!failed) {
       const auto connection = std::make_shared<Connection>(*this, std::move(from));
       std::erase_if(connections_, [](const auto& existing) { return existing->closed; });
@@ -107,7 +106,7 @@
       connection->resume();
     }
     accept();
-  });
+  }));
 }
 
 }  // namespace docklift::test
--- a/tests/system/link_relay.hpp
+++ b/tests/system/link_relay.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <vector>
 
+#include "system/base/lifetime.hpp"
 #include "system/net/link.hpp"
 
 namespace docklift::test {
@@ -35,6 +36,7 @@
   // Closed ones are removed when the next connection arrives.
   std::vector<std::shared_ptr<Connection>> connections_;
   std::array<bool, 2> blocked_{};
+  Lifetime lifetime_;
 };
 
 }  // namespace docklift::test
