--- a/src/system/proxy/upstream.cpp
+++ b/src/system/proxy/upstream.cpp
@@ -127,8 +127,7 @@
       const auto body = std::move(response_body->bytes);
       const auto end = response_body->decoded_until;
       response_body.reset();
-      const auto id = head.unique("Attempt-Id");
-      if (id ? *id != attempt.attempt_id : head.has("Attempt-Id")) {  // belongs to another request
+      if (is_surplus(head)) {
         unmatched_response = true;
         if (++unmatched_count > kMaxUnmatchedResponses) return fail(Outcome::invalid_response), true;
         input.erase(0, end);
@@ -140,6 +139,13 @@
     }
   }
 
+  // Whether the response belongs to no request or to another one. Servers echo the id of an attempt; bytes
+  // without one may follow the response to an earlier request on the connection.
+  bool is_surplus(const http::Head& head) const {
+    if (head.has("Attempt-Id")) return head.unique("Attempt-Id") != attempt.attempt_id;
+    return reused;
+  }
+
   // Decodes what has been received since the last call.
   BodyDecoder::Status decode_body(ResponseBody& body) const {
     while (!body.decoder.done()) {
@@ -184,6 +190,7 @@
   }
 
   Outcome classify(const http::Head& head) const {
+    if (!head.has("Attempt-Id")) return Outcome::invalid_response;
     if (head.status == 421) return Outcome::other_instance;
     if (head.has("Not-Run")) return Outcome::not_run;
     if (head.status >= 200 && head.status < 300) {
@@ -191,7 +198,9 @@
                             !head.has("Content-Encoding");
       return complete ? Outcome::ok : Outcome::invalid_response;
     }
-    if (head.status >= 500 || head.status == 429 || head.status == 408) return Outcome::error;
+    // To the client these promise that the request has not run, which a server confirms by Not-Run alone.
+    if (head.status == 408 || head.status == 429 || head.status == 503) return Outcome::invalid_response;
+    if (head.status >= 500) return Outcome::error;
     return Outcome::ok;  // the server's own response, passed on to the client
   }
 
@@ -253,6 +262,7 @@
   std::uint64_t number = 0;  // of the attempt
   bool busy = true, sent = false, closed = false, unmatched_response = false, writing = false,
        write_failed = false;
+  bool reused = false;  // has carried an earlier request
   std::size_t unmatched_count = 0;
 };
 
@@ -278,8 +288,8 @@
     pool.idle.pop_back();
     timers_.cancel(connection->timer);
     connection->number = number;
-    connection->busy = true, connection->sent = false, connection->attempt = std::move(attempt),
-    connection->on_done = std::move(on_done);
+    connection->busy = true, connection->reused = true, connection->sent = false,
+    connection->attempt = std::move(attempt), connection->on_done = std::move(on_done);
     connection->send();
     return {connection, number};
   }
