A signal that comes while a process ends no longer kills it

Cause: the handlers are destroyed before the process exits; from there on a signal has its default action. Change: SIGTERM, SIGINT and SIGHUP are blocked before their handlers go; in the programs of the system also until these stand.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -30,6 +30,7 @@
 #endif
 #include "stream/sections.hpp"
 #include "redis/sections.hpp"
+#include "termination_signals.hpp"
 
 namespace docklift {
 namespace {
@@ -429,6 +430,7 @@
 #endif
     exit_code_ = a.code;
     ended_ = true;
+    snowknot::block_termination_signals(true);  // the handlers are about to be destroyed
     if (pid_file_ && !handed_over_ && opened_.empty()) pid_file_->remove();  // else it is another's
     io_.stop();
   }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 #include "node_config.hpp"
 #include "stream/front.hpp"
 #include "succession/replacement.hpp"
+#include "termination_signals.hpp"
 #ifdef DOCKLIFT_WITH_DAEMON
 #include "daemon/command_line.hpp"
 #endif
@@ -119,6 +120,7 @@
       throw FieldError(std::string("field 'listen': ") + x.code().message());
     }
     serve(io);
+    snowknot::block_termination_signals(true);  // the handlers are about to be destroyed
     return EXIT_SUCCESS;
   } catch (const std::exception& x) {
     std::cerr << "docklift: " << x.what() << '\n';
--- a/src/system/program/program.cpp
+++ b/src/system/program/program.cpp
@@ -5,6 +5,8 @@
 #include <iostream>
 #include <sstream>
 
+#include "termination_signals.hpp"
+
 #ifndef DOCKLIFT_VERSION
 #define DOCKLIFT_VERSION "unknown"
 #endif
@@ -62,6 +64,8 @@
   }
   if (check_only) return 0;
   std::signal(SIGPIPE, SIG_IGN);
+  // They stay pending until Signals has its handlers. Threads started meanwhile inherit the mask.
+  snowknot::block_termination_signals(true);
   start_logs(log_level);
   const Log log(program.name);
   try {
@@ -80,8 +84,11 @@
                  std::function<void(const SystemSettings&)> reload)
     : set_(io, SIGTERM, SIGINT, SIGHUP), stop_(std::move(stop)), reload_(std::move(reload)), log_("signals") {
   wait();
+  snowknot::block_termination_signals(false);
 }
 
+Signals::~Signals() { snowknot::block_termination_signals(true); }
+
 void Signals::wait() {
   set_.async_wait([this](boost::system::error_code error, int signal) {
     if (error) return;
--- a/src/system/program/program.hpp
+++ b/src/system/program/program.hpp
@@ -30,11 +30,16 @@
 int run_program(const Program& program, int argc, char** argv,
                 const std::function<int(boost::asio::io_context&, const SystemSettings&)>& run);
 
-// Calls `stop` on SIGTERM and SIGINT, and `reload` with the reread settings on SIGHUP if they are valid.
+// Calls `stop` on SIGTERM and SIGINT, and `reload` with the reread settings on SIGHUP if they are valid. Before
+// its construction and after its destruction these signals stay pending in a program of run_program, so that
+// none ends the process without its exit code.
 class Signals {
  public:
   Signals(boost::asio::io_context& io, std::function<void()> stop,
           std::function<void(const SystemSettings&)> reload);
+  ~Signals();
+  Signals(const Signals&) = delete;
+  Signals& operator=(const Signals&) = delete;
 
  private:
   void wait();
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -351,6 +351,10 @@
   EXPECT_EQ(exit_status(), 76) << log();
   EXPECT_EQ(server.wires.size(), 1U);  // it went out once
 }
+TEST_F(DaemonTest, SignalsWhileItEndsDoNotKillIt) {
+  start();
+  EXPECT_GE(exit_status_under_repeated_signals(), 0) << log();  // of its own: the second signal shortens the drain
+}
 TEST_F(DaemonTest, SecondStopShortensTheDrain) {
   write_file("drain_limit = \"1h\"\nhurry_limit = \"50ms\"");
   start();
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -125,6 +125,14 @@
   }
   EXPECT_EQ(call("GET /_ready"), 200);
 }
+// Guards against a signal that comes after the handlers are destroyed: it killed the process, with its exit code lost.
+TEST_F(OperatorsTest, SignalsWhileItEndsDoNotKillIt) {
+  for (int round = 0; round < 5; ++round) {
+    run();
+    ASSERT_TRUE(ready());
+    EXPECT_EQ(exit_status_under_repeated_signals(), 0);
+  }
+}
 TEST_F(OperatorsTest, TheFirstServesOnWhereTheSecondEnds) {
   run();
   ASSERT_TRUE(ready());
--- a/tests/process_fixture.hpp
+++ b/tests/process_fixture.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <thread>
 
 #include "peers.hpp"
 #include "settings_json.hpp"
@@ -71,6 +72,24 @@
     _exit(99);
   }
   virtual void prepare_child() {}  // in the new process, before the program
+  // Sends SIGTERM each 200 us until the process has ended. The exit status; -1 if it does not end, -2 if a signal
+  // ended it.
+  int exit_status_under_repeated_signals() {
+    int status = 0;
+    const auto ended = [&] {
+      kill(child, SIGTERM);
+      return waitpid(child, &status, WNOHANG) == child;
+    };
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!ended()) {
+      if (std::chrono::steady_clock::now() > limit) return -1;
+      std::this_thread::sleep_for(std::chrono::microseconds(200));
+      loop.io.restart();
+      loop.io.poll();
+    }
+    child = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
+  }
   // The exit status; -1 if it does not end.
   int exit_status() {
     int status = 0;
