A store that is told to end again and again ends

Cause: each signal called Store::leave, which set its timer anew. Change: further calls change nothing, as with registry and proxy.

--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -1,6 +1,7 @@
 #include "system/store/store.hpp"
 
 #include <random>
+#include <utility>
 
 #include "system/program/program.hpp"
 
@@ -305,15 +306,19 @@
 
 // Hands the vote over to a learner, if one can take it, then stops.
 void Store::leave(std::function<void()> ended) {
-  if (!leaving_) log_.info("leaves");
-  leaving_ = true;
+  if (std::exchange(leaving_, true)) return;
+  log_.info("leaves");
+  continue_leaving(std::move(ended));
+}
+
+void Store::continue_leaving(std::function<void()> ended) {
   execute(replica_.leave(clock_.now()));
   leave_timer_.expires_after(replica_.may_stop(clock_.now()) ? kSendGrace : kTick);
   const bool ends = replica_.may_stop(clock_.now());
   leave_timer_.async_wait(
       lifetime_.bind([this, ends, ended = std::move(ended)](boost::system::error_code cancelled) mutable {
         if (cancelled) return;
-        if (!ends) return leave(std::move(ended));
+        if (!ends) return continue_leaving(std::move(ended));
         stop();
         ended();
       }));
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -42,7 +42,8 @@
   void start();
   // Applies changed settings: the stores to contact while no others are known.
   void set_seeds(const std::vector<std::string>& seeds);
-  // Hands the vote over to a learner, if one is ready, and calls `ended` once nothing is left to do.
+  // Hands the vote over to a learner, if one is ready, and calls `ended` once nothing is left to do. Further
+  // calls change nothing.
   void leave(std::function<void()> ended);
   const configuration::State& state() const { return replica_.state(); }
   // Closes all links. Writes queued for the disk may be lost, as none of them has been acknowledged.
@@ -53,6 +54,7 @@
     std::shared_ptr<Link> link;
     transfer::ChangeFeed::Follower changes{};
   };
+  void continue_leaving(std::function<void()> ended);
   void accepted(const std::shared_ptr<Link>& link);
   void on_frame(const std::shared_ptr<Link>& link, wire::Frame::Reader frame);
   void on_link_closed(const std::shared_ptr<Link>& link);
--- a/tests/system/process_fleet.cpp
+++ b/tests/system/process_fleet.cpp
@@ -14,6 +14,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <thread>
 
 #include "system/base/settings.hpp"
 #include "system/http/head.hpp"
@@ -32,6 +33,7 @@
 constexpr int kMaxMachines = 9;
 constexpr Duration kRequestTimeout = 1s;
 constexpr Duration kPollInterval = 20ms;
+constexpr Duration kSignalInterval = 200us;
 constexpr std::size_t kMaxHeadBytes = 65536;
 constexpr std::size_t kLogBytes = 2000;
 
@@ -176,11 +178,14 @@
   for (const auto pid : std::exchange(processes, {})) ::waitpid(pid, nullptr, 0);
 }
 
-std::optional<std::vector<int>> ProcessFleet::terminate(int machine, Duration limit, bool twice) {
+std::optional<std::vector<int>> ProcessFleet::terminate(int machine, Duration limit,
+                                                        TerminationSignals signals) {
   auto& processes = machines_.at(machine).processes;
-  for (const auto pid : processes) ::kill(pid, SIGTERM);
-  if (twice)
+  const auto send_signals = [&] {
     for (const auto pid : processes) ::kill(pid, SIGTERM);
+  };
+  send_signals();
+  if (signals == TerminationSignals::twice) send_signals();
   std::vector<int> codes;
   const auto ended = [&](pid_t pid) {
     int status = 0;
@@ -192,6 +197,14 @@
     std::erase_if(processes, ended);
     return processes.empty();
   };
+  const auto deadline = std::chrono::steady_clock::now() + limit;
+  while (signals == TerminationSignals::until_ended && !all_ended()) {
+    if (std::chrono::steady_clock::now() > deadline) return std::nullopt;
+    std::this_thread::sleep_for(kSignalInterval);
+    send_signals();
+    io_.restart();
+    io_.poll();
+  }
   if (!until(all_ended, limit)) return std::nullopt;
   return codes;
 }
--- a/tests/system/process_fleet.hpp
+++ b/tests/system/process_fleet.hpp
@@ -41,9 +41,11 @@
   void start_proxy(int machine);
   // Sends SIGKILL to its processes and waits until they have ended. Its files stay.
   void kill(int machine);
-  // Sends SIGTERM to its processes, twice if `twice`. Returns their exit codes when all have ended, or
+  // Sends SIGTERM to its processes as often as `signals` says. Returns their exit codes when all have ended, or
   // nullopt if that takes longer than `limit`.
-  std::optional<std::vector<int>> terminate(int machine, Duration limit, bool twice = false);
+  enum class TerminationSignals { once, twice, until_ended };
+  std::optional<std::vector<int>> terminate(int machine, Duration limit,
+                                            TerminationSignals signals = TerminationSignals::once);
   void restart(int machine);
 
   // Blocks what `from` sends to `to`, or lets it pass again.
--- a/tests/system/processes_test.cpp
+++ b/tests/system/processes_test.cpp
@@ -126,15 +126,27 @@
 BOOST_AUTO_TEST_CASE(given_processes_that_are_told_to_end_twice_then_each_ends_by_itself_within_the_grace) {
   const Duration grace = from_seconds(Bounds{}.grace_s);  // the settings don't set it
   check_proxy(fleet, operators.version);                  // its signal handler is installed
-  const auto proxy = fleet.terminate(kProxy, grace, true);
+  const auto proxy = fleet.terminate(kProxy, grace, ProcessFleet::TerminationSignals::twice);
   BOOST_REQUIRE(proxy.has_value());
   BOOST_TEST(*proxy == std::vector<int>{0}, boost::test_tools::per_element());
-  const auto core = fleet.terminate(1, grace, true);
+  const auto core = fleet.terminate(1, grace, ProcessFleet::TerminationSignals::twice);
   BOOST_REQUIRE(core.has_value());
   BOOST_TEST(*core == (std::vector<int>{0, 0}), boost::test_tools::per_element());
   BOOST_TEST(operators.commit_next({2, 3}));
 }
 
+// Guards against a signal that comes after the handlers are destroyed: it killed the process, with its exit code
+// lost.
+BOOST_AUTO_TEST_CASE(given_signals_until_a_process_has_ended_then_it_ends_with_its_exit_code) {
+  const Duration grace = from_seconds(Bounds{}.grace_s);  // the settings don't set it
+  check_proxy(fleet, operators.version);                  // its signal handler is installed
+  for (const int machine : {kProxy, 1}) {
+    const auto codes = fleet.terminate(machine, grace, ProcessFleet::TerminationSignals::until_ended);
+    BOOST_REQUIRE(codes.has_value());
+    BOOST_TEST(*codes == std::vector<int>(codes->size(), 0), boost::test_tools::per_element());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
