--- a/tests/system/control_fleet.cpp
+++ b/tests/system/control_fleet.cpp
@@ -191,9 +191,9 @@
   return std::nullopt;
 }
 
-void ControlFleet::at_member(MemberIndex index, std::uint64_t life, std::function<void()> input) {
+void ControlFleet::at_member(MemberIndex index, std::uint64_t incarnation, std::function<void()> input) {
   auto& member = members_[index];
-  if (!member.replica || member.life != life) return;
+  if (!member.replica || member.incarnation != incarnation) return;
   if (member.frozen) {
     member.held.push_back(std::move(input));
   } else {
@@ -204,7 +204,7 @@
 void ControlFleet::end(MemberIndex index) {
   auto& member = members_[index];
   member.replica.reset();
-  ++member.life;
+  ++member.incarnation;
   member.frozen = false;
   member.leaving = false;
   member.held.clear();
@@ -262,13 +262,13 @@
   if (on_options) on_options(index, options);
   auto kept = read_disk(index);
   if (on_read_disk) on_read_disk(index, kept);
-  ++member.life;
+  ++member.incarnation;
   member.disk_busy = false;
   member.known.clear();
   for (const auto& seed : member.seeds) member.known.insert(seed);
   member.replica = std::make_unique<agreement::Replica>(options, std::move(kept));
   carry_out(index, member.replica->start(now_));
-  tick(index, member.life);
+  tick(index, member.incarnation);
 }
 
 // A disk that lacks something counts as lost, as the store takes it; no play asks for that.
@@ -283,12 +283,12 @@
   return std::move(value(kept));
 }
 
-void ControlFleet::tick(MemberIndex index, std::uint64_t life) {
-  later(kTick, [this, index, life] {
-    at_member(index, life, [this, index, life] {
+void ControlFleet::tick(MemberIndex index, std::uint64_t incarnation) {
+  later(kTick, [this, index, incarnation] {
+    at_member(index, incarnation, [this, index, incarnation] {
       auto& member = members_[index];
       if (member.disk.waiting() <= kWritesWaiting) carry_out(index, member.replica->tick(now_));
-      tick(index, life);
+      tick(index, incarnation);
     });
   });
 }
@@ -304,8 +304,8 @@
   if (!member.frozen) return;
   trace("thaw " + member.address);
   member.frozen = false;
-  const auto life = member.life;
-  for (auto& input : std::exchange(member.held, {})) at_member(index, life, std::move(input));
+  const auto incarnation = member.incarnation;
+  for (auto& input : std::exchange(member.held, {})) at_member(index, incarnation, std::move(input));
 }
 
 MemberIndex ControlFleet::add(const std::string& zone) {
@@ -331,17 +331,17 @@
   if (!member.replica || member.leaving) return;
   trace("leave " + member.address);
   member.leaving = true;
-  watch_leave(index, member.life);
+  watch_leave(index, member.incarnation);
 }
 
-void ControlFleet::watch_leave(MemberIndex index, std::uint64_t life) {
-  at_member(index, life, [this, index, life] {
+void ControlFleet::watch_leave(MemberIndex index, std::uint64_t incarnation) {
+  at_member(index, incarnation, [this, index, incarnation] {
     carry_out(index, members_[index].replica->leave(now_));
     const bool ends = members_[index].replica->may_stop(now_);
-    later(ends ? kLastWords : kTick, [this, index, life, ends] {
-      if (!members_[index].replica || members_[index].life != life) return;
-      if (ends) return at_member(index, life, [this, index] { remove(index); });
-      watch_leave(index, life);
+    later(ends ? kLastWords : kTick, [this, index, incarnation, ends] {
+      if (!members_[index].replica || members_[index].incarnation != incarnation) return;
+      if (ends) return at_member(index, incarnation, [this, index] { remove(index); });
+      watch_leave(index, incarnation);
     });
   });
 }
@@ -355,7 +355,7 @@
   if (on_proposal) on_proposal(at, kind, text);
   const auto id = ++next_call_;
   calls_[id] = std::move(settle);
-  at_member(at, member.life, [this, at, id, kind, text] {
+  at_member(at, member.incarnation, [this, at, id, kind, text] {
     carry_out(at, members_[at].replica->propose(now_, id, kind, text));
   });
   return true;
@@ -402,29 +402,29 @@
   member.disk_busy = true;
   const Duration takes = member.disk.first().write.durable ? member.sync_time : Duration(20us);
   const Duration stalled = std::max(Duration::zero(), member.disk_stalled_until - now_);
-  const auto life = member.life;
-  later(takes + stalled, [this, index, life] {
+  const auto incarnation = member.incarnation;
+  later(takes + stalled, [this, index, incarnation] {
     auto& at = members_[index];
-    if (!at.replica || at.life != life) return;
+    if (!at.replica || at.incarnation != incarnation) return;
     at.disk_busy = false;
     if (at.disk.complete_first())
-      at_member(index, life, [this, index] {
+      at_member(index, incarnation, [this, index] {
         auto& done = members_[index];
         --done.writes_out;
         auto out = std::move(done.releases.front());
         done.releases.pop_front();
         release(index, std::move(out));
       });
-    if (members_[index].life == life) work_disk(index);
+    if (members_[index].incarnation == incarnation) work_disk(index);
   });
 }
 
 void ControlFleet::release(MemberIndex index, agreement::Actions out) {
-  const auto life = members_[index].life;
+  const auto incarnation = members_[index].incarnation;
   for (const auto& settled : out.completions) {
     const auto call = calls_.extract(settled.id);
     if (call) call.mapped()(settled.status, members_[index].replica->state());
-    if (members_[index].life != life) return;  // the answer brought a fault about
+    if (members_[index].incarnation != incarnation) return;  // the answer brought a fault about
   }
   for (const auto& later_sent : out.sends) send(index, later_sent);
   for (const auto& need : out.snapshot_requests) send_snapshot(index, need);
@@ -435,14 +435,14 @@
 void ControlFleet::send(MemberIndex from, const agreement::Send& message) {
   const auto to = index_of(message.to);
   if (!to) return;
-  const auto life = members_[from].life;
+  const auto incarnation = members_[from].incarnation;
   Packet packet{from, *to, message.envelope};
   if (options_.trace_messages)
     trace(members_[from].address + " -> " + message.to + " " + shown(message.envelope));
   if (on_packet) on_packet(packet);
   if (packet.drop) return;
-  if (packet.from == packet.to) return transmit(packet, life, 1us, now_);
-  transmit_to_peer(packet, life);
+  if (packet.from == packet.to) return transmit(packet, incarnation, 1us, now_);
+  transmit_to_peer(packet, incarnation);
 }
 
 // Whole; how it goes in parts is transfer_test's.
@@ -453,29 +453,30 @@
   packet.from = from;
   packet.to = *to;
   packet.snapshot = transfer::encode(members_[from].replica->state());
-  transmit_to_peer(packet, members_[from].life);
+  transmit_to_peer(packet, members_[from].incarnation);
 }
 
-void ControlFleet::transmit_to_peer(const Packet& packet, std::uint64_t life) {
+void ControlFleet::transmit_to_peer(const Packet& packet, std::uint64_t incarnation) {
   if (!links_[{packet.from, packet.to}].up || chance(options_.loss)) return;
   const int copies = chance(options_.duplicate) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
     const bool late = chance(options_.duplicate);
     const auto delay = drawn(options_.least_delay, options_.most_delay) + (late ? drawn(0ms, 400ms) : 0ms);
-    transmit(packet, life, delay, now_ + kLongestWait);
+    transmit(packet, incarnation, delay, now_ + kLongestWait);
   }
 }
 
-void ControlFleet::transmit(const Packet& packet, std::uint64_t from_life, Duration delay, Time waits_until) {
-  later(delay, [this, packet, from_life, waits_until] {
+void ControlFleet::transmit(const Packet& packet, std::uint64_t from_incarnation, Duration delay,
+                            Time waits_until) {
+  later(delay, [this, packet, from_incarnation, waits_until] {
     const bool own = packet.from == packet.to;
-    if (own && members_[packet.to].life != from_life) return;
+    if (own && members_[packet.to].incarnation != from_incarnation) return;
     if (!own && !reaches(packet.from, packet.to)) {
-      if (now_ < waits_until) transmit(packet, from_life, kRetransmit, waits_until);
+      if (now_ < waits_until) transmit(packet, from_incarnation, kRetransmit, waits_until);
       return;
     }
-    const auto life = members_[packet.to].life;
-    at_member(packet.to, life, [this, packet] {
+    const auto incarnation = members_[packet.to].incarnation;
+    at_member(packet.to, incarnation, [this, packet] {
       auto& member = members_[packet.to];
       if (packet.from != packet.to && member.disk.waiting() > kWritesWaiting) return;
       // Through the encoding, as on the wire.
@@ -561,11 +562,11 @@
 
 void ControlFleet::change_link(MemberIndex from, MemberIndex to, bool up, Duration delay) {
   links_[{from, to}].changing = true;
-  const auto from_life = members_[from].life;
-  const auto to_life = members_[to].life;
-  later(delay, [this, from, to, up, from_life, to_life] {
+  const auto from_incarnation = members_[from].incarnation;
+  const auto to_incarnation = members_[to].incarnation;
+  later(delay, [this, from, to, up, from_incarnation, to_incarnation] {
     links_[{from, to}].changing = false;
-    if (members_[from].life != from_life || members_[to].life != to_life) return;
+    if (members_[from].incarnation != from_incarnation || members_[to].incarnation != to_incarnation) return;
     const bool in_reach = reaches(from, to) && reaches(to, from);
     if (up == in_reach && (!up || (is_up(from) && is_up(to)))) set_link(from, to, up);
   });
@@ -576,7 +577,7 @@
   if (link.up == up) return;
   link.up = up;
   const auto tell = [this](MemberIndex at, MemberIndex of, bool linked) {
-    at_member(at, members_[at].life, [this, at, of, linked] {
+    at_member(at, members_[at].incarnation, [this, at, of, linked] {
       auto& replica = *members_[at].replica;
       if (linked) {
         replica.on_link_up(members_[of].address, members_[of].zone);
--- a/tests/system/control_fleet.hpp
+++ b/tests/system/control_fleet.hpp
@@ -97,7 +97,7 @@
     std::string address, zone;
     SimulatedDisk disk;
     std::unique_ptr<agreement::Replica> replica;  // null: down
-    std::uint64_t life = 0;                       // rises with each start and end
+    std::uint64_t incarnation = 0;                // rises with each start and end
     bool frozen = false;
     bool removed = false;  // for good
     bool leaving = false;
@@ -182,25 +182,25 @@
     bool changing = false;  // an event that makes or ends it is under way
   };
 
-  // Runs an input of this life of a member; while it is frozen the input waits.
-  void at_member(MemberIndex member, std::uint64_t life, std::function<void()> input);
+  // Runs an input of this incarnation of a member; while it is frozen the input waits.
+  void at_member(MemberIndex member, std::uint64_t incarnation, std::function<void()> input);
   void end(MemberIndex member);
   void boot(MemberIndex member, bool bootstrap);
   agreement::DurableState read_disk(MemberIndex member);
-  void tick(MemberIndex member, std::uint64_t life);
+  void tick(MemberIndex member, std::uint64_t incarnation);
   void carry_out(MemberIndex member, agreement::Actions out);
   void release(MemberIndex member, agreement::Actions out);
   void note_log(MemberIndex member, const agreement::Actions& out);
   void work_disk(MemberIndex member);
   void send(MemberIndex from, const agreement::Send& send);
   void send_snapshot(MemberIndex from, const agreement::SnapshotRequest& need);
-  void transmit_to_peer(const Packet& packet, std::uint64_t life);
-  void transmit(const Packet& packet, std::uint64_t from_life, Duration delay, Time waits_until);
+  void transmit_to_peer(const Packet& packet, std::uint64_t incarnation);
+  void transmit(const Packet& packet, std::uint64_t from_incarnation, Duration delay, Time waits_until);
   void update_links();
   void change_link(MemberIndex from, MemberIndex to, bool up, Duration delay);
   void set_link(MemberIndex from, MemberIndex to, bool up);
   void watch_links();
-  void watch_leave(MemberIndex member, std::uint64_t life);
+  void watch_leave(MemberIndex member, std::uint64_t incarnation);
   bool reaches(MemberIndex from, MemberIndex to) const { return !cuts_.contains({from, to}); }
   std::optional<MemberIndex> index_of(const std::string& address) const;
 
