Review: a proxy that ends in order cuts answers that are read late (case 7)

Case 7: 300 ms after the last answer of a connection the draining proxy closes its socket; a request that a late reader sends then resets the connection, and the rest of the answer is lost (LOST).

--- a/review/standins-2/unread_answers.hpp
+++ b/review/standins-2/unread_answers.hpp
@@ -47,13 +47,13 @@
 
 // Starts the fleet with one proxy (machine 4) and servers on machines 21 to 23, until the proxy serves.
 struct PackFleet {
-  explicit PackFleet(Record& record) : fleet(record, tabla_main()) {
+  explicit PackFleet(Record& record, long work_ms = 60) : fleet(record, tabla_main()) {
     fleet.start_all({4});
     if (fleet.order_until_clear({1, 2, 3}, "/Config.Replace", configuration(), 15000) != 200)
       throw CouldNotRun{"the configuration wasn't taken"};
     for (int i = 0; i < 3; ++i)
       servers.push_back(std::make_unique<Server>(
-          fleet, record, 21 + i, Server::Options{"i-" + std::to_string(i), "konyvtar", "deb-a", 3, 60}, body_for));
+          fleet, record, 21 + i, Server::Options{"i-" + std::to_string(i), "konyvtar", "deb-a", 3, work_ms}, body_for));
     const auto from = Clock::now();
     for (int i = 0; ms_since(from) < 20000; ++i) {
       const auto id = "first" + std::to_string(i);
