--- a/review/standins-2/case_hang.cpp
+++ b/review/standins-2/case_hang.cpp
@@ -5,7 +5,9 @@
 
 namespace {
 
-constexpr int kReaders = 10, kPacksEach = 15;
+constexpr int kReaders = 6, kPacksEach = 11, kNotesEach = 12;
+constexpr std::size_t kStepBytes = 65536;
+constexpr int kStepsBefore = 7;  // without a PUT
 constexpr long kReaderDeadlineMs = 12000, kTimeoutMs = 3000;  // as of ladder-read and archive-read of the small site
 constexpr long kGoesOnAfterMs = 9000;
 
@@ -15,20 +17,22 @@
   int status = 0;
 };
 
+// Reads no more than `wanted` bytes.
 std::size_t read_bytes(Connection& from, std::size_t wanted, long limit_ms) {
   const auto began_at = Clock::now();
+  std::vector<char> buffer(65536);
   std::size_t got = 0;
-  while (got < wanted) {
-    from.input.clear();
-    if (!from.read_some(limit_ms - ms_since(began_at))) break;
-    got += from.input.size();
+  while (got < wanted && from.ready(POLLIN, limit_ms - ms_since(began_at))) {
+    const auto n = ::recv(from.fd(), buffer.data(), std::min(buffer.size(), wanted - got), 0);
+    if (n <= 0) break;
+    got += static_cast<std::size_t>(n);
   }
   return got;
 }
 
-// Sends GET requests on one connection and reads slowly: with trouble nothing for 1.5 s, then a part of the answers,
-// then nothing for some seconds. Meanwhile, and without trouble once it has read all, it sends an idempotent PUT that
-// waits for the go-ahead.
+// Sends GET requests on one connection and reads slowly: with trouble nothing for 1.5 s, then 1.2 MB of the answers in steps,
+// then nothing for some seconds. After each of the later steps, and without trouble once it has read all, it sends an idempotent PUT
+// that waits for the go-ahead, 30 ms at most.
 void read_slowly(int number, PackFleet& packs, Record& record) {
   Connection to;
   const auto name = "reader" + std::to_string(number);
@@ -40,34 +44,36 @@
   }
   const auto sent_at = Clock::now();
   record.line(name + ": has sent " + std::to_string(kPacksEach) + " GET requests on one connection");
-  std::size_t got = 0;
-  int whole = 0;
+  const auto send_note_head = [&](int note) {
+    (void)to.send(request_head("PUT", "/notes/" + name, name + "-note" + std::to_string(note), kReaderDeadlineMs,
+                               "Expect: 100-continue\r\nContent-Length: 3\r\n") + "\r\n", 1000);
+  };
   if (trouble()) {
     pause_ms(1500);
-    got = read_bytes(to, 1000000 + 100000 * static_cast<std::size_t>(number % 5), 500);
-    pause_ms(500);
-  } else {
-    Message answer;
-    while (whole < kPacksEach && read_message(to, answer, kReaderDeadlineMs - ms_since(sent_at))) {
-      ++whole;
-      got += answer.body.size();
+    std::size_t got = 0;
+    for (int step = 0; step < kStepsBefore + kNotesEach; ++step) {
+      got += read_bytes(to, kStepBytes, 500);
+      pause_ms(10);
+      if (step < kStepsBefore) continue;
+      send_note_head(step - kStepsBefore);
+      record.line(name + ": has read " + std::to_string(got) + " bytes and sent the head of a PUT");
+      pause_ms(30);
+      (void)to.send("abc", 1000);
     }
-    if (ms_since(sent_at) < 2000) pause_ms(2000 - ms_since(sent_at));
-  }
-  (void)to.send(request_head("PUT", "/notes/" + name, name + "-note", kReaderDeadlineMs,
-                             "Expect: 100-continue\r\nContent-Length: 3\r\n") + "\r\n", 1000);
-  record.line(name + ": sent the head of a PUT, has read " + std::to_string(got) + " bytes, after " +
-              std::to_string(ms_since(sent_at)) + " ms");
-  if (trouble()) {
     pause_ms(kGoesOnAfterMs - ms_since(sent_at));
     got += read_bytes(to, 20000000, 1000);
     record.line(name + ": has read " + std::to_string(got) + " bytes in all");
-  } else {
-    Message answer;
-    const bool came = to.send("abc", 1000) && read_message(to, answer, 2000);
-    record.line(name + ": " + std::to_string(whole) + " whole answers; answer to the PUT: " +
-                (came ? answer.start : std::string("none")));
+    return;
+  }
+  Message answer;
+  int whole = 0, noted = 0;
+  while (whole < kPacksEach && read_message(to, answer, kReaderDeadlineMs - ms_since(sent_at))) ++whole;
+  for (int note = 0; note < kNotesEach; ++note) {
+    send_note_head(note);
+    pause_ms(30);
+    if (to.send("abc", 1000) && read_message(to, answer, 2000)) ++noted;
   }
+  record.line(name + ": " + std::to_string(whole) + " answers to GET, " + std::to_string(noted) + " to PUT");
 }
 
 }  // namespace
@@ -80,7 +86,7 @@
     std::vector<std::thread> clients, readers;
     const auto from = Clock::now();
     for (int i = 0; i < kReaders; ++i) readers.emplace_back([&, i] {
-        pause_ms(400L * i);
+        pause_ms(500L * i);
         read_slowly(i, packs, record);
       });
     // Ten requests a second, each on a connection of its own. For the rule each is watched beyond its deadline.
--- a/review/standins-2/unread_answers.hpp
+++ b/review/standins-2/unread_answers.hpp
@@ -6,7 +6,7 @@
 
 namespace review {
 
-constexpr std::size_t kPackBytes = 500000;  // the largest answers of the small sites have 540,000 bytes
+constexpr std::size_t kPackBytes = 540000;  // the largest answers of the small site
 constexpr int kPacks = 12;
 constexpr int kDeadlineMs = 3000;  // of a book-pack in the small site
 constexpr long kPutAfterMs = 600;
