--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -6,64 +6,14 @@
 #include <set>
 #include <utility>
 
+#include "system/configuration/document_fields.hpp"
+#include "system/configuration/patch.hpp"
+
 namespace docklift::configuration {
 namespace {
 
 using Json = nlohmann::json;
 
-// Thrown only inside this file: validation stops at the first invalid field.
-struct DocumentError {
-  std::string field, what;
-};
-
-[[noreturn]] void fail_field(const std::string& field, const std::string& what) {
-  throw DocumentError{field, what};
-}
-
-const Json& member_or_null(const Json& of, const char* key) {
-  static const Json none;
-  const auto it = of.find(key);
-  return it == of.end() ? none : *it;
-}
-
-std::string required_string(const Json& of, const char* key) {
-  const auto& v = member_or_null(of, key);
-  if (!v.is_string() || v.get_ref<const std::string&>().empty()) fail_field(key, "is no text");
-  return v.get<std::string>();
-}
-
-double number_or(const Json& of, const char* key, double fallback) {
-  const auto& v = member_or_null(of, key);
-  if (v.is_null()) return fallback;
-  if (!v.is_number()) fail_field(key, "is no number");
-  const double n = v.get<double>();
-  if (n < 0) fail_field(key, "is below 0");
-  return n;
-}
-
-std::uint32_t count_or(const Json& of, const char* key, std::uint32_t fallback) {
-  const double number = number_or(of, key, fallback);
-  if (number > std::numeric_limits<std::uint32_t>::max()) fail_field(key, "is too large");
-  return static_cast<std::uint32_t>(number);
-}
-
-const Json& array_or_empty(const Json& of, const char* key) {
-  static const Json empty = Json::array();
-  const auto& v = member_or_null(of, key);
-  if (v.is_null()) return empty;
-  if (!v.is_array()) fail_field(key, "is no list");
-  return v;
-}
-
-std::vector<std::string> string_array(const Json& of, const char* key) {
-  std::vector<std::string> out;
-  for (const auto& v : array_or_empty(of, key)) {
-    if (!v.is_string()) fail_field(key, "holds what is no text");
-    out.push_back(v.get<std::string>());
-  }
-  return out;
-}
-
 // Host names are case-insensitive (RFC 3986, 3.2.2).
 std::string lower_case(std::string_view host) {
   constexpr char kToLower = 'a' - 'A';
@@ -246,100 +196,6 @@
   return json;
 }
 
-bool has_name(const Json& item, const std::string& name) {
-  return item.is_object() && member_or_null(item, "name") == name;
-}
-
-// Adds items to a list, or replaces those of the same name.
-void upsert(Json& into, const Json& items) {
-  if (!into.is_array()) into = Json::array();
-  for (const auto& item : items) {
-    const auto name = required_string(item, "name");
-    const auto it = std::ranges::find_if(into, [&](const Json& old) { return has_name(old, name); });
-    if (it != into.end()) {
-      *it = item;
-    } else {
-      into.push_back(item);
-    }
-  }
-}
-
-void remove_route(Json& listeners, const std::string& name) {
-  for (auto l = listeners.begin(); l != listeners.end();) {
-    auto& rules = (*l)["policy"];
-    if (rules.is_array()) {
-      const auto removed = std::ranges::find_if(rules, [&](const Json& r) { return has_name(r, name); });
-      if (removed != rules.end()) rules.erase(removed);
-    }
-    l = rules.empty() ? listeners.erase(l) : std::next(l);
-  }
-}
-
-void upsert_routes(Json& listeners, const Json& changed) {
-  if (!listeners.is_array()) listeners = Json::array();
-  for (const auto& l : changed) {
-    const auto host = required_string(l, "vhost");
-    for (const auto& rule : array_or_empty(l, "policy")) {
-      const auto name = required_string(rule, "name");
-      auto at = std::ranges::find_if(listeners,
-                                     [&](const Json& o) { return member_or_null(o, "vhost") == host; });
-      if (at != listeners.end()) {
-        auto& rules = (*at)["policy"];
-        const auto old = std::ranges::find_if(rules, [&](const Json& r) { return has_name(r, name); });
-        if (old != rules.end()) {
-          *old = rule;
-          continue;
-        }
-      }
-      remove_route(listeners, name);  // it may exist under another host
-      at = std::ranges::find_if(listeners, [&](const Json& o) { return member_or_null(o, "vhost") == host; });
-      if (at == listeners.end()) {
-        auto fresh = l;
-        fresh["policy"] = Json::array();
-        listeners.push_back(std::move(fresh));
-        at = std::prev(listeners.end());
-      }
-      (*at)["policy"].push_back(rule);
-    }
-  }
-}
-
-Json apply_patch(const Json& old, const Json& patch) {
-  Json next = old;
-  next["gen"] = patch.at("gen"), next["parent"] = patch.at("parent");
-  if (const auto& set = member_or_null(patch, "upsert"); set.is_object()) {
-    for (const auto& [key, items] : set.items()) {
-      if (key == "listeners") {
-        upsert_routes(next["listeners"], items);
-      } else if (items.is_array()) {
-        upsert(next[key == "svcs" ? "clusters" : key], items);
-      } else {
-        next[key] = items;  // limits
-      }
-    }
-  } else if (!set.is_null()) {
-    fail_field("upsert", "is no object");
-  }
-  if (const auto& drop = member_or_null(patch, "remove"); drop.is_object()) {
-    for (const auto& [key, names] : drop.items()) {
-      if (!names.is_array()) fail_field("remove", "holds what is no list");
-      for (const auto& name : names) {
-        if (!name.is_string()) fail_field("remove", "holds what is no name");
-        if (key == "routing" || key == "listeners") {
-          if (next["listeners"].is_array()) remove_route(next["listeners"], name.get<std::string>());
-        } else if (auto& all = next[key == "svcs" ? "clusters" : key]; all.is_array()) {
-          const auto removed = std::ranges::find_if(
-              all, [&](const Json& o) { return has_name(o, name.get<std::string>()); });
-          if (removed != all.end()) all.erase(removed);
-        }
-      }
-    }
-  } else if (!drop.is_null()) {
-    fail_field("remove", "is no object");
-  }
-  return next;
-}
-
 ValidationResult validate_document(Json&& document, Json* after) {
   if (const auto validated = read(document); failed(validated))
     return rejected(400, failure(validated).peer + " " + failure(validated).what);
