--- /dev/null
+++ b/src/system/configuration/change_rules.hpp
@@ -0,0 +1,19 @@
+// Which members of the configuration document an order of the operator may set, and with which type. One table for
+// Config.Replace and Config.Patch. These rules decide whether an order is accepted; they do not apply to changes that are
+// already in the log, which an earlier version of this program may have accepted (docs/design/configuration-changes.md).
+// Pure.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+namespace docklift::configuration {
+
+// Both throw DocumentError, which names the member, at the first violation.
+//
+// Checks the members of a Config.Replace body.
+void check_replace_members(const nlohmann::json& body);
+// Checks the members under `upsert` and `remove` of a Config.Patch body. Members that this version does not know are
+// compared with those of `document`, the document to be changed.
+void check_patch_members(const nlohmann::json& document, const nlohmann::json& patch);
+
+}  // namespace docklift::configuration
--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "system/configuration/change_rules.hpp"
 #include "system/configuration/document_fields.hpp"
 #include "system/configuration/patch.hpp"
 
@@ -196,31 +197,31 @@
   return json;
 }
 
-ValidationResult validate_document(Json&& document, Json* after) {
-  if (const auto validated = read(document); failed(validated))
-    return rejected(400, failure(validated).peer + " " + failure(validated).what);
-  if (after) *after = std::move(document);
-  return {};
-}
+// An order is checked by the rules of this version (change_rules). A change that is in the log keeps the effect that
+// it had when it was accepted, so that all versions of this program reach the same state from one log.
+enum class ChangeOrigin { order, log };
 
-}  // namespace
-
-ValidationResult validate_replace(const State& state, std::string_view body, Json* after) {
+ValidationResult validate_change(const State& state, BodyOperation operation, ChangeOrigin origin,
+                                 std::string_view body, Json* after) {
+  const bool is_order = origin == ChangeOrigin::order;
   auto json = parse_json(body);
   if (!json) return rejected(400, "the body is not whole");
-  auto result = validate_version(state, BodyOperation::replace, body, *json);
-  if (result.status != 200 || result.already_accepted) return result;
-  return validate_document(std::move(*json), after);
-}
-
-ValidationResult validate_patch(const State& state, std::string_view body, Json* after) {
-  const auto json = parse_json(body);
-  if (!json) return rejected(400, "the body is not whole");
-  auto result = validate_version(state, BodyOperation::patch, body, *json);
+  auto result = validate_version(state, operation, body, *json);
   if (result.status != 200 || result.already_accepted) return result;
-  if (!state.document.is_object()) return rejected(412, "there is no configuration to change");
+  const bool is_patch = operation == BodyOperation::patch;
+  if (is_patch && !state.document.is_object()) return rejected(412, "there is no configuration to change");
+  const auto version = parse_version(member_or_null(*json, "gen"));
   try {
-    return validate_document(apply_patch(state.document, *json), after);
+    if (is_order && is_patch) check_patch_members(state.document, *json);
+    if (is_order && !is_patch) check_replace_members(*json);
+    auto document = is_patch ? apply_patch(state.document, *json) : std::move(*json);
+    auto validated = read(document);
+    if (failed(validated)) return rejected(400, failure(validated).peer + " " + failure(validated).what);
+    // What is stored must be what was validated.
+    if (is_order && value(validated)->version != version)
+      return rejected(400, "the configuration would have another version than the order");
+    if (after) *after = std::move(document);
+    return {};
   } catch (const DocumentError& error) {
     return rejected(400, error.field + " " + error.what);
   } catch (const nlohmann::json::exception& x) {
@@ -228,6 +229,16 @@
   }
 }
 
+}  // namespace
+
+ValidationResult validate_replace(const State& state, std::string_view body, Json* after) {
+  return validate_change(state, BodyOperation::replace, ChangeOrigin::order, body, after);
+}
+
+ValidationResult validate_patch(const State& state, std::string_view body, Json* after) {
+  return validate_change(state, BodyOperation::patch, ChangeOrigin::order, body, after);
+}
+
 std::string encode(const MembershipChange& change) {
   auto voters = Json::array();
   for (const auto& voter : change.voters)
@@ -303,8 +314,7 @@
     case ChangeKind::patch: {
       Json after;
       const auto operation = kind == ChangeKind::replace ? BodyOperation::replace : BodyOperation::patch;
-      const auto result = kind == ChangeKind::replace ? validate_replace(state, change, &after)
-                                                      : validate_patch(state, change, &after);
+      const auto result = validate_change(state, operation, ChangeOrigin::log, change, &after);
       if (result.status != 200 || result.already_accepted) return false;
       state.document = std::move(after);
       state.history.record(state.version(), digest_of(operation, change));
--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -137,7 +137,7 @@
   // older commands.
   bool already_in_effect = false;
 };
-// Validate a body against a state. On 200 without `already_accepted`, `after` (if not null) receives the
+// Validate an order's body against a state, by the rules of change_rules too. On 200 without `already_accepted`, `after` (if not null) receives the
 // resulting document.
 //
 // A 400 is final on any store, even a lagging one: it depends only on the body (`gen` not above its `parent`)
@@ -150,7 +150,8 @@
 // Validates an evacuation command (`kind` is evacuate or readmit) against a state. Any result other than 400
 // depends on the state, so it may be returned only after a majority was asked.
 ValidationResult validate_evacuation(const State& state, ChangeKind kind, std::string_view text);
-// Applies the change at the next log position. Returns false if it had no effect.
+// Applies the change at the next log position. Returns false if it had no effect. Changes that an earlier version of
+// this program accepted have the effect that they had there, even if an order could no longer have it.
 bool apply(State& state, ChangeKind kind, const std::string& change);
 
 }  // namespace docklift::configuration
