Configuration: a deeply nested order is refused before it is read

Operators would have seen: every process of the system ends with SIGSEGV, again after each start, since the order stands in the log. Cause: unknown members are kept, and documents are copied and written recursively. Orders nested deeper than 64 levels get 400 now, by the bytes alone, before they are parsed.

--- a/src/system/configuration/change_rules.cpp
+++ b/src/system/configuration/change_rules.cpp
@@ -89,6 +89,23 @@
 
 }  // namespace
 
+bool nests_too_deeply(std::string_view text) {
+  std::size_t depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      if (c == '"') in_string = false;
+      continue;
+    }
+    if (c == '"') in_string = true;
+    if ((c == '[' || c == '{') && ++depth > kMaxNesting) return true;
+    if ((c == ']' || c == '}') && depth > 0) --depth;
+  }
+  return false;
+}
+
 void check_replace_members(const Json& body) {
   for (const auto& [name, value] : body.items()) {
     const auto* rule = find_rule(name);
--- a/src/system/configuration/change_rules.hpp
+++ b/src/system/configuration/change_rules.hpp
@@ -4,10 +4,17 @@
 // Pure.
 #pragma once
 
+#include <cstddef>
 #include <nlohmann/json.hpp>
+#include <string_view>
 
 namespace docklift::configuration {
 
+// Nesting of arrays and objects in an order's body. Deeper documents could not be encoded on a thread's stack.
+inline constexpr std::size_t kMaxNesting = 64;
+// Whether the text nests arrays and objects deeper than kMaxNesting. Reads any bytes.
+bool nests_too_deeply(std::string_view text);
+
 // Both throw DocumentError, which names the member, at the first violation.
 //
 // Checks the members of a Config.Replace body.
--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -204,6 +204,7 @@
 ValidationResult validate_change(const State& state, BodyOperation operation, ChangeOrigin origin,
                                  std::string_view body, Json* after) {
   const bool is_order = origin == ChangeOrigin::order;
+  if (is_order && nests_too_deeply(body)) return rejected(400, "the body is nested too deeply");
   auto json = parse_json(body);
   if (!json) return rejected(400, "the body is not whole");
   auto result = validate_version(state, operation, body, *json);
--- a/tests/system/configuration_changes_test.cpp
+++ b/tests/system/configuration_changes_test.cpp
@@ -103,6 +103,19 @@
   BOOST_TEST(status_of(state, ChangeKind::patch, other) == 200);
 }
 
+// A deeply nested member was kept as an unknown field, and each store ended when it encoded its state.
+BOOST_AUTO_TEST_CASE(given_a_deeply_nested_order_when_it_is_validated_then_it_gets_400) {
+  const State empty;
+  const auto nested = [](std::size_t depth) {
+    auto body = config_body(1, 0);
+    return body.insert(1,
+                       R"("deep":)" + std::string(depth, '[') + R"("]}\"[")" + std::string(depth, ']') + ",");
+  };
+  BOOST_TEST(status_of(empty, ChangeKind::replace, nested(configuration::kMaxNesting - 1)) == 200);
+  BOOST_TEST(status_of(empty, ChangeKind::replace, nested(configuration::kMaxNesting)) == 400);
+  BOOST_TEST(status_of(empty, ChangeKind::replace, nested(1'000'000)) == 400);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
