--- a/src/system/agreement/replica.cpp
+++ b/src/system/agreement/replica.cpp
@@ -27,6 +27,9 @@
   return voters;
 }
 
+// Whether the change is an order for the configuration document.
+bool is_order(ChangeKind kind) { return kind == ChangeKind::replace || kind == ChangeKind::patch; }
+
 std::string to_hex(std::uint64_t number) {
   char text[17];
   std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(number));
@@ -77,6 +80,7 @@
   for (auto& [voter, since] : destroyed_) since = now;
   for (const auto& address : options_.lost_voters) mark_voter_lost(now, address);
   actions_.log_lines.push_back("starts with " + position_and_digest() + ", disk " + to_hex(disk_));
+  report_lowered_version();
   return std::exchange(actions_, {});
 }
 
@@ -89,6 +93,19 @@
   mark_destroyed(now, *voter, "is lost, as the operators say");
 }
 
+// Earlier versions of this program accepted changes that set a version of their own.
+void Replica::report_lowered_version() {
+  const auto current = state_.version();
+  const auto newest = state_.history.newest();
+  if (newest <= current) return;
+  actions_.log_lines.push_back(
+      "version " + configuration::format_version(current) + " is in force although version " +
+      configuration::format_version(newest) +
+      " was accepted before: a change set its own version. Send a Config.Replace with "
+      "this version as parent and a gen above " +
+      configuration::format_version(newest));
+}
+
 std::string Replica::position_and_digest() const {
   return "change " + std::to_string(state_.position) + ", digest " + to_hex(state_.log_digest);
 }
@@ -306,6 +323,7 @@
   const bool durable_here = accepted != accepted_.end() && accepted->second.change == change;
   const auto membership = state_.membership;
   const bool took_effect = configuration::apply(state_, change.kind, change.text);
+  if (took_effect && is_order(change.kind)) report_lowered_version();
   conflicts_ = 0;
   digests_.record(state_.position, state_.log_digest);
   log_.push({slot, change});
--- a/src/system/agreement/replica.hpp
+++ b/src/system/agreement/replica.hpp
@@ -205,6 +205,7 @@
 
   void update_clock(Time now);
   Sender own_sender() const;
+  void report_lowered_version();
   std::string position_and_digest() const;  // of this log, as text for log lines
   void send(const std::string& to, Message message);
   void send_immediately(const std::string& to, Message message);
--- a/src/system/configuration/version_history.hpp
+++ b/src/system/configuration/version_history.hpp
@@ -30,24 +30,28 @@
   bool operator==(const AcceptedVersion&) const = default;
 };
 
-// The most recently accepted versions, in strictly ascending order.
+// The accepted versions, in strictly ascending order; of more than kMaxVersions the highest ones.
 class VersionHistory {
  public:
   // Covers more than a day at the highest required rate of change (9,100 a day). A repeated body whose
   // version has been dropped is rejected as stale (412). 24 bytes each in a snapshot, 240 KB at most.
   static constexpr std::size_t kMaxVersions = 10'000;
 
-  // `version` must be greater than all recorded versions.
+  // Usually above all recorded versions. A change that an earlier version of this program accepted may have set a lower
+  // one; a version that is recorded again belongs to the later body.
   void record(std::uint64_t version, const BodyDigest& digest);
   // Whether exactly this body was accepted as this version.
   bool contains(std::uint64_t version, const BodyDigest& digest) const;
 
   std::size_t size() const { return accepted_.size(); }
+  // The highest recorded version; 0: none.
+  std::uint64_t newest() const { return accepted_.empty() ? 0 : accepted_.back().version; }
   bool operator==(const VersionHistory&) const = default;
 
   // 24 bytes a version: version, high, low; little-endian.
   std::string encode() const;
-  // Returns nothing for truncated bytes or versions that do not ascend.
+  // Versions in any order, as earlier versions of this program may have written them. Returns nothing for truncated
+  // bytes.
   static std::optional<VersionHistory> decode(std::string_view bytes);
 
  private:
--- a/src/system/fleet/frames.cpp
+++ b/src/system/fleet/frames.cpp
@@ -35,18 +35,24 @@
   }
 }
 
+namespace {
+// Bytes that a text may hold include zeros.
+std::string string_of(capnp::Text::Reader text) { return {text.begin(), text.size()}; }
+}  // namespace
+
 configuration::State get(wire::Snapshot::Reader r) {
   configuration::State s;
   s.position = r.getPosition();
   if (r.getDocument().size() > 0) s.document = nlohmann::json::parse(text_of(r.getDocument()));
-  for (const auto t : r.getEvacuated()) s.evacuated.emplace_back(t.cStr());
+  for (const auto t : r.getEvacuated()) s.evacuated.push_back(string_of(t));
   for (const auto voter : r.getVoters()) s.voters.push_back({voter.getAddress().cStr(), voter.getDisk()});
   s.membership = r.getMembership();
   s.log_digest = r.getLogDigest();
   auto history = configuration::VersionHistory::decode(text_of(r.getHistory()));
   KJ_REQUIRE(history.has_value(), "the version history can't be read");
   s.history = std::move(*history);
-  for (const auto change : r.getZoneChanges()) s.zone_changes[change.getZone().cStr()] = change.getPosition();
+  for (const auto change : r.getZoneChanges())
+    s.zone_changes[string_of(change.getZone())] = change.getPosition();
   return s;
 }
 
