--- a/src/system/store/store.cpp
+++ b/src/system/store/store.cpp
@@ -263,7 +263,8 @@
   if (it == stores_.end() || !it->second->is_connected()) return;
   // The snapshot that is being received makes this fetch unnecessary.
   const bool fetching = receiver_.fetching() && !receiver_.paused();
-  if (fetching && std::holds_alternative<agreement::Fetch>(envelope.message)) return;
+  const bool must_not_fetch = fetching || retry_pause_.pausing();
+  if (must_not_fetch && std::holds_alternative<agreement::Fetch>(envelope.message)) return;
   fleet::Outgoing frame;
   frame.frame().setAgreement(fleet::data_of(agreement::encode(envelope)));
   it->second->link()->send(frame.message());
@@ -290,7 +291,13 @@
   const auto least = replica_.has_state() ? replica_.state().position + 1 : 0;
   const auto step = receiver_.on_part(now, from, transfer::get(frame), least);
   execute(step);
-  if (step.completed) execute(replica_.receive_snapshot(now, *step.completed));
+  if (step.failed)
+    if (const auto pause = retry_pause_.on_failure(now))
+      log_.info("can't read the state of " + from + "; asks for none for " + std::to_string(millis(*pause)) +
+                " ms");
+  if (!step.completed) return;
+  retry_pause_.on_success();
+  execute(replica_.receive_snapshot(now, *step.completed));
 }
 
 void Store::execute(const transfer::SnapshotReceiver::Step& step) {
@@ -329,6 +336,7 @@
   timer_.async_wait(lifetime_.bind([this](boost::system::error_code failed_wait) {
     if (failed_wait || stopped_) return;
     feed_.expire(clock_.now());
+    retry_pause_.ends(clock_.now());
     if (disk_.queued_writes() <= kMaxQueuedWrites) execute(replica_.tick(clock_.now()));
     tick();
   }));
--- a/src/system/store/store.hpp
+++ b/src/system/store/store.hpp
@@ -16,6 +16,7 @@
 #include "system/fleet/frames.hpp"
 #include "system/net/link.hpp"
 #include "system/transfer/change_feed.hpp"
+#include "system/transfer/retry_pause.hpp"
 #include "system/transfer/snapshot_receiver.hpp"
 
 namespace docklift {
@@ -77,6 +78,7 @@
   ReplicaChanges changes_{replica_};
   transfer::ChangeFeed feed_;            // to the registries, and to stores that need a snapshot
   transfer::SnapshotReceiver receiver_;  // for another store's snapshot
+  transfer::RetryPause retry_pause_;     // after one that could not be read
   Log log_;
   std::unique_ptr<LinkListener> listener_;
   std::map<std::string, std::shared_ptr<Dialer>> stores_;  // by ip
--- a/src/system/transfer/change_follower.cpp
+++ b/src/system/transfer/change_follower.cpp
@@ -16,6 +16,7 @@
 
 // After sending less than everything it has, a source waits for a follow frame.
 void ChangeFollower::follow_all() {
+  if (retry_pause_.pausing()) return;
   for (const auto& source : sources_) follow(source);
 }
 
@@ -33,7 +34,7 @@
 }
 
 void ChangeFollower::on_newer_position(const std::string& source) {
-  if (!catching_up()) follow(source);
+  if (!catching_up() && !retry_pause_.pausing()) follow(source);
 }
 
 ChangeFollower::Outcome ChangeFollower::on_frame(Time now, const std::string& source,
@@ -48,6 +49,8 @@
 ChangeFollower::Outcome ChangeFollower::on_batch(const std::string& source, wire::ChangeBatch::Reader batch) {
   const auto outcome = changes_.accept(batch);
   if (outcome == Outcome::diverged) return on_diverged(source);
+  const bool was_pausing = outcome == Outcome::applied && retry_pause_.pausing();
+  if (outcome == Outcome::applied) retry_pause_.on_success();
   const bool was_fetching = receiver_.fetching();
   receiver_.on_position(changes_.position());
   const bool was_pull_source = pull_source_ == source;
@@ -59,7 +62,7 @@
       pull_source_ = source;
       follow(source);
     }
-  } else if (was_pull_source || (was_fetching && !receiver_.fetching())) {
+  } else if (was_pull_source || was_pausing || (was_fetching && !receiver_.fetching())) {
     follow_all();
   }
   return outcome;
@@ -92,13 +95,41 @@
   execute(step);
   // The offered snapshot is not newer than the copy; the source still waits for a follow frame.
   if (part.id.position <= changes_.position() && part.offset == 0) on_newer_position(source);
-  if (step.failed) follow_all();
+  if (step.failed) pause_after_unreadable(now, source);
   if (!step.completed) return Outcome::unchanged;
+  retry_pause_.on_success();
   const auto outcome = changes_.accept(std::move(*step.completed));
   follow_all();
   return outcome;
 }
 
+// ---- snapshots that can't be read
+
+// The copy here stays in force. The sources were all asked when they connected, so each has had its turn once.
+void ChangeFollower::pause_after_unreadable(Time now, const std::string& source) {
+  unreadable_source_ = source;
+  const auto pause = retry_pause_.on_failure(now);
+  if (!pause) return;
+  log_("can't read the state of " + source + "; the copy here stays at change " +
+       std::to_string(changes_.position()) + "; asks " + source_after(source) + " again in " +
+       std::to_string(millis(*pause)) + " ms");
+}
+
+// Asks one source, not the one that sent the unreadable snapshot if there is another.
+void ChangeFollower::end_pause() {
+  const auto source = source_after(unreadable_source_);
+  if (source.empty()) return;
+  pull_source_ = source;
+  follow(source);
+}
+
+// The next connected source in order; empty: there is none.
+std::string ChangeFollower::source_after(const std::string& source) const {
+  if (sources_.empty()) return {};
+  const auto next = sources_.upper_bound(source);
+  return next == sources_.end() ? *sources_.begin() : *next;
+}
+
 // ---- lag and stall detection
 
 void ChangeFollower::on_core_position(Time now, std::uint64_t position) {
@@ -109,6 +140,10 @@
   if (changes_.position() != last_position_ || receiver_.received() != last_received_) progress_at_ = now;
   last_position_ = changes_.position();
   last_received_ = receiver_.received();
+  if (retry_pause_.ends(now)) {
+    progress_at_ = now;
+    end_pause();
+  }
   const auto since = lag_.lagging_since(now);
   if (!since) {
     if (std::exchange(lag_logged_, false))
@@ -116,7 +151,7 @@
     return;
   }
   if (now - *since >= kLagLogThreshold && !std::exchange(lag_logged_, true)) log_lag(now, *since);
-  if (now - std::max(*since, progress_at_) >= kStallTimeout) restart_fetch(now);
+  if (!retry_pause_.pausing() && now - std::max(*since, progress_at_) >= kStallTimeout) restart_fetch(now);
 }
 
 void ChangeFollower::log_lag(Time now, Time since) {
--- a/src/system/transfer/change_follower.hpp
+++ b/src/system/transfer/change_follower.hpp
@@ -10,6 +10,7 @@
 
 #include "system/fleet/change_log.hpp"
 #include "system/fleet/copy_lag.hpp"
+#include "system/transfer/retry_pause.hpp"
 #include "system/transfer/snapshot_receiver.hpp"
 
 namespace docklift::transfer {
@@ -37,8 +38,9 @@
 
   // A majority reported that the core is at `position`.
   void on_core_position(Time now, std::uint64_t position);
-  // To be called about every 500 ms. Logs a copy that keeps lagging behind the core's reported position, and
-  // asks all sources again if nothing arrives any more.
+  // To be called about every 500 ms. Logs a copy that keeps lagging behind the core's reported position, asks
+  // all sources again if nothing arrives any more, and the next source once a pause after an unreadable
+  // snapshot is over.
   void check_progress(Time now);
   // Since when the copy has been known to lag; none if it is not known to.
   std::optional<Time> lagging_since(Time now) const { return lag_.lagging_since(now); }
@@ -53,6 +55,9 @@
   void execute(const SnapshotReceiver::Step& step);
   void log_lag(Time now, Time since);
   void restart_fetch(Time now);
+  void pause_after_unreadable(Time now, const std::string& source);
+  void end_pause();
+  std::string source_after(const std::string& source) const;
   std::string describe_wait() const;
   void follow(const std::string& source);
   void follow_all();
@@ -69,6 +74,8 @@
   std::uint64_t last_position_ = 0, last_received_ = 0;
   Time progress_at_{};
   std::string pull_source_;  // the source asked for more batches; empty: none
+  RetryPause retry_pause_;
+  std::string unreadable_source_;  // of the last snapshot that could not be read
 };
 
 }  // namespace docklift::transfer
--- a/src/system/transfer/snapshot_receiver.cpp
+++ b/src/system/transfer/snapshot_receiver.cpp
@@ -109,7 +109,9 @@
   step.failed = !step.completed || step.completed->position != id_.position;
   if (step.failed) {
     step.completed.reset();
-    step.log_messages.push_back(describe(id_) + " from " + source_ + " does not fit its digest: dropped");
+    step.log_messages.push_back(
+        describe(id_) + " from " + source_ +
+        (matches ? " can't be decoded: dropped" : " does not fit its digest: dropped"));
   } else if (parts_ > 1) {
     step.log_messages.push_back(describe(id_) + " is whole: " + std::to_string(total_) + " bytes in " +
                                 std::to_string(parts_) + " parts, " +
--- a/src/system/transfer/snapshot_receiver.hpp
+++ b/src/system/transfer/snapshot_receiver.hpp
@@ -33,7 +33,7 @@
   struct Step {
     std::vector<Request> requests;
     std::optional<configuration::State> completed;  // with a matching digest
-    bool failed = false;  // complete, but the digest did not match: all of it was dropped
+    bool failed = false;                            // complete, but unreadable: all of it was dropped
     std::vector<std::string> log_messages;
   };
 
