--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -82,7 +82,7 @@
       if (found == services.end()) fail_field("svc", "names no service: " + required_string(of, "svc"));
       return found->second;
     };
-    c->has_tenants_ = !array_or_empty(document, "accts").empty();
+    c->requires_keys_ = !member_or_null(document, "accts").is_null();
     for (const auto& t : array_or_empty(document, "accts")) {
       Tenant one;
       one.name = required_string(t, "name");
@@ -159,6 +159,7 @@
 }
 
 const Tenant* Configuration::find_tenant(std::string_view key) const {
+  if (key.empty()) return nullptr;
   const auto found = by_key_.find(std::string(key));
   return found == by_key_.end() ? nullptr : &tenants[found->second];
 }
--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -75,15 +75,16 @@
   // The host's route with the longest prefix that matches the path; null if there is none. `host` may include
   // a port.
   const Route* find_route(std::string_view host, std::string_view target) const;
-  // The tenant that owns an API key; null if there is none.
+  // The tenant that owns an API key; null if there is none. No tenant owns the empty key.
   const Tenant* find_tenant(std::string_view key) const;
-  bool has_tenants() const { return has_tenants_; }
+  // Whether requests to routes that are not public need a key: the document has a list of tenants, even an empty one.
+  bool requires_keys() const { return requires_keys_; }
 
  private:
   friend Result<std::shared_ptr<const Configuration>> read(const nlohmann::json& document);
   tsl::robin_map<std::string, std::vector<std::uint32_t>> by_host_;  // routes, longest prefix first
   tsl::robin_map<std::string, std::uint32_t> by_key_;
-  bool has_tenants_ = false;
+  bool requires_keys_ = false;
 };
 
 // Validates a whole document; a failure names the field.
--- a/src/system/decisions/decisions.cpp
+++ b/src/system/decisions/decisions.cpp
@@ -84,7 +84,7 @@
 
 // Until then no acknowledged change can have revoked a key so long ago that its requests must not run.
 Time Decisions::keys_valid_until() const {
-  if (!bounds_.strict_revoke || !configuration_ || !configuration_->has_tenants()) return Time::max();
+  if (!bounds_.strict_revoke || !configuration_ || !configuration_->requires_keys()) return Time::max();
   if (!confirmed_at_) return Time::min();
   return *confirmed_at_ + from_millis(bounds_.revoke_ms) - kRevokeMargin;
 }
--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -109,7 +109,7 @@
   const auto* route = configuration_->find_route(request.host, request.target);
   if (!route) return session->respond(number, rejection(404));
   const auto* tenant = request.key.empty() ? nullptr : configuration_->find_tenant(request.key);
-  if (configuration_->has_tenants() && !route->is_public && !tenant)
+  if (configuration_->requires_keys() && !route->is_public && !tenant)
     return session->respond(number, rejection(401));
   const auto id = ++last_id_;
   const Duration time_left = from_millis(
--- a/tests/system/decisions_world.hpp
+++ b/tests/system/decisions_world.hpp
@@ -21,12 +21,14 @@
   int tries = 2;
   double cold_per_s = 10, per_s = 0;
   bool strict = false;
+  bool has_account = true;  // else its list of accounts is empty
 };
 
 inline std::shared_ptr<const Configuration> configured(const Setup& s) {
-  const auto text = R"({"gen":"00000001","accts":[{"name":"t","apikeys":["k"],"per_s":)" +
-                    std::to_string(s.per_s) + R"(,"burst":10,"pin_regions":)" + s.tenant_regions +
-                    R"(}],"listeners":[{"vhost":"h","policy":[{"name":"r","kind":")" + s.kind +
+  const auto account = R"({"name":"t","apikeys":["k"],"per_s":)" + std::to_string(s.per_s) +
+                       R"(,"burst":10,"pin_regions":)" + s.tenant_regions + "}";
+  const auto text = R"({"gen":"00000001","accts":[)" + (s.has_account ? account : "") +
+                    R"(],"listeners":[{"vhost":"h","policy":[{"name":"r","kind":")" + s.kind +
                     R"(","target_ms":500,"match":{"pfx":"/a/"},"action":{"svc":"s","tmo_ms":2000,"tries":)" +
                     std::to_string(s.tries) + R"(,"pin_regions":)" + s.regions +
                     R"(}}]}],"clusters":[{"name":"s","max_conns":80,"warmup_s":3,"cold_per_s":)" +
