Keys: a key that is not known gets 401 without a list of accounts too

Callers saw: after a Config.Replace without accts on top of one with it, requests with the keys that were taken away ran, with strict_revoke as well. Cause: keys were looked at only if the configuration asks for them. Evidence: the way 'no list' of the story fails on the code of before (k1, k2, an unknown and an empty key got 200) and passes now.

--- a/src/system/proxy/proxy.cpp
+++ b/src/system/proxy/proxy.cpp
@@ -108,9 +108,10 @@
   }
   const auto* route = configuration_->find_route(request.host, request.target);
   if (!route) return session->respond(number, rejection(404));
-  const auto* tenant = request.key.empty() ? nullptr : configuration_->find_tenant(request.key);
-  if (configuration_->requires_keys() && !route->is_public && !tenant)
-    return session->respond(number, rejection(401));
+  const auto* tenant = request.key ? configuration_->find_tenant(*request.key) : nullptr;
+  // A key that is not known is rejected even if none is required: it may have been revoked.
+  const bool needs_tenant = !route->is_public && (configuration_->requires_keys() || request.key);
+  if (needs_tenant && !tenant) return session->respond(number, rejection(401));
   const auto id = ++last_id_;
   const Duration time_left = from_millis(
       request.deadline_ms.value_or(route->timeout_ms > 0 ? route->timeout_ms : 10000));
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -133,7 +133,7 @@
   }
   request_.method = head.method, request_.target = head.target, request_.host = *host,
   request_.attempt_id = *id;
-  if (const auto key = head.unique("Key")) request_.key = *key;
+  if (head.has("Key")) request_.key = head.unique("Key").value_or("");
   if (const auto ms = head.unique("Deadline")) request_.deadline_ms = http::parse_decimal(*ms);
   auto& forwarded = request_.head;
   forwarded.reserve(parsed.consumed + 160);
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -22,8 +22,9 @@
 
 // A complete request as parsed from the client.
 struct Request {
-  std::string method, target, host, attempt_id, key,
+  std::string method, target, host, attempt_id,
       head;  // `head`: request line and fields for the server, without the fields that the proxy sets itself
+  std::optional<std::string> key;           // empty if the client sent several
   std::shared_ptr<const std::string> body;  // null: no body
   bool has_body = false;
   std::optional<double> deadline_ms;
--- a/tests/system/keys_test.cpp
+++ b/tests/system/keys_test.cpp
@@ -115,6 +115,7 @@
        [&] {
          accounts.replace({account("t1", {}), account("t2", {})});
        }},
+      {"no list", [&] { accounts.replace(nullptr); }},
   };
   for (const auto& [way, take_away] : ways) {
     accounts.replace(both);
@@ -141,6 +142,23 @@
   BOOST_TEST(f.server.requests().back().field("Tenant") == "t2");
 }
 
+// Its client's Tenant is no tenant's name, whether or not the configuration asks for keys.
+BOOST_AUTO_TEST_CASE(given_no_list_of_accounts_when_a_request_has_no_key_then_it_runs_without_a_tenant) {
+  ServingFleet f;
+  Accounts accounts(f);
+  const auto without_key = [&] {
+    return f
+        .exchange(f.http(4),
+                  "GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: bare\r\nDeadline: 9000\r\n"
+                  "Tenant: forged\r\n\r\n")
+        .status;
+  };
+  BOOST_TEST(f.until([&] { return without_key() == 401; }));
+  accounts.replace(nullptr);
+  BOOST_TEST(f.until([&] { return without_key() == 200; }));
+  BOOST_TEST(f.server.requests().back().field("Tenant") == "");
+}
+
 // A connection that is kept open, and a proxy that starts after it.
 BOOST_AUTO_TEST_CASE(
     given_an_open_connection_and_a_new_proxy_when_the_last_account_is_gone_then_both_refuse) {
