--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -150,11 +150,8 @@
   decoder_ = BodyDecoder(*kind);
   in_body_ = true;
   input_.erase(0, parsed.consumed);
-  if (expects_continue && input_.empty()) {
-    static const std::string continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-    error_code ignored;
-    asio::write(socket_, asio::buffer(continue_response), ignored);
-  }
+  continue_due_ = expects_continue && input_.empty();
+  write_next();
   return true;
 }
 
@@ -165,6 +162,7 @@
     const auto step = decoder_.next(std::string_view(input_).substr(used));
     if (step.status == BodyDecoder::Status::bad) return reject({400}), false;
     used += step.used;
+    if (step.used > 0) continue_due_ = false;
     if (body_->bytes().size() + step.data.size() > limit) return reject(handler_->rejection(413)), false;
     if (!body_->append(step.data)) return reject(handler_->refuse_body()), false;
     if (step.status == BodyDecoder::Status::more) break;
@@ -180,7 +178,7 @@
     pipelined.done = true, pipelined.response = std::move(response), pipelined.fields_end = fields_end;
     break;
   }
-  write_next_response();
+  write_next();
 }
 
 void Session::respond(std::uint64_t number, const LocalReply& reply) {
@@ -200,7 +198,7 @@
 // Replies to a request that can't be parsed or held, and closes the connection after that response.
 void Session::reject(const LocalReply& reply) {
   if (closed_) return;
-  keep_alive_ = false, rejected_ = true;
+  keep_alive_ = false, rejected_ = true, continue_due_ = false;
   body_.reset();
   timers_.cancel(timeout_);
   const auto number = ++last_number_;
@@ -208,39 +206,66 @@
   respond(number, reply);
 }
 
-void Session::write_next_response() {
-  if (writing_ || closed_ || pipeline_.empty() || !pipeline_.front().done) return;
-  auto& pipelined = pipeline_.front();
-  // Clients treat requests behind a response that closes the connection as unread and retry them elsewhere.
-  const bool last = pipelined.last || (handler_->draining() && pipeline_.size() == 1);
-  if (last) pipelined.response.insert(pipelined.fields_end, "Connection: close\r\n"), keep_alive_ = false;
-  output_ = std::move(pipelined.response);
+// Writes what is next on the connection, one at a time and without blocking: the responses in the order of their
+// requests, and behind them the interim response that the client waits for before it sends a body.
+void Session::write_next() {
+  if (writing_ || closed_) return;
+  if (pipeline_.empty()) {
+    if (continue_due_) write_continue();
+  } else if (pipeline_.front().done) {
+    write_response();
+  }
+}
+
+void Session::write_continue() {
+  continue_due_ = false;
+  output_ = "HTTP/1.1 100 Continue\r\n\r\n";
+  write_output([](Session& self) {
+    if (self.in_body_ && self.pipeline_.empty())
+      self.arm_read_timeout(self.handler_->limits().idle_ms, false);
+  });
+}
+
+// Writes output_, then calls `on_written` unless the connection has ended.
+void Session::write_output(std::function<void(Session&)> on_written) {
   writing_ = true;
   timers_.cancel(timeout_);
-  timeout_ = timers_.after(kWriteTimeout,
-                           [self = shared_from_this()] { self->timeout_.reset(), self->close(); });
+  write_timeout_ = timers_.after(
+      kWriteTimeout, [self = shared_from_this()] { self->write_timeout_.reset(), self->close(); });
   asio::async_write(
-      socket_, asio::buffer(output_), [self = shared_from_this(), last](error_code error, std::size_t) {
+      socket_, asio::buffer(output_),
+      [self = shared_from_this(), on_written = std::move(on_written)](error_code error, std::size_t) {
         self->writing_ = false;
         if (self->closed_) return;
-        self->timers_.cancel(self->timeout_);
-        self->pipeline_.pop_front();
+        self->timers_.cancel(self->write_timeout_);
         self->output_ = {};
         if (error) return self->close();
-        if (last) return self->finish_sending();
-        if (self->request_ready_) self->dispatch();
-        self->process_input();
-        if (self->closed_) return;
-        if (self->pipeline_.empty()) {
-          const bool idle = self->input_.empty() && !self->in_body_;
-          self->arm_read_timeout(idle ? self->handler_->limits().idle_ms : self->handler_->limits().header_ms,
-                                 idle);
-        }
-        self->write_next_response();
+        on_written(*self);
+        if (self->closed_ || self->lingering_) return;
+        self->write_next();
         self->read();
       });
 }
 
+void Session::write_response() {
+  auto& pipelined = pipeline_.front();
+  // Clients treat requests behind a response that closes the connection as unread and retry them elsewhere.
+  const bool last = pipelined.last || (handler_->draining() && pipeline_.size() == 1);
+  if (last) pipelined.response.insert(pipelined.fields_end, "Connection: close\r\n"), keep_alive_ = false;
+  output_ = std::move(pipelined.response);
+  write_output([last](Session& self) { self.on_response_written(last); });
+}
+
+void Session::on_response_written(bool last) {
+  pipeline_.pop_front();
+  if (last) return finish_sending();
+  if (request_ready_) dispatch();
+  process_input();
+  if (closed_ || writing_ || !pipeline_.empty()) return;
+  const bool idle = input_.empty() && !in_body_;
+  arm_read_timeout(idle ? handler_->limits().idle_ms : handler_->limits().header_ms, idle);
+}
+
 std::size_t Session::blocked_responses() const {
   if (pipeline_.empty()) return 0;
   return static_cast<std::size_t>(
@@ -274,6 +299,7 @@
 void Session::close() {
   if (std::exchange(closed_, true)) return;
   timers_.cancel(timeout_);
+  timers_.cancel(write_timeout_);
   snowknot::close_now(socket_);
   if (auto* handler = std::exchange(handler_, nullptr)) handler->on_closed(shared_from_this());
 }
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -78,7 +78,11 @@
   void process_input();
   bool read_body();
   void dispatch();
-  void write_next_response();
+  void write_next();
+  void write_continue();
+  void write_response();
+  void write_output(std::function<void(Session&)> on_written);
+  void on_response_written(bool last);
   void finish_sending();
   bool read_head();
   void reject(const LocalReply& reply);
@@ -104,7 +108,8 @@
   bool reading_ = false, in_body_ = false, pipeline_repeatable_ = true, keep_alive_ = true, closed_ = false,
        writing_ = false, processing_scheduled_ = false, close_check_scheduled_ = false, rejected_ = false,
        lingering_ = false;
-  snowknot::Timers::Handle timeout_;
+  bool continue_due_ = false;  // the client waits for an interim response before it sends the body
+  snowknot::Timers::Handle timeout_, write_timeout_;  // of what is read, and of what is being written
 };
 
 }  // namespace docklift::proxy
