--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -15,9 +15,12 @@
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{64} * 1024;  // input buffered behind open requests
 constexpr std::size_t kMaxPipelinedRequests = 16;                   // open requests per connection
 constexpr Duration kWriteTimeout = std::chrono::seconds(20);
-// Delay between the last response and the close of a connection on which the client may still have sent data.
-// An immediate close would reset the connection, and the response could be lost.
-constexpr Duration kLingerTime = std::chrono::milliseconds(300);
+// Between the last response and the close of a connection on which the client may still send data. A close with unread
+// data resets the connection, and what the client has not read yet of its responses is lost. A client that reads late
+// may take until its deadline.
+constexpr Duration kMinLingerTime = std::chrono::milliseconds(300);
+constexpr Duration kMaxLingerTime = std::chrono::seconds(20);
+constexpr Duration kDefaultClientPatience = std::chrono::seconds(10);  // of a client that names no deadline
 // Between checks for a close while nothing is read from the connection.
 constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(250);
 }  // namespace
@@ -106,9 +109,16 @@
   pipeline_repeatable_ = repeatable, request_ready_ = false;
   const auto number = ++last_number_;
   pipeline_.push_back({number, false, !keep_alive_, {}, 0});
+  note_patience(request_);
   handler_->on_request(shared_from_this(), number, std::move(request_));
 }
 
+void Session::note_patience(const Request& request) {
+  const auto patience = request.deadline_ms ? from_millis(*request.deadline_ms) : kDefaultClientPatience;
+  responses_wanted_until_ = std::max(responses_wanted_until_,
+                                     timers_.now() + std::min(patience, kMaxLingerTime));
+}
+
 bool Session::read_head() {
   const auto limits = handler_->limits();
   http::Head head;
@@ -281,8 +291,8 @@
   if (!handler_->draining() && !rejected_) return close();
   lingering_ = true;
   input_.clear();
-  timeout_ = timers_.after(kLingerTime,
-                           [self = shared_from_this()] { self->timeout_.reset(), self->close(); });
+  const Time until = std::max(responses_wanted_until_, timers_.now() + kMinLingerTime);
+  timeout_ = timers_.at(until, [self = shared_from_this()] { self->timeout_.reset(), self->close(); });
   read();
 }
 
--- a/src/system/proxy/session.hpp
+++ b/src/system/proxy/session.hpp
@@ -78,6 +78,7 @@
   void process_input();
   bool read_body();
   void dispatch();
+  void note_patience(const Request& request);
   void write_next();
   void write_continue();
   void write_response();
@@ -101,6 +102,7 @@
   };
   std::deque<PipelinedRequest> pipeline_;  // open requests, in order
   std::uint64_t last_number_ = 0;
+  Time responses_wanted_until_{};  // the latest deadline of a request on this connection
   Request request_;
   bool request_ready_ = false;  // request_ is complete and waits to be dispatched
   stream::BodyDecoder decoder_;
--- a/tests/system/late_readers_test.cpp
+++ b/tests/system/late_readers_test.cpp
@@ -13,9 +13,10 @@
 constexpr int kReceiveBuffer = 16 * 1024;
 
 standin::ScriptedResponse respond_with_large_body(const standin::ReceivedRequest& request) {
-  if (request.target().starts_with("/a/large"))
-    return standin::ok_response(request, std::string(kLargeBody, 'b'));
-  return respond_or_hold(request);
+  if (!request.target().starts_with("/a/large")) return respond_or_hold(request);
+  auto response = standin::ok_response(request, std::string(kLargeBody, 'b'));
+  response.hold = request.target().ends_with("hold");
+  return response;
 }
 
 std::string put_head(const std::string& id, const std::string& path = "/a/put") {
@@ -73,6 +74,7 @@
     return status != 0 ? status : take_response(body);
   }
   bool was_reset() const { return reset_; }
+  void close() { snowknot::close_now(socket_); }
 
  private:
   void read_available() {
@@ -172,6 +174,29 @@
   BOOST_TEST(f.until([&] { return ended; }));
 }
 
+// The connection was closed 300 ms after its last response was handed to the kernel; what the client sent after that
+// reset it, and the rest of the response was lost (review/7).
+BOOST_AUTO_TEST_CASE(given_a_drain_when_a_client_reads_its_last_response_late_then_it_gets_all_of_it) {
+  ServingFleet f("", respond_with_large_body);
+  LateReader client(f, 5);
+  client.send(request_to("/a/large-hold", "first"));
+  BOOST_TEST(f.reaches_server("/a/large-hold"));
+  bool ended = false;
+  f.proxies[1]->drain([&] { ended = true; });
+  f.server.release();
+  let_run(f, 500ms);
+  client.send(request_to("/a/x", "second"));
+  let_run(f, 300ms);
+  std::string body;
+  BOOST_TEST(client.next_response(body) == 200);
+  BOOST_TEST((body == std::string(kLargeBody, 'b')));
+  client.read_until([] { return false; });
+  BOOST_TEST(!client.was_reset());
+  BOOST_TEST(!ended);
+  client.close();
+  BOOST_TEST(f.until([&] { return ended; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
