--- a/src/system/configuration/change_rules.hpp
+++ b/src/system/configuration/change_rules.hpp
@@ -1,7 +1,7 @@
-// Which members of the configuration document an order of the operator may set, and with which type. One table for
-// Config.Replace and Config.Patch. These rules decide whether an order is accepted; they do not apply to changes that are
-// already in the log, which an earlier version of this program may have accepted (docs/design/configuration-changes.md).
-// Pure.
+// Which members of the configuration document an order of the operator may set, and with which type. One
+// table for Config.Replace and Config.Patch. These rules decide whether an order is accepted; they do not
+// apply to changes that are already in the log, which an earlier version of this program may have accepted
+// (docs/design/configuration-changes.md). Pure.
 #pragma once
 
 #include <cstddef>
@@ -10,7 +10,8 @@
 
 namespace docklift::configuration {
 
-// Nesting of arrays and objects in an order's body. Deeper documents could not be encoded on a thread's stack.
+// Nesting of arrays and objects in an order's body. Deeper documents could not be encoded on a thread's
+// stack.
 inline constexpr std::size_t kMaxNesting = 64;
 // Whether the text nests arrays and objects deeper than kMaxNesting. Reads any bytes.
 bool nests_too_deeply(std::string_view text);
@@ -19,8 +20,8 @@
 //
 // Checks the members of a Config.Replace body.
 void check_replace_members(const nlohmann::json& body);
-// Checks the members under `upsert` and `remove` of a Config.Patch body. Members that this version does not know are
-// compared with those of `document`, the document to be changed.
+// Checks the members under `upsert` and `remove` of a Config.Patch body. Members that this version does not
+// know are compared with those of `document`, the document to be changed.
 void check_patch_members(const nlohmann::json& document, const nlohmann::json& patch);
 
 }  // namespace docklift::configuration
--- a/src/system/configuration/configuration.cpp
+++ b/src/system/configuration/configuration.cpp
@@ -198,8 +198,9 @@
   return json;
 }
 
-// An order is checked by the rules of this version (change_rules). A change that is in the log keeps the effect that
-// it had when it was accepted, so that all versions of this program reach the same state from one log.
+// An order is checked by the rules of this version (change_rules). A change that is in the log keeps the
+// effect that it had when it was accepted, so that all versions of this program reach the same state from one
+// log.
 enum class ChangeOrigin { order, log };
 
 ValidationResult validate_change(const State& state, BodyOperation operation, ChangeOrigin origin,
--- a/src/system/configuration/configuration.hpp
+++ b/src/system/configuration/configuration.hpp
@@ -77,7 +77,8 @@
   const Route* find_route(std::string_view host, std::string_view target) const;
   // The tenant that owns an API key; null if there is none. No tenant owns the empty key.
   const Tenant* find_tenant(std::string_view key) const;
-  // Whether requests to routes that are not public need a key: the document has a list of tenants, even an empty one.
+  // Whether requests to routes that are not public need a key: the document has a list of tenants, even an
+  // empty one.
   bool requires_keys() const { return requires_keys_; }
 
  private:
@@ -138,8 +139,8 @@
   // older commands.
   bool already_in_effect = false;
 };
-// Validate an order's body against a state, by the rules of change_rules too. On 200 without `already_accepted`, `after` (if not null) receives the
-// resulting document.
+// Validate an order's body against a state, by the rules of change_rules too. On 200 without
+// `already_accepted`, `after` (if not null) receives the resulting document.
 //
 // A 400 is final on any store, even a lagging one: it depends only on the body (`gen` not above its `parent`)
 // or on the document of the parent version, which is the same wherever that version is current. A 412 depends
@@ -151,8 +152,9 @@
 // Validates an evacuation command (`kind` is evacuate or readmit) against a state. Any result other than 400
 // depends on the state, so it may be returned only after a majority was asked.
 ValidationResult validate_evacuation(const State& state, ChangeKind kind, std::string_view text);
-// Applies the change at the next log position. Returns false if it had no effect. Changes that an earlier version of
-// this program accepted have the effect that they had there, even if an order could no longer have it.
+// Applies the change at the next log position. Returns false if it had no effect. Changes that an earlier
+// version of this program accepted have the effect that they had there, even if an order could no longer have
+// it.
 bool apply(State& state, ChangeKind kind, const std::string& change);
 
 }  // namespace docklift::configuration
--- a/src/system/configuration/document_fields.hpp
+++ b/src/system/configuration/document_fields.hpp
@@ -1,5 +1,5 @@
-// Access to the fields of a configuration document, with a failure that names the field. Used inside this module
-// only: DocumentError does not leave it. Pure.
+// Access to the fields of a configuration document, with a failure that names the field. Used inside this
+// module only: DocumentError does not leave it. Pure.
 #pragma once
 
 #include <cstdint>
--- a/src/system/configuration/patch.cpp
+++ b/src/system/configuration/patch.cpp
@@ -71,8 +71,8 @@
 
 }  // namespace
 
-Json apply_patch(const Json& old, const Json& patch) {
-  Json next = old;
+Json apply_patch(const Json& document, const Json& patch) {
+  Json next = document;
   next["gen"] = patch.at("gen"), next["parent"] = patch.at("parent");
   if (const auto& set = member_or_null(patch, "upsert"); set.is_object()) {
     for (const auto& [key, items] : set.items()) {
--- a/src/system/configuration/version_history.hpp
+++ b/src/system/configuration/version_history.hpp
@@ -37,8 +37,8 @@
   // version has been dropped is rejected as stale (412). 24 bytes each in a snapshot, 240 KB at most.
   static constexpr std::size_t kMaxVersions = 10'000;
 
-  // Usually above all recorded versions. A change that an earlier version of this program accepted may have set a lower
-  // one; a version that is recorded again belongs to the later body.
+  // Usually above all recorded versions. A change that an earlier version of this program accepted may have
+  // set a lower one; a version that is recorded again belongs to the later body.
   void record(std::uint64_t version, const BodyDigest& digest);
   // Whether exactly this body was accepted as this version.
   bool contains(std::uint64_t version, const BodyDigest& digest) const;
@@ -50,8 +50,8 @@
 
   // 24 bytes a version: version, high, low; little-endian.
   std::string encode() const;
-  // Versions in any order, as earlier versions of this program may have written them. Returns nothing for truncated
-  // bytes.
+  // Versions in any order, as earlier versions of this program may have written them. Returns nothing for
+  // truncated bytes.
   static std::optional<VersionHistory> decode(std::string_view bytes);
 
  private:
--- a/src/system/proxy/session.cpp
+++ b/src/system/proxy/session.cpp
@@ -15,9 +15,9 @@
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{64} * 1024;  // input buffered behind open requests
 constexpr std::size_t kMaxPipelinedRequests = 16;                   // open requests per connection
 constexpr Duration kWriteTimeout = std::chrono::seconds(20);
-// Between the last response and the close of a connection on which the client may still send data. A close with unread
-// data resets the connection, and what the client has not read yet of its responses is lost. A client that reads late
-// may take until its deadline.
+// Between the last response and the close of a connection on which the client may still send data. A close
+// with unread data resets the connection, and what the client has not read yet of its responses is lost. A
+// client that reads late may take until its deadline.
 constexpr Duration kMinLingerTime = std::chrono::milliseconds(300);
 constexpr Duration kMaxLingerTime = std::chrono::seconds(20);
 constexpr Duration kDefaultClientPatience = std::chrono::seconds(10);  // of a client that names no deadline
@@ -216,8 +216,8 @@
   respond(number, reply);
 }
 
-// Writes what is next on the connection, one at a time and without blocking: the responses in the order of their
-// requests, and behind them the interim response that the client waits for before it sends a body.
+// Writes what is next on the connection, one at a time and without blocking: the responses in the order of
+// their requests, and behind them the interim response that the client waits for before it sends a body.
 void Session::write_next() {
   if (writing_ || closed_) return;
   if (pipeline_.empty()) {
@@ -283,8 +283,8 @@
                     [](const PipelinedRequest& pipelined) { return pipelined.done; }));
 }
 
-// Ends the connection after the last response. Outside a drain nothing can follow it, unless the client itself
-// has asked for the close, but for the rest of a request that was rejected.
+// Ends the connection after the last response. Outside a drain nothing can follow it, unless the client
+// itself has asked for the close, but for the rest of a request that was rejected.
 void Session::finish_sending() {
   error_code ignored;
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
--- a/src/system/transfer/change_follower.cpp
+++ b/src/system/transfer/change_follower.cpp
@@ -105,7 +105,8 @@
 
 // ---- snapshots that can't be read
 
-// The copy here stays in force. The sources were all asked when they connected, so each has had its turn once.
+// The copy here stays in force. The sources were all asked when they connected, so each has had its turn
+// once.
 void ChangeFollower::pause_after_unreadable(Time now, const std::string& source) {
   unreadable_source_ = source;
   const auto pause = retry_pause_.on_failure(now);
--- a/src/system/transfer/retry_pause.hpp
+++ b/src/system/transfer/retry_pause.hpp
@@ -1,5 +1,5 @@
-// Paces the requests of a snapshot after one that could not be read: without a pause its source and its receiver would
-// send and drop it again and again. Performs no I/O.
+// Paces the requests of a snapshot after one that could not be read: without a pause its source and its
+// receiver would send and drop it again and again. Performs no I/O.
 #pragma once
 
 #include <algorithm>
@@ -15,7 +15,8 @@
   static constexpr Duration kFirst = std::chrono::milliseconds(250);
   static constexpr Duration kLongest = std::chrono::seconds(8);
 
-  // Starts a pause and returns its length. A failure during a pause neither lengthens nor restarts it: returns nothing.
+  // Starts a pause and returns its length. A failure during a pause neither lengthens nor restarts it:
+  // returns nothing.
   std::optional<Duration> on_failure(Time now) {
     if (until_) return std::nullopt;
     const Duration pause = next_;
--- a/tests/system/configuration_changes_test.cpp
+++ b/tests/system/configuration_changes_test.cpp
@@ -1,4 +1,5 @@
-// Which orders for the configuration are accepted, and that every state that results can be encoded and read back.
+// Which orders for the configuration are accepted, and that every state that results can be encoded and read
+// back.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
@@ -43,7 +44,8 @@
 
 BOOST_AUTO_TEST_SUITE(configuration_changes)
 
-// A patch wrote any member under upsert into the document, gen too, after the order's own gen had been validated.
+// A patch wrote any member under upsert into the document, gen too, after the order's own gen had been
+// validated.
 BOOST_AUTO_TEST_CASE(given_a_patch_that_sets_a_version_when_it_is_validated_then_it_gets_400) {
   const auto state = state_at_nine();
   for (const auto* version : {R"("00000003")", R"("00000009")", R"("0000000a")", R"("0000000b")",
@@ -58,7 +60,8 @@
   }
 }
 
-// An account list of null was acknowledged and took all accounts away; a misspelled list of removals did nothing.
+// An account list of null was acknowledged and took all accounts away; a misspelled list of removals did
+// nothing.
 BOOST_AUTO_TEST_CASE(given_members_of_another_type_when_an_order_is_validated_then_it_gets_400) {
   const auto state = state_at_nine();
   for (const std::string list : {"accts", "listeners", "clusters"})
@@ -231,7 +234,8 @@
   std::size_t accepted_orders_ = 0;
 };
 
-// A state that was applied could hold versions that do not ascend: no snapshot of it could be read, and no disk.
+// A state that was applied could hold versions that do not ascend: no snapshot of it could be read, and no
+// disk.
 BOOST_AUTO_TEST_CASE(given_random_orders_when_they_are_accepted_then_each_state_is_read_back_as_it_was) {
   std::size_t accepted_orders = 0;
   const auto seeds = last_seed(60);
--- a/tests/system/keys_test.cpp
+++ b/tests/system/keys_test.cpp
@@ -1,5 +1,5 @@
-// Which requests run with which keys, while accounts are taken away: the configuration, the decisions of a proxy, and
-// a fleet on loopback sockets.
+// Which requests run with which keys, while accounts are taken away: the configuration, the decisions of a
+// proxy, and a fleet on loopback sockets.
 #include <boost/test/unit_test.hpp>
 
 #include "decisions_world.hpp"
--- a/tests/system/late_readers_test.cpp
+++ b/tests/system/late_readers_test.cpp
@@ -42,8 +42,8 @@
       return done() || ended_;
     });
   }
-  // Shrinks the buffer of the proxy's side, which runs in this process, so that what is in it leaves no room. A kernel
-  // that is short of memory does the same. False: the connection was not found.
+  // Shrinks the buffer of the proxy's side, which runs in this process, so that what is in it leaves no room.
+  // A kernel that is short of memory does the same. False: the connection was not found.
   bool leave_no_room() {
     const auto own = socket_.local_endpoint();
     constexpr int kMaxDescriptors = 1024;
@@ -174,8 +174,8 @@
   BOOST_TEST(f.until([&] { return ended; }));
 }
 
-// The connection was closed 300 ms after its last response was handed to the kernel; what the client sent after that
-// reset it, and the rest of the response was lost (review/7).
+// The connection was closed 300 ms after its last response was handed to the kernel; what the client sent
+// after that reset it, and the rest of the response was lost (review/7).
 BOOST_AUTO_TEST_CASE(given_a_drain_when_a_client_reads_its_last_response_late_then_it_gets_all_of_it) {
   ServingFleet f("", respond_with_large_body);
   LateReader client(f, 5);
--- a/tests/system/unreadable_snapshots_test.cpp
+++ b/tests/system/unreadable_snapshots_test.cpp
@@ -82,7 +82,8 @@
 
 BOOST_AUTO_TEST_SUITE(unreadable_snapshots)
 
-// Each was asked for again at once: a core of the receiver and of each source was busy, for as long as it lasted.
+// Each was asked for again at once: a core of the receiver and of each source was busy, for as long as it
+// lasted.
 BOOST_AUTO_TEST_CASE(given_unreadable_snapshots_when_time_passes_then_sources_are_asked_by_turns_and_rarely) {
   Sources sources;
   sources.link("a", readable_snapshot(3));
