Tests: a client's read does nothing once the client is gone (system.keys, sanitizers)

The last story destroys its client while the fleet still runs the event loop, and the client's read wrote into it. Other stories wait for the end of the connection first. The read is bound to the client's life (Lifetime), which holds for all stories; no check is changed, and no source of the programs.

--- a/tests/system/serving_fleet.hpp
+++ b/tests/system/serving_fleet.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "path_fleet.hpp"
+#include "system/base/lifetime.hpp"
 
 namespace docklift::test {
 
@@ -29,14 +30,14 @@
     asio::async_write(socket_, asio::buffer(*sent), [sent](boost::system::error_code, std::size_t) {});
   }
   void disconnect() { snowknot::close_now(socket_); }
-  // Reads everything received from now on; the client must outlive the event loop's callbacks.
+  // Reads everything received from now on, until the client is destroyed.
   void start_reading() {
     socket_.async_read_some(asio::buffer(read_buffer_),
-                            [this](boost::system::error_code error, std::size_t bytes) {
+                            lifetime_.bind([this](boost::system::error_code error, std::size_t bytes) {
                               received_.append(read_buffer_.data(), bytes);
                               if (error) return void(closed_ = true);
                               start_reading();
-                            });
+                            }));
   }
   const std::string& received() const { return received_; }
   bool closed() const { return closed_; }  // by the proxy
@@ -49,6 +50,7 @@
   std::array<char, 4096> read_buffer_{};
   std::string received_;
   bool closed_ = false;
+  Lifetime lifetime_;
 };
 
 inline std::string request_to(const std::string& path, const std::string& id) {
